Add the workspace, the base and configuration crates, and the design page

Cause: the parts of the system are built side by side, so they need one manifest, shared names and one page of interfaces first. Ruled out: one crate with modules; the decision code must not be able to reach sockets or clocks, which separate crates enforce. Conclusion: the other crates build on this state.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,19 @@
+//! Values that every other crate uses: names, time, and the identity of a router.
+//!
+//! - [`name`]: shared immutable names of hosts, failure domains, teams, services and upstreams.
+//! - [`time`]: a point on a process's monotonic clock and a length of time, both in microseconds.
+//! - [`host`]: the identity of one run of a router process.
+//!
+//! ```
+//! use tsw_base::{name, time};
+//!
+//! let team: name::Team = "counter".parse()?;
+//! assert_eq!(team.as_str(), "counter");
+//! let deadline = time::Tick::from_micros(5) + time::Span::from_millis(2);
+//! assert_eq!(deadline.as_micros(), 2_005);
+//! # Ok::<(), name::Error>(())
+//! ```
+
+pub mod host;
+pub mod name;
+pub mod time;
--- /dev/null
+++ b/crates/base/src/time.rs
@@ -0,0 +1,154 @@
+//! Points on a process's monotonic clock and lengths of time, in microseconds.
+//!
+//! A [`Tick`] is meaningful only inside the process that read it; it is never sent to a peer.
+
+use std::{fmt, ops, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+/// A point on the monotonic clock of this process, in microseconds since its start.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Tick(u64);
+
+impl Tick {
+    /// The start of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the point `micros` microseconds after the start.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns the microseconds since the start.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time from `earlier` to this point, or zero if `earlier` is later.
+    ///
+    /// ```
+    /// use tsw_base::time::{Span, Tick};
+    ///
+    /// let (early, late) = (Tick::from_micros(10), Tick::from_micros(35));
+    /// assert_eq!(late.since(early), Span::from_micros(25));
+    /// assert_eq!(early.since(late), Span::ZERO);
+    /// ```
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl ops::Add<Span> for Tick {
+    type Output = Self;
+
+    fn add(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+/// A length of time in microseconds.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Span(u64);
+
+impl Span {
+    /// The longest length.
+    pub const MAX: Self = Self(u64::MAX);
+    /// No time.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns a length of `micros` microseconds.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns a length of `millis` milliseconds.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1_000))
+    }
+
+    /// Returns a length of `secs` seconds.
+    #[must_use]
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs.saturating_mul(1_000_000))
+    }
+
+    /// Returns the length in microseconds.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the length in whole milliseconds, rounded down.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Returns the length in seconds.
+    #[must_use]
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// Returns the length as a [`Duration`].
+    #[must_use]
+    pub const fn as_duration(self) -> Duration {
+        Duration::from_micros(self.0)
+    }
+
+    /// Returns this length less `other`, or zero if `other` is longer.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl From<Duration> for Span {
+    fn from(duration: Duration) -> Self {
+        Self(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+impl ops::Add for Span {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl ops::AddAssign for Span {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl ops::Mul<u64> for Span {
+    type Output = Self;
+
+    fn mul(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+}
+
+impl ops::Div<u64> for Span {
+    type Output = Self;
+
+    /// Divides by `divisor`; division by zero panics as it does for integers.
+    fn div(self, divisor: u64) -> Self {
+        Self(self.0 / divisor)
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03} ms", self.0 / 1_000, self.0 % 1_000)
+    }
+}
--- /dev/null
+++ b/crates/board/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/toucand/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
