Tell large charges at once and keep grants apart by number

Cause: two homes both served the team that was next, and a grant overtaken by a later one was dropped, which left its slot idle until it timed out.

--- a/crates/grant/src/entry.rs
+++ b/crates/grant/src/entry.rs
@@ -318,8 +318,8 @@
         let Some(peer) = self.peers.get_mut(from) else {
             return commands.push(self.unused(from, grant.id));
         };
-        // A number that was seen is a duplicate. Returning it would free a slot in use.
-        if !peer.see(grant.id) {
+        // Returning a duplicate as unused would free a slot in use.
+        if !peer.see(now, grant.id, ttl) {
             return;
         }
         let fresh = peer.answers(now, grant.seq, ttl);
--- a/crates/grant/src/home.rs
+++ b/crates/grant/src/home.rs
@@ -149,6 +149,12 @@
         /// The message.
         grant: Grant,
     },
+    /// Send the charges to the other homes of the service and to the router that is next in line
+    /// for each group.
+    Served {
+        /// The message.
+        served: Served,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -319,13 +325,16 @@
             Event::Tick => {}
         }
         self.elapse(now);
-        self.fill(now)
+        let mut commands = self.fill(now);
+        let served = self.book.due(now);
+        commands.extend(served.map(|served| Command::Served { served }));
+        commands
     }
 
-    /// Returns the totals to send to the other homes of the service and, so that it can take over,
-    /// to the router that is next in line: every 100 ms, and in `full` at the start of a session.
-    pub fn served(&mut self, now: time::Tick, full: bool) -> Served {
-        self.book.served(now, full)
+    /// Returns the charges of all teams, to send at the start of a session with another home of the
+    /// service or with the router that is next in line.
+    pub fn served(&mut self) -> Served {
+        self.book.served()
     }
 
     /// Returns the tags and totals of the teams.
--- a/crates/grant/src/home/ledger.rs
+++ b/crates/grant/src/home/ledger.rs
@@ -26,7 +26,6 @@
         }
         match run.start {
             Some(start) => {
-                self.book.start(run.key, run.width, start);
                 self.due.insert((start + run.charged, id));
             }
             None => {
@@ -48,7 +47,6 @@
         let mut used = time::Span::ZERO;
         if let Some(start) = run.start {
             self.due.remove(&(start + run.charged, id));
-            self.book.end(run.key, run.width, start, now);
             used = now.since(start);
         }
         match end {
@@ -102,7 +100,6 @@
         while let Some(next) = self.slots.update(upstream, first).flatten() {
             if let Some(run) = self.runs.get_mut(&next) {
                 run.start = Some(now);
-                self.book.start(run.key, run.width, now);
                 self.due.insert((now + run.charged, next));
             }
         }
--- a/crates/share/src/book.rs
+++ b/crates/share/src/book.rs
@@ -11,10 +11,20 @@
 /// lets a team that saved it up take a burst from the others.
 pub const IDLE_CREDIT: time::Span = time::Span::from_millis(50);
 
-/// Largest debt that service at other homes may leave a team with, so that a team does not pay for
-/// a partition for long after it heals.
+/// Largest debt that service at a home that was silent for [`SILENCE`] may leave a team with, so
+/// that a team does not pay for a partition for long after it heals.
 pub const DEBT_CAP: time::Span = time::Span::from_secs(2);
 
+/// Period in which changed charges are told to the other homes.
+pub const PERIOD: time::Span = time::Span::from_millis(100);
+
+/// Change of a tag that is told to the other homes at once. Until they know of it they may serve
+/// the same team again, so the fairness gap grows by it with each home.
+pub const NOTABLE: time::Span = time::Span::from_millis(20);
+
+/// Silence of a home after which its next charges are taken for those of a partition.
+pub const SILENCE: time::Span = time::Span::from_secs(1);
+
 /// Time after the last message of a home at which its totals are dropped. A later message of that
 /// home counts as its first, which charges nothing.
 pub const FORGET: time::Span = time::Span::from_secs(600);
@@ -38,28 +48,24 @@
     waiting: bool,
     /// Whether the tag stands for service that this home knows of.
     known: bool,
-    /// Slot time of ended uses, in microseconds.
-    settled: u64,
-    /// Slots in use, and the sum of the microseconds at which their uses started.
-    running: u64,
-    starts: u128,
-    /// Total in the last partial message.
+    /// Charges less refunds since the start, in microseconds.
+    charged: u64,
+    /// Charges in the last message that was not full.
     told: u64,
 }
 
 impl Account {
-    fn total(&self, now: time::Tick) -> u64 {
-        let elapsed = (u128::from(self.running) * u128::from(now.as_micros()))
-            .saturating_sub(self.starts)
-            .min(u128::from(u64::MAX));
-        self.settled.saturating_add(elapsed as u64)
+    fn rank(&self) -> Option<tag::Tag> {
+        let listed = self.waiting && self.share_ppm > 0;
+        listed.then_some(self.tag)
     }
 }
 
 #[derive(Clone, Debug, Default)]
 struct Peer {
     heard: time::Tick,
-    totals: HashMap<Key, u64>,
+    /// The sequence number and the charges of the latest line of each team.
+    lines: HashMap<Key, (u64, u64)>,
 }
 
 /// Service accounting of one service at one home.
@@ -86,6 +92,10 @@
     /// Waiting teams that have a share, by tag.
     ready: BTreeSet<(tag::Tag, Key)>,
     virtual_time: tag::Tag,
+    last_seq: u64,
+    last_message: time::Tick,
+    /// Teams whose charges are to be told at once.
+    notable: BTreeSet<Key>,
     peers: IndexMap<host::Incarnation, Peer>,
 }
 
@@ -100,6 +110,9 @@
             accounts: IndexMap::new(),
             ready: BTreeSet::new(),
             virtual_time: tag::Tag::ZERO,
+            last_seq: 0,
+            last_message: time::Tick::ZERO,
+            notable: BTreeSet::new(),
             peers: IndexMap::new(),
         }
     }
@@ -139,18 +152,12 @@
     /// Changes an account and keeps the order and virtual time in step with it.
     fn update<R>(&mut self, key: Key, change: impl FnOnce(&mut Account) -> R) -> R {
         let account = &mut self.accounts[key.index()];
-        let listed = account.waiting && account.share_ppm > 0;
-        let before = account.tag;
+        let before = account.rank();
         let result = change(account);
-        let lists = account.waiting && account.share_ppm > 0;
-        let after = account.tag;
-        if listed != lists || before != after {
-            if listed {
-                self.ready.remove(&(before, key));
-            }
-            if lists {
-                self.ready.insert((after, key));
-            }
+        let after = account.rank();
+        if before != after {
+            before.map(|rank| self.ready.remove(&(rank, key)));
+            after.map(|rank| self.ready.insert((rank, key)));
             self.advance();
         }
         result
@@ -202,35 +209,21 @@
         let slots = self.slots;
         self.update(key, |account| {
             account.known = true;
+            account.charged = account.charged.saturating_add(slot_time.as_micros());
             account.tag = account.tag + tag::Tag::of(slot_time, account.share_ppm, slots);
         });
+        self.note(key);
     }
 
     /// Takes back slot time that was charged and not used.
     pub fn refund(&mut self, key: Key, slot_time: time::Span) {
         let slots = self.slots;
         self.update(key, |account| {
+            account.charged = account.charged.saturating_sub(slot_time.as_micros());
             let part = tag::Tag::of(slot_time, account.share_ppm, slots);
             account.tag = account.tag.saturating_sub(part);
         });
-    }
-
-    /// Counts `slots` slots as used by a team from `now` on, for the totals told to other homes.
-    pub fn start(&mut self, key: Key, slots: u32, now: time::Tick) {
-        let account = &mut self.accounts[key.index()];
-        account.running += u64::from(slots);
-        account.starts += u128::from(slots) * u128::from(now.as_micros());
-    }
-
-    /// Ends a use that [`Self::start`] counted from `start` on.
-    pub fn end(&mut self, key: Key, slots: u32, start: time::Tick, now: time::Tick) {
-        let account = &mut self.accounts[key.index()];
-        account.running = account.running.saturating_sub(u64::from(slots));
-        account.starts = account
-            .starts
-            .saturating_sub(u128::from(slots) * u128::from(start.as_micros()));
-        let used = now.since(start) * u64::from(slots);
-        account.settled = account.settled.saturating_add(used.as_micros());
+        self.note(key);
     }
 
     /// Returns the waiting teams that have a share, the most deserving first.
@@ -250,77 +243,115 @@
         self.virtual_time
     }
 
-    /// Returns the slot time that a team received from this home until `now`.
+    /// Returns the slot time that a team was charged at this home, less refunds.
     #[must_use]
-    pub fn total(&self, key: Key, now: time::Tick) -> time::Span {
-        time::Span::from_micros(self.account(key).total(now))
+    pub fn charged(&self, key: Key) -> time::Span {
+        time::Span::from_micros(self.account(key).charged)
     }
 
-    /// Returns the totals for the other homes of the service: of all teams when `full`, or of those
-    /// that changed since the last message that was not full.
-    ///
-    /// Send it to every other home of the service each 100 ms, and in full to a home that is new.
-    pub fn served(&mut self, now: time::Tick, full: bool) -> message::Served {
-        let virtual_time = self.virtual_time;
+    /// Returns the charges of all teams, for a home that is new.
+    pub fn served(&mut self) -> message::Served {
+        let lines = (0..self.accounts.len()).map(|index| self.line(index));
+        let lines = lines.collect();
+        self.message(lines)
+    }
+
+    /// Returns the charges that are due to be told to the other homes of the service: one that
+    /// moves a tag by [`NOTABLE`] at once, and all that changed once in each [`PERIOD`].
+    pub fn due(&mut self, now: time::Tick) -> Option<message::Served> {
+        let period = now.since(self.last_message) >= PERIOD;
+        if period {
+            self.last_message = now;
+            self.peers.retain(|_, peer| now.since(peer.heard) < FORGET);
+            self.notable = (0..self.accounts.len()).map(|i| Key(i as u32)).collect();
+        }
         let mut lines = Vec::new();
-        for (team, account) in &mut self.accounts {
-            let total = account.total(now);
-            let changed = account.told != total;
-            if !full {
-                account.told = total;
-            }
-            if changed || account.waiting || full {
-                lines.push(message::Line {
-                    team: team.clone(),
-                    total: time::Span::from_micros(total),
-                    lag_us: account.waiting.then(|| account.tag.lead_us(virtual_time)),
-                });
+        for key in std::mem::take(&mut self.notable) {
+            let account = &mut self.accounts[key.index()];
+            if account.told != account.charged {
+                account.told = account.charged;
+                lines.push(self.line(key.index()));
             }
         }
+        (!lines.is_empty()).then(|| self.message(lines))
+    }
+
+    fn line(&self, index: usize) -> message::Line {
+        let (team, account) = self.accounts.get_index(index).expect("index in range");
+        let lag = account.tag.lead_us(self.virtual_time);
+        message::Line {
+            team: team.clone(),
+            charged: time::Span::from_micros(account.charged),
+            lag_us: account.waiting.then_some(lag),
+        }
+    }
+
+    fn message(&mut self, lines: Vec<message::Line>) -> message::Served {
+        self.last_seq += 1;
         message::Served {
             service: self.service.clone(),
             home: self.home,
+            seq: self.last_seq,
             lines,
         }
     }
 
-    /// Adds the service that another home reports. Duplicates and old messages change nothing.
+    /// Notes a change of the charges of a team that is to be told at once if it is large.
+    fn note(&mut self, key: Key) {
+        let account = self.account(key);
+        let untold = time::Span::from_micros(account.charged.abs_diff(account.told));
+        let worth = tag::Tag::of(untold, account.share_ppm, self.slots);
+        if !self.peers.is_empty() && worth >= NOTABLE.into() {
+            self.notable.insert(key);
+        }
+    }
+
+    /// Takes in the charges that another home reports. Duplicates and old messages change nothing.
     ///
-    /// The first message of a home sets where its totals start. It charges nothing, but a team that
-    /// this home knows nothing about takes over its lag.
+    /// The first line of a team from a home sets where its charges start. It charges nothing, but a
+    /// team that this home knows nothing about takes over its lag.
     pub fn merge(&mut self, now: time::Tick, served: &message::Served) {
         if served.home == self.home || served.service != self.service {
             return;
         }
-        if !self.peers.contains_key(&served.home) {
-            self.peers.retain(|_, peer| now.since(peer.heard) < FORGET);
-        }
         let mut peer = self.peers.swap_remove(&served.home).unwrap_or_default();
+        let capped = now.since(peer.heard) > SILENCE;
         peer.heard = now;
-        let cap = self.virtual_time + DEBT_CAP.into();
+        let virtual_time = self.virtual_time;
+        let cap = capped.then(|| virtual_time + DEBT_CAP.into());
         for line in &served.lines {
             let key = self.key(&line.team);
-            self.merge_line(&mut peer, key, line, cap);
+            let charged = line.charged.as_micros();
+            let (seq, before) = *peer.lines.entry(key).or_insert((served.seq, charged));
+            if seq <= served.seq {
+                peer.lines.insert(key, (served.seq, charged));
+                self.merge_line(key, line.lag_us, (before, charged), cap);
+            }
         }
         self.peers.insert(served.home, peer);
     }
 
-    fn merge_line(&mut self, peer: &mut Peer, key: Key, line: &message::Line, cap: tag::Tag) {
-        let total = line.total.as_micros();
-        let seen = peer.totals.insert(key, total);
-        let growth = seen.map_or(0, |seen| total.saturating_sub(seen));
-        if let Some(seen) = seen.filter(|seen| *seen > total) {
-            peer.totals.insert(key, seen);
-        }
+    fn merge_line(
+        &mut self,
+        key: Key,
+        lag_us: Option<i64>,
+        (before, charged): (u64, u64),
+        cap: Option<tag::Tag>,
+    ) {
         let (slots, virtual_time) = (self.slots, self.virtual_time);
+        let worth = |micros: u64, account: &Account| {
+            tag::Tag::of(time::Span::from_micros(micros), account.share_ppm, slots)
+        };
         self.update(key, |account| {
-            if let Some(lag) = line.lag_us.filter(|_| !account.known) {
+            if let Some(lag) = lag_us.filter(|_| !account.known) {
                 account.known = true;
-                account.tag = account.tag.max(virtual_time.moved(lag).min(cap));
-            } else if growth > 0 {
-                let growth = time::Span::from_micros(growth);
-                let charged = account.tag + tag::Tag::of(growth, account.share_ppm, slots);
-                account.tag = account.tag.max(charged.min(cap));
+                account.tag = account.tag.max(virtual_time.moved(lag));
+            } else if charged > before {
+                let after = account.tag + worth(charged - before, account);
+                account.tag = account.tag.max(cap.map_or(after, |cap| after.min(cap)));
+            } else {
+                let less = worth(before - charged, account);
+                account.tag = account.tag.saturating_sub(less);
             }
         });
     }
