--- a/crates/grant/src/home.rs
+++ b/crates/grant/src/home.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use tsw_base::{host, name, time};
 use tsw_share::{book, message::Served};
 
@@ -163,7 +163,8 @@
     live: bool,
     reported: Option<time::Tick>,
     runs: IndexSet<Id>,
-    lines: IndexSet<(book::Key, Class)>,
+    /// Sequence number of the latest demand for each team and class.
+    lines: IndexMap<(book::Key, Class), u64>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/grant/src/home/backlog.rs
+++ b/crates/grant/src/home/backlog.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Replaces the line of an entry router, unless the message is older than the line.
+    /// Replaces the line of an entry router.
     pub fn advertise(&mut self, entry: Entry, line: &message::Line, seq: u64, now: time::Tick) {
         let before = |age: time::Span| {
             time::Tick::from_micros(now.as_micros().saturating_sub(age.as_micros()))
@@ -87,9 +87,6 @@
             unacked: VecDeque::new(),
         });
         self.update(entry, |known| {
-            if seq < known.seq {
-                return;
-            }
             known.seq = seq;
             known.heard = now;
             known.waiting = line.waiting;
--- a/crates/grant/src/home/receive.rs
+++ b/crates/grant/src/home/receive.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use tsw_base::{host, name, time};
 
 use super::{backlog, ledger::End, Early, Home, Router, Run, HANDOVER, HANDOVER_EARLY};
@@ -21,7 +21,7 @@
             live: false,
             reported: None,
             runs: IndexSet::new(),
-            lines: IndexSet::new(),
+            lines: IndexMap::new(),
         };
         self.routers.insert(entry, router);
         entry
@@ -35,14 +35,19 @@
         let seen = demand.seen.filter(|seen| seen.home == self.me);
         for line in &demand.lines {
             let key = self.book.key(&line.team);
+            let Some(router) = self.routers.get_mut(&entry) else {
+                return;
+            };
+            let latest = router.lines.entry((key, line.class)).or_default();
+            if demand.seq < *latest {
+                continue;
+            }
+            *latest = demand.seq;
             let backlog = &mut self.work(key).backlogs[line.class.index()];
             backlog.advertise(entry, line, demand.seq, now);
             if let Some(seen) = seen {
                 backlog.acknowledge(entry, seen.number);
             }
-            if let Some(router) = self.routers.get_mut(&entry) {
-                router.lines.insert((key, line.class));
-            }
             self.list(key);
         }
     }
@@ -176,7 +181,7 @@
         };
         self.entries.remove(&router.id);
         self.reports.remove(&(router.reported, entry));
-        for (key, class) in router.lines {
+        for (key, class) in router.lines.into_keys() {
             self.work(key).backlogs[class.index()].remove(entry);
             self.list(key);
         }
--- /dev/null
+++ b/crates/grant/tests/entry.rs
@@ -0,0 +1,231 @@
+//! Rules of the entry queue, one by one.
+
+use tsw_base::{
+    host, name,
+    time::{Span, Tick},
+};
+use tsw_grant::{
+    entry::{Command, Event, Queue, Tuning},
+    message::{Class, Grant, Id, Request, State},
+};
+
+fn home(index: u64) -> host::Id {
+    host::Id {
+        host: format!("r{index}").parse().expect("valid"),
+        incarnation: host::Incarnation::new(index, 0),
+    }
+}
+
+fn team() -> name::Team {
+    "north".parse().expect("valid")
+}
+
+fn upstream(index: usize) -> name::Upstream {
+    format!("engine-{index}").parse().expect("valid")
+}
+
+fn ms(millis: u64) -> Tick {
+    Tick::from_micros(millis * 1_000)
+}
+
+fn queue(homes: u64) -> Queue {
+    let mut queue = Queue::new("reviews".parse().expect("valid"), 0, Tuning::default());
+    let upstreams = (0..homes)
+        .map(|h| (upstream(h as usize), home(h)))
+        .collect();
+    queue.handle(ms(0), Event::Homes { upstreams });
+    queue
+}
+
+fn push(request: u64, class: Class, deadline: Tick) -> Event {
+    Event::Push {
+        request: Request(request),
+        team: team(),
+        class,
+        deadline,
+        avoid: None,
+    }
+}
+
+fn grant(from: u64, number: u64, class: Class, seq: u64) -> Event {
+    let from_id = home(from);
+    Event::Grant {
+        grant: Grant {
+            service: "reviews".parse().expect("valid"),
+            id: Id {
+                home: from_id.incarnation,
+                number,
+            },
+            upstream: upstream(from as usize),
+            team: team(),
+            class,
+            seq,
+        },
+        from: from_id,
+    }
+}
+
+fn ran(commands: &[Command]) -> Option<Request> {
+    commands.iter().find_map(|command| match command {
+        Command::Run { request, .. } => Some(*request),
+        _ => None,
+    })
+}
+
+fn states(commands: &[Command]) -> Vec<State> {
+    let reports = commands.iter().filter_map(|command| match command {
+        Command::Release { release, .. } => Some(release.reports.iter().map(|r| r.state)),
+        _ => None,
+    });
+    reports.flatten().collect()
+}
+
+fn advertised(commands: &[Command]) -> u32 {
+    let lines = commands.iter().filter_map(|command| match command {
+        Command::Demand { demand, .. } => Some(&demand.lines),
+        _ => None,
+    });
+    lines.flatten().map(|line| line.waiting).sum()
+}
+
+/// Guards against a paused process that resumes and uses what it held before.
+#[test]
+fn grant_that_answers_old_demand_is_returned() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Short, ms(60_000)));
+    let commands = queue.handle(ms(1_002), grant(0, 1, Class::Short, 1));
+    assert_eq!(ran(&commands), None);
+    assert_eq!(states(&commands), [State::Unused]);
+}
+
+/// Guards against a duplicate that runs a second request, or that frees the slot in use.
+#[test]
+fn duplicate_grant_changes_nothing() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Short, ms(60_000)));
+    queue.handle(ms(1), push(2, Class::Short, ms(60_000)));
+    let commands = queue.handle(ms(3), grant(0, 1, Class::Short, 1));
+    assert_eq!(ran(&commands), Some(Request(1)));
+    let commands = queue.handle(ms(4), grant(0, 1, Class::Short, 1));
+    assert_eq!((ran(&commands), states(&commands)), (None, Vec::new()));
+}
+
+/// Guards against a slot that idles because its grant was overtaken by a later one.
+#[test]
+fn overtaken_grant_is_used() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Short, ms(60_000)));
+    queue.handle(ms(1), push(2, Class::Short, ms(60_000)));
+    let commands = queue.handle(ms(3), grant(0, 2, Class::Short, 1));
+    assert_eq!(ran(&commands), Some(Request(1)));
+    let commands = queue.handle(ms(4), grant(0, 1, Class::Short, 1));
+    assert_eq!(ran(&commands), Some(Request(2)));
+}
+
+/// Guards against a request that runs after its caller was told that it did not.
+#[test]
+fn expired_request_does_not_run() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Short, ms(100)));
+    let commands = queue.handle(ms(100), grant(0, 1, Class::Short, 1));
+    assert_eq!(
+        commands[0],
+        Command::Expire {
+            request: Request(1)
+        }
+    );
+    assert_eq!(ran(&commands), None);
+    assert_eq!(states(&commands), [State::Unused]);
+}
+
+/// Guards against a suspect that runs beside other requests.
+#[test]
+fn solo_request_uses_only_a_solo_grant() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Solo, ms(60_000)));
+    let commands = queue.handle(ms(2), grant(0, 1, Class::Short, 1));
+    assert_eq!(ran(&commands), None);
+    let commands = queue.handle(ms(3), grant(0, 2, Class::Solo, 1));
+    assert_eq!(ran(&commands), Some(Request(1)));
+}
+
+/// Guards against a hedge on the upstream that is slow.
+#[test]
+fn hedge_avoids_its_upstream() {
+    let mut queue = queue(2);
+    let event = Event::Push {
+        request: Request(1),
+        team: team(),
+        class: Class::Urgent,
+        deadline: ms(60_000),
+        avoid: Some(upstream(0)),
+    };
+    queue.handle(ms(1), event);
+    // The second home is asked first, and the first one once the request has waited for a while.
+    queue.handle(ms(30), Event::Tick);
+    let commands = queue.handle(ms(32), grant(0, 1, Class::Urgent, 2));
+    assert_eq!(states(&commands), [State::Unused]);
+    let commands = queue.handle(ms(33), grant(1, 1, Class::Urgent, 1));
+    assert_eq!(ran(&commands), Some(Request(1)));
+}
+
+/// Guards against a grant from each home for one request, most of which come back unused.
+#[test]
+fn single_request_asks_one_home_first_and_all_later() {
+    let mut queue = queue(4);
+    assert_eq!(
+        advertised(&queue.handle(ms(1), push(1, Class::Short, ms(60_000)))),
+        1
+    );
+    let commands = queue.handle(ms(5), Event::Tick);
+    assert_eq!(advertised(&commands), 0);
+    let commands = queue.handle(ms(25), Event::Tick);
+    assert_eq!(advertised(&commands), 3);
+}
+
+/// Guards against a home that forgets a request which still waits.
+#[test]
+fn demand_is_refreshed_within_its_time_to_live() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Short, ms(60_000)));
+    assert_eq!(advertised(&queue.handle(ms(100), Event::Tick)), 0);
+    assert_eq!(advertised(&queue.handle(ms(251), Event::Tick)), 1);
+}
+
+/// Guards against a home that knows nothing of running requests after a lost session.
+#[test]
+fn new_session_starts_with_holdings_and_demand() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Short, ms(60_000)));
+    queue.handle(ms(3), grant(0, 1, Class::Short, 1));
+    queue.handle(ms(4), push(2, Class::Short, ms(60_000)));
+    let commands = queue.handle(ms(5), Event::Session { home: home(0) });
+    let Command::Holdings { holdings, .. } = &commands[0] else {
+        panic!("no holdings in {commands:?}");
+    };
+    assert_eq!(holdings.held.len(), 1);
+    assert_eq!(holdings.held[0].age, Span::from_millis(2));
+    assert_eq!(holdings.seen.map(|seen| seen.number), Some(1));
+    assert_eq!(advertised(&commands), 1);
+}
+
+/// Guards against an upstream whose new home does not learn of the end of a request.
+#[test]
+fn end_is_reported_to_the_new_home() {
+    let mut queue = queue(1);
+    queue.handle(ms(1), push(1, Class::Short, ms(60_000)));
+    queue.handle(ms(3), grant(0, 1, Class::Short, 1));
+    let upstreams = vec![(upstream(0), home(9))];
+    let commands = queue.handle(ms(4), Event::Homes { upstreams });
+    assert!(
+        matches!(&commands[0], Command::Holdings { to, holdings } if *to == home(9)
+        && holdings.held.len() == 1)
+    );
+    let grant = Id {
+        home: home(0).incarnation,
+        number: 1,
+    };
+    let state = State::Finished { pace: None };
+    let commands = queue.handle(ms(5), Event::End { grant, state });
+    assert!(matches!(&commands[0], Command::Release { to, .. } if *to == home(9)));
+}
--- /dev/null
+++ b/crates/grant/tests/home.rs
@@ -0,0 +1,382 @@
+//! Rules of the home, one by one.
+
+use tsw_base::{
+    host, name,
+    time::{Span, Tick},
+};
+use tsw_grant::{
+    home::{Command, Event, Home, Tuning, HANDOVER, LONG_AGING, RECLAIM_AFTER},
+    message::{Class, Demand, Grant, Held, Holdings, Id, Line, Release, Report, State},
+};
+
+fn router(index: u64) -> host::Id {
+    host::Id {
+        host: format!("r{index}").parse().expect("valid"),
+        incarnation: host::Incarnation::new(index, 0),
+    }
+}
+
+fn team(index: usize) -> name::Team {
+    format!("team-{index}").parse().expect("valid")
+}
+
+fn upstream(index: usize) -> name::Upstream {
+    format!("engine-{index}").parse().expect("valid")
+}
+
+fn service() -> name::Service {
+    "reviews".parse().expect("valid")
+}
+
+fn ms(millis: u64) -> Tick {
+    Tick::from_micros(10_000_000 + millis * 1_000)
+}
+
+/// A home that may grant from `ms(0)` on, with teams of equal shares.
+struct Fixture {
+    home: Home,
+    seq: u64,
+}
+
+impl Fixture {
+    fn new(upstreams: usize, slots: u32, teams: usize) -> Self {
+        let me = host::Incarnation::new(100, 0);
+        let mut home = Home::new(service(), me, Tuning::default());
+        let shares = (0..teams).map(|t| (team(t), 1_000_000 / teams as u32));
+        let event = Event::Shares {
+            slots: upstreams as u64 * u64::from(slots),
+            shares: shares.collect(),
+        };
+        let start = Tick::from_micros(1_000_000);
+        home.handle(start, event);
+        for u in 0..upstreams {
+            home.handle(start, own(u, slots));
+        }
+        home.handle(ms(0), Event::Tick);
+        Self { home, seq: 0 }
+    }
+
+    fn handle(&mut self, now: Tick, event: Event) -> Vec<Grant> {
+        let commands = self.home.handle(now, event).into_iter();
+        let grant = |command| match command {
+            Command::Grant { grant, .. } => Some(grant),
+            Command::Served { .. } => None,
+        };
+        commands.filter_map(grant).collect()
+    }
+
+    fn demand(&mut self, now: Tick, from: u64, t: usize, class: Class, age: u64) -> Vec<Grant> {
+        self.demand_of(now, from, t, class, age, 1)
+    }
+
+    fn demand_of(
+        &mut self,
+        now: Tick,
+        from: u64,
+        t: usize,
+        class: Class,
+        age: u64,
+        waiting: u32,
+    ) -> Vec<Grant> {
+        self.seq += 1;
+        let line = Line {
+            team: team(t),
+            class,
+            waiting,
+            oldest: Span::from_millis(age),
+            newest: Span::from_millis(age),
+        };
+        let demand = Demand {
+            service: service(),
+            seq: self.seq,
+            seen: None,
+            lines: vec![line],
+        };
+        let from = router(from);
+        self.handle(now, Event::Demand { from, demand })
+    }
+
+    fn report(&mut self, now: Tick, from: u64, id: Id, state: State) -> Vec<Grant> {
+        let reports = vec![Report { id, state }];
+        let release = Release {
+            service: service(),
+            reports,
+        };
+        let from = router(from);
+        self.handle(now, Event::Release { from, release })
+    }
+
+    fn finish(&mut self, now: Tick, from: u64, id: Id) -> Vec<Grant> {
+        self.report(now, from, id, State::Finished { pace: None })
+    }
+}
+
+fn own(u: usize, slots: u32) -> Event {
+    Event::Upstream {
+        upstream: upstream(u),
+        slots,
+        limit: slots,
+    }
+}
+
+fn holdings(from: u64, seen: Option<Id>, held: Vec<Held>) -> Event {
+    Event::Holdings {
+        from: router(from),
+        holdings: Holdings {
+            service: service(),
+            seen,
+            held,
+        },
+    }
+}
+
+/// Guards against an entry router whose callers wait longer only because of where they connected.
+#[test]
+fn oldest_request_of_a_team_goes_first() {
+    let mut fixture = Fixture::new(1, 1, 1);
+    let first = fixture.demand(ms(0), 1, 0, Class::Short, 0).remove(0);
+    fixture.demand(ms(1), 2, 0, Class::Short, 10);
+    fixture.demand(ms(2), 3, 0, Class::Short, 500);
+    fixture.demand(ms(3), 4, 0, Class::Short, 100);
+    let next = fixture.home.handle(
+        ms(4),
+        Event::Release {
+            from: router(1),
+            release: Release {
+                service: service(),
+                reports: vec![Report {
+                    id: first.id,
+                    state: State::Finished { pace: None },
+                }],
+            },
+        },
+    );
+    assert!(matches!(&next[0], Command::Grant { to, .. } if *to == router(3)));
+}
+
+/// Guards against short work behind long work, and against long work that never runs.
+#[test]
+fn short_goes_before_long_until_long_has_aged() {
+    let mut fixture = Fixture::new(1, 1, 1);
+    let first = fixture.demand(ms(0), 1, 0, Class::Short, 0).remove(0);
+    fixture.demand(ms(1), 1, 0, Class::Long, 100);
+    fixture.demand(ms(2), 2, 0, Class::Short, 0);
+    let next = fixture.finish(ms(3), 1, first.id).remove(0);
+    assert_eq!(next.class, Class::Short);
+
+    fixture.demand(ms(4), 1, 0, Class::Long, 100);
+    fixture.demand(ms(5), 3, 0, Class::Short, 0);
+    let aged = 200 + LONG_AGING.as_millis();
+    fixture.demand(ms(6), 1, 0, Class::Long, aged);
+    let next = fixture.finish(ms(7), 2, next.id).remove(0);
+    assert_eq!(next.class, Class::Long);
+}
+
+/// Guards against a suspect that crashes the requests beside it, and against one that never runs
+/// because its upstream is never empty.
+#[test]
+fn solo_runs_alone_and_is_not_starved() {
+    let mut fixture = Fixture::new(2, 2, 2);
+    let mut running = fixture.demand_of(ms(0), 1, 0, Class::Short, 0, 50);
+    assert_eq!(running.len(), 4);
+    fixture.demand(ms(1), 2, 1, Class::Solo, 0);
+    let mut solo = None;
+    for step in 0..8 {
+        let grant = running.remove(0);
+        let next = fixture.finish(ms(10 + step * 10), 1, grant.id);
+        for grant in next {
+            if grant.class == Class::Solo {
+                solo = Some(grant);
+            } else {
+                running.push(grant);
+            }
+        }
+        if solo.is_some() {
+            break;
+        }
+    }
+    let solo = solo.expect("granted within eight completions");
+    let beside = running
+        .iter()
+        .filter(|grant| grant.upstream == solo.upstream);
+    assert_eq!(beside.count(), 0);
+    for grant in running {
+        let next = fixture.finish(ms(200), 1, grant.id);
+        assert!(next.iter().all(|grant| grant.upstream != solo.upstream));
+    }
+    let next = fixture.finish(ms(300), 2, solo.id);
+    assert_eq!(next.len(), 2, "both slots are used again");
+}
+
+/// Guards against more requests on an upstream than its published slots.
+#[test]
+fn limit_is_never_above_the_slots() {
+    let mut fixture = Fixture::new(1, 2, 1);
+    let event = Event::Upstream {
+        upstream: upstream(0),
+        slots: 2,
+        limit: 100,
+    };
+    fixture.handle(ms(0), event);
+    assert_eq!(fixture.demand_of(ms(1), 1, 0, Class::Short, 0, 9).len(), 2);
+}
+
+/// Guards against a new home that grants slots that are in use already.
+#[test]
+fn new_home_waits_for_holdings_and_counts_them() {
+    let mut fixture = Fixture::new(0, 0, 1);
+    let live = vec![router(1), router(2)];
+    fixture.handle(ms(0), Event::Routers { live });
+    fixture.handle(ms(1), own(0, 2));
+    assert!(fixture
+        .demand_of(ms(2), 1, 0, Class::Short, 0, 5)
+        .is_empty());
+    let old = Id {
+        home: host::Incarnation::new(50, 0),
+        number: 7,
+    };
+    let held = Held {
+        id: old,
+        upstream: upstream(0),
+        team: team(0),
+        class: Class::Short,
+        age: Span::from_millis(100),
+    };
+    assert!(fixture
+        .handle(ms(3), holdings(2, None, vec![held]))
+        .is_empty());
+    let granted = fixture.handle(ms(4), holdings(1, None, Vec::new()));
+    assert_eq!(granted.len(), 1, "one slot is in use");
+    assert_eq!(fixture.finish(ms(5), 2, old).len(), 1);
+}
+
+/// Guards against a home that waits for ever for a router that does not report.
+#[test]
+fn new_home_waits_no_longer_than_the_handover_time() {
+    let mut fixture = Fixture::new(0, 0, 1);
+    let live = vec![router(1), router(2)];
+    fixture.handle(ms(0), Event::Routers { live });
+    fixture.handle(ms(0), own(0, 2));
+    fixture.demand_of(ms(1), 1, 0, Class::Short, 0, 5);
+    assert!(fixture.handle(ms(99), Event::Tick).is_empty());
+    assert_eq!(fixture.handle(ms(0) + HANDOVER, Event::Tick).len(), 2);
+}
+
+/// Guards against slots lost with a session: holdings that took a grant into account and do not
+/// list it free its slot, and a later grant stays in use.
+#[test]
+fn holdings_free_grants_that_were_lost() {
+    let mut fixture = Fixture::new(1, 2, 1);
+    let grants = fixture.demand_of(ms(0), 1, 0, Class::Short, 0, 2);
+    fixture.demand_of(ms(1), 2, 0, Class::Short, 0, 5);
+    let seen = Some(grants[0].id);
+    assert_eq!(
+        fixture.handle(ms(2), holdings(1, seen, Vec::new())).len(),
+        1
+    );
+    assert_eq!(fixture.home.running(), 2);
+}
+
+/// Guards against a slot that stays taken because the grant never arrived.
+#[test]
+fn grant_that_nobody_mentions_is_reclaimed() {
+    let mut fixture = Fixture::new(1, 1, 1);
+    fixture.demand(ms(0), 1, 0, Class::Short, 0);
+    fixture.demand(ms(900), 2, 0, Class::Short, 0);
+    assert!(fixture.handle(ms(1_000), Event::Tick).is_empty());
+    assert_eq!(fixture.handle(ms(1_500), Event::Tick).len(), 1);
+}
+
+/// Guards against slots lost with a dead router, and against reuse while its requests still run.
+#[test]
+fn grants_of_a_dead_router_are_reclaimed() {
+    let mut fixture = Fixture::new(1, 2, 1);
+    let live = vec![router(1), router(2)];
+    fixture.handle(ms(0), Event::Routers { live });
+    let grants = fixture.demand_of(ms(0), 1, 0, Class::Short, 0, 2);
+    for grant in grants {
+        fixture.report(ms(1), 1, grant.id, State::Started);
+    }
+    let live = vec![router(2)];
+    assert!(fixture.handle(ms(10), Event::Routers { live }).is_empty());
+    assert!(fixture
+        .demand_of(ms(20), 2, 0, Class::Short, 0, 2)
+        .is_empty());
+    let event = Event::Load {
+        upstream: upstream(0),
+        running: 1,
+        age: Span::from_millis(5),
+    };
+    let granted = fixture.handle(ms(30), event);
+    assert_eq!(granted.len(), 1);
+    fixture.report(ms(31), 2, granted[0].id, State::Started);
+    fixture.demand_of(ms(1_900), 2, 0, Class::Short, 0, 2);
+    assert_eq!(fixture.handle(ms(10) + RECLAIM_AFTER, Event::Tick).len(), 1);
+}
+
+/// Guards against grants to a router that is paused: its demand is not refreshed.
+#[test]
+fn old_demand_gets_no_grant() {
+    let mut fixture = Fixture::new(1, 1, 1);
+    let first = fixture.demand(ms(0), 1, 0, Class::Short, 0).remove(0);
+    fixture.report(ms(1), 1, first.id, State::Started);
+    fixture.demand(ms(2), 2, 0, Class::Short, 0);
+    assert!(fixture.finish(ms(1_100), 1, first.id).is_empty());
+}
+
+/// Guards against an older demand message that brings back requests which were served.
+#[test]
+fn older_demand_does_not_replace_newer() {
+    let mut fixture = Fixture::new(1, 4, 1);
+    fixture.seq = 10;
+    fixture.demand_of(ms(0), 1, 0, Class::Short, 0, 0);
+    fixture.seq = 3;
+    assert!(fixture
+        .demand_of(ms(1), 1, 0, Class::Short, 0, 4)
+        .is_empty());
+}
+
+/// Guards against hedges that crowd out the teams that are next.
+#[test]
+fn urgent_grants_before_the_order_of_teams_are_bounded() {
+    let mut fixture = Fixture::new(1, 1, 10);
+    let mut last = fixture.demand_of(ms(0), 1, 1, Class::Short, 0, 1).remove(0);
+    for t in 1..10 {
+        fixture.demand_of(ms(1), 1, t, Class::Short, 0, 900);
+    }
+    fixture.demand_of(ms(1), 2, 0, Class::Urgent, 0, 900);
+    let mut urgent = 0;
+    for step in 0..200 {
+        let now = ms(2 + step);
+        last = fixture
+            .finish(now, 1 + u64::from(last.class == Class::Urgent), last.id)
+            .remove(0);
+        urgent += u32::from(last.class == Class::Urgent);
+    }
+    // Its share is a tenth, and the budget is a tenth of the grants.
+    assert!(
+        (18..=44).contains(&urgent),
+        "{urgent} of 200 grants are urgent"
+    );
+}
+
+/// Guards against a charge that stays on a team for a grant that was not used.
+#[test]
+fn unused_grants_are_not_charged() {
+    let mut fixture = Fixture::new(1, 1, 1);
+    let grant = fixture.demand(ms(0), 1, 0, Class::Short, 0).remove(0);
+    fixture.report(ms(1), 1, grant.id, State::Unused);
+    let mut book = fixture.home.book().clone();
+    let key = book.key(&team(0));
+    assert_eq!(book.charged(key), Span::ZERO);
+}
+
+/// Guards against repeated reports that free a slot twice.
+#[test]
+fn repeated_reports_free_a_slot_once() {
+    let mut fixture = Fixture::new(1, 1, 1);
+    let first = fixture.demand_of(ms(0), 1, 0, Class::Short, 0, 9).remove(0);
+    assert_eq!(fixture.finish(ms(1), 1, first.id).len(), 1);
+    assert!(fixture.finish(ms(2), 1, first.id).is_empty());
+    assert_eq!(fixture.home.running(), 1);
+}
--- /dev/null
+++ b/crates/health/tests/limit.rs
@@ -0,0 +1,69 @@
+//! Rules of the concurrency limits.
+
+use proptest::prelude::*;
+use tsw_base::{
+    name,
+    time::{Span, Tick},
+};
+use tsw_health::limit::{Limits, PERIOD};
+
+fn upstream(index: usize) -> name::Upstream {
+    format!("engine-{index}").parse().expect("valid")
+}
+
+fn round(limits: &mut Limits, number: u64, paces: &[u64]) {
+    for (index, millis) in paces.iter().enumerate() {
+        for _ in 0..8 {
+            limits.sample(&upstream(index), Span::from_millis(*millis));
+        }
+    }
+    limits.tick(Tick::ZERO + PERIOD * number);
+}
+
+/// Guards against a slow upstream that keeps a full load, and one that never gets it back.
+#[test]
+fn slow_upstream_drops_to_a_quarter_and_recovers_step_by_step() {
+    let mut limits = Limits::default();
+    (0..4).for_each(|u| assert_eq!(limits.set_slots(&upstream(u), 8), 8));
+    round(&mut limits, 1, &[20, 20, 20, 200]);
+    assert_eq!(limits.get(&upstream(3)), 2);
+    assert_eq!(limits.get(&upstream(0)), 8);
+    for (number, limit) in (2..10).zip([3, 4, 5, 6, 7, 8, 8, 8]) {
+        round(&mut limits, number, &[20, 20, 20, 20]);
+        assert_eq!(limits.get(&upstream(3)), limit);
+    }
+}
+
+/// Guards against a slow upstream that is never tried again because nothing runs on it.
+#[test]
+fn silent_slow_upstream_is_tried_again() {
+    let mut limits = Limits::default();
+    (0..4).for_each(|u| assert_eq!(limits.set_slots(&upstream(u), 8), 8));
+    round(&mut limits, 1, &[20, 20, 20, 200]);
+    for number in 2..12 {
+        round(&mut limits, number, &[20, 20, 20]);
+    }
+    assert_eq!(limits.get(&upstream(3)), 3);
+}
+
+proptest! {
+    /// Guards against a limit above the published slots or one that stops an upstream for good.
+    #[test]
+    fn limit_stays_between_one_and_the_slots(
+        steps in prop::collection::vec((0_usize..3, 1_u32..20, 1_u64..500), 1..100),
+    ) {
+        let mut limits = Limits::default();
+        let mut slots = [4; 3];
+        (0..3).for_each(|u| { limits.set_slots(&upstream(u), 4); });
+        for (number, (u, published, millis)) in steps.into_iter().enumerate() {
+            slots[u] = published;
+            limits.set_slots(&upstream(u), published);
+            limits.sample(&upstream(u), Span::from_millis(millis));
+            limits.tick(Tick::ZERO + PERIOD * number as u64);
+            for (u, slots) in slots.iter().enumerate() {
+                let limit = limits.get(&upstream(u));
+                prop_assert!(limit >= 1 && limit <= *slots);
+            }
+        }
+    }
+}
