Test service given at other homes

Cause: no test failed when a home ignored the totals of the others. Measured: the new test of the home fails without the rule and passes with it.

--- a/crates/grant/tests/home.rs
+++ b/crates/grant/tests/home.rs
@@ -8,6 +8,7 @@
     home::{Command, Event, Home, Tuning, HANDOVER, LONG_AGING, RECLAIM_AFTER},
     message::{Class, Demand, Grant, Held, Holdings, Id, Line, Release, Report, State},
 };
+use tsw_share::message::{Line as Charge, Served};
 
 fn router(index: u64) -> host::Id {
     host::Id {
@@ -380,3 +381,32 @@
     assert!(fixture.finish(ms(2), 1, first.id).is_empty());
     assert_eq!(fixture.home.running(), 1);
 }
+
+/// Guards against a team that gets its share at each home although it had more elsewhere.
+#[test]
+fn service_at_another_home_counts() {
+    let mut fixture = Fixture::new(1, 1, 2);
+    let mut last = fixture.demand_of(ms(0), 1, 0, Class::Short, 0, 1).remove(0);
+    fixture.demand_of(ms(1), 1, 0, Class::Short, 0, 50);
+    fixture.demand_of(ms(1), 1, 1, Class::Short, 0, 50);
+    for (seq, charged) in [(1, Span::ZERO), (2, Span::from_secs(5))] {
+        let lines = vec![Charge {
+            team: team(0),
+            charged,
+            lag_us: None,
+        }];
+        let served = Served {
+            service: service(),
+            home: host::Incarnation::new(9, 0),
+            seq,
+            lines,
+        };
+        fixture.handle(ms(1 + seq), Event::Served { served });
+    }
+    for step in 0..5 {
+        last = fixture.finish(ms(500 * (step + 1)), 1, last.id).remove(0);
+        assert_eq!(last.team, team(1));
+        fixture.demand_of(ms(500 * (step + 1)), 1, 0, Class::Short, 0, 50);
+        fixture.demand_of(ms(500 * (step + 1)), 1, 1, Class::Short, 0, 50);
+    }
+}
