--- a/crates/grant/tests/fairness.rs
+++ b/crates/grant/tests/fairness.rs
@@ -85,8 +85,8 @@
     );
 }
 
-/// Guards against charges of other homes that are not taken back when they are refunded: each home
-/// may be ahead by one request for each team and no more.
+/// Guards against homes that learn late of each other's large charges: each may be ahead by one
+/// request for each team and no more.
 #[test]
 fn several_homes_stay_within_one_request_each() {
     for homes in [2, 3, 4] {
--- a/crates/grant/tests/support/mod.rs
+++ b/crates/grant/tests/support/mod.rs
@@ -357,7 +357,7 @@
                     self.queue(q, entry::Event::Tick);
                     self.top_up(q);
                 }
-                if self.now.as_micros() % 10_000 == 0 {
+                if self.now.as_micros().is_multiple_of(10_000) {
                     self.measure();
                 }
                 let tick = self.now + Span::from_millis(2);
