--- a/crates/grant/tests/support/mod.rs
+++ b/crates/grant/tests/support/mod.rs
@@ -1,7 +1,5 @@
 //! A simulated fleet: queues, homes and upstreams that exchange messages with delay.
 
-#![allow(dead_code)]
-
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, HashSet, VecDeque},
@@ -153,7 +151,6 @@
     /// Time from push to run, in ms, by team.
     pub waits: Vec<Vec<f64>>,
     pub finished: usize,
-    pub events: usize,
     pub unused: usize,
     pub served: usize,
 }
@@ -176,7 +173,6 @@
     waiting: Vec<usize>,
     spread: HashMap<(usize, usize), (f64, f64)>,
     outcome: Outcome,
-    busy: f64,
 }
 
 impl Simulation {
@@ -211,7 +207,6 @@
                 waits: vec![Vec::new(); teams],
                 ..Outcome::default()
             },
-            busy: 0.0,
             fleet,
         };
         simulation.begin();
@@ -281,7 +276,6 @@
                 base = Some((self.busy_until_now(), self.totals()));
                 self.spread.clear();
             }
-            self.outcome.events += 1;
             let event = self.events.remove(&number).expect("scheduled once");
             self.step(event);
         }
