Add numbered log events and the log set-up

Cause: routing and placement decisions need log lines that operators can look up. Ruled out: an own JSON encoder; log4rs writes key-value attributes.

--- /dev/null
+++ b/crates/event/src/catalogue.rs
@@ -0,0 +1,153 @@
+use log::Level;
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal;)*) => {
+        /// Something that the daemon reports.
+        ///
+        /// Numbers are never reused. The hundreds group the events: 1 process, 2 configuration,
+        /// 3 requests, 4 upstreams and scheduling, 5 peers, 6 non-idempotent calls, 7 placement,
+        /// 8 audit.
+        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub enum Event {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Event {
+            /// All events in the order of their numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number that identifies the event.
+            ///
+            /// ```
+            /// assert_eq!(tsw_event::Event::Started.number(), 101);
+            /// ```
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Returns the level at which the event is logged.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)* }
+            }
+
+            /// Returns the name of the event as it is logged.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process listens on its addresses.
+    Started = 101 Info "started";
+    /// The router accepts calls.
+    Ready = 102 Info "ready";
+    /// The router hands out no more work and finishes what is in flight.
+    Draining = 103 Info "draining";
+    /// The process ends.
+    Stopped = 104 Info "stopped";
+    /// The longest graceful shutdown is over while requests are in flight.
+    DrainOverdue = 105 Error "drain-overdue";
+    /// A bundle is in force.
+    BundleAdopted = 201 Info "bundle-adopted";
+    /// A bundle failed its checks; the accepted one stays.
+    BundleRejected = 202 Error "bundle-rejected";
+    /// The accepted revision was offered with other content; the accepted one stays.
+    BundleConflict = 203 Error "bundle-conflict";
+    /// A service of the platform does not answer; the last accepted state stays in use.
+    PlatformDown = 204 Warn "platform-down";
+    /// A service of the platform answers again.
+    PlatformUp = 205 Info "platform-up";
+    /// A host list is in use.
+    HostsAdopted = 206 Info "hosts-adopted";
+    /// A host list cannot be read; the last one stays in use.
+    HostsRejected = 207 Error "hosts-rejected";
+    /// An older bundle was offered and refused.
+    BundleOlder = 208 Warn "bundle-older";
+    /// A request waits for a slot.
+    Queued = 301 Info "queued";
+    /// A request was refused as not run.
+    Refused = 302 Info "refused";
+    /// A request received a grant.
+    Granted = 303 Info "granted";
+    /// A request was sent to an upstream.
+    Dispatched = 304 Info "dispatched";
+    /// A request was answered in full.
+    Completed = 305 Info "completed";
+    /// A response broke off.
+    Cut = 306 Warn "cut";
+    /// The outcome of a request is unknown.
+    Unknown = 307 Warn "unknown";
+    /// A stalled stream asked for a second upstream.
+    Hedged = 308 Info "hedged";
+    /// A stream continues on another upstream.
+    Resumed = 309 Info "resumed";
+    /// The caller closed its connection.
+    Disconnected = 310 Info "disconnected";
+    /// A request is tried on another upstream.
+    Retried = 311 Info "retried";
+    /// A grant was returned unused.
+    Unused = 312 Debug "grant-unused";
+    /// A home granted a slot to an entry router.
+    SlotGranted = 401 Info "slot-granted";
+    /// An upstream is scheduled.
+    UpstreamAdded = 402 Info "upstream-added";
+    /// An upstream gets no new work because it is leaving.
+    UpstreamLeaving = 403 Info "upstream-leaving";
+    /// An upstream is gone from the host list.
+    UpstreamGone = 404 Info "upstream-gone";
+    /// The concurrency limit of an upstream changed.
+    LimitChanged = 405 Info "limit-changed";
+    /// An upstream failed a request.
+    UpstreamFailed = 406 Warn "upstream-failed";
+    /// This router became the home of a group.
+    HomeGained = 407 Info "home-gained";
+    /// This router is no longer the home of a group.
+    HomeLost = 408 Info "home-lost";
+    /// A fingerprint is suspected of crashing upstreams.
+    PoisonSuspected = 409 Warn "poison-suspected";
+    /// A fingerprint is refused fleet-wide.
+    PoisonConfirmed = 410 Error "poison-confirmed";
+    /// A suspected fingerprint was cleared.
+    PoisonCleared = 411 Info "poison-cleared";
+    /// A session with a peer is open.
+    PeerUp = 501 Info "peer-up";
+    /// A session with a peer ended.
+    PeerDown = 502 Info "peer-down";
+    /// A peer was refused.
+    PeerRefused = 503 Warn "peer-refused";
+    /// A malformed frame was dropped together with its session.
+    FrameDropped = 504 Warn "frame-dropped";
+    /// The state of a router changed.
+    MemberChanged = 505 Info "member-changed";
+    /// A message was dropped because the queue to the peer is full.
+    QueueFull = 506 Warn "peer-queue-full";
+    /// An intent was sent to the witnesses.
+    IntentSent = 601 Info "intent-sent";
+    /// A witness accepted an intent.
+    IntentNoted = 602 Info "intent-noted";
+    /// A call was forwarded to the owner of its permit.
+    Forwarded = 603 Info "forwarded";
+    /// Witnesses were asked to seal a key.
+    SealSent = 604 Info "seal-sent";
+    /// A key was sealed: its call can no longer run.
+    Sealed = 605 Info "sealed";
+    /// A key is answered from a stored response.
+    Replayed = 606 Info "replayed";
+    /// An order was sent to an engine.
+    OrderSent = 701 Info "order-sent";
+    /// An engine refused an order.
+    OrderRefused = 702 Warn "order-refused";
+    /// An order could not be delivered and is sent again later.
+    OrderFailed = 703 Warn "order-failed";
+    /// A line of the audit log.
+    Audit = 801 Info "audit";
+    /// A chain head was signed and sent to peers.
+    HeadSent = 802 Debug "head-sent";
+    /// A chain head of a peer was refused.
+    HeadRefused = 803 Warn "head-refused";
+}
--- /dev/null
+++ b/crates/event/src/setup.rs
@@ -0,0 +1,89 @@
+//! Set-up of the log.
+
+use std::{
+    io,
+    path::PathBuf,
+    sync::atomic::{AtomicBool, Ordering},
+};
+
+use log::LevelFilter;
+use log4rs::{
+    append::{console::ConsoleAppender, file::FileAppender, Append},
+    config::{Appender, Config, Logger, Root},
+    encode::{json::JsonEncoder, pattern::PatternEncoder, Encode},
+};
+use tsw_config::settings;
+
+static JSON: AtomicBool = AtomicBool::new(false);
+
+/// Why the log cannot be set up.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file cannot be opened.
+    #[error("cannot append to the log file {}: {source}; correct log.file", path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The appenders do not form a valid log.
+    #[error("cannot set up the log: {0}")]
+    Config(#[from] log4rs::config::runtime::ConfigErrors),
+    /// Another log is set up already.
+    #[error("cannot set up the log: {0}")]
+    Taken(#[from] log::SetLoggerError),
+}
+
+pub(crate) fn is_json() -> bool {
+    JSON.load(Ordering::Relaxed)
+}
+
+fn encoder(format: settings::Format) -> Box<dyn Encode> {
+    match format {
+        settings::Format::Json => Box::new(JsonEncoder::new()),
+        settings::Format::Text => Box::new(PatternEncoder::new(
+            "{d(%Y-%m-%dT%H:%M:%S%.6fZ)(utc)} {l} {m}{n}",
+        )),
+    }
+}
+
+/// Sets up the log of this process as the settings say.
+///
+/// Libraries are logged from level `Warn`, so that their details do not hide the events.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be opened or a log is set up already.
+pub fn init(log: &settings::Log) -> Result<(), Error> {
+    let level = match log.level {
+        settings::Level::Error => LevelFilter::Error,
+        settings::Level::Warn => LevelFilter::Warn,
+        settings::Level::Info => LevelFilter::Info,
+        settings::Level::Debug => LevelFilter::Debug,
+    };
+    let encoder = encoder(log.format);
+    let appender: Box<dyn Append> = match &log.file {
+        Some(path) => Box::new(
+            FileAppender::builder()
+                .encoder(encoder)
+                .build(path)
+                .map_err(|source| Error::File {
+                    path: path.clone(),
+                    source,
+                })?,
+        ),
+        None => Box::new(ConsoleAppender::builder().encoder(encoder).build()),
+    };
+    let config = Config::builder()
+        .appender(Appender::builder().build("out", appender))
+        .logger(Logger::builder().build("toucand", level))
+        .build(
+            Root::builder()
+                .appender("out")
+                .build(level.min(LevelFilter::Warn)),
+        )?;
+    log4rs::init_config(config)?;
+    JSON.store(log.format == settings::Format::Json, Ordering::Relaxed);
+    Ok(())
+}
