Add the membership view

Cause: homes, readers and witnesses need a common view of the fleet at constant cost per period. Ruled out: refutation by a new incarnation, because permits compare incarnations for equality.

--- /dev/null
+++ b/crates/member/src/probe.rs
@@ -0,0 +1,125 @@
+//! Which peers are probed, and which probes are unanswered.
+
+use std::collections::VecDeque;
+
+use indexmap::{IndexMap, IndexSet};
+use rand::{seq::SliceRandom, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tsw_base::{
+    name,
+    time::{Span, Tick},
+};
+
+use crate::timing;
+
+/// A probe that is not answered yet.
+#[derive(Clone, Debug)]
+struct Open {
+    host: name::Host,
+    until: Tick,
+}
+
+/// The order of probes and the open ones.
+#[derive(Clone, Debug)]
+pub(crate) struct Schedule {
+    order: Vec<name::Host>,
+    position: usize,
+    dead: VecDeque<name::Host>,
+    open: IndexMap<u64, Open>,
+    nonce: u64,
+    random: Pcg64Mcg,
+}
+
+impl Schedule {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            order: Vec::new(),
+            position: 0,
+            dead: VecDeque::new(),
+            open: IndexMap::new(),
+            nonce: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Replaces the peers that are probed.
+    pub(crate) fn set<'a>(&mut self, hosts: impl Iterator<Item = &'a name::Host>) {
+        self.order = hosts.cloned().collect();
+        self.order.shuffle(&mut self.random);
+        self.position = 0;
+    }
+
+    /// Returns the peers of the next round: each peer once in every pass through the order.
+    pub(crate) fn round(&mut self, skip: impl Fn(&name::Host) -> bool) -> Vec<name::Host> {
+        let mut chosen: Vec<name::Host> = Vec::new();
+        for _ in 0..timing::SCAN.min(self.order.len()) {
+            if chosen.len() == timing::FANOUT {
+                break;
+            }
+            if self.position == self.order.len() {
+                self.order.shuffle(&mut self.random);
+                self.position = 0;
+            }
+            let host = &self.order[self.position];
+            self.position += 1;
+            if !skip(host) && !chosen.contains(host) {
+                chosen.push(host.clone());
+            }
+        }
+        chosen
+    }
+
+    /// Adds a host to those that are probed at the slower pace.
+    pub(crate) fn bury(&mut self, host: &name::Host) {
+        if !self.dead.contains(host) {
+            self.dead.push_back(host.clone());
+        }
+    }
+
+    /// Returns the next dead host to probe; hosts that are not dead any more are dropped.
+    pub(crate) fn next_dead(&mut self, dead: impl Fn(&name::Host) -> bool) -> Option<name::Host> {
+        while let Some(host) = self.dead.pop_front() {
+            if dead(&host) {
+                self.dead.push_back(host.clone());
+                return Some(host);
+            }
+        }
+        None
+    }
+
+    /// Opens a probe and returns its number.
+    pub(crate) fn open(&mut self, host: &name::Host, until: Tick) -> u64 {
+        self.nonce += 1;
+        let probe = Open {
+            host: host.clone(),
+            until,
+        };
+        self.open.insert(self.nonce, probe);
+        self.nonce
+    }
+
+    /// Closes all probes of a host that has shown itself alive.
+    pub(crate) fn answered(&mut self, host: &name::Host) {
+        self.open.retain(|_, probe| probe.host != *host);
+    }
+
+    /// Tells whether a probe of the host is open.
+    pub(crate) fn is_open(&self, host: &name::Host) -> bool {
+        self.open.values().any(|probe| probe.host == *host)
+    }
+
+    /// Closes the probes that are overdue and returns their hosts.
+    pub(crate) fn expire(&mut self, now: Tick) -> IndexSet<name::Host> {
+        let overdue = self.open.values().filter(|probe| probe.until <= now);
+        let hosts = overdue.map(|probe| probe.host.clone()).collect();
+        self.open.retain(|_, probe| probe.until > now);
+        hosts
+    }
+
+    /// Moves all deadlines by the length of a pause of this process.
+    pub(crate) fn postpone(&mut self, pause: Span) {
+        for probe in self.open.values_mut() {
+            probe.until = probe.until + pause;
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/view.rs
@@ -0,0 +1,481 @@
+//! One router's view of the fleet.
+
+use indexmap::IndexMap;
+use tsw_base::{
+    host, name,
+    time::{Span, Tick},
+};
+
+use crate::{
+    event::{Change, Command, Event, Listed},
+    gossip::Gossip,
+    message::{Ack, Ping, State, Update},
+    probe::Schedule,
+    timing::{self, Timing},
+};
+
+/// The incarnation of a peer that has not been heard of.
+const UNKNOWN: host::Incarnation = host::Incarnation::new(0, 0);
+
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) statement: Update,
+    pub(crate) leaving: bool,
+    pub(crate) list_leaving: bool,
+    missed: u32,
+}
+
+impl Peer {
+    pub(crate) fn state(&self) -> State {
+        match self.statement.state {
+            State::Alive if self.leaving || self.list_leaving => State::Leaving,
+            state => state,
+        }
+    }
+
+    pub(crate) fn is_known(&self) -> bool {
+        self.statement.id.incarnation != UNKNOWN
+    }
+
+    fn change(&self) -> Change {
+        Change {
+            id: self.statement.id.clone(),
+            domain: self.statement.domain.clone(),
+            state: self.state(),
+        }
+    }
+}
+
+/// One router's view of the fleet.
+///
+/// ```
+/// use tsw_base::{host, time};
+/// use tsw_member::{event, Timing, View};
+///
+/// let id = |host: &str| host::Id {
+///     host: host.parse().unwrap(),
+///     incarnation: host::Incarnation::new(1, 0),
+/// };
+/// let domain: tsw_base::name::Domain = "north".parse()?;
+/// let listed = |host: &str| event::Listed {
+///     host: host.parse().unwrap(),
+///     domain: domain.clone(),
+///     leaving: false,
+/// };
+/// let mut view = View::new(id("r1"), domain.clone(), Timing::default(), 7);
+/// let hosts = vec![listed("r1"), listed("r2")];
+/// let now = time::Tick::from_micros(1);
+/// view.handle(now, event::Event::Hosts { revision: 1, hosts });
+/// let commands = view.handle(now, event::Event::Tick);
+/// assert!(matches!(&commands[0], event::Command::Ping { to, .. } if to.as_str() == "r2"));
+/// assert!(view.home(&"reviews".parse()?, 0).is_some());
+/// # Ok::<(), tsw_base::name::Error>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct View {
+    pub(crate) me: Update,
+    pub(crate) listed: Option<bool>,
+    pub(crate) peers: IndexMap<name::Host, Peer>,
+    timing: Timing,
+    schedule: Schedule,
+    gossip: Gossip,
+    suspects: IndexMap<name::Host, Tick>,
+    bundle: u64,
+    hosts: u64,
+    epoch: u64,
+    last_tick: Option<Tick>,
+    next_round: Tick,
+    next_dead: Tick,
+    next_fetch: Tick,
+}
+
+impl View {
+    /// Makes the view of a router that knows no peer. `seed` decides the order of probes.
+    #[must_use]
+    pub fn new(id: host::Id, domain: name::Domain, timing: Timing, seed: u64) -> Self {
+        Self {
+            me: Update {
+                id,
+                domain,
+                refutation: 0,
+                state: State::Alive,
+            },
+            listed: None,
+            peers: IndexMap::new(),
+            timing,
+            schedule: Schedule::new(seed),
+            gossip: Gossip::default(),
+            suspects: IndexMap::new(),
+            bundle: 0,
+            hosts: 0,
+            epoch: 0,
+            last_tick: None,
+            next_round: Tick::ZERO,
+            next_dead: Tick::ZERO,
+            next_fetch: Tick::ZERO,
+        }
+    }
+
+    /// Returns a number that changes whenever the choice of a home or reader may change.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the revision of the host list in use, or 0 before the first.
+    #[must_use]
+    pub fn hosts_revision(&self) -> u64 {
+        self.hosts
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, now: Tick, event: Event) -> Vec<Command> {
+        let mut commands = Vec::new();
+        match event {
+            Event::Hosts { revision, hosts } => self.set_hosts(revision, hosts, &mut commands),
+            Event::Hello { id, domain } => self.greet(now, id, domain, &mut commands),
+            Event::Broken { host } => self.miss(now, &host, &mut commands),
+            Event::Ping { from, ping } => {
+                let (bundle, hosts) = (ping.bundle, ping.hosts);
+                self.hear(now, &from, ping.sender, ping.updates, &mut commands);
+                let ack = self.ack(&from, ping.nonce);
+                commands.push(Command::Ack {
+                    to: from.clone(),
+                    ack,
+                });
+                self.compare(now, from, bundle, hosts, &mut commands);
+            }
+            Event::Ack { from, ack } => {
+                let (bundle, hosts) = (ack.bundle, ack.hosts);
+                self.hear(now, &from, ack.sender, ack.updates, &mut commands);
+                self.compare(now, from, bundle, hosts, &mut commands);
+            }
+            Event::Bundle { revision } => self.bundle = revision,
+            Event::Leave => self.leave(),
+            Event::Tick => self.tick(now, &mut commands),
+        }
+        commands
+    }
+
+    fn set_hosts(&mut self, revision: u64, hosts: Vec<Listed>, commands: &mut Vec<Command>) {
+        if revision <= self.hosts {
+            return;
+        }
+        self.hosts = revision;
+        self.epoch += 1;
+        self.listed = Some(false);
+        let mut former = std::mem::take(&mut self.peers);
+        for listed in hosts {
+            if listed.host == self.me.id.host {
+                self.listed = Some(true);
+                if listed.leaving {
+                    self.leave();
+                }
+                continue;
+            }
+            let peer = match former.swap_remove(&listed.host) {
+                Some(mut peer) => {
+                    let before = peer.state();
+                    peer.list_leaving = listed.leaving;
+                    if peer.state() != before {
+                        commands.push(Command::Changed(peer.change()));
+                    }
+                    peer
+                }
+                None => {
+                    let peer = new_peer(&listed);
+                    commands.push(Command::Changed(peer.change()));
+                    peer
+                }
+            };
+            self.peers.insert(listed.host, peer);
+        }
+        for (host, mut peer) in former {
+            self.suspects.swap_remove(&host);
+            self.schedule.answered(&host);
+            if peer.statement.state != State::Dead {
+                peer.statement.state = State::Dead;
+                commands.push(Command::Changed(peer.change()));
+            }
+        }
+        self.schedule.set(self.peers.keys());
+    }
+
+    fn greet(
+        &mut self,
+        now: Tick,
+        id: host::Id,
+        domain: name::Domain,
+        commands: &mut Vec<Command>,
+    ) {
+        let host = id.host.clone();
+        let statement = Update {
+            id,
+            domain,
+            refutation: 0,
+            state: State::Alive,
+        };
+        self.hear(now, &host, statement, Vec::new(), commands);
+    }
+
+    fn leave(&mut self) {
+        if self.me.state != State::Leaving {
+            self.me.state = State::Leaving;
+            self.me.refutation += 1;
+            self.epoch += 1;
+        }
+    }
+
+    /// Takes in what a peer said itself, over a session that proves who it is.
+    fn hear(
+        &mut self,
+        now: Tick,
+        from: &name::Host,
+        sender: Update,
+        updates: Vec<Update>,
+        commands: &mut Vec<Command>,
+    ) {
+        if sender.id.host != *from {
+            return;
+        }
+        let incarnation = sender.id.incarnation;
+        self.apply(now, sender, commands);
+        for update in updates {
+            self.apply(now, update, commands);
+        }
+        let peer = self.peers.get_mut(from);
+        let Some(peer) = peer.filter(|peer| peer.statement.id.incarnation == incarnation) else {
+            return;
+        };
+        peer.missed = 0;
+        let refutes = peer.statement.state < State::Suspect;
+        self.schedule.answered(from);
+        if !refutes {
+            // The peer does not know yet that it has to refute.
+            self.ping(now, from, commands);
+        }
+    }
+
+    fn apply(&mut self, now: Tick, update: Update, commands: &mut Vec<Command>) {
+        if update.id.host == self.me.id.host {
+            self.refute(&update, commands);
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&update.id.host) else {
+            return;
+        };
+        if precedence(&update) <= precedence(&peer.statement) {
+            return;
+        }
+        let before = peer.change();
+        if update.id.incarnation != before.id.incarnation {
+            if peer.is_known() && before.state != State::Dead {
+                commands.push(Command::Changed(Change {
+                    state: State::Dead,
+                    ..before.clone()
+                }));
+            }
+            peer.leaving = false;
+            peer.missed = 0;
+        }
+        peer.leaving |= update.state == State::Leaving;
+        peer.statement = update;
+        let after = peer.change();
+        let host = after.id.host.clone();
+        match peer.statement.state {
+            State::Suspect => {
+                self.suspects.insert(host.clone(), now + self.timing.refute);
+            }
+            State::Dead => self.schedule.bury(&host),
+            State::Alive | State::Leaving => {}
+        }
+        if after.state != State::Suspect {
+            self.suspects.swap_remove(&host);
+        }
+        self.gossip.push(&host, self.peers.len() + 1);
+        if after != before {
+            self.epoch += 1;
+            commands.push(Command::Changed(after));
+        }
+    }
+
+    fn refute(&mut self, update: &Update, commands: &mut Vec<Command>) {
+        let same = update.id.incarnation == self.me.id.incarnation;
+        if update.id.incarnation > self.me.id.incarnation {
+            let by = update.id.incarnation;
+            commands.push(Command::Superseded { by });
+        }
+        if same && update.state >= State::Suspect && update.refutation >= self.me.refutation {
+            self.me.refutation = update.refutation + 1;
+        }
+    }
+
+    fn tick(&mut self, now: Tick, commands: &mut Vec<Command>) {
+        let pause = self.last_tick.map_or(Span::ZERO, |last| now.since(last));
+        self.last_tick = Some(now);
+        if pause > self.timing.stall {
+            self.schedule.postpone(pause);
+            for until in self.suspects.values_mut() {
+                *until = *until + pause;
+            }
+        }
+        for host in self.schedule.expire(now) {
+            self.miss(now, &host, commands);
+        }
+        self.bury_suspects(now, commands);
+        if now >= self.next_round {
+            self.next_round = now + self.timing.probe;
+            self.probe_round(now, commands);
+        }
+        if now >= self.next_dead {
+            self.next_dead = now + self.timing.dead;
+            let peers = &self.peers;
+            let dead = |host: &name::Host| is_dead(peers, host);
+            if let Some(host) = self.schedule.next_dead(dead) {
+                self.ping(now, &host, commands);
+            }
+        }
+    }
+
+    fn probe_round(&mut self, now: Tick, commands: &mut Vec<Command>) {
+        let peers = &self.peers;
+        let mut hosts = self.schedule.round(|host| is_dead(peers, host));
+        if let Some((suspect, _)) = self.suspects.first() {
+            if !hosts.contains(suspect) {
+                hosts.push(suspect.clone());
+            }
+        }
+        for host in hosts {
+            if !self.schedule.is_open(&host) {
+                self.ping(now, &host, commands);
+            }
+        }
+    }
+
+    /// Counts a missed probe: the first is repeated at once, a second in a row makes the peer
+    /// suspect.
+    fn miss(&mut self, now: Tick, host: &name::Host, commands: &mut Vec<Command>) {
+        let Some(peer) = self.peers.get_mut(host) else {
+            return;
+        };
+        if peer.statement.state >= State::Suspect {
+            return;
+        }
+        peer.missed += 1;
+        if peer.missed < timing::MISSES {
+            self.schedule.answered(host);
+            self.ping(now, host, commands);
+            return;
+        }
+        let update = Update {
+            state: State::Suspect,
+            ..peer.statement.clone()
+        };
+        self.apply(now, update, commands);
+        self.ping(now, host, commands);
+    }
+
+    fn bury_suspects(&mut self, now: Tick, commands: &mut Vec<Command>) {
+        let overdue = self.suspects.iter().filter(|(_, until)| **until <= now);
+        let hosts: Vec<name::Host> = overdue.map(|(host, _)| host.clone()).collect();
+        for host in hosts {
+            let Some(peer) = self.peers.get(&host) else {
+                continue;
+            };
+            let update = Update {
+                state: State::Dead,
+                ..peer.statement.clone()
+            };
+            self.apply(now, update, commands);
+        }
+    }
+
+    fn ping(&mut self, now: Tick, to: &name::Host, commands: &mut Vec<Command>) {
+        let nonce = self.schedule.open(to, now + self.timing.ack);
+        let ping = Ping {
+            nonce,
+            bundle: self.bundle,
+            hosts: self.hosts,
+            sender: self.me.clone(),
+            updates: self.updates(to),
+        };
+        commands.push(Command::Ping {
+            to: to.clone(),
+            ping,
+        });
+    }
+
+    fn ack(&mut self, to: &name::Host, nonce: u64) -> Ack {
+        Ack {
+            nonce,
+            bundle: self.bundle,
+            hosts: self.hosts,
+            sender: self.me.clone(),
+            updates: self.updates(to),
+        }
+    }
+
+    /// Returns the statements for a message to `to`, among them the view of `to` unless alive.
+    fn updates(&mut self, to: &name::Host) -> Vec<Update> {
+        let mut updates = Vec::new();
+        for host in self.gossip.take() {
+            match self.peers.get(&host) {
+                Some(peer) if host != *to => updates.push(peer.statement.clone()),
+                _ => {}
+            }
+        }
+        match self.peers.get(to) {
+            Some(peer) if peer.statement.state >= State::Suspect => {
+                updates.push(peer.statement.clone());
+            }
+            _ => {}
+        }
+        updates
+    }
+
+    fn compare(
+        &mut self,
+        now: Tick,
+        peer: name::Host,
+        bundle: u64,
+        hosts: u64,
+        commands: &mut Vec<Command>,
+    ) {
+        let newer = bundle > self.bundle || hosts > self.hosts;
+        if newer && now >= self.next_fetch {
+            self.next_fetch = now + self.timing.probe;
+            commands.push(Command::Behind {
+                peer,
+                bundle,
+                hosts,
+            });
+        }
+    }
+}
+
+fn new_peer(listed: &Listed) -> Peer {
+    Peer {
+        statement: Update {
+            id: host::Id {
+                host: listed.host.clone(),
+                incarnation: UNKNOWN,
+            },
+            domain: listed.domain.clone(),
+            refutation: 0,
+            state: State::Alive,
+        },
+        leaving: false,
+        list_leaving: listed.leaving,
+        missed: 0,
+    }
+}
+
+fn precedence(update: &Update) -> (host::Incarnation, u32, State) {
+    (update.id.incarnation, update.refutation, update.state)
+}
+
+fn is_dead(peers: &IndexMap<name::Host, Peer>, host: &name::Host) -> bool {
+    peers
+        .get(host)
+        .is_none_or(|peer| peer.statement.state == State::Dead)
+}
