Add peer messages with their frames and QUIC sessions between routers

Cause: homes, entry routers and witnesses exchange messages. Ruled out: replies on the connection of the sender; simultaneous opens would need a tie-break. Conclusion: one connection for each ordered pair; certificates of other authorities are refused.

--- /dev/null
+++ b/crates/link/src/inbound.rs
@@ -0,0 +1,162 @@
+use std::{net::SocketAddr, rc::Rc};
+
+use actix_rt::time;
+use tsw_base::host;
+use tsw_wire::{frame, message};
+
+use crate::{
+    session::{Notice, Shared},
+    tls,
+};
+
+pub(crate) struct Session {
+    pub(crate) id: host::Id,
+    pub(crate) connection: quinn::Connection,
+}
+
+pub(crate) async fn accept(shared: Rc<Shared>) {
+    while let Some(incoming) = shared.endpoint.accept().await {
+        actix_rt::spawn(serve(shared.clone(), incoming));
+    }
+}
+
+async fn serve(shared: Rc<Shared>, incoming: quinn::Incoming) {
+    let address = incoming.remote_address();
+    match greet(&shared, incoming).await {
+        Ok((connection, stream, hello)) => {
+            let id = hello.id.clone();
+            if !register(&shared, &id, &connection) {
+                connection.close(3_u8.into(), b"older");
+                shared.retire(&connection);
+                refuse(&shared, address, format!("{id} is older than its session"));
+                return;
+            }
+            (shared.handle)(Notice::Accepted { hello, address });
+            read(&shared, &id, &connection, stream).await;
+            let mut inbound = shared.inbound.borrow_mut();
+            let current = inbound
+                .get(&id.host)
+                .is_some_and(|s| s.connection.stable_id() == connection.stable_id());
+            if current {
+                inbound.swap_remove(&id.host);
+            }
+            drop(inbound);
+            shared.retire(&connection);
+        }
+        Err(cause) => refuse(&shared, address, cause),
+    }
+}
+
+fn refuse(shared: &Shared, address: SocketAddr, cause: String) {
+    shared.count(|traffic| traffic.refused += 1);
+    (shared.handle)(Notice::Refused { address, cause });
+}
+
+/// Makes the session the only one of its host, so that messages of an earlier session never
+/// arrive after those of a later one.
+fn register(shared: &Shared, id: &host::Id, connection: &quinn::Connection) -> bool {
+    let mut inbound = shared.inbound.borrow_mut();
+    if let Some(current) = inbound.get(&id.host) {
+        if current.id.incarnation > id.incarnation {
+            return false;
+        }
+        current.connection.close(4_u8.into(), b"replaced");
+    }
+    inbound.insert(
+        id.host.clone(),
+        Session {
+            id: id.clone(),
+            connection: connection.clone(),
+        },
+    );
+    true
+}
+
+type Greeted = (quinn::Connection, quinn::RecvStream, message::Hello);
+
+async fn greet(shared: &Shared, incoming: quinn::Incoming) -> Result<Greeted, String> {
+    let greeting = async {
+        let connection = incoming.await.map_err(|error| error.to_string())?;
+        let mut stream = connection
+            .accept_uni()
+            .await
+            .map_err(|error| error.to_string())?;
+        let body = frame_body(&mut stream).await?;
+        let message::Message::Hello(hello) =
+            frame::decode(&body).map_err(|error| error.to_string())?
+        else {
+            return Err("the first frame is not a hello".to_owned());
+        };
+        if hello.version != message::VERSION {
+            return Err(format!("protocol version {} is unknown", hello.version));
+        }
+        if !tls::names(&connection, &hello.id.host) {
+            return Err(format!("the certificate does not name {}", hello.id.host));
+        }
+        Ok((connection, stream, hello))
+    };
+    time::timeout(shared.options.timeout, greeting)
+        .await
+        .unwrap_or_else(|_| Err("the peer did not identify itself in time".to_owned()))
+}
+
+async fn frame_body(stream: &mut quinn::RecvStream) -> Result<Vec<u8>, String> {
+    let mut header = [0; frame::HEADER_BYTES];
+    stream
+        .read_exact(&mut header)
+        .await
+        .map_err(|error| error.to_string())?;
+    let len = frame::length(header).map_err(|error| error.to_string())?;
+    let mut body = vec![0; len];
+    stream
+        .read_exact(&mut body)
+        .await
+        .map_err(|error| error.to_string())?;
+    Ok(body)
+}
+
+async fn read(
+    shared: &Shared,
+    id: &host::Id,
+    connection: &quinn::Connection,
+    mut stream: quinn::RecvStream,
+) {
+    loop {
+        let mut header = [0; frame::HEADER_BYTES];
+        if stream.read_exact(&mut header).await.is_err() {
+            break;
+        }
+        let message = match frame::length(header) {
+            Ok(len) => {
+                let mut body = vec![0; len];
+                if stream.read_exact(&mut body).await.is_err() {
+                    break;
+                }
+                frame::decode(&body)
+            }
+            Err(error) => Err(error),
+        };
+        // A replaced session may hold frames that were received before it was closed.
+        if connection.close_reason().is_some() {
+            break;
+        }
+        match message {
+            Ok(message) => {
+                shared.count(|traffic| traffic.received_frames += 1);
+                (shared.handle)(Notice::Message {
+                    from: id.clone(),
+                    message: Box::new(message),
+                });
+            }
+            Err(error) => {
+                shared.count(|traffic| traffic.malformed += 1);
+                connection.close(5_u8.into(), b"malformed");
+                (shared.handle)(Notice::Malformed {
+                    peer: id.clone(),
+                    cause: error.to_string(),
+                });
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/link/src/session.rs
@@ -0,0 +1,266 @@
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+use tsw_base::{host, name};
+use tsw_wire::message;
+
+use crate::{
+    inbound,
+    outbound::{self, Peer},
+    tls,
+};
+
+/// Why a link cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address cannot be bound.
+    #[error("cannot listen for peers on {address}: {source}; correct listen.peer")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The certificates cannot be used.
+    #[error(transparent)]
+    Tls(#[from] tls::Error),
+}
+
+/// What a link reports.
+#[derive(Debug)]
+pub enum Notice {
+    /// A session that this router opened is ready; the greeting was sent.
+    Opened {
+        /// The peer.
+        peer: name::Host,
+    },
+    /// A session that this router opened ended or could not be opened.
+    Closed {
+        /// The peer.
+        peer: name::Host,
+        /// The cause, for the log.
+        cause: String,
+    },
+    /// A peer opened a session and identified itself.
+    Accepted {
+        /// The peer's side of the session.
+        hello: message::Hello,
+        /// Address that the peer sends from.
+        address: SocketAddr,
+    },
+    /// A peer's session was refused.
+    Refused {
+        /// Address that the peer sends from.
+        address: SocketAddr,
+        /// The cause, for the log.
+        cause: String,
+    },
+    /// A malformed frame arrived; its session is closed.
+    Malformed {
+        /// The peer.
+        peer: host::Id,
+        /// The cause, for the log.
+        cause: String,
+    },
+    /// The queue to a peer overflowed. Its session is reset, and the next one starts with a
+    /// greeting.
+    Overflow {
+        /// The peer.
+        peer: name::Host,
+        /// Messages that were dropped.
+        dropped: usize,
+    },
+    /// A message arrived.
+    Message {
+        /// The peer.
+        from: host::Id,
+        /// The message.
+        message: Box<message::Message>,
+    },
+}
+
+/// Limits and periods of a link.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Shortest time between two sends to a peer.
+    pub flush: Duration,
+    /// Most messages that wait for one peer.
+    pub queue: usize,
+    /// Longest time to open a session or to write a batch.
+    pub timeout: Duration,
+    /// Shortest time between two attempts to open a session.
+    pub backoff: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            flush: Duration::from_millis(2),
+            queue: 16_384,
+            timeout: Duration::from_millis(1_000),
+            backoff: Duration::from_millis(200),
+        }
+    }
+}
+
+/// Counters of a link. Bytes are UDP payload bytes, as QUIC counts them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traffic {
+    /// Bytes sent to peers.
+    pub sent_bytes: u64,
+    /// Bytes received from peers.
+    pub received_bytes: u64,
+    /// Messages sent.
+    pub sent_frames: u64,
+    /// Messages received.
+    pub received_frames: u64,
+    /// Malformed frames.
+    pub malformed: u64,
+    /// Sessions refused.
+    pub refused: u64,
+    /// Messages dropped because a peer could not be reached or its queue was full.
+    pub dropped: u64,
+    /// Messages that wait.
+    pub queued: u64,
+}
+
+pub(crate) type Greet = dyn Fn(&name::Host) -> Vec<message::Message>;
+pub(crate) type Handle = dyn Fn(Notice);
+
+pub(crate) struct Shared {
+    pub(crate) endpoint: quinn::Endpoint,
+    pub(crate) client: quinn::ClientConfig,
+    pub(crate) hello: message::Hello,
+    pub(crate) options: Options,
+    pub(crate) greet: Box<Greet>,
+    pub(crate) handle: Box<Handle>,
+    pub(crate) traffic: Cell<Traffic>,
+    pub(crate) peers: RefCell<IndexMap<name::Host, Rc<Peer>>>,
+    pub(crate) inbound: RefCell<IndexMap<name::Host, inbound::Session>>,
+}
+
+impl Shared {
+    pub(crate) fn count(&self, change: impl FnOnce(&mut Traffic)) {
+        let mut traffic = self.traffic.get();
+        change(&mut traffic);
+        self.traffic.set(traffic);
+    }
+
+    pub(crate) fn retire(&self, connection: &quinn::Connection) {
+        let stats = connection.stats();
+        self.count(|traffic| {
+            traffic.sent_bytes += stats.udp_tx.bytes;
+            traffic.received_bytes += stats.udp_rx.bytes;
+        });
+    }
+}
+
+/// Sends messages to peers and reports what arrives.
+#[derive(Clone)]
+pub struct Link {
+    shared: Rc<Shared>,
+}
+
+impl Link {
+    /// Listens on `address` and starts to accept sessions of peers.
+    ///
+    /// `greet` returns the messages that start a session to a peer, after the hello. `handle`
+    /// receives every notice; it runs on this arbiter and may send.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address or the certificates cannot be used.
+    pub fn bind(
+        address: SocketAddr,
+        identity: &tls::Identity,
+        hello: message::Hello,
+        options: Options,
+        greet: Box<Greet>,
+        handle: Box<Handle>,
+    ) -> Result<Self, Error> {
+        let endpoint = quinn::Endpoint::server(identity.server()?, address)
+            .map_err(|source| Error::Bind { address, source })?;
+        let shared = Rc::new(Shared {
+            endpoint,
+            client: identity.client()?,
+            hello,
+            options,
+            greet,
+            handle,
+            traffic: Cell::default(),
+            peers: RefCell::default(),
+            inbound: RefCell::default(),
+        });
+        actix_rt::spawn(inbound::accept(shared.clone()));
+        Ok(Self { shared })
+    }
+
+    /// Sets or removes the address of a peer. A session to another address is closed.
+    pub fn set_address(&self, host: &name::Host, address: Option<SocketAddr>) {
+        let mut peers = self.shared.peers.borrow_mut();
+        match address {
+            Some(address) => {
+                let peer = peers.entry(host.clone()).or_default();
+                if peer.address.replace(Some(address)) != Some(address) {
+                    peer.reset();
+                }
+            }
+            None => {
+                if let Some(peer) = peers.shift_remove(host) {
+                    peer.remove();
+                }
+            }
+        }
+    }
+
+    /// Queues a message for a peer and opens a session if there is none. A message for a host
+    /// without an address is dropped.
+    pub fn send(&self, host: &name::Host, message: message::Message) {
+        let peer = self.shared.peers.borrow().get(host).cloned();
+        match peer {
+            Some(peer) => outbound::push(&self.shared, host, &peer, message),
+            None => self.shared.count(|traffic| traffic.dropped += 1),
+        }
+    }
+
+    /// Returns the counters, including those of the open sessions.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        let mut traffic = self.shared.traffic.get();
+        let mut add = |connection: &quinn::Connection| {
+            let stats = connection.stats();
+            traffic.sent_bytes += stats.udp_tx.bytes;
+            traffic.received_bytes += stats.udp_rx.bytes;
+        };
+        for peer in self.shared.peers.borrow().values() {
+            if let Some(connection) = &*peer.connection.borrow() {
+                add(connection);
+            }
+        }
+        for session in self.shared.inbound.borrow().values() {
+            add(&session.connection);
+        }
+        let peers = self.shared.peers.borrow();
+        traffic.queued = peers.values().map(|p| p.queue.borrow().len() as u64).sum();
+        traffic
+    }
+
+    /// Returns whether all queued messages were handed to the transport.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let peers = self.shared.peers.borrow();
+        peers.values().all(|peer| peer.queue.borrow().is_empty())
+    }
+
+    /// Closes all sessions and waits, for at most `timeout`, until the peers were told.
+    pub async fn close(&self, timeout: Duration) {
+        self.shared.endpoint.close(0_u8.into(), b"stopped");
+        let _ = actix_rt::time::timeout(timeout, self.shared.endpoint.wait_idle()).await;
+    }
+}
--- /dev/null
+++ b/crates/link/src/tls.rs
@@ -0,0 +1,164 @@
+//! Certificates of the fleet and the checks of a peer.
+
+use std::{path::Path, path::PathBuf, sync::Arc, time::Duration};
+
+use quinn::crypto::rustls::{NoInitialCipherSuite, QuicClientConfig, QuicServerConfig};
+use rustls::{
+    client::verify_server_name,
+    pki_types::{pem, pem::PemObject, CertificateDer, PrivateKeyDer, ServerName},
+    server::{ParsedCertificate, VerifierBuilderError, WebPkiClientVerifier},
+    RootCertStore,
+};
+use tsw_base::name;
+
+const ALPN: &[u8] = b"toucanswitch/1";
+/// A session without traffic ends after this time. A peer that runs is probed more often in small
+/// fleets; in large ones sessions that are not in use free their memory.
+const IDLE_TIMEOUT_MS: u32 = 10_000;
+
+/// Why the certificates cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file cannot be read.
+    #[error("cannot read {}: {source}; correct tls.{key}", path.display())]
+    File {
+        /// The setting that names the file.
+        key: &'static str,
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: pem::Error,
+    },
+    /// The certificate, key or authority is refused.
+    #[error("the certificates in tls are refused: {0}")]
+    Refused(#[from] rustls::Error),
+    /// The authority cannot be used to check peers.
+    #[error("the certificate in tls.authority is refused: {0}")]
+    Authority(#[from] VerifierBuilderError),
+    /// The cipher suites do not suit QUIC.
+    #[error("the cipher suites do not suit QUIC: {0}")]
+    Suite(#[from] NoInitialCipherSuite),
+    /// The idle time-out is out of range.
+    #[error("the idle time-out is out of range: {0}")]
+    Idle(#[from] quinn::VarIntBoundsExceeded),
+}
+
+/// Certificate and key of this host and the authority of the fleet.
+#[derive(Debug)]
+pub struct Identity {
+    authority: CertificateDer<'static>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Clone for Identity {
+    fn clone(&self) -> Self {
+        Self {
+            authority: self.authority.clone(),
+            chain: self.chain.clone(),
+            key: self.key.clone_key(),
+        }
+    }
+}
+
+impl Identity {
+    /// Takes certificates and a key in DER form.
+    #[must_use]
+    pub const fn new(
+        authority: CertificateDer<'static>,
+        chain: Vec<CertificateDer<'static>>,
+        key: PrivateKeyDer<'static>,
+    ) -> Self {
+        Self {
+            authority,
+            chain,
+            key,
+        }
+    }
+
+    /// Reads the PEM files.
+    ///
+    /// # Errors
+    ///
+    /// Returns which file cannot be read.
+    pub fn load(authority: &Path, certificate: &Path, key: &Path) -> Result<Self, Error> {
+        let fault = |name, path: &Path| {
+            let path = path.to_owned();
+            move |source| Error::File {
+                key: name,
+                path,
+                source,
+            }
+        };
+        let chain = CertificateDer::pem_file_iter(certificate)
+            .and_then(Iterator::collect)
+            .map_err(fault("certificate", certificate))?;
+        Ok(Self {
+            authority: CertificateDer::from_pem_file(authority)
+                .map_err(fault("authority", authority))?,
+            chain,
+            key: PrivateKeyDer::from_pem_file(key).map_err(fault("key", key))?,
+        })
+    }
+
+    fn roots(&self) -> Result<RootCertStore, Error> {
+        let mut roots = RootCertStore::empty();
+        roots.add(self.authority.clone())?;
+        Ok(roots)
+    }
+
+    pub(crate) fn server(&self) -> Result<quinn::ServerConfig, Error> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(Arc::new(self.roots()?), provider.clone())
+                .build()?;
+        let mut config = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())?;
+        config.alpn_protocols = vec![ALPN.to_vec()];
+        let mut server =
+            quinn::ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(config)?));
+        server.transport_config(Arc::new(transport()?));
+        Ok(server)
+    }
+
+    pub(crate) fn client(&self) -> Result<quinn::ClientConfig, Error> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut config = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(self.roots()?)
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())?;
+        config.alpn_protocols = vec![ALPN.to_vec()];
+        let mut client = quinn::ClientConfig::new(Arc::new(QuicClientConfig::try_from(config)?));
+        client.transport_config(Arc::new(transport()?));
+        Ok(client)
+    }
+}
+
+fn transport() -> Result<quinn::TransportConfig, Error> {
+    let mut transport = quinn::TransportConfig::default();
+    transport
+        .max_concurrent_uni_streams(1_u8.into())
+        .max_concurrent_bidi_streams(0_u8.into())
+        .max_idle_timeout(Some(quinn::VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
+        .initial_rtt(Duration::from_millis(20));
+    Ok(transport)
+}
+
+/// Checks that the certificate a peer presented names the host.
+pub(crate) fn names(connection: &quinn::Connection, host: &name::Host) -> bool {
+    let Some(identity) = connection.peer_identity() else {
+        return false;
+    };
+    let Ok(chain) = identity.downcast::<Vec<CertificateDer<'static>>>() else {
+        return false;
+    };
+    let Ok(server) = ServerName::try_from(host.as_str()) else {
+        return false;
+    };
+    chain
+        .first()
+        .and_then(|certificate| ParsedCertificate::try_from(certificate).ok())
+        .is_some_and(|parsed| verify_server_name(&parsed, &server).is_ok())
+}
--- /dev/null
+++ b/crates/link/tests/session.rs
@@ -0,0 +1,187 @@
+//! Guards against sessions with processes outside the fleet, against peers that claim another
+//! host's name, and against messages that get lost or reordered within a session.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use rustls_pki_types::{PrivateKeyDer, PrivatePkcs8KeyDer};
+use tsw_base::host;
+use tsw_link::{tls, Link, Notice, Options};
+use tsw_wire::message;
+
+struct Authority(CertifiedIssuer<'static, KeyPair>);
+
+impl Authority {
+    fn new() -> Self {
+        let mut params = CertificateParams::new(Vec::new()).expect("no names");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let key = KeyPair::generate().expect("a key");
+        Self(CertifiedIssuer::self_signed(params, key).expect("an authority"))
+    }
+
+    fn identity(&self, host: &str, trusted: &Self) -> tls::Identity {
+        let key = KeyPair::generate().expect("a key");
+        let certificate = CertificateParams::new(vec![host.to_owned()])
+            .expect("a valid name")
+            .signed_by(&key, &self.0)
+            .expect("a certificate");
+        tls::Identity::new(
+            trusted.0.der().clone(),
+            vec![certificate.der().clone()],
+            PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(key.serialize_der())),
+        )
+    }
+}
+
+fn hello(host: &str, start: u64) -> message::Hello {
+    message::Hello {
+        version: message::VERSION,
+        id: host::Id {
+            host: host.parse().expect("a valid name"),
+            incarnation: host::Incarnation::new(start, 0),
+        },
+        domain: "d1".parse().expect("a valid name"),
+    }
+}
+
+type Log = Rc<RefCell<Vec<Notice>>>;
+
+fn free_address() -> SocketAddr {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("bound")
+}
+
+fn bind(identity: &tls::Identity, hello: message::Hello) -> (Link, SocketAddr, Log) {
+    let address = free_address();
+    let log: Log = Rc::default();
+    let notices = log.clone();
+    let greeting = message::Message::Fetch(message::Fetch {
+        bundle: 0,
+        hosts: 0,
+    });
+    let link = Link::bind(
+        address,
+        identity,
+        hello,
+        Options::default(),
+        Box::new(move |_| vec![greeting.clone()]),
+        Box::new(move |notice| notices.borrow_mut().push(notice)),
+    )
+    .expect("a link");
+    (link, address, log)
+}
+
+async fn until(log: &Log, found: impl Fn(&Notice) -> bool) {
+    for _ in 0..500 {
+        if log.borrow().iter().any(&found) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not seen in 5 s: {:?}", log.borrow());
+}
+
+fn fetch(bundle: u64) -> message::Message {
+    message::Message::Fetch(message::Fetch { bundle, hosts: 0 })
+}
+
+fn received(log: &Log) -> Vec<u64> {
+    let notices = log.borrow();
+    notices
+        .iter()
+        .filter_map(|notice| match notice {
+            Notice::Message { message, .. } => match **message {
+                message::Message::Fetch(fetch) => Some(fetch.bundle),
+                _ => None,
+            },
+            _ => None,
+        })
+        .collect()
+}
+
+#[actix_rt::test]
+async fn messages_arrive_in_order_after_the_greeting() {
+    let fleet = Authority::new();
+    let (a, _, _) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (_b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
+    let b = "b".parse().expect("a valid name");
+    a.set_address(&b, Some(address));
+    for number in 1..=300 {
+        a.send(&b, fetch(number));
+    }
+    until(&log, |_| received(&log).len() == 301).await;
+    assert_eq!(received(&log), (0..=300).collect::<Vec<_>>());
+    let traffic = a.traffic();
+    assert_eq!(traffic.sent_frames, 302);
+    assert!(traffic.sent_bytes > 1_000 && traffic.received_bytes > 0);
+}
+
+#[actix_rt::test]
+async fn certificate_of_another_authority_is_refused() {
+    let (fleet, other) = (Authority::new(), Authority::new());
+    let (a, _, a_log) = bind(&other.identity("a", &fleet), hello("a", 1));
+    let (b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
+    let name = "b".parse().expect("a valid name");
+    a.set_address(&name, Some(address));
+    a.send(&name, fetch(1));
+    until(&log, |notice| matches!(notice, Notice::Refused { .. })).await;
+    until(&a_log, |notice| matches!(notice, Notice::Closed { .. })).await;
+    assert_eq!(received(&log), Vec::<u64>::new());
+    assert!(b.traffic().refused > 0);
+}
+
+#[actix_rt::test]
+async fn server_of_another_authority_gets_no_message() {
+    let (fleet, other) = (Authority::new(), Authority::new());
+    let (a, _, a_log) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (_b, address, log) = bind(&other.identity("b", &other), hello("b", 1));
+    let name = "b".parse().expect("a valid name");
+    a.set_address(&name, Some(address));
+    a.send(&name, fetch(1));
+    until(&a_log, |notice| matches!(notice, Notice::Closed { .. })).await;
+    assert_eq!(received(&log), Vec::<u64>::new());
+}
+
+#[actix_rt::test]
+async fn hello_with_the_name_of_another_host_is_refused() {
+    let fleet = Authority::new();
+    let (a, _, _) = bind(&fleet.identity("a", &fleet), hello("c", 1));
+    let (_b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
+    let name = "b".parse().expect("a valid name");
+    a.set_address(&name, Some(address));
+    a.send(&name, fetch(1));
+    let named = |notice: &Notice| matches!(notice, Notice::Refused { cause, .. } if cause.contains("does not name c"));
+    until(&log, named).await;
+    assert_eq!(received(&log), Vec::<u64>::new());
+}
+
+#[actix_rt::test]
+async fn session_to_a_host_under_another_name_is_not_used() {
+    // A stale address may belong to another host of the fleet by now.
+    let fleet = Authority::new();
+    let (a, _, a_log) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (_b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
+    let name = "c".parse().expect("a valid name");
+    a.set_address(&name, Some(address));
+    a.send(&name, fetch(1));
+    until(&a_log, |notice| matches!(notice, Notice::Closed { .. })).await;
+    assert_eq!(received(&log), Vec::<u64>::new());
+}
+
+#[actix_rt::test]
+async fn session_is_opened_again_after_a_restart_of_the_peer() {
+    let fleet = Authority::new();
+    let (a, _, a_log) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
+    let name = "b".parse().expect("a valid name");
+    a.set_address(&name, Some(address));
+    a.send(&name, fetch(1));
+    until(&log, |_| received(&log) == [0, 1]).await;
+    b.close(Duration::from_secs(1)).await;
+    until(&a_log, |notice| matches!(notice, Notice::Closed { .. })).await;
+
+    let (_b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 2));
+    a.set_address(&name, Some(address));
+    a.send(&name, fetch(2));
+    until(&log, |_| received(&log) == [0, 2]).await;
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,122 @@
+//! Frames: a big-endian `u32` length followed by a postcard body.
+
+use std::io;
+
+use bytes::{BufMut, BytesMut};
+
+use crate::message;
+
+/// Length of the header in bytes.
+pub const HEADER_BYTES: usize = 4;
+
+/// Longest body in bytes. The largest message is a bundle or a forwarded call of 1 MB.
+pub const MAX_BYTES: usize = 1_250_000;
+
+/// Why a frame is malformed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The body is longer than [`MAX_BYTES`].
+    #[error("the frame has {bytes} bytes; at most {MAX_BYTES} are allowed")]
+    Large {
+        /// Length of the body.
+        bytes: usize,
+    },
+    /// The frame has no body.
+    #[error("the frame is empty")]
+    Empty,
+    /// The body is not a message.
+    #[error("the frame is not a message: {0}")]
+    Form(#[from] postcard::Error),
+    /// The body continues after the message.
+    #[error("the frame has {bytes} bytes after the message")]
+    Trailing {
+        /// Number of excess bytes.
+        bytes: usize,
+    },
+}
+
+/// Appends a message to `buffer` as a frame. `buffer` is unchanged after an error.
+///
+/// # Errors
+///
+/// Returns [`Error::Large`] if the body exceeds [`MAX_BYTES`].
+///
+/// ```
+/// use bytes::BytesMut;
+/// use tsw_wire::{frame, message};
+///
+/// let fetch = message::Message::Fetch(message::Fetch { bundle: 7, hosts: 0 });
+/// let mut buffer = BytesMut::new();
+/// frame::encode(&fetch, &mut buffer)?;
+/// let (header, body) = buffer.split_at(frame::HEADER_BYTES);
+/// assert_eq!(frame::length(header.try_into().unwrap())?, body.len());
+/// assert_eq!(frame::decode(body)?, fetch);
+/// # Ok::<(), frame::Error>(())
+/// ```
+pub fn encode(message: &message::Message, buffer: &mut BytesMut) -> Result<(), Error> {
+    let start = buffer.len();
+    buffer.put_u32(0);
+    let result = append(message, buffer);
+    match result {
+        Ok(bytes) => {
+            let header = u32::try_from(bytes).unwrap_or(u32::MAX).to_be_bytes();
+            buffer[start..start + HEADER_BYTES].copy_from_slice(&header);
+            Ok(())
+        }
+        Err(error) => {
+            buffer.truncate(start);
+            Err(error)
+        }
+    }
+}
+
+fn append(message: &message::Message, buffer: &mut BytesMut) -> Result<usize, Error> {
+    let start = buffer.len();
+    postcard::to_io(message, Writer(buffer))?;
+    let bytes = buffer.len() - start;
+    if bytes > MAX_BYTES {
+        return Err(Error::Large { bytes });
+    }
+    Ok(bytes)
+}
+
+struct Writer<'a>(&'a mut BytesMut);
+
+impl io::Write for Writer<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Reads the length of a body from a header.
+///
+/// # Errors
+///
+/// Returns an error if the length is 0 or exceeds [`MAX_BYTES`].
+pub fn length(header: [u8; HEADER_BYTES]) -> Result<usize, Error> {
+    let bytes = u32::from_be_bytes(header) as usize;
+    match bytes {
+        0 => Err(Error::Empty),
+        _ if bytes > MAX_BYTES => Err(Error::Large { bytes }),
+        _ => Ok(bytes),
+    }
+}
+
+/// Reads a message from a body.
+///
+/// # Errors
+///
+/// Returns an error if the body is not exactly one message.
+pub fn decode(body: &[u8]) -> Result<message::Message, Error> {
+    let (message, rest) = postcard::take_from_bytes(body)?;
+    if rest.is_empty() {
+        Ok(message)
+    } else {
+        Err(Error::Trailing { bytes: rest.len() })
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/frame.rs
@@ -0,0 +1,144 @@
+//! Guards against messages that change on the way and against malformed frames that crash a
+//! router or pass as messages.
+
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use proptest::prelude::*;
+use tsw_base::{host, name, time};
+use tsw_grant::message as grant;
+use tsw_wire::{frame, message};
+
+fn id(host: &str, number: u64) -> host::Id {
+    host::Id {
+        host: host.parse().expect("a valid name"),
+        incarnation: host::Incarnation::new(number >> 16, number as u16),
+    }
+}
+
+fn names() -> impl Strategy<Value = String> {
+    "[a-z][a-z0-9-]{0,20}"
+}
+
+fn messages() -> impl Strategy<Value = message::Message> {
+    let hello = (names(), any::<u64>(), any::<u16>()).prop_map(|(host, number, version)| {
+        message::Message::Hello(message::Hello {
+            version,
+            id: id(&host, number),
+            domain: host.parse().expect("a valid name"),
+        })
+    });
+    let fetch = (any::<u64>(), any::<u64>())
+        .prop_map(|(bundle, hosts)| message::Message::Fetch(message::Fetch { bundle, hosts }));
+    let bundle = (
+        any::<u64>(),
+        proptest::collection::vec(any::<u8>(), 0..2_000),
+    )
+        .prop_map(|(revision, content)| {
+            message::Message::Bundle(message::Bundle {
+                revision,
+                content: Arc::from(content),
+            })
+        });
+    let demand = (
+        names(),
+        any::<u64>(),
+        proptest::collection::vec((names(), any::<u32>(), any::<u64>()), 0..20),
+    )
+        .prop_map(|(service, seq, lines)| {
+            message::Message::Demand(grant::Demand {
+                service: service.parse().expect("a valid name"),
+                seq,
+                seen: None,
+                lines: lines
+                    .into_iter()
+                    .map(|(team, waiting, micros)| grant::Line {
+                        team: team.parse().expect("a valid name"),
+                        class: grant::Class::ALL[waiting as usize % 4],
+                        waiting,
+                        oldest: time::Span::from_micros(micros),
+                        newest: time::Span::ZERO,
+                    })
+                    .collect(),
+            })
+        });
+    prop_oneof![hello, fetch, bundle, demand]
+}
+
+proptest! {
+    #[test]
+    fn round_trip(sent in proptest::collection::vec(messages(), 1..8)) {
+        let mut buffer = BytesMut::new();
+        for message in &sent {
+            frame::encode(message, &mut buffer)?;
+        }
+        for message in &sent {
+            let header = buffer.split_to(frame::HEADER_BYTES);
+            let len = frame::length(header.as_ref().try_into()?)?;
+            prop_assert_eq!(&frame::decode(&buffer.split_to(len))?, message);
+        }
+        prop_assert!(buffer.is_empty());
+    }
+
+    #[test]
+    fn arbitrary_bytes_do_not_panic(body in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = frame::decode(&body);
+    }
+
+    #[test]
+    fn truncated_or_extended_bodies_are_refused(message in messages(), cut in 1_usize..40) {
+        let mut buffer = BytesMut::new();
+        frame::encode(&message, &mut buffer)?;
+        let body = &buffer[frame::HEADER_BYTES..];
+        let short = &body[..body.len() - cut.min(body.len())];
+        prop_assert!(frame::decode(short).is_err());
+        let long = [body, &[0; 3]].concat();
+        let refused = matches!(frame::decode(&long), Err(frame::Error::Trailing { bytes: 3 }));
+        prop_assert!(refused);
+    }
+}
+
+#[test]
+fn lengths_outside_the_limits_are_refused() {
+    assert!(matches!(frame::length([0; 4]), Err(frame::Error::Empty)));
+    assert!(matches!(
+        frame::length([0xff; 4]),
+        Err(frame::Error::Large { .. })
+    ));
+    let limit = u32::try_from(frame::MAX_BYTES).expect("fits");
+    assert!(frame::length(limit.to_be_bytes()).is_ok());
+}
+
+#[test]
+fn oversized_message_leaves_the_buffer_unchanged() {
+    let message = message::Message::Bundle(message::Bundle {
+        revision: 1,
+        content: Arc::from(vec![0; frame::MAX_BYTES + 1]),
+    });
+    let mut buffer = BytesMut::from(&b"before"[..]);
+    assert!(matches!(
+        frame::encode(&message, &mut buffer),
+        Err(frame::Error::Large { .. })
+    ));
+    assert_eq!(&buffer[..], b"before");
+}
+
+#[test]
+fn names_are_checked_on_arrival() {
+    // A name from the wire reaches logs and metrics, so it must obey the rules of names.
+    let valid: name::Host = "r1".parse().expect("a valid name");
+    let hello = message::Message::Hello(message::Hello {
+        version: message::VERSION,
+        id: id(valid.as_str(), 1),
+        domain: "d1".parse().expect("a valid name"),
+    });
+    let mut buffer = BytesMut::new();
+    frame::encode(&hello, &mut buffer).expect("fits");
+    let mut body = buffer[frame::HEADER_BYTES..].to_vec();
+    let at = body
+        .windows(2)
+        .position(|pair| pair == b"r1")
+        .expect("holds the name");
+    body[at] = b'\n';
+    assert!(matches!(frame::decode(&body), Err(frame::Error::Form(_))));
+}
