--- a/crates/once/src/message.rs
+++ b/crates/once/src/message.rs
@@ -105,7 +105,7 @@
     Done(Response),
     /// It holds an intent without a response.
     Intended,
-    /// It holds an intent for a different request under the same key.
+    /// It holds an intent or a response for a different request under the same key.
     Conflict,
     /// It restarted, dropped its records or has no room for a seal.
     Unknown,
@@ -116,6 +116,8 @@
 pub struct Outcome {
     /// The key.
     pub key: permit::Key,
+    /// Digest of the request.
+    pub digest: Digest,
     /// The response.
     pub response: Response,
 }
