Add the audit chain, heads, receipts and verification

Cause: the log has to show years later whether a line was removed, changed, moved or forged. Ruled out: a head for peers' heads alone, which would keep idle routers exchanging heads. A text that differs from the canonical one counts as changed, because a repeated key can mislead.

--- /dev/null
+++ b/crates/audit/src/canonical.rs
@@ -0,0 +1,66 @@
+//! Canonical JSON: keys in byte order, no white space, no fractions.
+
+use serde_json::Value;
+
+use crate::Error;
+
+/// Deepest nesting of a value.
+pub const MAX_DEPTH: usize = 8;
+
+/// Returns the canonical text of a value.
+///
+/// # Errors
+///
+/// Returns [`Error::Fraction`] for a number that is not an integer, because its text is not unique,
+/// and [`Error::Deep`] beyond [`MAX_DEPTH`].
+///
+/// ```
+/// use serde_json::json;
+/// use tsw_audit::canonical;
+///
+/// let text = canonical::text(&json!({ "b": [1, true], "a": "x" }))?;
+/// assert_eq!(text, r#"{"a":"x","b":[1,true]}"#);
+/// # Ok::<(), tsw_audit::Error>(())
+/// ```
+pub fn text(value: &Value) -> Result<String, Error> {
+    let mut out = String::new();
+    write(value, 0, &mut out)?;
+    Ok(out)
+}
+
+fn write(value: &Value, depth: usize, out: &mut String) -> Result<(), Error> {
+    if depth > MAX_DEPTH {
+        return Err(Error::Deep);
+    }
+    match value {
+        Value::Number(number) if number.is_f64() => return Err(Error::Fraction),
+        Value::Array(items) => {
+            out.push('[');
+            for (index, item) in items.iter().enumerate() {
+                if index > 0 {
+                    out.push(',');
+                }
+                write(item, depth + 1, out)?;
+            }
+            out.push(']');
+        }
+        Value::Object(fields) => {
+            let mut sorted: Vec<_> = fields.iter().collect();
+            sorted.sort_by_key(|(key, _)| *key);
+            out.push('{');
+            for (index, (key, item)) in sorted.into_iter().enumerate() {
+                if index > 0 {
+                    out.push(',');
+                }
+                out.push_str(&serde_json::to_string(key)?);
+                out.push(':');
+                write(item, depth + 1, out)?;
+            }
+            out.push('}');
+        }
+        Value::Null | Value::Bool(_) | Value::Number(_) | Value::String(_) => {
+            out.push_str(&serde_json::to_string(value)?);
+        }
+    }
+    Ok(())
+}
--- a/crates/audit/src/head.rs
+++ b/crates/audit/src/head.rs
@@ -1,8 +1,17 @@
-//! Signed heads of a chain.
+//! Signed heads of a chain and signed receipts for single lines.
+
+use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
 use tsw_base::host;
 
+use crate::{
+    key::{Keys, Signer},
+    line::{self, Fields},
+    Error,
+};
+
 /// A signed statement of the last line of a chain.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Head {
@@ -15,3 +24,115 @@
     /// Ed25519 signature over chain, number and hash, in hexadecimal.
     pub signature: String,
 }
+
+/// A signed statement that a line is part of a chain, for the caller whose request it is about.
+///
+/// Its text has five parts separated by spaces: `receipt`, chain, number, hash, signature.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Receipt {
+    /// The chain.
+    pub chain: host::Id,
+    /// Number of the line.
+    pub seq: u64,
+    /// Hash of the line, in hexadecimal.
+    pub hash: String,
+    /// Ed25519 signature, in hexadecimal.
+    pub signature: String,
+}
+
+/// Keeps a receipt from passing as a head and the reverse.
+fn signed_text(kind: &str, chain: &host::Id, seq: u64, hash: &str) -> String {
+    format!("toucanswitch {kind} {chain} {seq} {hash}")
+}
+
+impl Head {
+    pub(crate) fn sign(signer: &Signer, chain: &host::Id, seq: u64, hash: &str) -> Self {
+        Self {
+            chain: chain.clone(),
+            seq,
+            hash: hash.to_owned(),
+            signature: signer.sign(&signed_text("head", chain, seq, hash)),
+        }
+    }
+
+    /// Checks the signature.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] or [`Error::Signature`].
+    pub fn verify(&self, keys: &Keys) -> Result<(), Error> {
+        let text = signed_text("head", &self.chain, self.seq, &self.hash);
+        keys.verify(&self.chain.host, &text, &self.signature)
+    }
+
+    /// Returns the fields of the line that holds this head in a peer's chain.
+    pub(crate) fn to_fields(&self) -> Fields {
+        let mut fields = Fields::new();
+        fields.insert("chain".into(), json!(self.chain.to_string()));
+        fields.insert("seq".into(), json!(self.seq));
+        fields.insert("hash".into(), json!(self.hash));
+        fields.insert("signature".into(), json!(self.signature));
+        fields
+    }
+
+    /// Reads the head in a line's fields, if they hold one.
+    pub(crate) fn from_fields(fields: &Fields) -> Option<Self> {
+        let text = |key: &str| fields.get(key).and_then(Value::as_str);
+        Some(Self {
+            chain: line::chain_id(text("chain")?).ok()?,
+            seq: fields.get("seq")?.as_u64()?,
+            hash: text("hash")?.to_owned(),
+            signature: text("signature")?.to_owned(),
+        })
+    }
+}
+
+impl Receipt {
+    pub(crate) fn sign(signer: &Signer, chain: &host::Id, seq: u64, hash: &str) -> Self {
+        Self {
+            chain: chain.clone(),
+            seq,
+            hash: hash.to_owned(),
+            signature: signer.sign(&signed_text("receipt", chain, seq, hash)),
+        }
+    }
+
+    /// Checks the signature.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] or [`Error::Signature`].
+    pub fn verify(&self, keys: &Keys) -> Result<(), Error> {
+        let text = signed_text("receipt", &self.chain, self.seq, &self.hash);
+        keys.verify(&self.chain.host, &text, &self.signature)
+    }
+}
+
+impl fmt::Display for Receipt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            chain,
+            seq,
+            hash,
+            signature,
+        } = self;
+        write!(f, "receipt {chain} {seq} {hash} {signature}")
+    }
+}
+
+impl FromStr for Receipt {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let parts: Vec<&str> = text.split(' ').collect();
+        let ["receipt", chain, seq, hash, signature] = parts[..] else {
+            return Err(Error::Receipt);
+        };
+        Ok(Self {
+            chain: line::chain_id(chain)?,
+            seq: seq.parse().map_err(|_| Error::Receipt)?,
+            hash: hash.to_owned(),
+            signature: signature.to_owned(),
+        })
+    }
+}
