Add the test stand-ins for platform, engines and bookings

Cause: the daemon and the load generator need something to talk to in tests. Ruled out: one process per upstream, which needs too many processes for 20 workers. Before and after: nothing before; now one process each for platform, engines and bookings.

--- /dev/null
+++ b/crates/fake/src/engine.rs
@@ -0,0 +1,184 @@
+//! Model engines with continuous batching.
+//!
+//! A request joins the batch at the next step and gets one token in each step after its prompt has
+//! been processed. Beyond the batch limit, requests wait inside the engine in order of arrival.
+//! There are no priorities. The text of a token depends on prompt and index only, so a stream that
+//! is resumed at another engine continues with the same tokens.
+//!
+//! Calls: `POST /v1/generate` `{"request_id","prompt","max_tokens","resume_from"}`,
+//! `DELETE /v1/generate/ID`, `GET /v1/load`, `GET /v1/cache-events?after=N`, `POST /v1/orders`,
+//! `GET|PUT /v1/kv/ID`. The last line of a stream is `{"end":true,"tokens":N}`, where N counts the
+//! tokens before `resume_from` too. `#tokens=N` in the prompt replaces `max_tokens`; `#crash` makes
+//! each engine crash that begins to run the request.
+//!
+//! Control calls, for one engine with `?name=NAME`, else for all of the process:
+//!
+//! - `POST /control/slow` `{"factor":10,"for_ms":5000}`: longer steps; without `for_ms` until the
+//!   next call.
+//! - `POST /control/crash` `{"down_ms":3000,"exit":false}`: drop all streams and memory and refuse
+//!   connections for a time, or exit. Without a body as the flags of the program say.
+//! - `POST /control/leave` `{"leaving":true}`: starts from now on are recorded as late.
+//! - `POST /control/load` `{"lag_ms":N}`: lag of load reports.
+//! - `GET /control/stats`: counters by engine name.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::{history, http};
+
+mod batch;
+pub mod cache;
+mod command;
+mod report;
+mod serve;
+mod state;
+pub mod stats;
+pub mod timing;
+
+pub use state::{Crash, Engine};
+
+/// Exit code of a process that simulates a crash.
+pub const CRASH_EXIT_CODE: i32 = 70;
+
+/// What engines do with an order that has an old fencing token.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fencing {
+    /// They refuse it with status 409.
+    Checked,
+    /// They carry it out.
+    #[default]
+    Ignored,
+}
+
+/// Why a text is not a [`Fencing`].
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{0:?} is not a way to handle fencing; use checked or ignored")]
+pub struct Error(String);
+
+impl std::str::FromStr for Fencing {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        match text {
+            "checked" => Ok(Self::Checked),
+            "ignored" => Ok(Self::Ignored),
+            _ => Err(Error(text.to_owned())),
+        }
+    }
+}
+
+/// Settings of an engine.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Length of a step.
+    pub timing: timing::Timing,
+    /// Most requests in the batch.
+    pub batch_limit: usize,
+    /// Prompt tokens processed in one step, over all requests.
+    pub prefill_chunk: u64,
+    /// Blocks of prompt prefixes that are cached.
+    pub cache_blocks: usize,
+    /// Lag of load reports.
+    pub load_lag: Duration,
+    /// Lag of cache events.
+    pub event_lag: Duration,
+    /// One of so many cache events is lost; 0 loses none.
+    pub event_gap: u64,
+    /// What is done with old fencing tokens.
+    pub fencing: Fencing,
+    /// What a crash does when the control call does not say it.
+    pub crash: Crash,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            timing: timing::Timing::default(),
+            batch_limit: 16,
+            prefill_chunk: 512,
+            cache_blocks: 4_096,
+            load_lag: Duration::from_millis(500),
+            event_lag: Duration::from_millis(1_000),
+            event_gap: 10,
+            fencing: Fencing::Ignored,
+            crash: Crash {
+                exit: false,
+                down_ms: 2_000,
+            },
+        }
+    }
+}
+
+/// Several engines of one process, with one control listener.
+pub struct Fleet {
+    engines: Rc<IndexMap<String, Engine>>,
+    addresses: Vec<(String, SocketAddr)>,
+    control: http::Server,
+}
+
+impl Fleet {
+    /// Starts engines inside the current `actix_rt` system.
+    ///
+    /// # Errors
+    ///
+    /// Returns why an address cannot be listened on.
+    ///
+    /// ```
+    /// use tsw_fake::{engine, history};
+    ///
+    /// let any = "127.0.0.1:0".parse()?;
+    /// actix_rt::System::new().block_on(async {
+    ///     let names = [("engine".to_owned(), any)];
+    ///     let writer = history::Writer::default();
+    ///     let fleet = engine::Fleet::bind(&names, any, engine::Options::default(), writer).await?;
+    ///     assert_eq!(fleet.addresses().len(), 1);
+    ///     Ok::<(), tsw_fake::http::Error>(())
+    /// })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub async fn bind(
+        names: &[(String, SocketAddr)],
+        control: SocketAddr,
+        options: Options,
+        history: history::Writer,
+    ) -> Result<Self, http::Error> {
+        let mut engines = IndexMap::new();
+        let mut addresses = Vec::new();
+        for (name, address) in names {
+            let engine = Engine::new(name.clone(), options.clone(), history.clone());
+            let handler = serve::handler(engine.clone());
+            let server = http::Server::bind(*address, Rc::clone(&handler)).await?;
+            addresses.push((name.clone(), server.address()));
+            actix_rt::spawn(engine.outage().supervise(server, handler));
+            actix_rt::spawn(engine.clone().drive());
+            engines.insert(name.clone(), engine);
+        }
+        let engines = Rc::new(engines);
+        let handler = command::handler(Rc::clone(&engines));
+        let control = http::Server::bind(control, handler).await?;
+        Ok(Self {
+            engines,
+            addresses,
+            control,
+        })
+    }
+
+    /// Returns name and address of each engine.
+    #[must_use]
+    pub fn addresses(&self) -> &[(String, SocketAddr)] {
+        &self.addresses
+    }
+
+    /// Returns the address for tests.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Returns an engine by name.
+    #[must_use]
+    pub fn engine(&self, name: &str) -> Option<&Engine> {
+        self.engines.get(name)
+    }
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Stand-ins for the platform and the upstreams, for tests only.
+//!
+//! - [`platform`]: configuration service, host list and weight store behind one listener.
+//! - [`engine`]: model engines with continuous batching.
+//! - [`booking`]: a plain service that counts each execution.
+//! - [`history`]: the JSON lines that upstreams record for the checker.
+//! - [`http`]: the listener that they share, which can refuse connections for a time.
+//! - [`names`]: names and addresses of several upstreams in one process.
+//!
+//! Everything here runs on one thread, inside an `actix_rt` system. Each stand-in has a control
+//! listener next to its ordinary one; the modules list the calls that it answers.
+
+pub mod booking;
+pub mod engine;
+pub mod history;
+pub mod http;
+pub mod names;
+pub mod platform;
