--- a/crates/config/src/bundle.rs
+++ b/crates/config/src/bundle.rs
@@ -66,6 +66,14 @@
         /// The team.
         team: name::Team,
     },
+    /// A team or service is listed under another name than its own.
+    #[error("{name} is listed under the name {key}")]
+    Name {
+        /// The name that it is listed under.
+        key: String,
+        /// Its own name.
+        name: String,
+    },
     /// Two teams accept the same token.
     #[error("teams {first} and {second} accept the same token")]
     Shared {
@@ -125,6 +133,7 @@
     ///
     /// Returns the first fault that is found.
     pub fn check(&self) -> Result<(), Error> {
+        self.check_names()?;
         for service in self.services.values() {
             if service.slots == 0 {
                 return Err(Error::Slots {
@@ -136,6 +145,20 @@
         self.check_tokens()
     }
 
+    fn check_names(&self) -> Result<(), Error> {
+        let teams = self.teams.iter();
+        let teams = teams.map(|(key, team)| (key.as_str(), team.team.as_str()));
+        let services = self.services.iter();
+        let services = services.map(|(key, service)| (key.as_str(), service.service.as_str()));
+        match teams.chain(services).find(|(key, name)| key != name) {
+            Some((key, name)) => Err(Error::Name {
+                key: key.to_owned(),
+                name: name.to_owned(),
+            }),
+            None => Ok(()),
+        }
+    }
+
     fn check_shares(&self) -> Result<(), Error> {
         let mut sums: IndexMap<&name::Service, u64> = IndexMap::new();
         for team in self.teams.values() {
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -30,12 +30,18 @@
     pub deadline_ms: u64,
 }
 
+/// Cost hint, in tokens, up to which a request counts as short, unless the file says otherwise.
+pub const DEFAULT_SHORT_TOKENS: u32 = 256;
+
+/// Deadline of a request that names none, in milliseconds, unless the file says otherwise.
+pub const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
 const fn default_short_tokens() -> u32 {
-    256
+    DEFAULT_SHORT_TOKENS
 }
 
 const fn default_deadline_ms() -> u64 {
-    60_000
+    DEFAULT_DEADLINE_MS
 }
 
 /// What the upstreams of a service are.
