--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,6 +1,15 @@
 //! Load generator, experiments and checks for a fleet of routers. Test only.
+//!
+//! - [`plan`], [`keys`], [`ports`], [`process`]: parts of a fleet and its processes.
+//! - [`delay`], [`relay`]: delays, loss and cuts between failure domains.
+//! - [`client`], [`answer`]: a caller and its check of each answer.
+//! - [`history`], [`check`]: what was recorded, and the rules that it must keep.
 
+pub mod answer;
+pub mod check;
+pub mod client;
 pub mod delay;
+pub mod history;
 pub mod keys;
 pub mod plan;
 pub mod ports;
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -20,13 +20,41 @@
 ];
 
 const HARBORGRAY_TEAMS: [&str; 16] = [
-    "store", "workshop", "rental", "catalog", "wholesale", "returns", "service-desk", "web",
-    "print", "training", "quality", "outreach", "events", "archive", "finance", "analytics",
+    "store",
+    "workshop",
+    "rental",
+    "catalog",
+    "wholesale",
+    "returns",
+    "service-desk",
+    "web",
+    "print",
+    "training",
+    "quality",
+    "outreach",
+    "events",
+    "archive",
+    "finance",
+    "analytics",
 ];
 
 const QUESADA_TEAMS: [&str; 16] = [
-    "memorials", "engraving", "parishes", "web", "restoration", "orders", "lettering", "delivery",
-    "quarry", "design", "billing", "partners", "museum", "archive", "training", "analytics",
+    "memorials",
+    "engraving",
+    "parishes",
+    "web",
+    "restoration",
+    "orders",
+    "lettering",
+    "delivery",
+    "quarry",
+    "design",
+    "billing",
+    "partners",
+    "museum",
+    "archive",
+    "training",
+    "analytics",
 ];
 
 /// An initial deployment.
--- a/crates/load/src/relay.rs
+++ b/crates/load/src/relay.rs
@@ -4,11 +4,13 @@
 //! domain the relay's address in place of the real one.
 
 use std::{
+    collections::HashMap,
+    future::Future,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, UdpSocket as StdSocket},
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
-        Arc, Mutex, PoisonError,
+        Arc,
     },
     thread,
     time::{Duration, Instant},
@@ -19,7 +21,8 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{tcp, TcpListener, TcpStream, UdpSocket},
-    runtime, sync::mpsc,
+    runtime,
+    sync::mpsc,
 };
 
 use crate::delay;
@@ -85,7 +88,9 @@
     ///
     /// Returns the error of the runtime.
     pub fn start(clock: delay::Clock, seed: u64) -> io::Result<Self> {
-        let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
         let handle = runtime.handle().clone();
         thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
         Ok(Self {
@@ -97,8 +102,6 @@
 
     /// Relays datagrams to `target` and back; returns the address to send to.
     ///
-    /// One relay serves one sender: answers go to the address that sent last.
-    ///
     /// # Errors
     ///
     /// Returns the error of the sockets.
@@ -110,38 +113,17 @@
     ) -> io::Result<SocketAddr> {
         let front = bind_udp()?;
         let address = front.local_addr()?;
-        let rear = bind_udp()?;
-        let (clock, seed) = (self.clock.clone(), self.seed ^ u64::from(address.port()));
+        let seed = self.seed ^ u64::from(address.port());
+        let relay = Datagrams {
+            clock: self.clock.clone(),
+            target,
+            forward,
+            back,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        };
         self.handle.spawn(async move {
-            let (Ok(front), Ok(rear)) = (UdpSocket::from_std(front), UdpSocket::from_std(rear))
-            else {
-                return;
-            };
-            let (front, rear) = (Arc::new(front), Arc::new(rear));
-            let sender = Arc::new(Mutex::new(None));
-            let answers = Answers {
-                clock: clock.clone(),
-                path: back,
-                sender: Arc::clone(&sender),
-                front: Arc::clone(&front),
-                seed,
-            };
-            tokio::spawn(answers.run(Arc::clone(&rear)));
-            let mut random = Pcg64Mcg::seed_from_u64(seed);
-            let mut buffer = vec![0; DATAGRAM_BYTES];
-            loop {
-                // Errors are those of earlier sends to a closed port; the relay goes on.
-                let Ok((len, from)) = front.recv_from(&mut buffer).await else {
-                    continue;
-                };
-                *sender.lock().unwrap_or_else(PoisonError::into_inner) = Some(from);
-                if forward.loses(&mut random) {
-                    continue;
-                }
-                let (bytes, rear) = (buffer[..len].to_vec(), Arc::clone(&rear));
-                clock.at(forward.due(), move || {
-                    let _ = rear.try_send_to(&bytes, target);
-                });
+            if let Ok(front) = UdpSocket::from_std(front) {
+                relay.run(Arc::new(front)).await;
             }
         });
         Ok(address)
@@ -184,33 +166,71 @@
     Ok(socket)
 }
 
-struct Answers {
+/// Carries datagrams of any number of senders to one target, with a socket for each sender so that
+/// answers find their way back.
+struct Datagrams {
     clock: delay::Clock,
-    path: Arc<Path>,
-    sender: Arc<Mutex<Option<SocketAddr>>>,
-    front: Arc<UdpSocket>,
-    seed: u64,
+    target: SocketAddr,
+    forward: Arc<Path>,
+    back: Arc<Path>,
+    random: Pcg64Mcg,
 }
 
-impl Answers {
-    async fn run(self, rear: Arc<UdpSocket>) {
-        let mut random = Pcg64Mcg::seed_from_u64(!self.seed);
+impl Datagrams {
+    async fn run(mut self, front: Arc<UdpSocket>) {
+        let mut rears: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
-            let Ok((len, _)) = rear.recv_from(&mut buffer).await else {
+            // Errors are those of earlier sends to a closed port; the relay goes on.
+            let Ok((len, sender)) = front.recv_from(&mut buffer).await else {
                 continue;
             };
-            let sender = *self.sender.lock().unwrap_or_else(PoisonError::into_inner);
-            let Some(sender) = sender else { continue };
-            if self.path.loses(&mut random) {
+            if self.forward.loses(&mut self.random) {
                 continue;
             }
-            let (bytes, front) = (buffer[..len].to_vec(), Arc::clone(&self.front));
-            self.clock.at(self.path.due(), move || {
-                let _ = front.try_send_to(&bytes, sender);
+            let rear = match rears.get(&sender) {
+                Some(rear) => Arc::clone(rear),
+                None => {
+                    let Ok(rear) = bind_udp().and_then(UdpSocket::from_std) else {
+                        continue;
+                    };
+                    let rear = Arc::new(rear);
+                    rears.insert(sender, Arc::clone(&rear));
+                    tokio::spawn(self.answers(Arc::clone(&rear), Arc::clone(&front), sender));
+                    rear
+                }
+            };
+            let (bytes, target) = (buffer[..len].to_vec(), self.target);
+            self.clock.at(self.forward.due(), move || {
+                let _ = rear.try_send_to(&bytes, target);
             });
         }
     }
+
+    fn answers(
+        &mut self,
+        rear: Arc<UdpSocket>,
+        front: Arc<UdpSocket>,
+        sender: SocketAddr,
+    ) -> impl Future<Output = ()> + Send + 'static {
+        let (clock, path) = (self.clock.clone(), Arc::clone(&self.back));
+        let mut random = Pcg64Mcg::seed_from_u64(self.random.gen());
+        async move {
+            let mut buffer = vec![0; DATAGRAM_BYTES];
+            loop {
+                let Ok((len, _)) = rear.recv_from(&mut buffer).await else {
+                    continue;
+                };
+                if path.loses(&mut random) {
+                    continue;
+                }
+                let (bytes, front) = (buffer[..len].to_vec(), Arc::clone(&front));
+                clock.at(path.due(), move || {
+                    let _ = front.try_send_to(&bytes, sender);
+                });
+            }
+        }
+    }
 }
 
 async fn stream(
--- /dev/null
+++ b/crates/load/tests/relay.rs
@@ -0,0 +1,82 @@
+//! Delays, loss and cuts of the relay.
+
+use std::{
+    net::UdpSocket as StdSocket,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+use tsw_load::{delay, relay};
+
+const DELAY: Duration = Duration::from_millis(30);
+
+/// Guards against lost answers, missing delay and a cut that lets datagrams through.
+#[test]
+fn datagrams_are_delayed_and_cut() {
+    let relay = relay::Relay::start(delay::Clock::start(), 1).expect("relay");
+    let target = StdSocket::bind("127.0.0.1:0").expect("target");
+    let (forward, back) = (relay::Path::new(DELAY), relay::Path::new(DELAY));
+    let address = relay
+        .udp(
+            target.local_addr().expect("address"),
+            Arc::clone(&forward),
+            back,
+        )
+        .expect("address of the relay");
+    let sender = StdSocket::bind("127.0.0.1:0").expect("sender");
+    for socket in [&sender, &target] {
+        let limit = Some(Duration::from_millis(500));
+        socket.set_read_timeout(limit).expect("time limit");
+    }
+    let mut buffer = [0; 16];
+    let start = Instant::now();
+    sender.send_to(b"ask", address).expect("send");
+    let (len, from) = target.recv_from(&mut buffer).expect("datagram");
+    assert_eq!(&buffer[..len], b"ask");
+    target.send_to(b"answer", from).expect("send");
+    let (len, _) = sender.recv_from(&mut buffer).expect("answer");
+    assert_eq!(&buffer[..len], b"answer");
+    assert!(start.elapsed() >= DELAY * 2, "{:?}", start.elapsed());
+
+    forward.set_cut(true);
+    sender.send_to(b"cut", address).expect("send");
+    assert!(target.recv_from(&mut buffer).is_err());
+    forward.set_cut(false);
+    sender.send_to(b"again", address).expect("send");
+    assert!(target.recv_from(&mut buffer).is_ok());
+}
+
+/// Guards against streams that lose or reorder bytes over a cut, or whose end is not passed on.
+#[test]
+fn streams_stall_while_cut_and_keep_their_order() {
+    actix_rt::System::new().block_on(async {
+        let relay = relay::Relay::start(delay::Clock::start(), 1).expect("relay");
+        let target = TcpListener::bind("127.0.0.1:0").await.expect("target");
+        let (forward, back) = (relay::Path::new(DELAY), relay::Path::new(DELAY));
+        let address = relay
+            .tcp(
+                target.local_addr().expect("address"),
+                Arc::clone(&forward),
+                back,
+            )
+            .expect("address of the relay");
+        let mut near = TcpStream::connect(address).await.expect("connection");
+        let (mut far, _) = target.accept().await.expect("connection");
+        near.write_all(b"one").await.expect("write");
+        let mut buffer = [0; 3];
+        far.read_exact(&mut buffer).await.expect("read");
+        forward.set_cut(true);
+        near.write_all(b"two").await.expect("write");
+        near.shutdown().await.expect("end");
+        let stalled = tokio::time::timeout(DELAY * 4, far.read(&mut buffer)).await;
+        assert!(stalled.is_err());
+        forward.set_cut(false);
+        let mut rest = Vec::new();
+        far.read_to_end(&mut rest).await.expect("read");
+        assert_eq!(rest, b"two");
+    });
+}
