Add the launcher and the baseline routers to tsw-load

Cause: experiments need the routers, the stand-ins and the baselines as processes. Ruled out: threads in one process; they share a scheduler and cannot be killed or paused. Conclusion: a base for the experiments.

--- /dev/null
+++ b/crates/load/src/launch/router.rs
@@ -0,0 +1,205 @@
+//! Routers of a run: their settings, start and readiness.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tsw_config::settings;
+
+use super::{Error, Fleet, READY_POLL};
+use crate::{baseline, http, plan, ports, process, programs};
+
+/// A router process with its addresses.
+#[derive(Debug)]
+pub struct Router {
+    /// Host name.
+    pub host: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for other routers.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// The process, unless it was stopped.
+    pub process: Option<process::Process>,
+    program: PathBuf,
+    arguments: Vec<String>,
+}
+
+impl Fleet {
+    pub(super) fn plan_routers(
+        &mut self,
+        programs: &programs::Programs,
+        platform: SocketAddr,
+        ports: &mut ports::Ports,
+    ) -> Result<(), Error> {
+        for planned in self.options.fleet.routers.clone() {
+            if self.options.policy.is_central() && !self.routers.is_empty() {
+                break;
+            }
+            let mut router = Router {
+                host: planned.host.clone(),
+                domain: planned.domain,
+                caller: ports.tcp()?,
+                peer: ports.udp()?,
+                operator: ports.tcp()?,
+                process: None,
+                program: programs.load.clone(),
+                arguments: Vec::new(),
+            };
+            let path = self.directory().join(format!("{}.yaml", router.host));
+            if let Some(tuning) = self.options.policy.tuning() {
+                let text = serde_yaml_ng::to_string(&self.settings(&router, platform, tuning)?)?;
+                fs::write(&path, text)?;
+                router.program.clone_from(&programs.toucand);
+                router.arguments = vec!["--config".to_owned(), path.display().to_string()];
+            }
+            self.routers.push(router);
+        }
+        if self.options.policy.tuning().is_none() {
+            self.configure_baselines()?;
+        }
+        Ok(())
+    }
+
+    fn settings(
+        &self,
+        router: &Router,
+        platform: SocketAddr,
+        tuning: settings::Tuning,
+    ) -> Result<settings::Settings, Error> {
+        let directory = self.directory();
+        let host = &router.host;
+        let base = format!("http://{platform}");
+        Ok(settings::Settings {
+            host: host.parse()?,
+            domain: router.domain.parse()?,
+            listen: settings::Listen {
+                caller: router.caller,
+                peer: router.peer,
+                operator: router.operator,
+            },
+            platform: settings::Platform {
+                config: base.clone(),
+                hosts: base.clone(),
+                weights: base,
+            },
+            tls: settings::Tls {
+                authority: directory.join("authority.pem"),
+                certificate: directory.join(format!("{host}.pem")),
+                key: directory.join(format!("{host}.key")),
+            },
+            secrets: settings::Secrets {
+                permit_key: directory.join("permit.key"),
+                record_key: directory.join(format!("record-{host}.key")),
+            },
+            log: settings::Log {
+                format: settings::Format::Json,
+                level: self.options.log,
+                file: Some(directory.join(format!("{host}.log"))),
+            },
+            tuning,
+        })
+    }
+
+    fn configure_baselines(&mut self) -> Result<(), Error> {
+        let peers = self.entries();
+        let policy = self.options.policy;
+        for index in 0..self.routers.len() {
+            let router = &self.routers[index];
+            let mut upstreams = Vec::new();
+            for (name, address) in self.model_addresses() {
+                let planned = self.options.fleet.upstreams.iter();
+                let planned = planned.filter(|u| u.name == name).map(|u| &u.domain);
+                let domain = planned.cloned().next().unwrap_or_default();
+                // The limit case knows everything at once and reaches every engine without delay.
+                let direct = policy.is_central() || !self.options.relays;
+                let address = match self.path(&router.domain, &domain) {
+                    Some(forward) if !direct => {
+                        let back = self.path(&domain, &router.domain).unwrap_or(forward);
+                        let (forward, back) = (Arc::clone(forward), Arc::clone(back));
+                        self.relay.tcp(address, forward, back)?
+                    }
+                    _ => address,
+                };
+                upstreams.push(baseline::Upstream { name, address });
+            }
+            let teams = self.options.fleet.teams.iter();
+            let config = baseline::Config {
+                policy,
+                host: router.host.clone(),
+                domain: router.domain.clone(),
+                listen: router.caller,
+                operator: router.operator,
+                peers: peers.iter().map(|p| (p.host.clone(), p.address)).collect(),
+                upstreams,
+                slots: plan::ENGINE_SLOTS,
+                teams: teams.map(|t| (t.token.clone(), t.share)).collect(),
+                seed: self.options.seed + index as u64,
+            };
+            let path = self.directory().join(format!("{}.json", router.host));
+            fs::write(&path, serde_json::to_vec(&config).unwrap_or_default())?;
+            let router = &mut self.routers[index];
+            router.arguments = ["baseline-router", "--config"].map(str::to_owned).to_vec();
+            router.arguments.push(path.display().to_string());
+        }
+        Ok(())
+    }
+
+    fn model_addresses(&self) -> Vec<(String, SocketAddr)> {
+        let model = &self.options.fleet.model;
+        let own = self.upstreams.iter().filter(|u| u.service == *model);
+        own.flat_map(|u| u.addresses.clone()).collect()
+    }
+
+    /// Starts a router that does not run.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be started.
+    pub fn start_router(&mut self, index: usize) -> Result<(), Error> {
+        let directory = self.options.directory.clone();
+        let router = &mut self.routers[index];
+        let started = process::Process::start(
+            &router.host,
+            &router.program,
+            &router.arguments,
+            &directory,
+        );
+        router.process = Some(started?);
+        Ok(())
+    }
+
+    /// Waits until a router is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns that it ended, or is not ready after `limit`.
+    pub async fn wait_ready(&mut self, index: usize, limit: Duration) -> Result<(), Error> {
+        let start = Instant::now();
+        let router = &mut self.routers[index];
+        let Some(process) = &mut router.process else {
+            return Err(Error::Absent(router.host.clone()));
+        };
+        loop {
+            process.check()?;
+            if http::get(router.operator, "/readyz").await.is_ok() {
+                return Ok(());
+            }
+            if start.elapsed() > limit {
+                return Err(Error::Process(process::Error::Ready {
+                    name: router.host.clone(),
+                    waited: limit,
+                    output: process.tail(),
+                }));
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,12 +6,17 @@
 //! - [`history`], [`check`]: what was recorded, and the rules that it must keep.
 
 pub mod answer;
+pub mod baseline;
 pub mod check;
 pub mod client;
 pub mod delay;
 pub mod history;
+pub mod http;
 pub mod keys;
+pub mod launch;
 pub mod plan;
+pub mod policy;
 pub mod ports;
 pub mod process;
+pub mod programs;
 pub mod relay;
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -148,6 +148,35 @@
     pub slots: u32,
 }
 
+/// Spreads the upstreams of a service over the failure domains. Those of one domain run in one
+/// stand-in process, which numbers them when there are several.
+fn spread(
+    domains: &[String],
+    service: &str,
+    model: bool,
+    count: usize,
+    slots: u32,
+) -> Vec<Upstream> {
+    let mut upstreams = Vec::new();
+    for (index, domain) in domains.iter().enumerate() {
+        let own = (count + domains.len() - 1 - index) / domains.len();
+        for number in 1..=own {
+            let name = match own {
+                1 => format!("{service}-{domain}"),
+                _ => format!("{service}-{domain}-{number}"),
+            };
+            upstreams.push(Upstream {
+                name,
+                domain: domain.clone(),
+                service: service.to_owned(),
+                model,
+                slots,
+            });
+        }
+    }
+    upstreams
+}
+
 /// One team.
 #[derive(Clone, Debug)]
 pub struct Team {
@@ -191,18 +220,9 @@
         let domains: Vec<String> = deployment.domains().map(str::to_owned).to_vec();
         let (model, booking) = deployment.services();
         let domain = |i: usize| domains[i % domains.len()].clone();
-        let upstream = |service: &str, i: usize, is_model, slots| Upstream {
-            name: format!("{service}-{i:02}"),
-            domain: domain(i),
-            service: service.to_owned(),
-            model: is_model,
-            slots,
-        };
         let workers = workers.unwrap_or(deployment.workers());
-        let mut upstreams: Vec<Upstream> = (0..workers)
-            .map(|i| upstream(model, i, true, ENGINE_SLOTS))
-            .collect();
-        upstreams.extend((0..3).map(|i| upstream(booking, i, false, BOOKING_SLOTS)));
+        let mut upstreams = spread(&domains, model, true, workers, ENGINE_SLOTS);
+        upstreams.extend(spread(&domains, booking, false, 3, BOOKING_SLOTS));
         let names = match deployment {
             Deployment::Harborgray => &HARBORGRAY_TEAMS,
             Deployment::Quesada => &QUESADA_TEAMS,
