Add launcher, baselines, load generator and five experiments to tsw-load

Cause: fairness and tail figures need real processes, delays and baselines judged by one rule. Ruled out: service by wall time at overloaded engines; a run gets its part of the slots instead.

--- a/crates/load/src/baseline.rs
+++ b/crates/load/src/baseline.rs
@@ -119,7 +119,11 @@
 async fn route(router: Rc<Router>, call: http::Call) -> http::Reply {
     if call.path == "/v1/locate" {
         let own = (router.config.host.clone(), router.config.listen);
-        let others = router.config.peers.iter().filter(|(host, _)| *host != own.0);
+        let others = router
+            .config
+            .peers
+            .iter()
+            .filter(|(host, _)| *host != own.0);
         let all = std::iter::once(&own).chain(others);
         let addresses: Vec<_> = all
             .map(|(host, address)| serde_json::json!({"host": host, "domain": "", "address": address}))
@@ -158,7 +162,10 @@
         router: Rc::clone(&router),
         run,
     };
-    let url = format!("http://{}/v1/generate", router.config.upstreams[upstream].address);
+    let url = format!(
+        "http://{}/v1/generate",
+        router.config.upstreams[upstream].address
+    );
     let order = serde_json::json!({
         "request_id": id, "prompt": body.prompt, "max_tokens": body.max_tokens, "resume_from": 0,
     });
@@ -194,7 +201,8 @@
     Ok(reply)
 }
 
-type Answer = futures_util::stream::LocalBoxStream<'static, Result<Bytes, awc::error::PayloadError>>;
+type Answer =
+    futures_util::stream::LocalBoxStream<'static, Result<Bytes, awc::error::PayloadError>>;
 
 /// Turns the lines of an engine into events.
 struct Lines {
@@ -207,9 +215,8 @@
 
 impl Lines {
     async fn next(&mut self) -> Option<Bytes> {
-        let answer = self.answer.as_mut()?;
         loop {
-            let part = answer.next().await;
+            let part = self.answer.as_mut()?.next().await;
             let Some(Ok(part)) = part else {
                 self.answer = None;
                 return Some(self.end());
--- a/crates/load/src/check.rs
+++ b/crates/load/src/check.rs
@@ -22,6 +22,8 @@
     pub team: String,
     /// The upstream.
     pub upstream: String,
+    /// Arrival at the upstream, in microseconds since 1970.
+    pub arrived_us: u64,
     /// Start, in microseconds since 1970.
     pub start_us: u64,
     /// End, or the end of the history when the run did not end.
--- /dev/null
+++ b/crates/load/src/flags.rs
@@ -0,0 +1,35 @@
+//! Arguments of the program.
+
+use std::path::PathBuf;
+
+use tsw_load::{plan::Deployment, policy::Policy};
+
+xflags::xflags! {
+    /// Load generator, experiments and checks for a fleet of routers. Test only.
+    cmd tsw-load {
+        /// Run an experiment and check its history.
+        ///
+        /// Example: tsw-load measure fairness --deployment harborgray --json
+        cmd measure {
+            /// One of fairness, crest, mixed, slow, flood.
+            required scenario: String
+            /// harborgray or quesada.
+            required --deployment name: Deployment
+            /// toucan (default), groups-of-1, fifo, two-choices or central.
+            optional --policy name: Policy
+            /// Seed of all random numbers (1).
+            optional --seed number: u64
+            /// Length of the measured time.
+            optional --seconds number: u64
+            /// Directory for the files of the run (a temporary one).
+            optional --directory path: PathBuf
+            /// Print one JSON object.
+            optional --json
+        }
+        /// Run a baseline router; started by experiments.
+        cmd baseline-router {
+            /// File with the settings.
+            required --config file: PathBuf
+        }
+    }
+}
--- a/crates/load/src/http.rs
+++ b/crates/load/src/http.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use awc::error::{PayloadError, SendRequestError};
 use bytes::Bytes;
 
 /// Longest time that a short call may take.
@@ -13,20 +12,20 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The call could not be sent, or there was no answer.
-    #[error("{url}: {source}")]
+    #[error("{url}: {cause}")]
     Send {
         /// The URL.
         url: String,
-        /// The cause.
-        source: SendRequestError,
+        /// Text of the cause; the error of the HTTP client cannot be sent between threads.
+        cause: String,
     },
     /// The answer broke off.
-    #[error("{url}: {source}")]
+    #[error("{url}: {cause}")]
     Body {
         /// The URL.
         url: String,
-        /// The cause.
-        source: PayloadError,
+        /// Text of the cause.
+        cause: String,
     },
     /// The status is not a success.
     #[error("{url}: status {status}: {body}")]
@@ -52,14 +51,14 @@
         Some(body) => client.post(&url).send_body(body).await,
         None => client.get(&url).send().await,
     };
-    let mut reply = sent.map_err(|source| Error::Send {
+    let mut reply = sent.map_err(|cause| Error::Send {
         url: url.clone(),
-        source,
+        cause: cause.to_string(),
     })?;
     let bytes = reply.body().limit(MAX_BODY_BYTES).await;
-    let bytes = bytes.map_err(|source| Error::Body {
+    let bytes = bytes.map_err(|cause| Error::Body {
         url: url.clone(),
-        source,
+        cause: cause.to_string(),
     })?;
     let status = reply.status();
     if status.is_success() {
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -289,6 +289,8 @@
     pub fn control_of(&self, upstream: &str) -> Result<SocketAddr, Error> {
         let runs = |u: &&Upstreams| u.addresses.iter().any(|(name, _)| name == upstream);
         let found = self.upstreams.iter().find(runs);
-        Ok(found.ok_or_else(|| Error::Absent(upstream.to_owned()))?.control)
+        Ok(found
+            .ok_or_else(|| Error::Absent(upstream.to_owned()))?
+            .control)
     }
 }
--- a/crates/load/src/launch/router.rs
+++ b/crates/load/src/launch/router.rs
@@ -116,8 +116,8 @@
             let mut upstreams = Vec::new();
             for (name, address) in self.model_addresses() {
                 let planned = self.options.fleet.upstreams.iter();
-                let planned = planned.filter(|u| u.name == name).map(|u| &u.domain);
-                let domain = planned.cloned().next().unwrap_or_default();
+                let mut planned = planned.filter(|u| u.name == name).map(|u| &u.domain);
+                let domain = planned.next().cloned().unwrap_or_default();
                 // The limit case knows everything at once and reaches every engine without delay.
                 let direct = policy.is_central() || !self.options.relays;
                 let address = match self.path(&router.domain, &domain) {
@@ -166,12 +166,8 @@
     pub fn start_router(&mut self, index: usize) -> Result<(), Error> {
         let directory = self.options.directory.clone();
         let router = &mut self.routers[index];
-        let started = process::Process::start(
-            &router.host,
-            &router.program,
-            &router.arguments,
-            &directory,
-        );
+        let started =
+            process::Process::start(&router.host, &router.program, &router.arguments, &directory);
         router.process = Some(started?);
         Ok(())
     }
--- a/crates/load/src/launch/upstream.rs
+++ b/crates/load/src/launch/upstream.rs
@@ -1,11 +1,6 @@
 //! Stand-in processes of a run.
 
-use std::{
-    fs,
-    net::SocketAddr,
-    path::Path,
-    time::Instant,
-};
+use std::{fs, net::SocketAddr, path::Path, time::Instant};
 
 use super::{Error, Options, LOAD_LAG_MS, READY_LIMIT, READY_POLL};
 use crate::{ports, process, programs};
@@ -67,7 +62,10 @@
     Ok(Some(Upstreams {
         service: service.to_owned(),
         control: control.ok_or(Error::Absent(name))?,
-        addresses: pairs.into_iter().filter(|(key, _)| key != "control").collect(),
+        addresses: pairs
+            .into_iter()
+            .filter(|(key, _)| key != "control")
+            .collect(),
         _process: process,
     }))
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,37 +1,79 @@
 //! Load generator, experiments and checks for a fleet of routers.
 
-use std::{fs, path::PathBuf};
+use std::{fs, path::PathBuf, process::ExitCode};
 
 use eyre::Context as _;
-use tsw_load::baseline;
-
-mod flags {
-    use std::path::PathBuf;
-
-    xflags::xflags! {
-        /// Load generator, experiments and checks for a fleet of routers. Test only.
-        cmd tsw-load {
-            /// Run a baseline router; started by experiments.
-            cmd baseline-router {
-                /// File with the settings.
-                required --config file: PathBuf
-            }
-        }
-    }
-}
+use serde_json::json;
+use tokio::signal::unix;
+use tsw_load::{baseline, scenario, session};
+
+mod flags;
 
-fn main() -> eyre::Result<()> {
+/// Violations that are printed one by one.
+const MAX_DETAILS: usize = 20;
+
+fn main() -> eyre::Result<ExitCode> {
     let flags = flags::TswLoad::from_env_or_exit();
     actix_rt::System::new().block_on(async {
-        match flags.subcommand {
-            flags::TswLoadCmd::BaselineRouter(flags) => run_baseline(flags.config).await,
+        let mut stop = unix::signal(unix::SignalKind::terminate())?;
+        // Dropping the work on a signal ends all processes that it started.
+        tokio::select! {
+            done = run(flags) => done,
+            _ = stop.recv() => Ok(ExitCode::FAILURE),
+            _ = tokio::signal::ctrl_c() => Ok(ExitCode::FAILURE),
         }
     })
 }
 
-async fn run_baseline(path: PathBuf) -> eyre::Result<()> {
+async fn run(flags: flags::TswLoad) -> eyre::Result<ExitCode> {
+    match flags.subcommand {
+        flags::TswLoadCmd::BaselineRouter(flags) => run_baseline(flags.config).await,
+        flags::TswLoadCmd::Measure(flags) => measure(flags).await,
+    }
+}
+
+async fn run_baseline(path: PathBuf) -> eyre::Result<ExitCode> {
     let bytes = fs::read(&path).wrap_err_with(|| format!("cannot read {}", path.display()))?;
     let config: baseline::Config = serde_json::from_slice(&bytes)?;
     baseline::run(config).await?;
-    Ok(())
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn measure(flags: flags::Measure) -> eyre::Result<ExitCode> {
+    let request = session::Request {
+        deployment: flags.deployment,
+        policy: flags.policy.unwrap_or(tsw_load::policy::Policy::Toucan),
+        seed: flags.seed.unwrap_or(1),
+        seconds: flags.seconds,
+        directory: flags.directory,
+    };
+    let outcome = scenario::run(&flags.scenario, &request).await?;
+    let findings = &outcome.findings;
+    let mut result = json!({
+        "scenario": flags.scenario,
+        "deployment": request.deployment.as_str(),
+        "policy": request.policy.as_str(),
+        "seed": request.seed,
+    });
+    if let Some(map) = result.as_object_mut() {
+        map.extend(outcome.fields.clone());
+        if let Ok(serde_json::Value::Object(mut found)) = serde_json::to_value(findings) {
+            found.remove("details");
+            map.extend(found);
+        }
+    }
+    for line in findings.details.iter().take(MAX_DETAILS) {
+        eprintln!("{line}");
+    }
+    if flags.json {
+        println!("{result}");
+    } else if let Some(map) = result.as_object() {
+        for (key, value) in map {
+            println!("{key:<28} {value}");
+        }
+    }
+    Ok(match findings.clean() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
 }
--- /dev/null
+++ b/crates/load/src/scenario.rs
@@ -0,0 +1,104 @@
+//! The experiments. Each returns the fields of its result.
+
+use serde_json::{json, Map, Value};
+use tsw_config::settings;
+
+use crate::{
+    check, launch, plan,
+    session::{self, Evidence, Session},
+};
+
+mod crest;
+mod fairness;
+mod flood;
+mod mixed;
+mod slow;
+
+/// Routers of a deployment.
+pub const ROUTERS: usize = 7;
+/// Teams of a deployment.
+pub const TEAMS: usize = 16;
+
+/// Names of the experiments, in order of priority.
+pub const NAMES: [&str; 5] = ["fairness", "crest", "mixed", "slow", "flood"];
+
+/// Why an experiment has no result.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The fleet failed.
+    #[error(transparent)]
+    Launch(#[from] launch::Error),
+    /// A control call failed.
+    #[error(transparent)]
+    Http(#[from] crate::http::Error),
+    /// A file failed.
+    #[error("cannot read a history: {0}")]
+    Io(#[from] std::io::Error),
+    /// There is no experiment of that name.
+    #[error("unknown scenario {0:?}; use one of {list}", list = NAMES.join(", "))]
+    Unknown(String),
+}
+
+/// The result of an experiment.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Measured fields.
+    pub fields: Map<String, Value>,
+    /// What the checker found.
+    pub findings: check::Findings,
+}
+
+impl Outcome {
+    /// Puts the fields together with what the checker found in the history.
+    #[must_use]
+    pub fn new(fields: Value, evidence: &Evidence) -> Self {
+        let fields = match fields {
+            Value::Object(map) => map,
+            _ => Map::new(),
+        };
+        Self {
+            fields,
+            findings: evidence.check(),
+        }
+    }
+}
+
+/// Runs an experiment.
+///
+/// # Errors
+///
+/// Returns why there is no result.
+pub async fn run(name: &str, request: &session::Request) -> Result<Outcome, Error> {
+    match name {
+        "fairness" => fairness::run(request).await,
+        "crest" => crest::run(request).await,
+        "mixed" => mixed::run(request).await,
+        "slow" => slow::run(request).await,
+        "flood" => flood::run(request).await,
+        _ => Err(Error::Unknown(name.to_owned())),
+    }
+}
+
+/// Starts the usual fleet of a deployment.
+async fn usual(request: &session::Request) -> Result<Session, launch::Error> {
+    let fleet = plan::Fleet::new(request.deployment, ROUTERS, None, TEAMS);
+    Session::start(request, fleet, settings::Level::Warn).await
+}
+
+/// Returns the requests a second that keep all engines of a fleet busy with short requests.
+fn capacity_rate(fleet: &plan::Fleet) -> f64 {
+    /// Length of a step with a full batch, and mean tokens of a short request.
+    const STEP_S: f64 = 0.020;
+    const TOKENS: f64 = 35.0;
+    f64::from(fleet.slots(&fleet.model)) / (STEP_S * TOKENS)
+}
+
+/// Returns counts of operations and of their outcomes, for every result.
+fn counts(evidence: &Evidence, service: &str) -> Value {
+    let mut counts = std::collections::BTreeMap::new();
+    for attempt in evidence.attempts(service) {
+        let name = format!("{:?}", attempt.outcome).to_lowercase();
+        *counts.entry(name).or_insert(0_u64) += 1;
+    }
+    json!(counts)
+}
--- /dev/null
+++ b/crates/load/src/scenario/mixed.rs
@@ -0,0 +1,65 @@
+//! One long straggler in thirty among short requests, compared with the short ones alone.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::{capacity_rate, counts, usual, Error, Outcome};
+use crate::{
+    generate::{Generator, Mix, SHORT_HIGH},
+    session::{quantile, Request, DRAIN_LIMIT},
+};
+
+const WARM_UP: Duration = Duration::from_secs(3);
+const USUAL_S: u64 = 24;
+/// Load of the short requests, as a part of the capacity.
+const SHORT_LOAD: f64 = 0.45;
+const LONG_EVERY: u32 = 30;
+/// A straggler takes eight times as long as the longest short request.
+const LONG_TOKENS: u64 = SHORT_HIGH * 8;
+
+pub(super) async fn run(request: &Request) -> Result<Outcome, Error> {
+    let session = usual(request).await?;
+    let plan = session.fleet.plan().clone();
+    let generator = Generator::new(session.client.clone(), &plan, Mix::default(), request.seed);
+    let total = capacity_rate(&plan) * SHORT_LOAD;
+    let highest = plan.teams.iter().map(|t| t.share).fold(0.0, f64::max) * total;
+    for (index, team) in plan.teams.iter().enumerate() {
+        generator.set_rate(index, team.share * total);
+    }
+    generator.open(false, highest);
+    tokio::time::sleep(WARM_UP).await;
+    let half = Duration::from_secs(request.seconds.unwrap_or(USUAL_S)) / 2;
+    let alone = session.phase("short alone");
+    tokio::time::sleep(half).await;
+    let mix = Mix {
+        long_every: LONG_EVERY,
+        long_tokens: LONG_TOKENS,
+    };
+    generator.set_mix(mix);
+    tokio::time::sleep(WARM_UP).await;
+    let mixed = session.phase("mixed");
+    tokio::time::sleep(half).await;
+    let to = session.phase("end");
+    generator.stop(DRAIN_LIMIT + Duration::from_secs(4)).await;
+    let evidence = session.evidence()?;
+    let short = |from: u64, to: u64| {
+        let waits = evidence.waits(&plan.model, |a| {
+            a.asked <= SHORT_HIGH && a.sent_us >= from && a.sent_us < to
+        });
+        (quantile(&waits, 0.5), quantile(&waits, 0.99), waits.len())
+    };
+    let before = short(alone, alone + half.as_micros() as u64);
+    let with = short(mixed, to);
+    let fields = json!({
+        "short_wait_p99_ratio": with.1 / before.1.max(f64::MIN_POSITIVE),
+        "short_wait_p50_ms": with.0,
+        "short_wait_p99_ms": with.1,
+        "alone_wait_p50_ms": before.0,
+        "alone_wait_p99_ms": before.1,
+        "short_requests": with.2,
+        "alone_requests": before.2,
+        "attempts": counts(&evidence, &plan.model),
+    });
+    Ok(Outcome::new(fields, &evidence))
+}
