Test the stand-ins and add the command line

Cause: the checker relies on the stand-ins, and operators need check, bundle, keys and audit. Ruled out: client errors as the sign of a broken stream; the HTTP client reports none. Conclusion: a crash shows as a chunked response without its last chunk.

--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -36,6 +36,7 @@
 pub mod stats;
 pub mod timing;
 
+pub use batch::{token, total};
 pub use state::{Crash, Engine};
 
 /// Exit code of a process that simulates a crash.
--- a/crates/fake/src/engine/batch.rs
+++ b/crates/fake/src/engine/batch.rs
@@ -42,12 +42,8 @@
     }
 
     pub(super) fn emit(&mut self) {
-        let hash = xxh3::xxh3_64_with_seed(self.prompt.as_bytes(), self.next);
-        let line = format!(
-            "{{\"i\":{},\"t\":\"{:05x} \"}}\n",
-            self.next,
-            hash & 0xf_ffff
-        );
+        let text = token(&self.prompt, self.next);
+        let line = format!("{{\"i\":{},\"t\":\"{text}\"}}\n", self.next);
         self.next += 1;
         let _ = self.sink.send(Ok(Bytes::from(line)));
     }
@@ -125,8 +121,31 @@
     }
 }
 
-/// Returns the tokens of a response: `#tokens=N` in the prompt goes before `max_tokens`.
-pub(super) fn total(prompt: &str, max_tokens: u64) -> u64 {
+/// Returns the token of a response to `prompt` at `index`. It is the same at each engine, so callers
+/// can check each token that they receive.
+///
+/// ```
+/// use tsw_fake::engine;
+///
+/// assert_eq!(engine::token("hello", 0).len(), 6);
+/// assert_ne!(engine::token("hello", 0), engine::token("hello", 1));
+/// ```
+#[must_use]
+pub fn token(prompt: &str, index: u64) -> String {
+    let hash = xxh3::xxh3_64_with_seed(prompt.as_bytes(), index);
+    format!("{:05x} ", hash & 0xf_ffff)
+}
+
+/// Returns the number of tokens of a response: `#tokens=N` in the prompt goes before `max_tokens`.
+///
+/// ```
+/// use tsw_fake::engine;
+///
+/// assert_eq!(engine::total("a prompt", 40), 40);
+/// assert_eq!(engine::total("a prompt #tokens=7", 40), 7);
+/// ```
+#[must_use]
+pub fn total(prompt: &str, max_tokens: u64) -> u64 {
     let mark = prompt.split_once("#tokens=").map(|(_, rest)| rest);
     let digits = mark.map(|rest| {
         let end = rest.find(|c: char| !c.is_ascii_digit());
--- /dev/null
+++ b/crates/fake/tests/support/mod.rs
@@ -0,0 +1,113 @@
+//! Starts stand-ins inside the test process and talks to them.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use awc::http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
+/// Any free port on loopback.
+pub fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Runs a test inside an `actix_rt` system.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    actix_rt::System::new().block_on(test);
+}
+
+/// Waits.
+pub async fn pause(millis: u64) {
+    actix_rt::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Waits until `check` holds, for at most 5 s.
+pub async fn until<F: Future<Output = bool>>(mut check: impl FnMut() -> F) {
+    for _ in 0..500 {
+        if check().await {
+            return;
+        }
+        pause(10).await;
+    }
+    panic!("not reached within 5 s");
+}
+
+/// Sends a request; the error says that the connection or the response broke.
+pub async fn send(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&'static str, &str)],
+    body: &str,
+) -> Result<(StatusCode, String), String> {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .finish();
+    let mut request = client.request(method, format!("http://{address}{path}"));
+    for (key, value) in headers {
+        request = request.insert_header((*key, *value));
+    }
+    let sent = request.send_body(body.to_owned()).await;
+    let mut response = sent.map_err(|error| error.to_string())?;
+    let body = response.body().limit(4_000_000).await;
+    let body = body.map_err(|error| error.to_string())?;
+    let text = String::from_utf8(body.to_vec()).expect("text");
+    Ok((response.status(), text))
+}
+
+/// Sends a `GET` that must be answered.
+pub async fn get(address: SocketAddr, path: &str) -> (StatusCode, String) {
+    let sent = send(Method::GET, address, path, &[], "").await;
+    sent.expect("an answer")
+}
+
+/// Sends a `POST` that must be answered.
+pub async fn post(address: SocketAddr, path: &str, body: &str) -> (StatusCode, String) {
+    let sent = send(Method::POST, address, path, &[], body).await;
+    sent.expect("an answer")
+}
+
+/// Reads JSON.
+pub async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> T {
+    let (status, text) = get(address, path).await;
+    assert_eq!(status, StatusCode::OK, "{text}");
+    serde_json::from_str(&text).expect("JSON of the expected form")
+}
+
+/// Sends a `POST` on a connection of its own and returns everything that arrives until it closes.
+///
+/// The HTTP client takes a response that breaks off for a complete one; this shows the difference:
+/// only a complete chunked response ends with an empty chunk.
+pub async fn post_raw(address: SocketAddr, path: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let length = body.len();
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n\
+         {body}"
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut bytes = Vec::new();
+    // A reset connection counts as closed.
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Whether a raw response is a complete chunked response.
+pub fn is_complete(response: &str) -> bool {
+    response.ends_with("\r\n0\r\n\r\n")
+}
+
+/// Reads the lines of a stream as JSON.
+pub fn lines(text: &str) -> Vec<Value> {
+    let lines = text.lines();
+    lines
+        .map(|line| serde_json::from_str(line).expect("a JSON line"))
+        .collect()
+}
--- /dev/null
+++ b/crates/toucan/src/bundle.rs
@@ -0,0 +1,71 @@
+//! `toucan bundle`.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+};
+
+use tsw_config::{bundle, check, collect};
+
+/// Why no bundle was written.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The files cannot be read.
+    #[error(transparent)]
+    Collect(#[from] collect::Error),
+    /// The files have faults, or the bundle is refused.
+    #[error(transparent)]
+    Check(#[from] check::Error),
+    /// The bundle is refused.
+    #[error(transparent)]
+    Bundle(#[from] bundle::Error),
+    /// The revision is 0, which routers take for "no bundle".
+    #[error("revision 0 is never adopted; give a number above that of the last publication")]
+    Revision,
+    /// The directory holds no service, so every router would refuse all calls.
+    #[error("no *.service.yaml below {}; give the directory that holds the files", directory.display())]
+    Empty {
+        /// The directory.
+        directory: PathBuf,
+    },
+    /// The file cannot be written.
+    #[error("cannot write {}: {source}; give a writable file with --out", path.display())]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Makes the bundle of a directory. The file is replaced at once, so that a tool that uploads it
+/// never reads a part of it.
+pub fn run(directory: &Path, revision: u64, out: &Path) -> Result<(), Error> {
+    if revision == 0 {
+        return Err(Error::Revision);
+    }
+    let set = check::Set::read(&collect::walk(directory)?);
+    let bundle = set.bundle(revision)?;
+    if bundle.services.is_empty() {
+        let directory = directory.to_owned();
+        return Err(Error::Empty { directory });
+    }
+    let bytes = bundle.to_bytes()?;
+    let mut part = out.as_os_str().to_owned();
+    part.push(".part");
+    let written = fs::write(&part, &bytes).and_then(|()| fs::rename(&part, out));
+    written.map_err(|source| Error::Write {
+        path: out.to_owned(),
+        source,
+    })?;
+    println!(
+        "{}: revision {revision}, {} teams, {} services, {} of {} bytes, digest {}",
+        out.display(),
+        bundle.teams.len(),
+        bundle.services.len(),
+        bytes.len(),
+        bundle::MAX_BYTES,
+        bundle.digest(),
+    );
+    Ok(())
+}
--- a/crates/toucan/src/main.rs
+++ b/crates/toucan/src/main.rs
@@ -1,3 +1,70 @@
-//! Placeholder.
+//! The program `toucan`: the command line of a toucanswitch fleet.
 
-fn main() {}
+use std::process::ExitCode;
+
+mod audit;
+mod bundle;
+mod check;
+mod flags;
+mod keys;
+mod operator;
+
+/// Exit code for faults and failures.
+const FAILURE: u8 = 1;
+
+/// Exit code for wrong usage.
+const USAGE: u8 = 2;
+
+/// How a command ended that did not fail.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    /// Nothing is wrong.
+    Success,
+    /// Faults were found and printed.
+    Faults,
+    /// The arguments do not make sense; the reason was printed.
+    Usage,
+}
+
+fn main() -> ExitCode {
+    match run(flags::Toucan::from_env_or_exit().subcommand) {
+        Ok(Outcome::Success) => ExitCode::SUCCESS,
+        Ok(Outcome::Faults) => ExitCode::from(FAILURE),
+        Ok(Outcome::Usage) => ExitCode::from(USAGE),
+        Err(error) => {
+            eprintln!("toucan: {error}");
+            ExitCode::from(FAILURE)
+        }
+    }
+}
+
+fn run(command: flags::ToucanCmd) -> eyre::Result<Outcome> {
+    match command {
+        flags::ToucanCmd::Check(flags) => Ok(check::run(&flags.paths)?),
+        flags::ToucanCmd::Bundle(flags) => {
+            bundle::run(&flags.directory, flags.revision, &flags.out)?;
+            Ok(Outcome::Success)
+        }
+        flags::ToucanCmd::Status(flags) => {
+            operator::status(flags.address)?;
+            Ok(Outcome::Success)
+        }
+        flags::ToucanCmd::Explain(flags) => {
+            operator::explain(flags.address, &flags.id)?;
+            Ok(Outcome::Success)
+        }
+        flags::ToucanCmd::Drain(flags) => {
+            operator::drain(flags.address)?;
+            Ok(Outcome::Success)
+        }
+        flags::ToucanCmd::Audit(flags) => {
+            let receipts = flags.receipts.as_deref();
+            Ok(audit::run(&flags.files, &flags.keys, receipts)?)
+        }
+        flags::ToucanCmd::Keys(flags) => {
+            let teams = flags.teams.unwrap_or_default();
+            keys::run(&flags.directory, &flags.hosts, &teams)?;
+            Ok(Outcome::Success)
+        }
+    }
+}
