--- a/crates/toucan/src/check.rs
+++ b/crates/toucan/src/check.rs
@@ -21,7 +21,7 @@
             }
             count += set.faults().len();
             let (teams, services) = (set.teams(), set.services());
-            println!("{}: {teams} teams, {services} services", path.display());
+            println!("{}: teams: {teams}, services: {services}", path.display());
         } else {
             match settings::Settings::load(path) {
                 Ok(settings) => println!("{}: settings of {}", path.display(), settings.host),
