--- /dev/null
+++ b/crates/board/src/configuration.rs
@@ -0,0 +1,59 @@
+//! The bundle in force.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use tsw_base::name;
+use tsw_config::{adopt, bundle};
+
+/// The bundle in force and what is derived from it.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    store: adopt::Store,
+    teams: Arc<IndexMap<String, name::Team>>,
+}
+
+impl Configuration {
+    /// Returns the bundle in force.
+    #[must_use]
+    pub fn bundle(&self) -> Option<&Arc<bundle::Bundle>> {
+        self.store.current()
+    }
+
+    /// Returns the revision in force; 0 if there is none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.store.revision()
+    }
+
+    /// Returns the teams by the digests of their tokens.
+    #[must_use]
+    pub const fn teams(&self) -> &Arc<IndexMap<String, name::Team>> {
+        &self.teams
+    }
+
+    /// Offers a bundle that passed its checks.
+    ///
+    /// ```
+    /// use tsw_board::configuration::Configuration;
+    /// use tsw_config::{adopt, bundle};
+    ///
+    /// let mut configuration = Configuration::default();
+    /// let bundle = bundle::Bundle::parse(br#"{"revision":3,"services":{},"teams":{}}"#)?;
+    /// assert_eq!(configuration.offer(bundle), adopt::Verdict::Adopted);
+    /// assert_eq!(configuration.revision(), 3);
+    /// # Ok::<(), bundle::Error>(())
+    /// ```
+    pub fn offer(&mut self, bundle: bundle::Bundle) -> adopt::Verdict {
+        let verdict = self.store.offer(bundle);
+        if let (adopt::Verdict::Adopted, Some(bundle)) = (&verdict, self.store.current()) {
+            let teams = bundle.teams.values();
+            let tokens = teams.flat_map(|team| {
+                let tokens = team.tokens.iter();
+                tokens.map(|token| (token.clone(), team.team.clone()))
+            });
+            self.teams = Arc::new(tokens.collect());
+        }
+        verdict
+    }
+}
--- /dev/null
+++ b/crates/board/src/hosts.rs
@@ -0,0 +1,45 @@
+//! The host list as this host sees it.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use tsw_base::name;
+
+/// A router in the host list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Router {
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+}
+
+/// An upstream in the host list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Upstream {
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// Its service.
+    pub service: name::Service,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Slots; 0 stands for the number in the service file.
+    pub slots: u32,
+}
+
+/// The host list.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct List {
+    /// Its revision.
+    pub revision: u64,
+    /// Routers.
+    pub routers: IndexMap<name::Host, Router>,
+    /// Upstreams.
+    pub upstreams: IndexMap<name::Upstream, Upstream>,
+}
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -126,6 +126,8 @@
     MemberChanged = 505 Info "member-changed";
     /// A message was dropped because the queue to the peer is full.
     QueueFull = 506 Warn "peer-queue-full";
+    /// The fleet knows a later run of this host; this process has to be restarted.
+    Superseded = 507 Error "superseded";
     /// An intent was sent to the witnesses.
     IntentSent = 601 Info "intent-sent";
     /// A witness accepted an intent.
--- a/crates/link/src/outbound.rs
+++ b/crates/link/src/outbound.rs
@@ -123,11 +123,18 @@
 ) -> String {
     let mut buffer = BytesMut::new();
     let hello = message::Message::Hello(shared.hello.clone());
-    // What was queued before the session is older than the greeting, which holds the whole state.
-    let waiting = peer.queue.take();
     let mut batch = vec![hello];
+    let waiting = peer.queue.take();
     batch.extend((shared.greet)(host));
-    batch.extend(waiting);
+    // What was queued before the session is older than the greeting. Demand and holdings in it are
+    // outdated; the rest is not part of the greeting.
+    let outdated = |message: &message::Message| {
+        matches!(
+            message,
+            message::Message::Demand(_) | message::Message::Holdings(_)
+        )
+    };
+    batch.extend(waiting.into_iter().filter(|message| !outdated(message)));
     (shared.handle)(Notice::Opened { peer: host.clone() });
     loop {
         let sent = Instant::now();
--- /dev/null
+++ b/crates/toucand/src/audit.rs
@@ -0,0 +1,87 @@
+//! Controller of the audit log.
+
+use tsw_audit::{Chain, Head, Line};
+use tsw_base::{host, name, time::Tick};
+use tsw_board::{Board, Pen};
+use tsw_event::{emit, Event};
+use tsw_member::State;
+use tsw_wire::message::Message;
+
+use crate::{clock, out::Out};
+
+/// Peers that get each chain head.
+const WITNESSES: usize = 2;
+
+/// Owner of the section about the audit log.
+#[derive(Debug)]
+pub struct Controller {
+    pen: Pen<Chain>,
+}
+
+fn export(line: Result<Line, tsw_audit::Error>) -> Option<Line> {
+    let line = line.ok()?;
+    let text = line.to_json().ok()?;
+    emit(Event::Audit, &[("line", &text)]);
+    Some(line)
+}
+
+impl Controller {
+    /// Takes the pen.
+    #[must_use]
+    pub const fn new(pen: Pen<Chain>) -> Self {
+        Self { pen }
+    }
+
+    /// Adds a line and exports it through the log.
+    pub fn record(&self, board: &mut Board, event: &str, fields: &[(&str, &str)]) -> Option<Line> {
+        let fields = fields
+            .iter()
+            .map(|(key, value)| ((*key).to_owned(), (*value).into()))
+            .collect();
+        let millis = clock::unix_micros() / 1_000;
+        export(board.audit.write(&self.pen).append(millis, event, fields))
+    }
+
+    /// Writes a peer's chain head into the chain of this router.
+    pub fn witness(&self, board: &mut Board, from: &host::Id, head: &Head) {
+        if head.chain != *from {
+            emit(
+                Event::HeadRefused,
+                &[("peer", from), ("chain", &head.chain)],
+            );
+            return;
+        }
+        let millis = clock::unix_micros() / 1_000;
+        export(board.audit.write(&self.pen).witness(millis, head));
+    }
+
+    /// Sends the chain head to peers when it is due.
+    pub fn tick(&self, board: &mut Board, out: &mut Out, now: Tick) {
+        if let Some(head) = board.audit.write(&self.pen).head(now) {
+            send(board, out, &head);
+        }
+    }
+
+    /// Sends the last chain head to peers.
+    pub fn close(&self, board: &mut Board, out: &mut Out, now: Tick) {
+        let head = board.audit.write(&self.pen).sign(now);
+        send(board, out, &head);
+    }
+}
+
+fn send(board: &Board, out: &mut Out, head: &Head) {
+    let alive = board.fleet.peers();
+    let alive = alive.filter(|(_, _, state)| *state == State::Alive);
+    let peers: Vec<name::Host> = alive.map(|(id, _, _)| id.host.clone()).collect();
+    if peers.is_empty() {
+        return;
+    }
+    let start = head.seq as usize;
+    for offset in 0..WITNESSES.min(peers.len()) {
+        out.send(
+            &peers[(start + offset) % peers.len()],
+            Message::Head(head.clone()),
+        );
+    }
+    emit(Event::HeadSent, &[("seq", &head.seq)]);
+}
--- /dev/null
+++ b/crates/toucand/src/booking.rs
@@ -0,0 +1,216 @@
+//! Non-idempotent calls: from the caller to the tables, and the run at the owner.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{
+    header::{HeaderValue, CONTENT_TYPE},
+    Response, StatusCode,
+};
+use actix_rt::time;
+use tsw_base::time::Span;
+use tsw_event::Event;
+use tsw_once::{End, Key, Reply as Answer, Run};
+
+use crate::{
+    call::Call,
+    caller, plain,
+    refusal::Refusal,
+    reply::{self, Outcome, Reply},
+    router::{Flight, Phase, Router},
+    tables::Owned,
+};
+
+/// Time beyond the deadline in which the tables decide the outcome of a call.
+const GRACE: Span = Span::from_millis(2_000);
+/// Longest wait of a call with a key for a router that starts.
+const START_WAIT: Duration = Duration::from_secs(3);
+/// Workers that are tried when no connection can be made.
+const MAX_ATTEMPTS: u32 = 5;
+
+/// Answers a non-idempotent call.
+///
+/// Once its key is known to be valid, "not run" comes from the tables only: another copy of the call
+/// may run elsewhere.
+///
+/// # Errors
+///
+/// Returns why a call that cannot have run under its key is refused.
+pub async fn handle(router: &Rc<Router>, call: Rc<Call>) -> Result<Reply, Refusal> {
+    let key = match key(router, &call) {
+        Ok(key) => key,
+        Err(refusal) => {
+            router.refused(&call, &refusal);
+            let permit = router.permit(&call.team, &call.service);
+            let mut answer = reply::refused(&refusal, &call.request_id, permit.as_deref());
+            caller::sign(router, &mut answer, &call.request_id);
+            return Ok(answer);
+        }
+    };
+    let _flight = Flight::start(router);
+    if !router.wait_started(START_WAIT).await {
+        return Ok(unknown(router, &call, "starting"));
+    }
+    let answer = router.submit(key, &call);
+    let left = (call.deadline + GRACE).since(router.now()).as_duration();
+    match time::timeout(left, answer).await {
+        Ok(Ok(Answer::Final(response))) => Ok(self::answer(router, &call, &response)),
+        Ok(Ok(Answer::Conflict)) => {
+            router.refused(&call, &Refusal::KeyConflict);
+            let mut answer = reply::refused(&Refusal::KeyConflict, &call.request_id, None);
+            caller::sign(router, &mut answer, &call.request_id);
+            Ok(answer)
+        }
+        _ => Ok(unknown(router, &call, "deadline")),
+    }
+}
+
+fn key(router: &Router, call: &Call) -> Result<Key, Refusal> {
+    let text = call.key.as_ref().ok_or(Refusal::KeyMissing)?;
+    let key: Key = text
+        .parse()
+        .map_err(|error: tsw_once::permit::Error| Refusal::Key(error.to_string()))?;
+    router
+        .look(|state| state.tables.verify(&key, &call.team, &call.service))
+        .map_err(|error| Refusal::Key(error.to_string()))?;
+    Ok(key)
+}
+
+fn unknown(router: &Router, call: &Call, code: &str) -> Reply {
+    router.ended(call, Outcome::Unknown, Event::Unknown, code, "");
+    let message = "the call may have been run; ask again with the same key";
+    let mut answer = reply::broken(Outcome::Unknown, code, message, &call.request_id);
+    caller::sign(router, &mut answer, &call.request_id);
+    answer
+}
+
+/// Makes the answer to a caller of a final response.
+pub fn answer(router: &Router, call: &Call, response: &tsw_once::Response) -> Reply {
+    match response.end {
+        End::Unknown => return unknown(router, call, &response.code),
+        End::NotRun => {
+            let refusal = Refusal::Sealed(response.code.to_string());
+            router.refused(call, &refusal);
+            let permit = (!call.repeatable)
+                .then(|| router.permit(&call.team, &call.service))
+                .flatten();
+            let mut answer = reply::refused(&refusal, &call.request_id, permit.as_deref());
+            caller::sign(router, &mut answer, &call.request_id);
+            return answer;
+        }
+        End::Complete => {}
+    }
+    router.ended(call, Outcome::Complete, Event::Completed, "", "");
+    let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::OK);
+    let mut answer = Response::with_body(status, response.body.to_vec()).map_into_boxed_body();
+    if let Ok(value) = HeaderValue::from_str(&response.content_type) {
+        answer.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    reply::set(&mut answer, "toucan-outcome", Outcome::Complete.as_str());
+    reply::set(&mut answer, "toucan-request-id", &call.request_id);
+    caller::sign(router, &mut answer, &call.request_id);
+    answer
+}
+
+/// Runs a call as the owner of its key. It goes on when the caller disconnects.
+pub async fn run(router: Rc<Router>, run: Run) {
+    let _flight = Flight::start(&router);
+    let owned = router.look(|state| state.tables.owned(&run));
+    let response = match owned {
+        Some(owned) => execute(&router, &owned).await,
+        None => tsw_once::Response::not_run("request-missing"),
+    };
+    router.act(|state, now| {
+        state
+            .tables
+            .finished(&mut state.board, &mut state.out, now, run, response);
+    });
+}
+
+async fn execute(router: &Rc<Router>, owned: &Owned) -> tsw_once::Response {
+    let call = call(router, owned);
+    let mut wait = match router.admit(&call) {
+        Ok(wait) => wait,
+        Err(refusal) => return tsw_once::Response::not_run(refusal.code()),
+    };
+    for _ in 0..MAX_ATTEMPTS {
+        let slot = match router.slot_before(&mut wait, owned.deadline).await {
+            Ok(slot) => slot,
+            Err(refusal) => return tsw_once::Response::not_run(refusal.code()),
+        };
+        let upstream = slot.upstream().clone();
+        let running = router.dispatched(&call, &upstream, 0);
+        match plain::send(router, slot, &owned.request, owned.deadline).await {
+            Ok(response) => {
+                running.complete();
+                return response;
+            }
+            Err(fault) => {
+                router.plain_failed(&call, &upstream, &fault);
+                match fault {
+                    // No byte reached the worker, so another one may be tried.
+                    plain::Fault::Unreachable(_) => {
+                        wait = router.enqueue(&call, router.class(&call), Some(upstream));
+                    }
+                    plain::Fault::Broken(_) => return tsw_once::Response::unknown("upstream"),
+                    plain::Fault::Deadline => return tsw_once::Response::unknown("deadline"),
+                }
+            }
+        }
+    }
+    tsw_once::Response::not_run("unreachable")
+}
+
+fn call(router: &Router, owned: &Owned) -> Rc<Call> {
+    let request = &owned.request;
+    Rc::new(Call {
+        request_id: request.request_id.clone(),
+        team: request.team.clone(),
+        service: owned.service.clone(),
+        kind: tsw_config::service::Kind::Plain,
+        repeatable: false,
+        cost_hint: owned.cost_hint,
+        short: true,
+        arrived: router.now(),
+        deadline: owned.deadline,
+        method: request.method.clone(),
+        path: request.path.clone(),
+        content_type: request.content_type.clone(),
+        key: request.key.clone(),
+        body: request.body.clone(),
+    })
+}
+
+impl Router {
+    /// Waits until the router has a bundle and a host list. Returns whether it has.
+    pub async fn wait_started(&self, limit: Duration) -> bool {
+        const POLL: Duration = Duration::from_millis(50);
+        let waiting = async {
+            while self.phase() == Phase::Starting {
+                time::sleep(POLL).await;
+            }
+        };
+        time::timeout(limit, waiting).await.is_ok()
+    }
+
+    fn submit(&self, key: Key, call: &Call) -> tokio::sync::oneshot::Receiver<Answer> {
+        self.act(|state, now| {
+            state
+                .tables
+                .call(&mut state.board, &mut state.out, now, key, call)
+        })
+    }
+
+    /// Issues a permit, as text.
+    #[must_use]
+    pub fn permit(
+        &self,
+        team: &tsw_base::name::Team,
+        service: &tsw_base::name::Service,
+    ) -> Option<String> {
+        if self.phase() != Phase::Ready {
+            return None;
+        }
+        let issued = self.act(|state, now| state.tables.issue(&state.board, now, team, service));
+        Some(issued.to_string())
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/caller.rs
@@ -0,0 +1,249 @@
+//! The interface for callers.
+
+use std::{convert::Infallible, rc::Rc, sync::Arc};
+
+use actix_http::{
+    body::{BodyStream, MessageBody},
+    header::{HeaderValue, CACHE_CONTROL, CONTENT_TYPE},
+    HttpMessage as _, Method, Request, Response, StatusCode,
+};
+use bytes::Bytes;
+use futures_util::stream;
+use serde::Serialize;
+use tsw_base::name;
+use tsw_config::service::Kind;
+
+use crate::{
+    booking,
+    call::{self, Call},
+    engine, plain,
+    refusal::Refusal,
+    reply::{self, Outcome, Reply},
+    router::{Flight, Router},
+    stream::{Failure, Output, Relay},
+};
+
+#[derive(Serialize)]
+struct Located {
+    addresses: Vec<Place>,
+    keep_ms: u64,
+    permit: Option<String>,
+}
+
+/// An address for callers.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// Host name.
+    pub host: name::Host,
+    /// Failure domain.
+    pub domain: name::Domain,
+    /// Address.
+    pub address: String,
+}
+
+/// Answers a request of a caller.
+///
+/// # Errors
+///
+/// Never fails; faults become answers.
+pub async fn handle(router: Rc<Router>, mut request: Request) -> Result<Reply, Infallible> {
+    let given = call::request_id(request.headers());
+    let request_id = match &given {
+        Ok(Some(id)) => id.clone(),
+        _ => router.new_request_id(),
+    };
+    let answer = match given {
+        Err(refusal) => Err(refusal),
+        Ok(_) => route(&router, &mut request, &request_id).await,
+    };
+    let mut answer = match answer {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            router.rejected(&request_id, &refusal);
+            refused(&router, &refusal, &request_id)
+        }
+    };
+    if router.is_draining() {
+        answer
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    Ok(answer)
+}
+
+fn refused(router: &Router, refusal: &Refusal, request_id: &str) -> Reply {
+    let mut answer = reply::refused(refusal, request_id, None);
+    sign(router, &mut answer, request_id);
+    answer
+}
+
+/// Adds a signed receipt to an answer.
+pub fn sign(router: &Router, answer: &mut Reply, request_id: &str) {
+    if let Some(receipt) = router.receipt(request_id) {
+        reply::set(answer, "toucan-receipt", &receipt);
+    }
+}
+
+async fn route(
+    router: &Rc<Router>,
+    request: &mut Request,
+    request_id: &Arc<str>,
+) -> Result<Reply, Refusal> {
+    if request.path() == "/v1/locate" {
+        return locate(router, request);
+    }
+    if !request.path().starts_with("/v1/call/") {
+        return Err(Refusal::Path);
+    }
+    let rules = router.rules().ok_or(Refusal::Starting)?;
+    let arrived = router.now();
+    let call = call::read(request, request_id.clone(), arrived, &rules).await?;
+    if !call.repeatable {
+        return booking::handle(router, Rc::new(call)).await;
+    }
+    router.check_open()?;
+    match call.kind {
+        Kind::Model => generate(router, call).await,
+        Kind::Plain => pass(router, call).await,
+    }
+}
+
+fn locate(router: &Rc<Router>, request: &Request) -> Result<Reply, Refusal> {
+    if *request.method() != Method::GET {
+        return Err(Refusal::Method);
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let service = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("service="))
+        .ok_or(Refusal::Service)?;
+    let rules = router.rules().ok_or(Refusal::Starting)?;
+    let service = rules.bundle.services.get(service).ok_or(Refusal::Service)?;
+    // A caller without a credential learns the addresses but gets no permit.
+    let permit = if request.headers().contains_key("authorization") {
+        let team = call::team(request.headers(), &rules)?;
+        (!service.repeatable)
+            .then(|| router.permit(&team, &service.service))
+            .flatten()
+    } else {
+        None
+    };
+    let located = Located {
+        addresses: router.places(),
+        keep_ms: router.settings().tuning.keep_ms,
+        permit,
+    };
+    Ok(reply::json(StatusCode::OK, &located))
+}
+
+async fn generate(router: &Rc<Router>, call: Call) -> Result<Reply, Refusal> {
+    let body = engine::body(&call).map_err(Refusal::Body)?;
+    let call = Rc::new(call);
+    let flight = Flight::start(router);
+    let wait = router.admit(&call)?;
+    let mut relay = Relay::new(router.clone(), call.clone(), body, wait, flight);
+    let first = match relay.next().await {
+        Ok(output) => output,
+        // The relay has logged the refusal and counted the outcome.
+        Err(Failure::Refused(refusal)) => {
+            return Ok(refused(router, &refusal, &call.request_id));
+        }
+        Err(Failure::Cut { code, message }) => {
+            let mut answer = reply::broken(Outcome::Cut, code, &message, &call.request_id);
+            sign(router, &mut answer, &call.request_id);
+            return Ok(answer);
+        }
+    };
+    Ok(stream_reply(router, &call, relay, first))
+}
+
+fn stream_reply(router: &Router, call: &Call, relay: Relay, first: Output) -> Reply {
+    let state = (Some(relay), Some(first));
+    let events = stream::unfold(state, |(relay, first)| async move {
+        let mut relay = relay?;
+        let output = match first {
+            Some(output) => output,
+            None => relay.next().await.ok()?,
+        };
+        match output {
+            Output::Events(bytes) => Some((Ok::<Bytes, Infallible>(bytes), (Some(relay), None))),
+            Output::Last(bytes) => Some((Ok(bytes), (None, None))),
+        }
+    });
+    let body = BodyStream::new(Box::pin(events)).boxed();
+    let mut answer = Response::new(StatusCode::OK).set_body(body);
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    reply::set(&mut answer, "toucan-outcome", "stream");
+    reply::set(&mut answer, "toucan-request-id", &call.request_id);
+    sign(router, &mut answer, &call.request_id);
+    answer
+}
+
+/// Runs a call to an idempotent plain service, trying another worker when one fails.
+async fn pass(router: &Rc<Router>, call: Call) -> Result<Reply, Refusal> {
+    let call = Rc::new(call);
+    let mut flight = Flight::start(router);
+    let answer = plain_call(router, &call).await;
+    flight.end();
+    answer
+}
+
+async fn plain_call(router: &Rc<Router>, call: &Rc<Call>) -> Result<Reply, Refusal> {
+    const MAX_ATTEMPTS: u32 = 3;
+    let request = plain::Request {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        content_type: call.content_type.clone(),
+        request_id: call.request_id.clone(),
+        key: None,
+        team: call.team.clone(),
+        body: call.body.clone(),
+    };
+    let mut wait = router.admit(call)?;
+    let mut ran = false;
+    for attempt in 1.. {
+        let slot = match router.slot_before(&mut wait, call.deadline).await {
+            Ok(slot) => slot,
+            Err(refusal) if ran => {
+                let text = refusal.to_string();
+                return Ok(cut(router, call, refusal.code(), &text));
+            }
+            Err(refusal) => {
+                router.refused(call, &refusal);
+                return Ok(refused(router, &refusal, &call.request_id));
+            }
+        };
+        let upstream = slot.upstream().clone();
+        let running = router.dispatched(call, &upstream, 0);
+        match plain::send(router, slot, &request, call.deadline).await {
+            Ok(response) => {
+                running.complete();
+                return Ok(booking::answer(router, call, &response));
+            }
+            Err(fault) => {
+                ran |= !matches!(fault, plain::Fault::Unreachable(_));
+                router.plain_failed(call, &upstream, &fault);
+                let spent = attempt >= MAX_ATTEMPTS || fault == plain::Fault::Deadline;
+                if spent || (ran && !router.allow_retry(call)) {
+                    if ran {
+                        return Ok(cut(router, call, "upstream", &fault.to_string()));
+                    }
+                    router.refused(call, &Refusal::Unreachable);
+                    return Ok(refused(router, &Refusal::Unreachable, &call.request_id));
+                }
+                router.retried(call, 0);
+                wait = router.enqueue(call, router.class(call), Some(upstream));
+            }
+        }
+    }
+    Err(Refusal::Unreachable)
+}
+
+fn cut(router: &Router, call: &Call, code: &'static str, message: &str) -> Reply {
+    router.ended(call, Outcome::Cut, tsw_event::Event::Cut, code, message);
+    let mut answer = reply::broken(Outcome::Cut, code, message, &call.request_id);
+    sign(router, &mut answer, &call.request_id);
+    answer
+}
--- /dev/null
+++ b/crates/toucand/src/hosts.rs
@@ -0,0 +1,133 @@
+//! Reads the host list.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use tsw_base::name;
+use tsw_board::hosts::{List, Router, Upstream};
+
+#[derive(Deserialize)]
+struct Document {
+    revision: u64,
+    hosts: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    host: String,
+    domain: name::Domain,
+    role: Role,
+    #[serde(default)]
+    service: String,
+    #[serde(default)]
+    state: State,
+    address: SocketAddr,
+    #[serde(default)]
+    peer_address: String,
+    #[serde(default)]
+    slots: u32,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum Role {
+    Router,
+    Upstream,
+}
+
+#[derive(Default, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    #[default]
+    Live,
+    Leaving,
+}
+
+/// Why an entry of the list is left out.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// The entry does not have the expected form.
+    #[error("entry {index} of the host list is left out: {source}")]
+    Form {
+        /// Position in the list.
+        index: usize,
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// A name is not valid.
+    #[error("entry {index} of the host list is left out: {source}")]
+    Name {
+        /// Position in the list.
+        index: usize,
+        /// The cause.
+        source: name::Error,
+    },
+    /// The peer address of a router is not valid.
+    #[error("entry {index} of the host list is left out: {text:?} is not a peer address")]
+    Address {
+        /// Position in the list.
+        index: usize,
+        /// The refused text.
+        text: String,
+    },
+}
+
+/// Reads a host list. A malformed entry is left out and reported, so that it does not hide the
+/// other hosts.
+///
+/// # Errors
+///
+/// Returns an error if the document as a whole cannot be read.
+///
+/// ```
+/// let text = br#"{"revision":4,"hosts":[{"host":"e1","domain":"north","role":"upstream",
+///     "service":"reviews","state":"live","address":"127.0.0.1:7001","slots":8},{}]}"#;
+/// let (list, faults) = toucand::hosts::parse(text)?;
+/// assert_eq!((list.revision, list.upstreams.len(), faults.len()), (4, 1, 1));
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+pub fn parse(bytes: &[u8]) -> Result<(List, Vec<Fault>), serde_json::Error> {
+    let document: Document = serde_json::from_slice(bytes)?;
+    let mut list = List {
+        revision: document.revision,
+        ..List::default()
+    };
+    let mut faults = Vec::new();
+    for (index, value) in document.hosts.into_iter().enumerate() {
+        let added = serde_json::from_value(value)
+            .map_err(|source| Fault::Form { index, source })
+            .and_then(|entry| add(&mut list, index, entry));
+        faults.extend(added.err());
+    }
+    Ok((list, faults))
+}
+
+fn add(list: &mut List, index: usize, entry: Entry) -> Result<(), Fault> {
+    let fault = |source| Fault::Name { index, source };
+    let leaving = entry.state == State::Leaving;
+    if entry.role == Role::Router {
+        let peer_address = entry.peer_address.parse().map_err(|_| Fault::Address {
+            index,
+            text: entry.peer_address,
+        })?;
+        let router = Router {
+            domain: entry.domain,
+            leaving,
+            address: entry.address,
+            peer_address,
+        };
+        list.routers
+            .insert(entry.host.parse().map_err(fault)?, router);
+        return Ok(());
+    }
+    let upstream = Upstream {
+        domain: entry.domain,
+        service: entry.service.parse().map_err(fault)?,
+        leaving,
+        address: entry.address,
+        slots: entry.slots,
+    };
+    list.upstreams
+        .insert(entry.host.parse().map_err(fault)?, upstream);
+    Ok(())
+}
--- /dev/null
+++ b/crates/toucand/src/membership.rs
@@ -0,0 +1,183 @@
+//! Controller of the host list and of the view of the fleet.
+
+use indexmap::IndexMap;
+use tsw_base::{host, name, time::Tick};
+use tsw_board::{
+    hosts::{List, Upstream},
+    Board, Pen,
+};
+use tsw_event::{emit, Event};
+use tsw_member::{event, View};
+use tsw_wire::message::{Fetch, Hosts, Message};
+
+use crate::out::Out;
+
+/// Owner of the sections about hosts and the fleet.
+#[derive(Debug)]
+pub struct Controller {
+    hosts: Pen<List>,
+    fleet: Pen<View>,
+    /// Upstreams that are leaving according to peers with a newer host list.
+    leaving: IndexMap<name::Upstream, u64>,
+    changes: u64,
+}
+
+/// Routers whose process ended, as one decision found.
+#[must_use]
+#[derive(Debug, Default)]
+pub struct Effect {
+    /// Runs of peers' processes that are dead.
+    pub gone: Vec<host::Id>,
+    /// Peers with a newer bundle or host list.
+    pub behind: bool,
+}
+
+impl Controller {
+    /// Takes the pens out of a set.
+    #[must_use]
+    pub fn new(hosts: Pen<List>, fleet: Pen<View>) -> Self {
+        Self {
+            hosts,
+            fleet,
+            leaving: IndexMap::new(),
+            changes: 0,
+        }
+    }
+
+    /// Returns a number that changes with every change of the upstreams.
+    #[must_use]
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns whether an upstream is to get no new work.
+    #[must_use]
+    pub fn is_leaving(&self, name: &name::Upstream, upstream: &Upstream) -> bool {
+        upstream.leaving || self.leaving.contains_key(name)
+    }
+
+    /// Gives an event to the view and carries out what follows.
+    pub fn handle(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        event: event::Event,
+    ) -> Effect {
+        let mut effect = Effect::default();
+        for command in board.fleet.write(&self.fleet).handle(now, event) {
+            match command {
+                event::Command::Ping { to, ping } => out.send(&to, Message::Ping(ping)),
+                event::Command::Ack { to, ack } => out.send(&to, Message::Ack(ack)),
+                event::Command::Changed(change) => {
+                    let state = format!("{:?}", change.state).to_lowercase();
+                    emit(
+                        Event::MemberChanged,
+                        &[("peer", &change.id), ("state", &state)],
+                    );
+                    if change.state == tsw_member::State::Dead {
+                        effect.gone.push(change.id);
+                    }
+                }
+                event::Command::Superseded { by } => {
+                    emit(Event::Superseded, &[("by", &by)]);
+                }
+                event::Command::Behind { peer, .. } => {
+                    effect.behind = true;
+                    let fetch = Fetch {
+                        bundle: board.configuration.revision(),
+                        hosts: board.hosts.revision,
+                    };
+                    out.send(&peer, Message::Fetch(fetch));
+                }
+            }
+        }
+        effect
+    }
+
+    /// Takes a host list that was read from the platform. One with a lower revision than that in
+    /// use is ignored.
+    pub fn adopt(&mut self, board: &mut Board, out: &mut Out, now: Tick, list: List) -> Effect {
+        if list.revision < board.hosts.revision || list == *board.hosts {
+            return Effect::default();
+        }
+        self.changes += 1;
+        log_changes(&board.hosts, &list);
+        let (routers, upstreams) = (list.routers.len(), list.upstreams.len());
+        emit(
+            Event::HostsAdopted,
+            &[
+                ("revision", &list.revision),
+                ("routers", &routers),
+                ("upstreams", &upstreams),
+            ],
+        );
+        if let Some(link) = out.link() {
+            for host in board.hosts.routers.keys() {
+                if !list.routers.contains_key(host) {
+                    link.set_address(host, None);
+                }
+            }
+            for (host, router) in &list.routers {
+                if *host != out.me().host {
+                    link.set_address(host, Some(router.peer_address));
+                }
+            }
+        }
+        self.leaving.retain(|_, revision| *revision > list.revision);
+        let listed = list.routers.iter().map(|(host, router)| event::Listed {
+            host: host.clone(),
+            domain: router.domain.clone(),
+            leaving: router.leaving,
+        });
+        let event = event::Event::Hosts {
+            revision: list.revision,
+            hosts: listed.collect(),
+        };
+        *board.hosts.write(&self.hosts) = list;
+        self.handle(board, out, now, event)
+    }
+
+    /// Returns which upstreams are leaving, for a peer whose host list is older.
+    #[must_use]
+    pub fn summary(board: &Board) -> Hosts {
+        let upstreams = board.hosts.upstreams.iter();
+        let leaving = upstreams.filter(|(_, upstream)| upstream.leaving);
+        Hosts {
+            revision: board.hosts.revision,
+            leaving: leaving.map(|(name, _)| name.clone()).collect(),
+        }
+    }
+
+    /// Takes over which upstreams are leaving from a peer whose host list is newer.
+    pub fn learn(&mut self, board: &Board, hosts: Hosts) {
+        if hosts.revision <= board.hosts.revision {
+            return;
+        }
+        for name in hosts.leaving {
+            if self.leaving.insert(name, hosts.revision).is_none() {
+                self.changes += 1;
+            }
+        }
+    }
+}
+
+fn log_changes(before: &List, after: &List) {
+    for (name, upstream) in &after.upstreams {
+        let was = before.upstreams.get(name);
+        if was.is_none() {
+            emit(
+                Event::UpstreamAdded,
+                &[("upstream", name), ("service", &upstream.service)],
+            );
+        }
+        if upstream.leaving && !was.is_some_and(|was| was.leaving) {
+            emit(Event::UpstreamLeaving, &[("upstream", name)]);
+        }
+    }
+    for name in before.upstreams.keys() {
+        if !after.upstreams.contains_key(name) {
+            emit(Event::UpstreamGone, &[("upstream", name)]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/out.rs
@@ -0,0 +1,74 @@
+//! What controllers send and start.
+
+use std::collections::VecDeque;
+
+use tsw_base::{host, name};
+use tsw_link::Link;
+use tsw_wire::message;
+
+use crate::task;
+
+/// Messages and tasks that follow from a decision.
+///
+/// Messages to peers are queued at once. Messages to this router itself are delivered when the
+/// decision is over.
+pub struct Out {
+    me: host::Id,
+    link: Option<Link>,
+    local: VecDeque<message::Message>,
+    tasks: Vec<task::Task>,
+}
+
+impl Out {
+    /// Makes an empty collection for the router `me`.
+    #[must_use]
+    pub const fn new(me: host::Id) -> Self {
+        Self {
+            me,
+            link: None,
+            local: VecDeque::new(),
+            tasks: Vec::new(),
+        }
+    }
+
+    /// Returns the identity of this router.
+    #[must_use]
+    pub const fn me(&self) -> &host::Id {
+        &self.me
+    }
+
+    /// Sets the link to peers.
+    pub fn connect(&mut self, link: Link) {
+        self.link = Some(link);
+    }
+
+    /// Returns the link to peers, once there is one.
+    #[must_use]
+    pub const fn link(&self) -> Option<&Link> {
+        self.link.as_ref()
+    }
+
+    /// Sends a message to a router, which may be this one.
+    pub fn send(&mut self, to: &name::Host, message: message::Message) {
+        if *to == self.me.host {
+            self.local.push_back(message);
+        } else if let Some(link) = &self.link {
+            link.send(to, message);
+        }
+    }
+
+    /// Starts a task after the decision.
+    pub fn start(&mut self, task: task::Task) {
+        self.tasks.push(task);
+    }
+
+    /// Takes the next message of this router to itself.
+    pub fn next_local(&mut self) -> Option<message::Message> {
+        self.local.pop_front()
+    }
+
+    /// Takes the tasks to start.
+    pub fn take_tasks(&mut self) -> Vec<task::Task> {
+        std::mem::take(&mut self.tasks)
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/peers.rs
@@ -0,0 +1,82 @@
+//! The link to peers: what it reports, and how sessions start.
+
+use std::{rc::Rc, time::Duration};
+
+use tsw_event::{emit, Event};
+use tsw_link::{Error, Link, Notice, Options};
+use tsw_member::event;
+use tsw_wire::message::{Hello, VERSION};
+
+use crate::router::Router;
+
+/// Listens for peers.
+///
+/// # Errors
+///
+/// Returns why the address or the certificates cannot be used.
+pub fn listen(router: &Rc<Router>) -> Result<Link, Error> {
+    let settings = router.settings();
+    let hello = Hello {
+        version: VERSION,
+        id: router.id().clone(),
+        domain: settings.domain.clone(),
+    };
+    let options = Options {
+        flush: Duration::from_millis(settings.tuning.flush_ms),
+        ..Options::default()
+    };
+    let greeter = Rc::downgrade(router);
+    let handler = Rc::downgrade(router);
+    Link::bind(
+        settings.listen.peer,
+        &router.plan().keys.identity,
+        hello,
+        options,
+        Box::new(move |peer| {
+            let router = greeter.upgrade();
+            router.map_or_else(Vec::new, |router| {
+                router.act(|state, now| {
+                    state
+                        .scheduling
+                        .greeting(&mut state.board, &mut state.out, now, peer)
+                })
+            })
+        }),
+        Box::new(move |notice| {
+            if let Some(router) = handler.upgrade() {
+                handle(&router, notice);
+            }
+        }),
+    )
+}
+
+/// Takes what the link reports. An overflow can be reported during a decision, so it is only logged;
+/// the greeting of the next session restores the peer's view.
+fn handle(router: &Router, notice: Notice) {
+    match notice {
+        Notice::Opened { peer } => emit(Event::PeerUp, &[("peer", &peer), ("by", &"us")]),
+        Notice::Accepted { hello, .. } => {
+            emit(Event::PeerUp, &[("peer", &hello.id), ("by", &"peer")]);
+            let (id, domain) = (hello.id, hello.domain);
+            router.act(|state, now| state.member(now, event::Event::Hello { id, domain }));
+        }
+        Notice::Closed { peer, cause } => {
+            emit(Event::PeerDown, &[("peer", &peer), ("cause", &cause)]);
+            let event = event::Event::Broken { host: peer };
+            router.act(|state, now| state.member(now, event));
+        }
+        Notice::Refused { address, cause } => {
+            emit(
+                Event::PeerRefused,
+                &[("address", &address), ("cause", &cause)],
+            );
+        }
+        Notice::Malformed { peer, cause } => {
+            emit(Event::FrameDropped, &[("peer", &peer), ("cause", &cause)]);
+        }
+        Notice::Overflow { peer, dropped } => {
+            emit(Event::QueueFull, &[("peer", &peer), ("dropped", &dropped)]);
+        }
+        Notice::Message { from, message } => router.receive(&from, *message),
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/platform.rs
@@ -0,0 +1,143 @@
+//! Reads from the services of the platform.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_rt::time;
+use awc::error::{PayloadError, SendRequestError};
+use bytes::Bytes;
+use tsw_board::hosts::List;
+use tsw_config::bundle;
+
+use crate::hosts;
+
+/// Longest time for a read, without the time of a watch.
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
+const HOSTS_MAX_BYTES: usize = 8_000_000;
+
+/// Why a read failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The request could not be sent or got no response.
+    #[error("cannot read {url}: {cause}; check the settings under platform and the service there")]
+    Unreachable {
+        /// The URL.
+        url: String,
+        /// The cause.
+        cause: String,
+    },
+    /// The response did not arrive in time.
+    #[error("{url} does not answer; check the settings under platform and the service there")]
+    Timeout {
+        /// The URL.
+        url: String,
+    },
+    /// The service answers with an error.
+    #[error("{url} answers with status {status}; check the service there")]
+    Status {
+        /// The URL.
+        url: String,
+        /// The status.
+        status: StatusCode,
+    },
+    /// The response ended early.
+    #[error("the response of {url} cannot be read: {source}")]
+    Payload {
+        /// The URL.
+        url: String,
+        /// The cause.
+        source: PayloadError,
+    },
+    /// The host list does not have the expected form.
+    #[error("the host list of {url} cannot be read: {source}; correct the service there")]
+    Hosts {
+        /// The URL.
+        url: String,
+        /// The cause.
+        source: serde_json::Error,
+    },
+}
+
+fn send_error(url: &str, error: &SendRequestError) -> Error {
+    match error {
+        SendRequestError::Timeout => Error::Timeout {
+            url: url.to_owned(),
+        },
+        error => Error::Unreachable {
+            url: url.to_owned(),
+            cause: error.to_string(),
+        },
+    }
+}
+
+async fn read(
+    client: &awc::Client,
+    url: &str,
+    wait: Duration,
+    limit: usize,
+) -> Result<Option<Bytes>, Error> {
+    let timeout = wait + READ_TIMEOUT;
+    let reading = async {
+        let mut response = client
+            .get(url)
+            .timeout(timeout)
+            .send()
+            .await
+            .map_err(|error| send_error(url, &error))?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_MODIFIED => return Ok(None),
+            status => {
+                return Err(Error::Status {
+                    url: url.to_owned(),
+                    status,
+                })
+            }
+        }
+        let body = response.body().limit(limit).await;
+        body.map(Some).map_err(|source| Error::Payload {
+            url: url.to_owned(),
+            source,
+        })
+    };
+    time::timeout(timeout, reading).await.unwrap_or_else(|_| {
+        Err(Error::Timeout {
+            url: url.to_owned(),
+        })
+    })
+}
+
+/// Reads the host list for `host`.
+///
+/// # Errors
+///
+/// Returns why the list cannot be read.
+pub async fn hosts(
+    client: &awc::Client,
+    base: &str,
+    host: &tsw_base::name::Host,
+) -> Result<(List, Vec<hosts::Fault>), Error> {
+    let url = format!("{}/v1/hosts?from={host}", base.trim_end_matches('/'));
+    let body = read(client, &url, Duration::ZERO, HOSTS_MAX_BYTES).await?;
+    hosts::parse(&body.unwrap_or_default()).map_err(|source| Error::Hosts { url, source })
+}
+
+/// Reads the bundle; with `after`, waits for up to `wait` for a higher revision. Returns nothing if
+/// there is none.
+///
+/// # Errors
+///
+/// Returns why the bundle cannot be read.
+pub async fn bundle(
+    client: &awc::Client,
+    base: &str,
+    after: u64,
+    wait: Duration,
+) -> Result<Option<Bytes>, Error> {
+    let base = base.trim_end_matches('/');
+    let mut url = format!("{base}/v1/values/{}", bundle::KEY);
+    if !wait.is_zero() {
+        url = format!("{url}?after={after}&wait_ms={}", wait.as_millis());
+    }
+    read(client, &url, wait, bundle::MAX_BYTES).await
+}
--- /dev/null
+++ b/crates/toucand/src/refusal.rs
@@ -0,0 +1,149 @@
+//! Why a request is not run.
+
+use actix_http::StatusCode;
+use tsw_base::time;
+
+/// Why a request is not run. The request was not sent to an upstream and never will be.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Refusal {
+    /// The bearer token is absent or belongs to no team.
+    #[error("the header authorization holds no bearer token of a team")]
+    Credential,
+    /// The path is not one of the interface.
+    #[error("there is no such path")]
+    Path,
+    /// The method does not suit the path or the service.
+    #[error("the method does not suit the path")]
+    Method,
+    /// The service does not exist.
+    #[error("there is no service of that name")]
+    Service,
+    /// The team has no share of the service.
+    #[error("the team has no share of the service")]
+    Share,
+    /// A header is malformed.
+    #[error("the header {0} is malformed")]
+    Header(&'static str),
+    /// The body is too large.
+    #[error("the body exceeds {limit} bytes")]
+    Large {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The connection ended before the whole body arrived.
+    #[error("the body is not complete")]
+    Truncated,
+    /// The body did not arrive in time.
+    #[error("the body did not arrive in time")]
+    Slow,
+    /// The body is not what the service needs.
+    #[error("the body is not valid: {0}")]
+    Body(String),
+    /// The deadline is 0 or has passed.
+    #[error("the deadline has passed")]
+    Deadline,
+    /// The request crashes upstreams.
+    #[error("an equal request crashed several upstreams")]
+    Poison,
+    /// The queue of the team is full.
+    #[error("the queue of the team is full")]
+    Full {
+        /// Time after which a retry is sensible.
+        after: time::Span,
+    },
+    /// The deadline would pass before the request gets a slot.
+    #[error("the expected wait exceeds the deadline")]
+    Late {
+        /// The expected wait.
+        after: time::Span,
+    },
+    /// The router is not ready yet.
+    #[error("the router is starting")]
+    Starting,
+    /// The router finishes its work and stops.
+    #[error("the router is stopping")]
+    Draining,
+    /// A non-idempotent call has no key.
+    #[error("the service needs the header toucan-key: a permit, a dot and a suffix")]
+    KeyMissing,
+    /// A key is malformed, forged, or of another team or service.
+    #[error("the key is not valid: {0}")]
+    Key(String),
+    /// The key was used for another request.
+    #[error("the key was used for another request")]
+    KeyConflict,
+    /// The key is sealed or its witnesses do not accept it.
+    #[error("the call cannot run under this key: {0}")]
+    Sealed(String),
+    /// No upstream could be reached.
+    #[error("no upstream could be reached")]
+    Unreachable,
+    /// Too many non-idempotent calls are recorded.
+    #[error("the table of keys is full")]
+    Keys,
+}
+
+impl Refusal {
+    /// Returns the code for programs.
+    #[must_use]
+    pub const fn code(&self) -> &'static str {
+        match self {
+            Self::Credential => "credential",
+            Self::Path => "path",
+            Self::Method => "method",
+            Self::Service => "service",
+            Self::Share => "share",
+            Self::Header(_) => "header",
+            Self::Large { .. } => "body-large",
+            Self::Truncated => "body-truncated",
+            Self::Slow => "body-slow",
+            Self::Body(_) => "body",
+            Self::Deadline => "deadline",
+            Self::Poison => "poison",
+            Self::Full { .. } => "queue-full",
+            Self::Late { .. } => "too-late",
+            Self::Starting => "starting",
+            Self::Draining => "draining",
+            Self::KeyMissing => "key-missing",
+            Self::Key(_) => "key",
+            Self::KeyConflict => "key-conflict",
+            Self::Sealed(_) => "sealed",
+            Self::Unreachable => "unreachable",
+            Self::Keys => "keys-full",
+        }
+    }
+
+    /// Returns the HTTP status.
+    #[must_use]
+    pub const fn status(&self) -> StatusCode {
+        match self {
+            Self::Credential => StatusCode::UNAUTHORIZED,
+            Self::Share => StatusCode::FORBIDDEN,
+            Self::Path | Self::Method | Self::Service => StatusCode::NOT_FOUND,
+            Self::Header(_) | Self::Truncated | Self::Slow => StatusCode::BAD_REQUEST,
+            Self::Large { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Body(_) | Self::KeyMissing | Self::Key(_) | Self::Poison => {
+                StatusCode::UNPROCESSABLE_ENTITY
+            }
+            Self::KeyConflict => StatusCode::CONFLICT,
+            Self::Full { .. } | Self::Late { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::Deadline
+            | Self::Starting
+            | Self::Draining
+            | Self::Sealed(_)
+            | Self::Unreachable
+            | Self::Keys => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Returns the time after which a retry is sensible; nothing if a retry is pointless.
+    #[must_use]
+    pub const fn retry_after(&self) -> Option<time::Span> {
+        match self {
+            Self::Full { after } | Self::Late { after } => Some(*after),
+            Self::Starting | Self::Unreachable | Self::Keys => Some(time::Span::from_millis(200)),
+            Self::Draining | Self::Sealed(_) | Self::Deadline => Some(time::Span::ZERO),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/request.rs
@@ -0,0 +1,397 @@
+//! What a request asks of the router on its way.
+
+use std::rc::Rc;
+
+use actix_rt::time;
+use tsw_audit::Line;
+use tsw_base::{
+    name,
+    time::{Span, Tick},
+};
+use tsw_event::Event;
+use tsw_grant::message::{Class, Request, State};
+use tsw_poison::{Fingerprint, Treatment};
+
+use crate::{
+    call::Call,
+    caller::Place,
+    engine::{Attempt, Broken},
+    pace::Pace,
+    plain, poison,
+    refusal::Refusal,
+    reply::Outcome,
+    router::Router,
+    scheduling::Ask,
+    slot::{Granted, Slot, Wait},
+};
+
+impl Router {
+    /// Admits a call and puts it into the queue of its service.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call is refused. The refusal is noted.
+    pub fn admit(self: &Rc<Self>, call: &Rc<Call>) -> Result<Wait, Refusal> {
+        let checked = self.check(call);
+        if let Err(refusal) = &checked {
+            if call.repeatable {
+                self.count(call, Outcome::NotRun);
+            }
+            return Err(refusal.clone());
+        }
+        self.pace(&call.service, |pace| {
+            pace.hedges.earn();
+            pace.retries.earn();
+        });
+        let wait = self.enqueue(call, self.class(call), None);
+        self.note(
+            Event::Queued,
+            &call.request_id,
+            &[("team", &call.team), ("service", &call.service)],
+        );
+        Ok(wait)
+    }
+
+    fn check(&self, call: &Call) -> Result<(), Refusal> {
+        if call.deadline <= self.now() {
+            return Err(Refusal::Deadline);
+        }
+        let treatment =
+            self.look(|state| poison::Controller::treatment(&state.board, self.now(), call));
+        if matches!(treatment, Treatment::Refused { .. }) {
+            return Err(Refusal::Poison);
+        }
+        let rules = self.rules().ok_or(Refusal::Starting)?;
+        let limit = rules.bundle.teams.get(&call.team).map(|t| t.queue_limit);
+        let waiting = self.look(|state| {
+            let queue = state.board.queues.get(&call.service);
+            queue.map_or(0, |queue| queue.waiting(&call.team))
+        });
+        if waiting >= limit.unwrap_or(0) as usize {
+            let after = Span::from_millis(1_000);
+            return Err(Refusal::Full { after });
+        }
+        Ok(())
+    }
+
+    /// Returns the class in which a call waits.
+    #[must_use]
+    pub fn class(&self, call: &Call) -> Class {
+        let now = self.now();
+        let treatment = self.look(|state| poison::Controller::treatment(&state.board, now, call));
+        match treatment {
+            Treatment::Solo => Class::Solo,
+            _ if call.short => Class::Short,
+            _ => Class::Long,
+        }
+    }
+
+    /// Puts a call into the queue of its service, to run on another upstream than `avoid`.
+    #[must_use]
+    pub fn enqueue(
+        self: &Rc<Self>,
+        call: &Call,
+        class: Class,
+        avoid: Option<name::Upstream>,
+    ) -> Wait {
+        let ask = Ask {
+            service: call.service.clone(),
+            team: call.team.clone(),
+            class,
+            deadline: call.deadline,
+            avoid,
+        };
+        let (request, answer) = self.act(|state, now| {
+            state
+                .scheduling
+                .push(&mut state.board, &mut state.out, now, ask)
+        });
+        self.ticks_wanted.notify_one();
+        Wait::new(self.clone(), request, answer)
+    }
+
+    /// Waits for a slot until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no slot.
+    pub async fn slot_before(&self, wait: &mut Wait, deadline: Tick) -> Result<Slot, Refusal> {
+        let left = deadline.since(self.now()).as_duration();
+        time::timeout(left, wait.slot())
+            .await
+            .unwrap_or(Err(Refusal::Deadline))
+    }
+
+    /// Takes a waiting request out of its queue.
+    pub fn withdraw(&self, request: Request) {
+        self.act(|state, now| {
+            state
+                .scheduling
+                .withdraw(&mut state.board, &mut state.out, now, request);
+        });
+    }
+
+    /// Reports how the use of a grant goes on.
+    pub fn report(&self, granted: &Granted, progress: State) {
+        if matches!(progress, State::Started | State::Running { .. }) {
+            return;
+        }
+        if progress == State::Unused {
+            tsw_event::emit(
+                Event::Unused,
+                &[
+                    ("upstream", &granted.upstream),
+                    ("number", &granted.id.number),
+                ],
+            );
+        }
+        self.act(|state, now| {
+            state.scheduling.end(
+                &mut state.board,
+                &mut state.out,
+                now,
+                &granted.service,
+                granted.id,
+                progress,
+            );
+        });
+    }
+
+    /// Notes that a call is sent to an upstream. It runs there until the result is dropped.
+    #[must_use]
+    pub fn dispatched(
+        self: &Rc<Self>,
+        call: &Call,
+        upstream: &name::Upstream,
+        resume_from: u64,
+    ) -> Running {
+        let waited = self.age(call);
+        if resume_from == 0 {
+            self.metrics
+                .wait
+                .with_label_values(&[call.service.as_str()])
+                .observe(waited.as_secs_f64());
+        }
+        self.note(
+            Event::Dispatched,
+            &call.request_id,
+            &[
+                ("upstream", upstream),
+                ("team", &call.team),
+                ("waited_us", &waited.as_micros()),
+                ("from", &resume_from),
+            ],
+        );
+        let fields = [
+            ("request", &*call.request_id),
+            ("team", call.team.as_str()),
+            ("service", call.service.as_str()),
+            ("upstream", upstream.as_str()),
+        ];
+        self.audit("dispatched", &call.request_id, &fields);
+        let fingerprint = poison::fingerprint(call);
+        self.watch_poison(tsw_poison::Event::Started {
+            fingerprint,
+            upstream: upstream.clone(),
+        });
+        Running {
+            router: self.clone(),
+            fingerprint,
+            upstream: upstream.clone(),
+            completed: false,
+        }
+    }
+
+    fn watch_poison(&self, event: tsw_poison::Event) {
+        self.act(|state, now| {
+            state
+                .poison
+                .handle(&mut state.board, &mut state.out, now, event);
+        });
+    }
+
+    /// Notes that an upstream may have crashed.
+    pub fn crashed(&self, upstream: &name::Upstream) {
+        self.watch_poison(tsw_poison::Event::Crashed {
+            upstream: upstream.clone(),
+        });
+    }
+
+    /// Notes that an attempt at an engine failed.
+    pub fn attempt_failed(&self, call: &Call, slot: Option<&Slot>, broken: &Broken) {
+        let upstream = slot.map_or_else(|| "-".to_owned(), |slot| slot.upstream().to_string());
+        self.note(
+            Event::UpstreamFailed,
+            &call.request_id,
+            &[("upstream", &upstream), ("cause", broken)],
+        );
+        if let (Some(slot), true) = (slot, broken.is_crash()) {
+            self.crashed(slot.upstream());
+        }
+    }
+
+    /// Notes that an attempt at a worker of a plain service failed.
+    pub fn plain_failed(&self, call: &Call, upstream: &name::Upstream, fault: &plain::Fault) {
+        self.note(
+            Event::UpstreamFailed,
+            &call.request_id,
+            &[("upstream", upstream), ("cause", fault)],
+        );
+        if matches!(fault, plain::Fault::Broken(_)) {
+            self.crashed(upstream);
+        }
+    }
+
+    /// Notes that a stream continues on another engine.
+    pub fn resumed(&self, call: &Call, attempt: &Attempt, next: u64) {
+        self.metrics.resumes.inc();
+        let upstream = attempt.slot().map(|slot| slot.upstream().to_string());
+        self.note(
+            Event::Resumed,
+            &call.request_id,
+            &[("upstream", &upstream.unwrap_or_default()), ("next", &next)],
+        );
+    }
+
+    /// Notes that a call asks for another upstream after a failure.
+    pub fn retried(&self, call: &Call, next: u64) {
+        self.metrics.retries.inc();
+        self.note(Event::Retried, &call.request_id, &[("next", &next)]);
+    }
+
+    /// Notes that a stalled stream asks for a second engine.
+    pub fn hedged(&self, call: &Call, next: u64) {
+        self.metrics.hedges.inc();
+        self.note(Event::Hedged, &call.request_id, &[("next", &next)]);
+    }
+
+    /// Notes that the caller closed its connection.
+    pub fn disconnected(&self, call: &Call, next: u64) {
+        self.note(Event::Disconnected, &call.request_id, &[("next", &next)]);
+        let fields = [("request", &*call.request_id)];
+        self.audit("disconnected", &call.request_id, &fields);
+    }
+
+    fn pace<R>(&self, service: &name::Service, change: impl FnOnce(&mut Pace) -> R) -> R {
+        let mut paces = self.paces.borrow_mut();
+        let percent = self.settings().tuning.hedge_percent;
+        let pace = paces.entry(service.clone());
+        change(pace.or_insert_with(|| Pace::new(percent)))
+    }
+
+    /// Returns whether the budget allows a retry, and takes it out of the budget.
+    pub fn allow_retry(&self, call: &Call) -> bool {
+        self.pace(&call.service, |pace| pace.retries.take())
+    }
+
+    /// Returns whether the budget allows a hedge, and takes it out of the budget.
+    pub fn allow_hedge(&self, call: &Call) -> bool {
+        self.pace(&call.service, |pace| pace.hedges.take())
+    }
+
+    /// Returns the time without a token after which a stream of a service counts as stalled.
+    #[must_use]
+    pub fn stall_limit(&self, service: &name::Service, first: bool) -> Span {
+        self.pace(service, |pace| pace.stall_limit(first))
+    }
+
+    /// Notes the first token of a stream, `took` after it was sent to the engine.
+    pub fn first_token(&self, call: &Call, took: Span) {
+        self.pace(&call.service, |pace| pace.note_first(took));
+        let since_arrival = self.age(call).as_secs_f64();
+        self.metrics.first_token.observe(since_arrival);
+    }
+
+    /// Notes the time between two tokens of a stream.
+    pub fn token_gap(&self, service: &name::Service, gap: Span) {
+        self.pace(service, |pace| pace.note_gap(gap));
+    }
+
+    /// Adds a line to the audit log. The line is kept for the receipt of the request.
+    pub fn audit(&self, event: &str, request_id: &str, fields: &[(&str, &str)]) {
+        /// Lines that are kept for receipts of answers that are being made.
+        const KEPT: usize = 4_096;
+        let line = self.act(|state, _| state.audit.record(&mut state.board, event, fields));
+        let mut lines = self.lines.borrow_mut();
+        if lines.len() >= KEPT {
+            lines.clear();
+        }
+        if let Some(line) = line {
+            lines.insert(request_id.into(), line);
+        }
+    }
+
+    /// Returns a signed receipt for the last audit line about a request.
+    #[must_use]
+    pub fn receipt(&self, request_id: &str) -> Option<String> {
+        let line: Line = self.lines.borrow_mut().remove(request_id)?;
+        Some(self.look(|state| state.board.audit.receipt(&line).to_string()))
+    }
+
+    /// Returns the addresses for callers: one of each failure domain first, this router's own
+    /// domain in front.
+    #[must_use]
+    pub fn places(&self) -> Vec<Place> {
+        /// Most addresses in an answer.
+        const PLACES: usize = 6;
+        self.look(|state| {
+            let hosts = &state.board.hosts;
+            let takers = state.board.fleet.takers();
+            let mut places: Vec<Place> = takers
+                .filter_map(|(host, domain)| {
+                    let listed = hosts.routers.get(host).filter(|listed| !listed.leaving)?;
+                    Some(Place {
+                        host: host.clone(),
+                        domain: domain.clone(),
+                        address: listed.address.to_string(),
+                    })
+                })
+                .collect();
+            let me = &self.id().host;
+            let own = &self.settings().domain;
+            let salt = self.id().incarnation.get();
+            places.sort_by_key(|place| {
+                let weight = tsw_member::rendezvous::weight(salt, place.host.as_str());
+                (place.host != *me, place.domain != *own, weight)
+            });
+            spread(places, PLACES)
+        })
+    }
+}
+
+/// A request that runs at an upstream. Dropping it notes the end of the run.
+pub struct Running {
+    router: Rc<Router>,
+    fingerprint: Fingerprint,
+    upstream: name::Upstream,
+    completed: bool,
+}
+
+impl Running {
+    /// Notes that the upstream answered in full.
+    pub fn complete(mut self) {
+        self.completed = true;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.router.watch_poison(tsw_poison::Event::Ended {
+            fingerprint: self.fingerprint,
+            upstream: self.upstream.clone(),
+            completed: self.completed,
+        });
+    }
+}
+
+/// Orders places so that each round holds one of each failure domain, and keeps the first `most`.
+fn spread(places: Vec<Place>, most: usize) -> Vec<Place> {
+    let mut rounds: Vec<(usize, usize, Place)> = Vec::new();
+    for (index, place) in places.into_iter().enumerate() {
+        let same = rounds.iter().filter(|(_, _, p)| p.domain == place.domain);
+        rounds.push((same.count(), index, place));
+    }
+    rounds.sort_by_key(|(round, index, _)| (*round, *index));
+    let places = rounds.into_iter().map(|(_, _, place)| place);
+    places.take(most).collect()
+}
--- /dev/null
+++ b/crates/toucand/src/scheduling.rs
@@ -0,0 +1,531 @@
+//! Controller of homes and queues: which router schedules which upstream, demand and grants.
+
+use std::collections::HashMap;
+
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::oneshot;
+use tsw_base::{host, name, time::Tick};
+use tsw_board::{hosts, Board, Homes, Pen, Queues};
+use tsw_config::{bundle, service, settings};
+use tsw_event::{emit, Event};
+use tsw_grant::{
+    entry, home,
+    message::{Class, Grant, Id, Request, State},
+};
+use tsw_member::{rendezvous, State as Member};
+use tsw_share::message::Served;
+use tsw_wire::message::Message;
+
+use crate::{membership, out::Out, refusal::Refusal, slot};
+
+/// Period of the exchange of totals between homes.
+const SERVED_PERIOD_US: u64 = 100_000;
+
+/// What the choice of homes depends on: epoch of the fleet, changes of the upstreams, revision of
+/// the bundle.
+type Basis = (u64, u64, u64);
+
+struct Waiter {
+    service: name::Service,
+    answer: oneshot::Sender<slot::Answer>,
+}
+
+/// A request that asks for a slot.
+pub struct Ask {
+    /// The service.
+    pub service: name::Service,
+    /// The team.
+    pub team: name::Team,
+    /// The class.
+    pub class: Class,
+    /// When it is given up.
+    pub deadline: Tick,
+    /// An upstream that it must not use.
+    pub avoid: Option<name::Upstream>,
+}
+
+/// Owner of the sections about homes and queues.
+pub struct Controller {
+    homes: Pen<Homes>,
+    queues: Pen<Queues>,
+    group_size: u32,
+    home_tuning: home::Tuning,
+    queue_tuning: entry::Tuning,
+    basis: Option<Basis>,
+    owned: IndexMap<name::Upstream, name::Service>,
+    partners: IndexMap<name::Service, IndexSet<name::Host>>,
+    greeted: IndexSet<(name::Service, name::Host)>,
+    waiters: HashMap<Request, Waiter>,
+    last_request: u64,
+    next_served: Tick,
+}
+
+impl Controller {
+    /// Takes the pens.
+    #[must_use]
+    pub fn new(homes: Pen<Homes>, queues: Pen<Queues>, tuning: &settings::Tuning) -> Self {
+        Self {
+            homes,
+            queues,
+            group_size: tuning.group_size,
+            home_tuning: home::Tuning {
+                grant_ttl: tuning.grant_ttl(),
+                urgent_percent: tuning.hedge_percent,
+                ..home::Tuning::default()
+            },
+            queue_tuning: entry::Tuning {
+                grant_ttl: tuning.grant_ttl(),
+            },
+            basis: None,
+            owned: IndexMap::new(),
+            partners: IndexMap::new(),
+            greeted: IndexSet::new(),
+            waiters: HashMap::new(),
+            last_request: 0,
+            next_served: Tick::ZERO,
+        }
+    }
+
+    /// Returns whether this router is the home of an upstream.
+    #[must_use]
+    pub fn is_owned(&self, upstream: &name::Upstream) -> bool {
+        self.owned.contains_key(upstream)
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Brings homes and queues in step with bundle, host list and fleet. Returns whether anything
+    /// changed.
+    pub fn update(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        membership: &membership::Controller,
+    ) -> bool {
+        let basis = (
+            board.fleet.epoch(),
+            membership.changes(),
+            board.configuration.revision(),
+        );
+        let Some(bundle) = board.configuration.bundle().cloned() else {
+            return false;
+        };
+        if self.basis == Some(basis) {
+            return false;
+        }
+        self.basis = Some(basis);
+        let mut owned = IndexMap::new();
+        for service in bundle.services.values() {
+            self.assign(board, out, now, service, membership, &mut owned);
+            self.set_shares(board, out, now, service, &bundle);
+        }
+        let lost: Vec<_> = self
+            .owned
+            .iter()
+            .filter(|(upstream, _)| !owned.contains_key(*upstream))
+            .map(|(upstream, service)| (upstream.clone(), service.clone()))
+            .collect();
+        self.owned = owned;
+        for (upstream, service) in lost {
+            self.home_event(board, out, now, &service, home::Event::Disown { upstream });
+        }
+        true
+    }
+
+    /// Assigns the upstreams of a service to homes.
+    fn assign(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &service::Service,
+        membership: &membership::Controller,
+        owned: &mut IndexMap<name::Upstream, name::Service>,
+    ) {
+        let listed: Vec<(name::Upstream, hosts::Upstream)> = board
+            .hosts
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.service == service.service)
+            .map(|(name, upstream)| (name.clone(), upstream.clone()))
+            .collect();
+        let groups = listed.len().div_ceil(self.group_size as usize).max(1) as u32;
+        let homes: Vec<Option<host::Id>> = (0..groups)
+            .map(|group| {
+                let host = board.fleet.home(&service.service, group)?;
+                board.fleet.id(host).cloned()
+            })
+            .collect();
+        let was_home = self.owned.values().any(|other| *other == service.service);
+        let is_home = homes.iter().flatten().any(|id| id == out.me());
+        if is_home != was_home && !listed.is_empty() {
+            let event = if is_home {
+                Event::HomeGained
+            } else {
+                Event::HomeLost
+            };
+            emit(event, &[("service", &service.service)]);
+        }
+        self.set_partners(board, out, &service.service, groups, &homes, is_home);
+        let mut places = Vec::new();
+        for (name, upstream) in listed {
+            let group = rendezvous::group(&name, groups);
+            let Some(home) = homes[group as usize].clone() else {
+                continue;
+            };
+            if home == *out.me() {
+                let slots = match upstream.slots {
+                    0 => service.slots,
+                    slots => slots,
+                };
+                let leaving = membership.is_leaving(&name, &upstream);
+                let event = home::Event::Upstream {
+                    upstream: name.clone(),
+                    slots,
+                    limit: if leaving { 0 } else { slots },
+                };
+                owned.insert(name.clone(), service.service.clone());
+                self.home_event(board, out, now, &service.service, event);
+            }
+            places.push((name, home));
+        }
+        let event = entry::Event::Homes { upstreams: places };
+        self.queue_event(board, out, now, &service.service, event);
+    }
+
+    /// Notes which routers get the totals of this home: the other homes of the service, and the
+    /// router that is next in line.
+    fn set_partners(
+        &mut self,
+        board: &Board,
+        out: &Out,
+        service: &name::Service,
+        groups: u32,
+        homes: &[Option<host::Id>],
+        is_home: bool,
+    ) {
+        let mut partners = IndexSet::new();
+        if is_home {
+            for group in 0..groups {
+                let purpose = rendezvous::home_purpose(service, group);
+                let others = board.fleet.takers().map(|(host, _)| host);
+                let others = others.filter(|host| **host != out.me().host);
+                let weight = |host: &&name::Host| rendezvous::weight(purpose, host.as_str());
+                partners.extend(others.max_by_key(weight).cloned());
+            }
+            let homes = homes.iter().flatten().map(|id| id.host.clone());
+            partners.extend(homes.filter(|host| *host != out.me().host));
+        }
+        self.greeted
+            .retain(|(other, host)| other != service || partners.contains(host));
+        self.partners.insert(service.clone(), partners);
+    }
+
+    fn set_shares(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &service::Service,
+        bundle: &bundle::Bundle,
+    ) {
+        let upstreams = board.hosts.upstreams.values();
+        let own = upstreams.filter(|upstream| upstream.service == service.service);
+        let slots = own.map(|upstream| match upstream.slots {
+            0 => u64::from(service.slots),
+            slots => u64::from(slots),
+        });
+        let slots = slots.sum();
+        let teams = bundle.teams.values();
+        let shares = teams.filter_map(|team| {
+            let share = team.shares.get(&service.service)?;
+            Some((team.team.clone(), share.as_ppm()))
+        });
+        let shares = shares.collect();
+        let event = home::Event::Shares { slots, shares };
+        self.home_event(board, out, now, &service.service, event);
+        let peers = board.fleet.peers();
+        let live = peers.filter(|(id, _, state)| {
+            *state != Member::Dead
+                && *id
+                    != &host::Id {
+                        host: id.host.clone(),
+                        incarnation: host::Incarnation::new(0, 0),
+                    }
+        });
+        let mut live: Vec<host::Id> = live.map(|(id, _, _)| id.clone()).collect();
+        live.push(out.me().clone());
+        let event = home::Event::Routers { live };
+        self.home_event(board, out, now, &service.service, event);
+    }
+
+    /// Gives an event to the home of a service and carries out what follows.
+    pub fn home_event(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &name::Service,
+        event: home::Event,
+    ) {
+        let known = board
+            .configuration
+            .bundle()
+            .is_some_and(|bundle| bundle.services.contains_key(service));
+        if !known {
+            return;
+        }
+        let me = out.me().incarnation;
+        let tuning = self.home_tuning;
+        let homes = board.homes.write(&self.homes);
+        let home = homes
+            .entry(service.clone())
+            .or_insert_with(|| home::Home::new(service.clone(), me, tuning));
+        for command in home.handle(now, event) {
+            let home::Command::Grant { to, grant } = command;
+            let number = grant.id.number;
+            emit(
+                Event::SlotGranted,
+                &[
+                    ("entry", &to.host),
+                    ("service", &grant.service),
+                    ("team", &grant.team),
+                    ("upstream", &grant.upstream),
+                    ("number", &number),
+                ],
+            );
+            out.send(&to.host, Message::Grant(grant));
+        }
+    }
+
+    /// Gives an event to the queue of a service and carries out what follows.
+    fn queue_event(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &name::Service,
+        event: entry::Event,
+    ) {
+        let spread = out.me().incarnation.get();
+        let tuning = self.queue_tuning;
+        let queues = board.queues.write(&self.queues);
+        let queue = queues
+            .entry(service.clone())
+            .or_insert_with(|| entry::Queue::new(service.clone(), spread, tuning));
+        let commands = queue.handle(now, event);
+        for command in commands {
+            self.carry_out(board, out, now, service, command);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &name::Service,
+        command: entry::Command,
+    ) {
+        match command {
+            entry::Command::Run {
+                request,
+                grant,
+                upstream,
+            } => self.run(board, out, now, service, (request, grant, upstream)),
+            entry::Command::Expire { request } => {
+                if let Some(waiter) = self.waiters.remove(&request) {
+                    let _ = waiter.answer.send(Err(Refusal::Deadline));
+                }
+            }
+            entry::Command::Demand { to, demand } => out.send(&to.host, Message::Demand(demand)),
+            entry::Command::Release { to, release } => {
+                out.send(&to.host, Message::Release(release));
+            }
+            entry::Command::Holdings { to, holdings } => {
+                out.send(&to.host, Message::Holdings(holdings));
+            }
+        }
+    }
+
+    fn run(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &name::Service,
+        (request, id, upstream): (Request, Id, name::Upstream),
+    ) {
+        let address = board.hosts.upstreams.get(&upstream).map(|u| u.address);
+        let waiter = self.waiters.remove(&request);
+        let (Some(waiter), Some(address)) = (waiter, address) else {
+            return self.end(board, out, now, service, id, State::Unused);
+        };
+        let granted = slot::Granted {
+            service: service.clone(),
+            id,
+            upstream,
+            address,
+        };
+        if waiter.answer.send(Ok(granted)).is_err() {
+            self.end(board, out, now, service, id, State::Unused);
+        }
+    }
+
+    /// Puts a request into the queue of its service.
+    pub fn push(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        ask: Ask,
+    ) -> (Request, oneshot::Receiver<slot::Answer>) {
+        self.last_request += 1;
+        let request = Request(self.last_request);
+        let (answer, receiver) = oneshot::channel();
+        let waiter = Waiter {
+            service: ask.service.clone(),
+            answer,
+        };
+        self.waiters.insert(request, waiter);
+        let event = entry::Event::Push {
+            request,
+            team: ask.team,
+            class: ask.class,
+            deadline: ask.deadline,
+            avoid: ask.avoid,
+        };
+        self.queue_event(board, out, now, &ask.service, event);
+        (request, receiver)
+    }
+
+    /// Takes a waiting request out of its queue.
+    pub fn withdraw(&mut self, board: &mut Board, out: &mut Out, now: Tick, request: Request) {
+        if let Some(waiter) = self.waiters.remove(&request) {
+            let event = entry::Event::Cancel { request };
+            self.queue_event(board, out, now, &waiter.service, event);
+        }
+    }
+
+    /// Reports how the use of a grant ended.
+    pub fn end(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &name::Service,
+        grant: Id,
+        state: State,
+    ) {
+        let event = entry::Event::End { grant, state };
+        self.queue_event(board, out, now, service, event);
+    }
+
+    /// Takes a grant of a home.
+    pub fn grant(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        from: &host::Id,
+        grant: Grant,
+    ) {
+        let service = grant.service.clone();
+        let event = entry::Event::Grant {
+            from: from.clone(),
+            grant,
+        };
+        self.queue_event(board, out, now, &service, event);
+    }
+
+    /// Returns the messages that start a session with a home.
+    pub fn greeting(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        peer: &name::Host,
+    ) -> Vec<Message> {
+        let Some(home) = board.fleet.id(peer).cloned() else {
+            return Vec::new();
+        };
+        self.greeted.retain(|(_, host)| host != peer);
+        let mut messages = Vec::new();
+        let services: Vec<name::Service> = board.queues.keys().cloned().collect();
+        for service in services {
+            let queues = board.queues.write(&self.queues);
+            let Some(queue) = queues.get_mut(&service) else {
+                continue;
+            };
+            let event = entry::Event::Session { home: home.clone() };
+            for command in queue.handle(now, event) {
+                match command {
+                    entry::Command::Demand { to, demand } if to == home => {
+                        messages.push(Message::Demand(demand));
+                    }
+                    entry::Command::Release { to, release } if to == home => {
+                        messages.push(Message::Release(release));
+                    }
+                    entry::Command::Holdings { to, holdings } if to == home => {
+                        messages.push(Message::Holdings(holdings));
+                    }
+                    other => self.carry_out(board, out, now, &service, other),
+                }
+            }
+        }
+        messages
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, board: &mut Board, out: &mut Out, now: Tick) {
+        let services: Vec<name::Service> = board.homes.keys().cloned().collect();
+        for service in services {
+            let running = board.homes.get(&service).is_some_and(|h| h.running() > 0);
+            if running || self.owned.values().any(|other| *other == service) {
+                self.home_event(board, out, now, &service, home::Event::Tick);
+            }
+        }
+        let services: Vec<name::Service> = board.queues.keys().cloned().collect();
+        for service in services {
+            self.queue_event(board, out, now, &service, entry::Event::Tick);
+        }
+        if now >= self.next_served {
+            self.next_served = now + tsw_base::time::Span::from_micros(SERVED_PERIOD_US);
+            self.send_served(board, out, now);
+        }
+    }
+
+    fn send_served(&mut self, board: &mut Board, out: &mut Out, now: Tick) {
+        for (service, partners) in &self.partners {
+            if partners.is_empty() {
+                continue;
+            }
+            let Some(home) = board.homes.write(&self.homes).get_mut(service) else {
+                continue;
+            };
+            let changes = home.served(now, false);
+            for host in partners {
+                let known = !self.greeted.insert((service.clone(), host.clone()));
+                let served = if known {
+                    changes.clone()
+                } else {
+                    home.served(now, true)
+                };
+                if !served.lines.is_empty() {
+                    out.send(host, Message::Served(served));
+                }
+            }
+        }
+    }
+
+    /// Takes the totals of another home.
+    pub fn served(&mut self, board: &mut Board, out: &mut Out, now: Tick, served: Served) {
+        let service = served.service.clone();
+        self.home_event(board, out, now, &service, home::Event::Served { served });
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/serve.rs
@@ -0,0 +1,159 @@
+//! The HTTP servers and the life of the process.
+
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use actix_http::{HttpService, KeepAlive, Request};
+use actix_server::Server;
+use tokio::{
+    signal::unix::{signal, SignalKind},
+    sync::{mpsc, Notify},
+};
+use tsw_config::settings;
+use tsw_event::{emit, Event};
+
+use crate::{
+    caller, keys, operator,
+    router::{Plan, Router},
+    start,
+};
+
+/// Why the process cannot start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings are refused.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    /// The log cannot be set up.
+    #[error(transparent)]
+    Log(#[from] tsw_event::setup::Error),
+    /// A key cannot be used.
+    #[error(transparent)]
+    Keys(#[from] keys::Error),
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}; correct listen.{key}")]
+    Bind {
+        /// The setting.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The signal handler cannot be set.
+    #[error("cannot handle signals: {0}")]
+    Signal(io::Error),
+    /// The router cannot start.
+    #[error(transparent)]
+    Start(#[from] start::Error),
+    /// The server ended by itself.
+    #[error("the HTTP server ended: {0}")]
+    Server(io::Error),
+}
+
+/// Returns the router of this thread; a fault ends the process.
+fn router(plan: &Arc<Plan>) -> Option<Rc<Router>> {
+    match start::on_this_thread(plan) {
+        Ok(router) => Some(router),
+        Err(error) => {
+            // The main thread may have ended already.
+            let _ = plan.end.send(Err(error));
+            None
+        }
+    }
+}
+
+macro_rules! service {
+    ($plan:expr, $handle:path, $half_closed:expr) => {{
+        let plan = $plan.clone();
+        move || {
+            let router = router(&plan);
+            HttpService::build()
+                .keep_alive(KeepAlive::Timeout(Duration::from_secs(60)))
+                .client_request_timeout(Duration::from_secs(10))
+                .client_disconnect_timeout(Duration::from_secs(1))
+                .h1_allow_half_closed($half_closed)
+                .finish(move |request: Request| {
+                    let router = router.clone();
+                    async move {
+                        match router {
+                            Some(router) => $handle(router, request).await,
+                            None => std::future::pending().await,
+                        }
+                    }
+                })
+                .tcp_auto_h2c()
+        }
+    }};
+}
+
+/// Runs a router with the given settings until it has stopped gracefully.
+///
+/// # Errors
+///
+/// Returns why it cannot start.
+pub async fn run(settings: settings::Settings) -> Result<(), Error> {
+    let keys = keys::Keys::load(&settings)?;
+    let listen = settings.listen.clone();
+    let (end, mut ended) = mpsc::unbounded_channel();
+    let plan = Arc::new(Plan {
+        settings,
+        keys,
+        stop: Notify::new(),
+        end,
+    });
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let bind = |key, address| {
+        move |source| Error::Bind {
+            key,
+            address,
+            source,
+        }
+    };
+    // A caller that closes its side of the connection has given up, so half-closed connections are
+    // not kept.
+    let server = Server::build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .bind(
+            "callers",
+            listen.caller,
+            service!(plan, caller::handle, false),
+        )
+        .map_err(bind("caller", listen.caller))?
+        .bind(
+            "operators",
+            listen.operator,
+            service!(plan, operator::handle, true),
+        )
+        .map_err(bind("operator", listen.operator))?
+        .run();
+    let handle = server.handle();
+    emit(
+        Event::Started,
+        &[
+            ("host", &plan.settings.host),
+            ("caller", &listen.caller),
+            ("operator", &listen.operator),
+            ("peer", &listen.peer),
+        ],
+    );
+    let mut server = std::pin::pin!(server);
+    let result = loop {
+        tokio::select! {
+            result = ended.recv() => break result.unwrap_or(Ok(())).map_err(Error::from),
+            result = &mut server => {
+                let gone = io::Error::from(io::ErrorKind::UnexpectedEof);
+                return Err(Error::Server(result.err().unwrap_or(gone)));
+            }
+            _ = terminate.recv() => plan.stop.notify_one(),
+        }
+    };
+    let stopping = async {
+        handle.stop(false).await;
+    };
+    let both = async { tokio::join!(stopping, server) };
+    // The process ends in any case; this only gives the server time to close its connections.
+    let _ = tokio::time::timeout(Duration::from_secs(2), both).await;
+    result
+}
--- /dev/null
+++ b/crates/toucand/src/slot.rs
@@ -0,0 +1,132 @@
+//! Guards of waiting requests and of granted slots.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use tokio::sync::oneshot;
+use tsw_base::{name, time::Span};
+use tsw_grant::message::{Id, Request, State};
+
+use crate::{refusal::Refusal, router::Router};
+
+/// A grant as it reaches the request that uses it.
+#[derive(Debug)]
+pub struct Granted {
+    /// The service.
+    pub service: name::Service,
+    /// The grant.
+    pub id: Id,
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// What a waiting request gets.
+pub type Answer = Result<Granted, Refusal>;
+
+/// A waiting request. Dropping it withdraws the request.
+pub struct Wait {
+    router: Rc<Router>,
+    request: Request,
+    answer: oneshot::Receiver<Answer>,
+    over: bool,
+}
+
+impl Wait {
+    /// Guards a request that waits.
+    #[must_use]
+    pub const fn new(
+        router: Rc<Router>,
+        request: Request,
+        answer: oneshot::Receiver<Answer>,
+    ) -> Self {
+        Self {
+            router,
+            request,
+            answer,
+            over: false,
+        }
+    }
+
+    /// Waits for a slot. May be called again if it was cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request gets no slot.
+    pub async fn slot(&mut self) -> Result<Slot, Refusal> {
+        let answer = (&mut self.answer).await;
+        self.over = true;
+        match answer {
+            Ok(Ok(granted)) => Ok(Slot {
+                router: self.router.clone(),
+                granted,
+                state: State::Unused,
+            }),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal::Draining),
+        }
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        self.answer.close();
+        match self.answer.try_recv() {
+            // The grant arrived and nobody took it.
+            Ok(Ok(granted)) => drop(Slot {
+                router: self.router.clone(),
+                granted,
+                state: State::Unused,
+            }),
+            Ok(Err(_)) => {}
+            Err(_) => self.router.withdraw(self.request),
+        }
+    }
+}
+
+/// A granted slot. Dropping it releases the slot.
+pub struct Slot {
+    router: Rc<Router>,
+    granted: Granted,
+    state: State,
+}
+
+impl Slot {
+    /// Returns the upstream.
+    #[must_use]
+    pub const fn upstream(&self) -> &name::Upstream {
+        &self.granted.upstream
+    }
+
+    /// Returns the address of the upstream.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.granted.address
+    }
+
+    /// Reports that a request is being sent to the upstream. Until then, dropping the slot returns
+    /// the grant as unused.
+    pub fn start(&mut self) {
+        self.state = State::Failed;
+        self.router.report(&self.granted, State::Started);
+    }
+
+    /// Releases the slot after a complete response.
+    pub fn finish(mut self, pace: Option<Span>) {
+        self.state = State::Finished { pace };
+    }
+
+    /// Releases the slot of a request that certainly did not reach the upstream.
+    pub fn unused(mut self) {
+        self.state = State::Unused;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.router.report(&self.granted, self.state);
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/state.rs
@@ -0,0 +1,305 @@
+//! The blackboard with its controllers.
+
+use tsw_base::{host, time::Tick};
+use tsw_board::{Board, Start};
+use tsw_grant::home;
+use tsw_member::{event, Timing, View};
+use tsw_once::{owner, permit, survivor, witness, Limits};
+use tsw_wire::message::Message;
+
+use crate::{
+    audit, configuration, membership, out::Out, placement, poison, router::Plan, scheduling,
+    tables, task,
+};
+
+/// The blackboard with its controllers.
+pub struct State {
+    /// The blackboard.
+    pub board: Board,
+    /// What decisions lead to.
+    pub out: Out,
+    /// Host list and fleet.
+    pub membership: membership::Controller,
+    /// The bundle in force.
+    pub configuration: configuration::Controller,
+    /// Homes and queues.
+    pub scheduling: scheduling::Controller,
+    /// Permits and keys.
+    pub tables: tables::Controller,
+    /// Requests that crash upstreams.
+    pub poison: poison::Controller,
+    /// Orders to engines.
+    pub placement: placement::Controller,
+    /// The audit log.
+    pub audit: audit::Controller,
+    /// Answers of peers that were asked for a bundle at the start.
+    pub bundle_answers: usize,
+    next_slow: Tick,
+}
+
+fn timing(plan: &Plan) -> Timing {
+    Timing {
+        probe: tsw_base::time::Span::from_millis(plan.settings.tuning.probe_ms),
+        ..Timing::default()
+    }
+}
+
+impl State {
+    /// Makes the state of a process that knows nothing yet.
+    #[must_use]
+    pub fn new(plan: &Plan, id: &host::Id) -> Self {
+        let tuning = &plan.settings.tuning;
+        let retain = tsw_base::time::Span::from_millis(tuning.retain_ms);
+        let lifetime = tsw_base::time::Span::from_millis(tuning.permit_ms);
+        let domain = plan.settings.domain.clone();
+        let owner_timing = owner::Timing {
+            retain,
+            ..owner::Timing::default()
+        };
+        let (board, pens) = Board::new(Start {
+            configuration: Default::default(),
+            hosts: Default::default(),
+            fleet: View::new(id.clone(), domain, timing(plan), rand::random()),
+            homes: Default::default(),
+            queues: Default::default(),
+            owner: owner::Table::new(id.clone(), owner_timing, Limits::default()),
+            witness: witness::Table::new(id.clone(), retain + lifetime * 2, Limits::default()),
+            survivor: survivor::Table::new(survivor::Timing::default()),
+            poison: Default::default(),
+            placement: tsw_place::Dispatch::new(tsw_place::Pace::default()),
+            audit: tsw_audit::Chain::new(id.clone(), plan.keys.record.clone()),
+        });
+        let signer = permit::Signer::new(plan.keys.permit);
+        let issuer = permit::Issuer::new(signer.clone(), id.clone(), lifetime);
+        let tables = tables::Pens {
+            owner: pens.owner,
+            witness: pens.witness,
+            survivor: pens.survivor,
+        };
+        Self {
+            board,
+            out: Out::new(id.clone()),
+            membership: membership::Controller::new(pens.hosts, pens.fleet),
+            configuration: configuration::Controller::new(pens.configuration),
+            scheduling: scheduling::Controller::new(pens.homes, pens.queues, tuning),
+            tables: tables::Controller::new(tables, signer, issuer),
+            poison: poison::Controller::new(pens.poison),
+            placement: placement::Controller::new(pens.placement),
+            audit: audit::Controller::new(pens.audit),
+            bundle_answers: 0,
+            next_slow: Tick::ZERO,
+        }
+    }
+
+    /// Gives an event to membership and tells the other controllers what follows.
+    pub fn member(&mut self, now: Tick, event: event::Event) {
+        let effect = self
+            .membership
+            .handle(&mut self.board, &mut self.out, now, event);
+        self.follow(now, effect);
+    }
+
+    fn follow(&mut self, now: Tick, effect: membership::Effect) {
+        if effect.behind {
+            self.out.start(task::Task::ReadHosts);
+        }
+        for id in &effect.gone {
+            self.tables.gone(&mut self.board, &mut self.out, now, id);
+        }
+        self.update(now);
+    }
+
+    /// Takes a host list that was read from the platform.
+    pub fn hosts(&mut self, now: Tick, list: tsw_board::hosts::List) {
+        let effect = self
+            .membership
+            .adopt(&mut self.board, &mut self.out, now, list);
+        self.follow(now, effect);
+    }
+
+    /// Takes a bundle. `source` is where it was read.
+    pub fn bundle(&mut self, now: Tick, content: &[u8], source: &dyn std::fmt::Display) {
+        if self.configuration.offer(&mut self.board, content, source) {
+            let revision = self.board.configuration.revision();
+            self.member(now, event::Event::Bundle { revision });
+        }
+    }
+
+    /// Brings homes, queues and orders in step with what they depend on.
+    fn update(&mut self, now: Tick) {
+        let Self {
+            board,
+            out,
+            membership,
+            scheduling,
+            placement,
+            ..
+        } = self;
+        if scheduling.update(board, out, now, membership) {
+            placement.update(
+                board,
+                out,
+                now,
+                |upstream| scheduling.is_owned(upstream),
+                |name, upstream| membership.is_leaving(name, upstream),
+            );
+        }
+    }
+
+    /// Takes a message. `from` is the sender as its session proved it.
+    pub fn receive(&mut self, now: Tick, from: &host::Id, message: Message) {
+        let host = from.host.clone();
+        match message {
+            Message::Hello(_) => {}
+            Message::Ping(ping) => self.member(now, event::Event::Ping { from: host, ping }),
+            Message::Ack(ack) => self.member(now, event::Event::Ack { from: host, ack }),
+            Message::Fetch(fetch) => self.fetch(&host, fetch),
+            Message::Bundle(bundle) => {
+                self.bundle_answers += 1;
+                if bundle.revision > self.board.configuration.revision() {
+                    self.bundle(now, &bundle.content, from);
+                }
+            }
+            Message::Hosts(hosts) => {
+                self.membership.learn(&self.board, hosts);
+                self.update(now);
+            }
+            Message::Demand(_)
+            | Message::Grant(_)
+            | Message::Release(_)
+            | Message::Holdings(_)
+            | Message::Served(_) => self.schedule(now, from, message),
+            Message::Suspect(suspect) => {
+                let event = tsw_poison::Event::Message(suspect);
+                self.poison
+                    .handle(&mut self.board, &mut self.out, now, event);
+            }
+            Message::Head(head) => self.audit.witness(&mut self.board, from, &head),
+            message => self.once(now, from, message),
+        }
+    }
+
+    fn fetch(&mut self, from: &tsw_base::name::Host, fetch: tsw_wire::message::Fetch) {
+        let mut bundle = self.configuration.message(&self.board);
+        if bundle.revision <= fetch.bundle {
+            // A router that starts counts the answers, so it gets one without content.
+            bundle.content = std::sync::Arc::from([]);
+        }
+        if bundle.revision > fetch.bundle || fetch.bundle == 0 {
+            self.out.send(from, Message::Bundle(bundle));
+        }
+        if self.board.hosts.revision > fetch.hosts {
+            let hosts = membership::Controller::summary(&self.board);
+            self.out.send(from, Message::Hosts(hosts));
+        }
+    }
+
+    fn schedule(&mut self, now: Tick, from: &host::Id, message: Message) {
+        let Self {
+            board,
+            out,
+            scheduling,
+            ..
+        } = self;
+        let from = from.clone();
+        let (service, event) = match message {
+            Message::Grant(grant) => return scheduling.grant(board, out, now, &from, grant),
+            Message::Served(served) => return scheduling.served(board, out, now, served),
+            Message::Demand(demand) => {
+                (demand.service.clone(), home::Event::Demand { from, demand })
+            }
+            Message::Release(release) => (
+                release.service.clone(),
+                home::Event::Release { from, release },
+            ),
+            Message::Holdings(holdings) => (
+                holdings.service.clone(),
+                home::Event::Holdings { from, holdings },
+            ),
+            _ => return,
+        };
+        scheduling.home_event(board, out, now, &service, event);
+    }
+
+    fn once(&mut self, now: Tick, from: &host::Id, message: Message) {
+        let Self {
+            board, out, tables, ..
+        } = self;
+        let from = from.clone();
+        match message {
+            Message::Note(note) => {
+                tables.witness(board, out, now, witness::Event::Note { from, note });
+            }
+            Message::Outcome(outcome) => {
+                tables.witness(board, out, now, witness::Event::Outcome { from, outcome });
+            }
+            Message::Seal(seal) => {
+                tables.witness(board, out, now, witness::Event::Seal { from, seal });
+            }
+            Message::Noted(noted) => {
+                tables.handle_owner(board, out, now, owner::Event::Noted { from, noted });
+            }
+            Message::Sealed(sealed) => {
+                tables.survive(board, out, now, survivor::Event::Sealed { from, sealed });
+            }
+            Message::Answer(answer) => {
+                let event = survivor::Event::Answer {
+                    from,
+                    ticket: answer.ticket,
+                    reply: answer.reply,
+                };
+                tables.survive(board, out, now, event);
+            }
+            Message::Forward(forward) => tables.forwarded(board, out, now, &from, forward),
+            _ => {}
+        }
+    }
+
+    /// Lets time pass for scheduling, which is due more often than the rest.
+    pub fn tick_fast(&mut self, now: Tick) {
+        let Self {
+            board,
+            out,
+            scheduling,
+            ..
+        } = self;
+        scheduling.tick(board, out, now);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Tick) {
+        self.member(now, event::Event::Tick);
+        let Self {
+            board,
+            out,
+            tables,
+            placement,
+            audit,
+            poison,
+            ..
+        } = self;
+        tables.tick(board, out, now);
+        audit.tick(board, out, now);
+        if now >= self.next_slow {
+            self.next_slow = now + tsw_base::time::Span::from_millis(100);
+            placement.handle(board, out, now, tsw_place::Event::Tick);
+            if !board.poison.is_empty() {
+                poison.handle(board, out, now, tsw_poison::Event::Tick);
+            }
+        }
+        self.tick_fast(now);
+    }
+
+    /// Returns whether scheduling needs ticks at the short period.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.scheduling.waiting() > 0 || self.board.homes.values().any(|h| h.running() > 0)
+    }
+
+    /// Takes no new work from now on.
+    pub fn leave(&mut self, now: Tick) {
+        self.member(now, event::Event::Leave);
+        self.tables
+            .handle_owner(&mut self.board, &mut self.out, now, owner::Event::Leave);
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/stream.rs
@@ -0,0 +1,476 @@
+//! Relays the stream of a model engine to a caller.
+//!
+//! Each token index is sent exactly once. A stream that breaks or stalls is resumed at the next
+//! token on another engine; the first of two engines to deliver that token wins.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::time;
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::future::{pending, LocalBoxFuture};
+use serde_json::{Map, Value};
+use sha2::{Digest, Sha256};
+use tsw_base::time::{Span, Tick};
+use tsw_event::Event;
+use tsw_grant::message::Class;
+
+use crate::{
+    call::Call,
+    engine::{self, Attempt, Broken, Line},
+    refusal::Refusal,
+    reply::Outcome,
+    router::{Flight, Router},
+    slot::Wait,
+};
+
+/// Attempts of one request, so that a request that no engine completes ends.
+const MAX_ATTEMPTS: u32 = 5;
+
+/// How a request ends without a complete response.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// It was not run.
+    Refused(Refusal),
+    /// The response broke off.
+    Cut {
+        /// Reason for programs.
+        code: &'static str,
+        /// Reason for people.
+        message: String,
+    },
+}
+
+enum Spare {
+    Waiting(Wait),
+    Opening(LocalBoxFuture<'static, Result<Attempt, Broken>>),
+    Open(Attempt),
+}
+
+enum Step {
+    Active(Result<Vec<Line>, Broken>),
+    Slot(Result<crate::slot::Slot, Refusal>),
+    Opened(Result<Attempt, Broken>),
+    Spare(Result<Vec<Line>, Broken>),
+    Stall,
+    Deadline,
+}
+
+/// A request on its way from an engine to a caller.
+pub struct Relay {
+    router: Rc<Router>,
+    call: Rc<Call>,
+    body: Map<String, Value>,
+    active: Option<Attempt>,
+    spare: Option<Spare>,
+    hedging: bool,
+    attempts: u32,
+    ran: bool,
+    last_error: Option<Broken>,
+    next: u64,
+    digest: Sha256,
+    opened: Tick,
+    progress: Tick,
+    gap: Option<Span>,
+    over: bool,
+    flight: Flight,
+}
+
+/// What a relay hands to the caller next.
+pub enum Output {
+    /// Events; more follow.
+    Events(Bytes),
+    /// The last events.
+    Last(Bytes),
+}
+
+impl Relay {
+    /// Makes a relay whose first slot is still to be granted.
+    #[must_use]
+    pub fn new(
+        router: Rc<Router>,
+        call: Rc<Call>,
+        body: Map<String, Value>,
+        wait: Wait,
+        flight: Flight,
+    ) -> Self {
+        let now = router.now();
+        Self {
+            router,
+            call,
+            body,
+            active: None,
+            spare: Some(Spare::Waiting(wait)),
+            hedging: false,
+            attempts: 1,
+            ran: false,
+            last_error: None,
+            next: 0,
+            digest: Sha256::new(),
+            opened: now,
+            progress: now,
+            gap: None,
+            over: false,
+            flight,
+        }
+    }
+
+    /// Returns the request.
+    #[must_use]
+    pub const fn call(&self) -> &Rc<Call> {
+        &self.call
+    }
+
+    /// Waits for the next events. Before the first event, a failure is returned as an error, so
+    /// that the caller can get it as a status.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the request ended without a response.
+    pub async fn next(&mut self) -> Result<Output, Failure> {
+        loop {
+            let handled = match self.step().await {
+                Step::Active(Ok(lines)) => self.accept(lines, false),
+                Step::Spare(Ok(lines)) => self.accept(lines, true),
+                Step::Active(Err(broken)) => self.broken(&broken),
+                Step::Spare(Err(broken)) => self.spare_broken(&broken),
+                Step::Opened(Err(broken)) => self.spare_broken(&broken),
+                Step::Slot(Ok(slot)) => {
+                    self.granted(slot);
+                    Ok(None)
+                }
+                Step::Slot(Err(refusal)) => self.no_slot(refusal),
+                Step::Opened(Ok(attempt)) => {
+                    self.opened(attempt);
+                    Ok(None)
+                }
+                Step::Stall => {
+                    self.hedge();
+                    Ok(None)
+                }
+                Step::Deadline => self.overdue(),
+            };
+            match handled {
+                Ok(None) => {}
+                Ok(Some(output)) => return Ok(output),
+                Err(failure) => return self.fail(failure),
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let now = self.router.now();
+        let stall = self.stall_limit();
+        let hedge_in = (self.progress + stall).since(now).as_duration();
+        let hedge = self.active.is_some() && self.spare.is_none() && !self.hedging;
+        let deadline_in = self.call.deadline.since(now).as_duration();
+        let Self { active, spare, .. } = self;
+        let active = async {
+            match active {
+                Some(attempt) => attempt.read().await,
+                None => pending().await,
+            }
+        };
+        let spare = async {
+            match spare {
+                Some(Spare::Waiting(wait)) => Step::Slot(wait.slot().await),
+                Some(Spare::Opening(opening)) => Step::Opened(opening.await),
+                Some(Spare::Open(attempt)) => Step::Spare(attempt.read().await),
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            read = active => Step::Active(read),
+            step = spare => step,
+            () = time::sleep(hedge_in.max(Duration::from_millis(1))), if hedge => Step::Stall,
+            () = time::sleep(deadline_in) => Step::Deadline,
+        }
+    }
+
+    /// Returns the time without a token after which a stream counts as stalled.
+    fn stall_limit(&self) -> Span {
+        self.router.stall_limit(&self.call.service, self.next == 0)
+    }
+
+    fn granted(&mut self, slot: crate::slot::Slot) {
+        let opening = engine::open(
+            self.router.clone(),
+            slot,
+            self.call.clone(),
+            self.body.clone(),
+            self.next,
+        );
+        self.spare = Some(Spare::Opening(Box::pin(opening)));
+    }
+
+    fn opened(&mut self, attempt: Attempt) {
+        self.ran = true;
+        if self.active.is_some() {
+            self.spare = Some(Spare::Open(attempt));
+            return;
+        }
+        if self.next > 0 {
+            self.router.resumed(&self.call, &attempt, self.next);
+        }
+        self.active = Some(attempt);
+        self.spare = None;
+        let now = self.router.now();
+        self.opened = now;
+        self.progress = now;
+    }
+
+    fn accept(&mut self, lines: Vec<Line>, from_spare: bool) -> Result<Option<Output>, Failure> {
+        let mut events = BytesMut::new();
+        let before = self.next;
+        for line in lines {
+            match line {
+                Line::Token { index, .. } if index < self.next => {}
+                Line::Token { index, text } if index == self.next => self.push(&text, &mut events),
+                Line::Token { index, .. } => {
+                    let broken = Broken::Gap {
+                        found: index,
+                        expected: self.next,
+                    };
+                    return self.misread(&broken, from_spare, events);
+                }
+                Line::End { tokens } if tokens == self.next => {
+                    self.advance(before, from_spare);
+                    return Ok(Some(self.complete(events)));
+                }
+                Line::End { tokens } => {
+                    let text = format!("{tokens} tokens announced, {} arrived", self.next);
+                    return self.misread(&Broken::Form(text), from_spare, events);
+                }
+            }
+        }
+        if self.next > before {
+            self.advance(before, from_spare);
+        }
+        Ok((!events.is_empty()).then(|| Output::Events(events.freeze())))
+    }
+
+    fn push(&mut self, text: &[u8], events: &mut BytesMut) {
+        events.put_slice(b"data: ");
+        events.put_slice(text);
+        events.put_slice(b"\n\n");
+        self.digest.update(text);
+        self.digest.update(b"\n");
+        self.next += 1;
+    }
+
+    /// Notes progress. The attempt that made it is the active one from now on, and the other ends.
+    fn advance(&mut self, before: u64, from_spare: bool) {
+        if from_spare {
+            if let Some(Spare::Open(attempt)) = self.spare.take() {
+                self.router.resumed(&self.call, &attempt, before);
+                self.active = Some(attempt);
+            }
+        } else {
+            self.spare = None;
+        }
+        self.hedging = false;
+        let now = self.router.now();
+        let tokens = (self.next - before).max(1);
+        if before == 0 {
+            self.router.first_token(&self.call, now.since(self.opened));
+        } else {
+            let gap = now.since(self.progress) / tokens;
+            self.gap = Some(self.gap.map_or(gap, |old| (old * 7 + gap) / 8));
+            self.router.token_gap(&self.call.service, gap);
+        }
+        self.progress = now;
+        self.router.metrics.tokens.inc_by(tokens);
+    }
+
+    /// Handles an attempt that sent something wrong; what it sent before that is kept.
+    fn misread(
+        &mut self,
+        broken: &Broken,
+        from_spare: bool,
+        events: BytesMut,
+    ) -> Result<Option<Output>, Failure> {
+        let handled = if from_spare {
+            self.spare_broken(broken)
+        } else {
+            self.broken(broken)
+        };
+        if events.is_empty() {
+            return handled;
+        }
+        match handled {
+            Ok(_) => Ok(Some(Output::Events(events.freeze()))),
+            Err(failure) => {
+                let mut events = events;
+                self.close(&failure, &mut events);
+                Ok(Some(Output::Last(events.freeze())))
+            }
+        }
+    }
+
+    fn broken(&mut self, broken: &Broken) -> Result<Option<Output>, Failure> {
+        if let Some(attempt) = self.active.take() {
+            self.router
+                .attempt_failed(&self.call, attempt.slot(), broken);
+            attempt.fail();
+        }
+        self.last_error = Some(broken.clone());
+        match self.spare.take() {
+            Some(Spare::Open(attempt)) => {
+                self.opened(attempt);
+                Ok(None)
+            }
+            Some(spare) => {
+                self.spare = Some(spare);
+                Ok(None)
+            }
+            None => self.again(),
+        }
+    }
+
+    fn spare_broken(&mut self, broken: &Broken) -> Result<Option<Output>, Failure> {
+        if let Some(Spare::Open(attempt)) = self.spare.take() {
+            self.router
+                .attempt_failed(&self.call, attempt.slot(), broken);
+            attempt.fail();
+        } else {
+            self.router.attempt_failed(&self.call, None, broken);
+        }
+        self.ran |= !matches!(broken, Broken::Unreachable(_));
+        self.last_error = Some(broken.clone());
+        if self.active.is_some() {
+            self.hedging = false;
+            return Ok(None);
+        }
+        self.again()
+    }
+
+    /// Asks for another slot after a failure, if the budget for retries allows it.
+    fn again(&mut self) -> Result<Option<Output>, Failure> {
+        if self.attempts >= MAX_ATTEMPTS || (self.ran && !self.router.allow_retry(&self.call)) {
+            return Err(self.failure("upstream"));
+        }
+        self.attempts += 1;
+        self.router.retried(&self.call, self.next);
+        let class = if self.ran {
+            Class::Urgent
+        } else {
+            self.router.class(&self.call)
+        };
+        self.wait(class)
+    }
+
+    fn wait(&mut self, class: Class) -> Result<Option<Output>, Failure> {
+        let wait = self.router.enqueue(&self.call, class, None);
+        self.spare = Some(Spare::Waiting(wait));
+        Ok(None)
+    }
+
+    fn hedge(&mut self) {
+        self.hedging = true;
+        if self.attempts >= MAX_ATTEMPTS || !self.router.allow_hedge(&self.call) {
+            return;
+        }
+        self.attempts += 1;
+        self.router.hedged(&self.call, self.next);
+        let slow = self.active.as_ref().and_then(Attempt::slot);
+        let slow = slow.map(|slot| slot.upstream().clone());
+        let wait = self.router.enqueue(&self.call, Class::Urgent, slow);
+        self.spare = Some(Spare::Waiting(wait));
+    }
+
+    fn no_slot(&mut self, refusal: Refusal) -> Result<Option<Output>, Failure> {
+        self.spare = None;
+        if self.active.is_some() {
+            return Ok(None);
+        }
+        if self.ran {
+            return Err(self.failure(refusal.code()));
+        }
+        Err(Failure::Refused(refusal))
+    }
+
+    fn overdue(&mut self) -> Result<Option<Output>, Failure> {
+        if self.ran {
+            return Err(Failure::Cut {
+                code: "deadline",
+                message: Refusal::Deadline.to_string(),
+            });
+        }
+        Err(Failure::Refused(Refusal::Deadline))
+    }
+
+    fn failure(&self, code: &'static str) -> Failure {
+        if !self.ran {
+            return Failure::Refused(Refusal::Unreachable);
+        }
+        let cause = self.last_error.as_ref().map(ToString::to_string);
+        Failure::Cut {
+            code,
+            message: cause.unwrap_or_else(|| "no upstream completed the response".to_owned()),
+        }
+    }
+
+    fn fail(&mut self, failure: Failure) -> Result<Output, Failure> {
+        if self.next == 0 {
+            self.end(&failure);
+            return Err(failure);
+        }
+        let mut events = BytesMut::new();
+        self.close(&failure, &mut events);
+        Ok(Output::Last(events.freeze()))
+    }
+
+    fn close(&mut self, failure: &Failure, events: &mut BytesMut) {
+        self.end(failure);
+        self.end_event(Outcome::Cut, events);
+    }
+
+    fn end(&mut self, failure: &Failure) {
+        self.over = true;
+        self.active = None;
+        self.spare = None;
+        match failure {
+            Failure::Refused(refusal) => self.router.refused(&self.call, refusal),
+            Failure::Cut { code, message } => {
+                self.router
+                    .ended(&self.call, Outcome::Cut, Event::Cut, code, message);
+            }
+        }
+    }
+
+    fn complete(&mut self, mut events: BytesMut) -> Output {
+        self.over = true;
+        self.spare = None;
+        if let Some(attempt) = self.active.take() {
+            attempt.finish(self.gap);
+        }
+        self.router.ended(
+            &self.call,
+            Outcome::Complete,
+            Event::Completed,
+            "",
+            &format!("tokens={}", self.next),
+        );
+        self.end_event(Outcome::Complete, &mut events);
+        Output::Last(events.freeze())
+    }
+
+    fn end_event(&self, outcome: Outcome, events: &mut BytesMut) {
+        let end = serde_json::json!({
+            "outcome": outcome.as_str(),
+            "chunks": self.next,
+            "digest": hex::encode(self.digest.clone().finalize()),
+            "request_id": &*self.call.request_id,
+        });
+        events.put_slice(format!("event: end\ndata: {end}\n\n").as_bytes());
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.over {
+            self.router.disconnected(&self.call, self.next);
+        }
+        self.flight.end();
+    }
+}
