Shed load by deadline and limit slow upstreams in the daemon

Cause: admission and health state machines were not connected. Ruled out: an own pace estimate in the daemon; the health crate has one that a quarter of slow upstreams does not shift. Conclusion: gates, limits, hedge and retry budgets come from the admit and health crates.

--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -1,7 +1,9 @@
 use indexmap::IndexMap;
+use tsw_admit::gate::Gate;
 use tsw_audit::Chain;
 use tsw_base::name;
 use tsw_grant::{entry, home};
+use tsw_health::limit::Limits;
 use tsw_member::View;
 use tsw_once::{owner, survivor, witness};
 use tsw_place::Dispatch;
@@ -9,6 +11,7 @@
 
 use crate::{
     configuration::Configuration,
+    health::Pulse,
     hosts,
     section::{section, Pen, Section},
 };
@@ -19,6 +22,15 @@
 /// Waiting and running requests of this router, by service.
 pub type Queues = IndexMap<name::Service, entry::Queue>;
 
+/// Admission into the queues, by service.
+pub type Gates = IndexMap<name::Service, Gate>;
+
+/// Concurrency limits of the upstreams that this router schedules, by service.
+pub type AllLimits = IndexMap<name::Service, Limits>;
+
+/// Pace and budgets, by service.
+pub type Pulses = IndexMap<name::Service, Pulse>;
+
 macro_rules! board {
     ($($(#[$doc:meta])* $name:ident: $type:ty,)*) => {
         /// The sections of the daemon.
@@ -61,6 +73,12 @@
     homes: Homes,
     /// Waiting and running requests of this router.
     queues: Queues,
+    /// Admission into the queues.
+    gates: Gates,
+    /// Concurrency limits of upstreams.
+    limits: AllLimits,
+    /// Pace of the services, and budgets for hedges and retries.
+    pulses: Pulses,
     /// Keys that this router owns.
     owner: owner::Table,
     /// Keys that this router is a witness of.
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`Board`]: the sections of the daemon, made together with their [`Pens`].
 //! - [`hosts`]: the host list.
 //! - [`configuration`]: the bundle in force.
+//! - [`health`]: pace of a service and its budgets.
 
 mod board;
 pub mod configuration;
+pub mod health;
 pub mod hosts;
 mod section;
 
-pub use board::{Board, Homes, Pens, Queues, Start};
+pub use board::{AllLimits, Board, Gates, Homes, Pens, Pulses, Queues, Start};
 pub use section::{section, Pen, Section};
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -7,9 +7,9 @@
 //! - Start and end: [`keys`], [`start`], [`serve`], [`clock`].
 //! - State: [`router`], [`state`], [`out`], [`task`].
 //! - Controllers: [`membership`], [`configuration`], [`scheduling`], [`tables`], [`poison`],
-//!   [`placement`], [`audit`].
+//!   [`placement`], [`audit`], [`health`].
 //! - Requests: [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
-//!   [`booking`], [`refusal`], [`reply`], [`pace`].
+//!   [`booking`], [`refusal`], [`reply`].
 //! - Others: [`peers`], [`platform`], [`hosts`], [`operator`], [`metrics`], [`recent`].
 
 pub mod audit;
@@ -19,13 +19,13 @@
 pub mod clock;
 pub mod configuration;
 pub mod engine;
+pub mod health;
 pub mod hosts;
 pub mod keys;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod out;
-pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod plain;
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -3,21 +3,23 @@
 use std::rc::Rc;
 
 use actix_rt::time;
+use tsw_admit::gate;
 use tsw_audit::Line;
 use tsw_base::{
     name,
     time::{Span, Tick},
 };
+use tsw_board::health::Pulse;
 use tsw_event::Event;
 use tsw_grant::message::{Class, Request, State};
+use tsw_health::pace::Stream;
 use tsw_poison::{Fingerprint, Treatment};
 
 use crate::{
     call::Call,
     caller::Place,
     engine::{Attempt, Broken},
-    pace::Pace,
-    plain, poison,
+    health, plain, poison,
     refusal::Refusal,
     reply::Outcome,
     router::Router,
@@ -39,11 +41,9 @@
             }
             return Err(refusal.clone());
         }
-        self.pace(&call.service, |pace| {
-            pace.hedges.earn();
-            pace.retries.earn();
-        });
-        let wait = self.enqueue(call, self.class(call), None);
+        self.pulse(&call.service, Pulse::earn);
+        let bytes = call.body.len() as u64;
+        let wait = self.ask(call, self.class(call), None, Some(bytes));
         self.note(
             Event::Queued,
             &call.request_id,
@@ -62,16 +62,27 @@
             return Err(Refusal::Poison);
         }
         let rules = self.rules().ok_or(Refusal::Starting)?;
-        let limit = rules.bundle.teams.get(&call.team).map(|t| t.queue_limit);
-        let waiting = self.look(|state| {
-            let queue = state.board.queues.get(&call.service);
-            queue.map_or(0, |queue| queue.waiting(&call.team))
+        let team = rules.bundle.teams.get(&call.team);
+        let limit = team.ok_or(Refusal::Credential)?.queue_limit;
+        let bytes = call.body.len() as u64;
+        let admitted = self.act(|state, now| {
+            let board = &mut state.board;
+            state.scheduling.admit(
+                board,
+                now,
+                &call.service,
+                &call.team,
+                (limit, bytes),
+                call.deadline,
+            )
         });
-        if waiting >= limit.unwrap_or(0) as usize {
-            let after = Span::from_millis(1_000);
-            return Err(Refusal::Full { after });
-        }
-        Ok(())
+        admitted.map_err(|refusal| {
+            let after = refusal.retry_after();
+            match refusal {
+                gate::Refusal::Late { .. } => Refusal::Late { after },
+                _ => Refusal::Full { after },
+            }
+        })
     }
 
     /// Returns the class in which a call waits.
@@ -93,6 +104,16 @@
         call: &Call,
         class: Class,
         avoid: Option<name::Upstream>,
+    ) -> Wait {
+        self.ask(call, class, avoid, None)
+    }
+
+    fn ask(
+        self: &Rc<Self>,
+        call: &Call,
+        class: Class,
+        avoid: Option<name::Upstream>,
+        admitted: Option<u64>,
     ) -> Wait {
         let ask = Ask {
             service: call.service.clone(),
@@ -100,6 +121,7 @@
             class,
             deadline: call.deadline,
             avoid,
+            admitted,
         };
         let (request, answer) = self.act(|state, now| {
             state
@@ -272,39 +294,53 @@
         self.audit("disconnected", &call.request_id, &fields);
     }
 
-    fn pace<R>(&self, service: &name::Service, change: impl FnOnce(&mut Pace) -> R) -> R {
-        let mut paces = self.paces.borrow_mut();
-        let percent = self.settings().tuning.hedge_percent;
-        let pace = paces.entry(service.clone());
-        change(pace.or_insert_with(|| Pace::new(percent)))
+    fn pulse<R>(&self, service: &name::Service, change: impl FnOnce(&mut Pulse) -> R) -> R {
+        self.act(|state, _| state.health.pulse(&mut state.board, service, change))
     }
 
     /// Returns whether the budget allows a retry, and takes it out of the budget.
     pub fn allow_retry(&self, call: &Call) -> bool {
-        self.pace(&call.service, |pace| pace.retries.take())
+        self.pulse(&call.service, |pulse| pulse.retries.spend())
     }
 
     /// Returns whether the budget allows a hedge, and takes it out of the budget.
     pub fn allow_hedge(&self, call: &Call) -> bool {
-        self.pace(&call.service, |pace| pace.hedges.take())
+        self.pulse(&call.service, |pulse| pulse.hedges.spend())
     }
 
-    /// Returns the time without a token after which a stream of a service counts as stalled.
+    /// Returns when a stream is stalled unless it makes progress.
     #[must_use]
-    pub fn stall_limit(&self, service: &name::Service, first: bool) -> Span {
-        self.pace(service, |pace| pace.stall_limit(first))
+    pub fn stall(&self, call: &Call, sent: Tick, stream: &Stream) -> Tick {
+        self.look(|state| health::Controller::stall(&state.board, &call.service, sent, stream))
     }
 
-    /// Notes the first token of a stream, `took` after it was sent to the engine.
-    pub fn first_token(&self, call: &Call, took: Span) {
-        self.pace(&call.service, |pace| pace.note_first(took));
-        let since_arrival = self.age(call).as_secs_f64();
-        self.metrics.first_token.observe(since_arrival);
+    /// Notes tokens of a stream. `first` says whether they are its first.
+    pub fn progress(&self, call: &Call, stream: &mut Stream, first: bool, tokens: u64) {
+        let now = self.now();
+        self.pulse(&call.service, |pulse| {
+            stream.progress(now, &mut pulse.pace);
+            pulse.begun = true;
+        });
+        if first {
+            let since_arrival = self.age(call).as_secs_f64();
+            self.metrics.first_token.observe(since_arrival);
+        }
+        self.metrics.tokens.inc_by(tokens);
     }
 
-    /// Notes the time between two tokens of a stream.
-    pub fn token_gap(&self, service: &name::Service, gap: Span) {
-        self.pace(service, |pace| pace.note_gap(gap));
+    /// Tells the home of an upstream the pace of a running stream.
+    pub fn report_pace(&self, slot: &Slot, pace: Span) {
+        let granted = slot.granted();
+        self.act(|state, now| {
+            state.scheduling.progress(
+                &mut state.board,
+                &mut state.out,
+                now,
+                &granted.service,
+                granted.id,
+                pace,
+            );
+        });
     }
 
     /// Adds a line to the audit log. The line is kept for the receipt of the request.
--- a/crates/toucand/src/router.rs
+++ b/crates/toucand/src/router.rs
@@ -8,10 +8,9 @@
     time::Duration,
 };
 
-use indexmap::IndexMap;
 use tokio::sync::{mpsc, Notify};
 use tsw_base::{
-    host, name,
+    host,
     time::{Span, Tick},
 };
 use tsw_config::settings;
@@ -23,7 +22,6 @@
     clock::{self, Clock},
     keys::Keys,
     metrics::Metrics,
-    pace::Pace,
     recent,
     refusal::Refusal,
     reply::Outcome,
@@ -74,7 +72,6 @@
     pub hosts_wanted: Notify,
     /// Wakes the timer of the scheduling.
     pub ticks_wanted: Notify,
-    pub(crate) paces: RefCell<IndexMap<name::Service, Pace>>,
     pub(crate) lines: RefCell<HashMap<Box<str>, tsw_audit::Line>>,
     this: Weak<Self>,
 }
@@ -116,7 +113,6 @@
             in_flight: Cell::new(0),
             hosts_wanted: Notify::new(),
             ticks_wanted: Notify::new(),
-            paces: RefCell::default(),
             lines: RefCell::default(),
             this: this.clone(),
             plan,
--- a/crates/toucand/src/scheduling.rs
+++ b/crates/toucand/src/scheduling.rs
@@ -4,8 +4,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::oneshot;
+use tsw_admit::gate::{Gate, Refusal as Shed};
 use tsw_base::{host, name, time::Tick};
-use tsw_board::{hosts, Board, Homes, Pen, Queues};
+use tsw_board::{hosts, Board, Gates, Homes, Pen, Queues};
 use tsw_config::{bundle, service, settings};
 use tsw_event::{emit, Event};
 use tsw_grant::{
@@ -16,7 +17,7 @@
 use tsw_share::message::Served;
 use tsw_wire::message::Message;
 
-use crate::{membership, out::Out, refusal::Refusal, slot};
+use crate::{health, membership, out::Out, refusal::Refusal, slot};
 
 /// Period of the exchange of totals between homes.
 const SERVED_PERIOD_US: u64 = 100_000;
@@ -27,6 +28,8 @@
 
 struct Waiter {
     service: name::Service,
+    team: name::Team,
+    admitted: Option<u64>,
     answer: oneshot::Sender<slot::Answer>,
 }
 
@@ -42,12 +45,26 @@
     pub deadline: Tick,
     /// An upstream that it must not use.
     pub avoid: Option<name::Upstream>,
+    /// Bytes with which the gate counts it; nothing if it was admitted before.
+    pub admitted: Option<u64>,
+}
+
+/// The pens of a [`Controller`].
+pub struct Pens {
+    /// For homes.
+    pub homes: Pen<Homes>,
+    /// For queues.
+    pub queues: Pen<Queues>,
+    /// For gates.
+    pub gates: Pen<Gates>,
 }
 
 /// Owner of the sections about homes and queues.
 pub struct Controller {
     homes: Pen<Homes>,
     queues: Pen<Queues>,
+    gates: Pen<Gates>,
+    queue_bytes: u64,
     group_size: u32,
     home_tuning: home::Tuning,
     queue_tuning: entry::Tuning,
@@ -63,10 +80,12 @@
 impl Controller {
     /// Takes the pens.
     #[must_use]
-    pub fn new(homes: Pen<Homes>, queues: Pen<Queues>, tuning: &settings::Tuning) -> Self {
+    pub fn new(pens: Pens, tuning: &settings::Tuning) -> Self {
         Self {
-            homes,
-            queues,
+            homes: pens.homes,
+            queues: pens.queues,
+            gates: pens.gates,
+            queue_bytes: tuning.queue_bytes as u64,
             group_size: tuning.group_size,
             home_tuning: home::Tuning {
                 grant_ttl: tuning.grant_ttl(),
@@ -106,6 +125,7 @@
         out: &mut Out,
         now: Tick,
         membership: &membership::Controller,
+        health: &mut health::Controller,
     ) -> bool {
         let basis = (
             board.fleet.epoch(),
@@ -121,8 +141,8 @@
         self.basis = Some(basis);
         let mut owned = IndexMap::new();
         for service in bundle.services.values() {
-            self.assign(board, out, now, service, membership, &mut owned);
-            self.set_shares(board, out, now, service, &bundle);
+            self.assign(board, out, now, service, (membership, health), &mut owned);
+            self.set_shares(board, out, now, health, service, &bundle);
         }
         let lost: Vec<_> = self
             .owned
@@ -132,7 +152,9 @@
             .collect();
         self.owned = owned;
         for (upstream, service) in lost {
-            self.home_event(board, out, now, &service, home::Event::Disown { upstream });
+            health.remove(board, &service, &upstream);
+            let event = home::Event::Disown { upstream };
+            self.home_event(board, out, now, health, &service, event);
         }
         true
     }
@@ -144,7 +166,7 @@
         out: &mut Out,
         now: Tick,
         service: &service::Service,
-        membership: &membership::Controller,
+        (membership, health): (&membership::Controller, &mut health::Controller),
         owned: &mut IndexMap<name::Upstream, name::Service>,
     ) {
         let listed: Vec<(name::Upstream, hosts::Upstream)> = board
@@ -184,13 +206,14 @@
                     slots => slots,
                 };
                 let leaving = membership.is_leaving(&name, &upstream);
+                let limit = health.set_slots(board, &service.service, &name, slots);
                 let event = home::Event::Upstream {
                     upstream: name.clone(),
                     slots,
-                    limit: if leaving { 0 } else { slots },
+                    limit: if leaving { 0 } else { limit },
                 };
                 owned.insert(name.clone(), service.service.clone());
-                self.home_event(board, out, now, &service.service, event);
+                self.home_event(board, out, now, health, &service.service, event);
             }
             places.push((name, home));
         }
@@ -231,6 +254,7 @@
         board: &mut Board,
         out: &mut Out,
         now: Tick,
+        health: &mut health::Controller,
         service: &service::Service,
         bundle: &bundle::Bundle,
     ) {
@@ -248,7 +272,7 @@
         });
         let shares = shares.collect();
         let event = home::Event::Shares { slots, shares };
-        self.home_event(board, out, now, &service.service, event);
+        self.home_event(board, out, now, health, &service.service, event);
         let peers = board.fleet.peers();
         let live = peers.filter(|(id, _, state)| {
             *state != Member::Dead
@@ -261,7 +285,7 @@
         let mut live: Vec<host::Id> = live.map(|(id, _, _)| id.clone()).collect();
         live.push(out.me().clone());
         let event = home::Event::Routers { live };
-        self.home_event(board, out, now, &service.service, event);
+        self.home_event(board, out, now, health, &service.service, event);
     }
 
     /// Gives an event to the home of a service and carries out what follows.
@@ -270,6 +294,7 @@
         board: &mut Board,
         out: &mut Out,
         now: Tick,
+        health: &mut health::Controller,
         service: &name::Service,
         event: home::Event,
     ) {
@@ -288,6 +313,7 @@
             .or_insert_with(|| home::Home::new(service.clone(), me, tuning));
         for command in home.handle(now, event) {
             let home::Command::Grant { to, grant } = command;
+            health.granted(now, &grant);
             let number = grant.id.number;
             emit(
                 Event::SlotGranted,
@@ -340,6 +366,8 @@
             } => self.run(board, out, now, service, (request, grant, upstream)),
             entry::Command::Expire { request } => {
                 if let Some(waiter) = self.waiters.remove(&request) {
+                    self.leave(board, &waiter);
+                    // The caller may be gone.
                     let _ = waiter.answer.send(Err(Refusal::Deadline));
                 }
             }
@@ -366,6 +394,9 @@
         let (Some(waiter), Some(address)) = (waiter, address) else {
             return self.end(board, out, now, service, id, State::Unused);
         };
+        if let Some(bytes) = waiter.admitted {
+            self.gate(board, service).grant(now, &waiter.team, bytes);
+        }
         let granted = slot::Granted {
             service: service.clone(),
             id,
@@ -390,6 +421,8 @@
         let (answer, receiver) = oneshot::channel();
         let waiter = Waiter {
             service: ask.service.clone(),
+            team: ask.team.clone(),
+            admitted: ask.admitted,
             answer,
         };
         self.waiters.insert(request, waiter);
@@ -407,11 +440,83 @@
     /// Takes a waiting request out of its queue.
     pub fn withdraw(&mut self, board: &mut Board, out: &mut Out, now: Tick, request: Request) {
         if let Some(waiter) = self.waiters.remove(&request) {
+            self.leave(board, &waiter);
             let event = entry::Event::Cancel { request };
             self.queue_event(board, out, now, &waiter.service, event);
         }
     }
 
+    fn gate<'a>(&self, board: &'a mut Board, service: &name::Service) -> &'a mut Gate {
+        let gates = board.gates.write(&self.gates);
+        let limit = tsw_config::team::DEFAULT_QUEUE_LIMIT;
+        let gate = gates.entry(service.clone());
+        gate.or_insert_with(|| Gate::new(limit, self.queue_bytes))
+    }
+
+    fn leave(&self, board: &mut Board, waiter: &Waiter) {
+        if let Some(bytes) = waiter.admitted {
+            self.gate(board, &waiter.service).leave(&waiter.team, bytes);
+        }
+    }
+
+    /// Admits a request of `bytes` bytes into the queue of its team, which may hold `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not admitted.
+    pub fn admit(
+        &self,
+        board: &mut Board,
+        now: Tick,
+        service: &name::Service,
+        team: &name::Team,
+        (limit, bytes): (u32, u64),
+        deadline: Tick,
+    ) -> Result<(), Shed> {
+        let gate = self.gate(board, service);
+        gate.set_limit(team, limit);
+        gate.admit(now, team, bytes, deadline)
+    }
+
+    /// Takes over limits that changed.
+    pub fn set_limits(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        health: &mut health::Controller,
+        membership: &membership::Controller,
+        changed: &IndexMap<name::Upstream, (name::Service, u32)>,
+    ) {
+        for (upstream, (service, limit)) in changed {
+            let listed = board.hosts.upstreams.get(upstream);
+            let leaving = listed.is_none_or(|listed| membership.is_leaving(upstream, listed));
+            if leaving || !self.is_owned(upstream) {
+                continue;
+            }
+            let event = home::Event::Upstream {
+                upstream: upstream.clone(),
+                slots: u32::MAX,
+                limit: *limit,
+            };
+            self.home_event(board, out, now, health, service, event);
+        }
+    }
+
+    /// Reports the pace of a running stream.
+    pub fn progress(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        service: &name::Service,
+        grant: Id,
+        pace: tsw_base::time::Span,
+    ) {
+        let event = entry::Event::Progress { grant, pace };
+        self.queue_event(board, out, now, service, event);
+    }
+
     /// Reports how the use of a grant ended.
     pub fn end(
         &mut self,
@@ -482,12 +587,18 @@
     }
 
     /// Lets time pass.
-    pub fn tick(&mut self, board: &mut Board, out: &mut Out, now: Tick) {
+    pub fn tick(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        health: &mut health::Controller,
+    ) {
         let services: Vec<name::Service> = board.homes.keys().cloned().collect();
         for service in services {
             let running = board.homes.get(&service).is_some_and(|h| h.running() > 0);
             if running || self.owned.values().any(|other| *other == service) {
-                self.home_event(board, out, now, &service, home::Event::Tick);
+                self.home_event(board, out, now, health, &service, home::Event::Tick);
             }
         }
         let services: Vec<name::Service> = board.queues.keys().cloned().collect();
@@ -524,8 +635,16 @@
     }
 
     /// Takes the totals of another home.
-    pub fn served(&mut self, board: &mut Board, out: &mut Out, now: Tick, served: Served) {
+    pub fn served(
+        &mut self,
+        board: &mut Board,
+        out: &mut Out,
+        now: Tick,
+        health: &mut health::Controller,
+        served: Served,
+    ) {
         let service = served.service.clone();
-        self.home_event(board, out, now, &service, home::Event::Served { served });
+        let event = home::Event::Served { served };
+        self.home_event(board, out, now, health, &service, event);
     }
 }
--- a/crates/toucand/src/slot.rs
+++ b/crates/toucand/src/slot.rs
@@ -101,6 +101,12 @@
         &self.granted.upstream
     }
 
+    /// Returns the grant.
+    #[must_use]
+    pub const fn granted(&self) -> &Granted {
+        &self.granted
+    }
+
     /// Returns the address of the upstream.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -8,8 +8,8 @@
 use tsw_wire::message::Message;
 
 use crate::{
-    audit, configuration, membership, out::Out, placement, poison, router::Plan, scheduling,
-    tables, task,
+    audit, configuration, health, membership, out::Out, placement, poison, router::Plan,
+    scheduling, tables, task,
 };
 
 /// The blackboard with its controllers.
@@ -24,6 +24,8 @@
     pub configuration: configuration::Controller,
     /// Homes and queues.
     pub scheduling: scheduling::Controller,
+    /// Pace, budgets and limits.
+    pub health: health::Controller,
     /// Permits and keys.
     pub tables: tables::Controller,
     /// Requests that crash upstreams.
@@ -62,6 +64,9 @@
             fleet: View::new(id.clone(), domain, timing(plan), rand::random()),
             homes: Default::default(),
             queues: Default::default(),
+            gates: Default::default(),
+            limits: Default::default(),
+            pulses: Default::default(),
             owner: owner::Table::new(id.clone(), owner_timing, Limits::default()),
             witness: witness::Table::new(id.clone(), retain + lifetime * 2, Limits::default()),
             survivor: survivor::Table::new(survivor::Timing::default()),
@@ -81,7 +86,15 @@
             out: Out::new(id.clone()),
             membership: membership::Controller::new(pens.hosts, pens.fleet),
             configuration: configuration::Controller::new(pens.configuration),
-            scheduling: scheduling::Controller::new(pens.homes, pens.queues, tuning),
+            scheduling: scheduling::Controller::new(
+                scheduling::Pens {
+                    homes: pens.homes,
+                    queues: pens.queues,
+                    gates: pens.gates,
+                },
+                tuning,
+            ),
+            health: health::Controller::new(pens.limits, pens.pulses, tuning.hedge_percent),
             tables: tables::Controller::new(tables, signer, issuer),
             poison: poison::Controller::new(pens.poison),
             placement: placement::Controller::new(pens.placement),
@@ -133,9 +146,10 @@
             membership,
             scheduling,
             placement,
+            health,
             ..
         } = self;
-        if scheduling.update(board, out, now, membership) {
+        if scheduling.update(board, out, now, membership, health) {
             placement.update(
                 board,
                 out,
@@ -199,26 +213,32 @@
             board,
             out,
             scheduling,
+            health,
             ..
         } = self;
         let from = from.clone();
         let (service, event) = match message {
             Message::Grant(grant) => return scheduling.grant(board, out, now, &from, grant),
-            Message::Served(served) => return scheduling.served(board, out, now, served),
+            Message::Served(served) => {
+                return scheduling.served(board, out, now, health, served);
+            }
             Message::Demand(demand) => {
                 (demand.service.clone(), home::Event::Demand { from, demand })
             }
-            Message::Release(release) => (
-                release.service.clone(),
-                home::Event::Release { from, release },
-            ),
+            Message::Release(release) => {
+                health.released(board, now, &release);
+                (
+                    release.service.clone(),
+                    home::Event::Release { from, release },
+                )
+            }
             Message::Holdings(holdings) => (
                 holdings.service.clone(),
                 home::Event::Holdings { from, holdings },
             ),
             _ => return,
         };
-        scheduling.home_event(board, out, now, &service, event);
+        scheduling.home_event(board, out, now, health, &service, event);
     }
 
     fn once(&mut self, now: Tick, from: &host::Id, message: Message) {
@@ -261,9 +281,10 @@
             board,
             out,
             scheduling,
+            health,
             ..
         } = self;
-        scheduling.tick(board, out, now);
+        scheduling.tick(board, out, now, health);
     }
 
     /// Lets time pass.
@@ -276,9 +297,14 @@
             placement,
             audit,
             poison,
+            health,
+            scheduling,
+            membership,
             ..
         } = self;
         tables.tick(board, out, now);
+        let changed = health.tick(board, now);
+        scheduling.set_limits(board, out, now, health, membership, &changed);
         audit.tick(board, out, now);
         if now >= self.next_slow {
             self.next_slow = now + tsw_base::time::Span::from_millis(100);
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -13,6 +13,7 @@
 use tsw_base::time::{Span, Tick};
 use tsw_event::Event;
 use tsw_grant::message::Class;
+use tsw_health::pace::Stream;
 
 use crate::{
     call::Call,
@@ -25,6 +26,8 @@
 
 /// Attempts of one request, so that a request that no engine completes ends.
 const MAX_ATTEMPTS: u32 = 5;
+/// Shortest time between two reports of the pace of a stream.
+const REPORT_PERIOD: Span = Span::from_millis(250);
 
 /// How a request ends without a complete response.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -68,9 +71,9 @@
     last_error: Option<Broken>,
     next: u64,
     digest: Sha256,
-    opened: Tick,
-    progress: Tick,
-    gap: Option<Span>,
+    sent: Tick,
+    pace: Stream,
+    reported: Option<(Tick, Span)>,
     over: bool,
     flight: Flight,
 }
@@ -106,9 +109,9 @@
             last_error: None,
             next: 0,
             digest: Sha256::new(),
-            opened: now,
-            progress: now,
-            gap: None,
+            sent: now,
+            pace: Stream::new(now),
+            reported: None,
             over: false,
             flight,
         }
@@ -159,8 +162,8 @@
 
     async fn step(&mut self) -> Step {
         let now = self.router.now();
-        let stall = self.stall_limit();
-        let hedge_in = (self.progress + stall).since(now).as_duration();
+        let stall = self.router.stall(&self.call, self.sent, &self.pace);
+        let hedge_in = stall.since(now).as_duration();
         let hedge = self.active.is_some() && self.spare.is_none() && !self.hedging;
         let deadline_in = self.call.deadline.since(now).as_duration();
         let Self { active, spare, .. } = self;
@@ -187,11 +190,6 @@
         }
     }
 
-    /// Returns the time without a token after which a stream counts as stalled.
-    fn stall_limit(&self) -> Span {
-        self.router.stall_limit(&self.call.service, self.next == 0)
-    }
-
     fn granted(&mut self, slot: crate::slot::Slot) {
         let opening = engine::open(
             self.router.clone(),
@@ -214,9 +212,15 @@
         }
         self.active = Some(attempt);
         self.spare = None;
+        self.restart();
+    }
+
+    /// Starts to follow the pace of another attempt.
+    fn restart(&mut self) {
         let now = self.router.now();
-        self.opened = now;
-        self.progress = now;
+        self.sent = now;
+        self.pace = Stream::new(now);
+        self.reported = None;
     }
 
     fn accept(&mut self, lines: Vec<Line>, from_spare: bool) -> Result<Option<Output>, Failure> {
@@ -264,22 +268,33 @@
             if let Some(Spare::Open(attempt)) = self.spare.take() {
                 self.router.resumed(&self.call, &attempt, before);
                 self.active = Some(attempt);
+                self.restart();
             }
         } else {
             self.spare = None;
         }
         self.hedging = false;
+        let tokens = self.next - before;
+        let first = before == 0 && tokens > 0;
+        self.router
+            .progress(&self.call, &mut self.pace, first, tokens);
+        self.report_pace();
+    }
+
+    /// Tells the home the pace when it has changed notably.
+    fn report_pace(&mut self) {
         let now = self.router.now();
-        let tokens = (self.next - before).max(1);
-        if before == 0 {
-            self.router.first_token(&self.call, now.since(self.opened));
-        } else {
-            let gap = now.since(self.progress) / tokens;
-            self.gap = Some(self.gap.map_or(gap, |old| (old * 7 + gap) / 8));
-            self.router.token_gap(&self.call.service, gap);
+        let Some(mean) = self.pace.mean(now) else {
+            return;
+        };
+        let due = match self.reported {
+            None => now.since(self.sent) >= REPORT_PERIOD,
+            Some((at, old)) => now.since(at) >= REPORT_PERIOD && (mean > old * 2 || old > mean * 2),
+        };
+        if let (true, Some(slot)) = (due, self.active.as_ref().and_then(Attempt::slot)) {
+            self.router.report_pace(slot, mean);
+            self.reported = Some((now, mean));
         }
-        self.progress = now;
-        self.router.metrics.tokens.inc_by(tokens);
     }
 
     /// Handles an attempt that sent something wrong; what it sent before that is kept.
@@ -367,6 +382,8 @@
 
     fn hedge(&mut self) {
         self.hedging = true;
+        // The silence counts as a gap, so that the home learns of a slow engine before it ends.
+        self.report_pace();
         if self.attempts >= MAX_ATTEMPTS || !self.router.allow_hedge(&self.call) {
             return;
         }
@@ -442,7 +459,7 @@
         self.over = true;
         self.spare = None;
         if let Some(attempt) = self.active.take() {
-            attempt.finish(self.gap);
+            attempt.finish(self.pace.mean(self.router.now()));
         }
         self.router.ended(
             &self.call,
