Count waiting until the start of a run, and start idle teams at virtual time in the limit case

Cause: a router that hands everything to engines at once showed no gap, as nobody waited at it. Conclusion: requests wait until an engine starts them, wherever they are queued.

--- a/crates/load/src/baseline/queue.rs
+++ b/crates/load/src/baseline/queue.rs
@@ -76,6 +76,8 @@
     running: HashMap<u64, Running>,
     runs: u64,
     token_s: f64,
+    /// Tag of the team whose request was started last, before it was charged.
+    virtual_time: f64,
 }
 
 impl Queue {
@@ -96,6 +98,7 @@
             running: HashMap::new(),
             runs: 0,
             token_s: FIRST_TOKEN_S,
+            virtual_time: 0.0,
         }
     }
 
@@ -114,20 +117,11 @@
         self.dispatch();
     }
 
-    /// A team that becomes busy starts no earlier than the others are.
+    /// A team that begins to wait starts no earlier than the request that was started last.
     fn wake(&mut self, index: usize) {
-        let busy = |(i, team): (usize, &Team)| {
-            let runs = || self.running.values().any(|run| run.team == i);
-            (team.waits() || runs()).then_some(team.tag)
-        };
-        if self.teams[index].waits() || self.running.values().any(|run| run.team == index) {
-            return;
-        }
-        let least = self.teams.iter().enumerate().filter_map(busy);
-        let least = least.fold(f64::INFINITY, f64::min);
-        if least.is_finite() {
-            let tag = &mut self.teams[index].tag;
-            *tag = tag.max(least);
+        let team = &mut self.teams[index];
+        if !team.waits() {
+            team.tag = team.tag.max(self.virtual_time);
         }
     }
 
@@ -195,6 +189,8 @@
             };
             // A caller that went away meanwhile takes no slot.
             if waiting.go.send((self.runs, upstream)).is_ok() {
+                let tag = self.teams[run.team].tag;
+                self.virtual_time = self.virtual_time.max(tag);
                 self.add(run.team, estimate);
                 let engine = &mut self.engines[upstream];
                 engine.running += 1;
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -67,6 +67,9 @@
         /// The line.
         line: String,
     },
+    /// The directory holds files of another run, which would mix with those of this one.
+    #[error("{} is not empty; name a new directory", .0.display())]
+    Used(PathBuf),
     /// There is no router or upstream of that name.
     #[error("the fleet has no {0}")]
     Absent(String),
@@ -117,6 +120,9 @@
         let programs = programs::Programs::find()?;
         let directory = options.directory.clone();
         fs::create_dir_all(&directory)?;
+        if fs::read_dir(&directory)?.next().is_some() {
+            return Err(Error::Used(directory));
+        }
         keys::write(&directory, &options.fleet.routers)?;
         let mut ports = ports::Ports::new();
         let clock = delay::Clock::start();
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -1,7 +1,8 @@
 //! Service that teams received, computed from the histories of upstreams and callers.
 //!
 //! A run receives one slot-second a second while its engine runs no more requests than it has
-//! slots, and its part of the slots while the engine runs more. All policies are judged alike.
+//! slots, and its part of the slots while the engine runs more. A request waits from its arrival at
+//! a router until an engine starts to run it, wherever it is queued. All policies are judged alike.
 
 use std::collections::HashMap;
 
@@ -82,8 +83,10 @@
     time_us: u64,
     /// Slot-seconds received so far, by team.
     served: Vec<f64>,
-    /// Waiting requests from this point on, by team.
+    /// Requests that wait for their start from this point on, by team.
     waiting: Vec<u32>,
+    /// Requests that no engine holds yet.
+    pending: u32,
     /// Slot-seconds for which slots held a request so far.
     held: f64,
     /// Slot-seconds for which slots ran a request so far.
@@ -104,7 +107,9 @@
     Start(usize, usize),
     End(usize, usize),
     Wait(usize),
-    Leave(usize),
+    Go(usize),
+    Queue,
+    Hold,
 }
 
 impl Timeline {
@@ -118,7 +123,7 @@
             .filter_map(|a| Some((a.id.as_str(), *teams.get(a.team.as_str())?)))
             .collect();
         let mut changes = Vec::new();
-        let mut first: HashMap<&str, u64> = HashMap::new();
+        let mut first: HashMap<&str, (u64, u64)> = HashMap::new();
         for run in runs {
             let Some(team) = owners.get(run.id.as_str()) else {
                 continue;
@@ -127,20 +132,20 @@
             changes.push((run.arrived_us, Change::Arrive(upstream)));
             changes.push((run.start_us, Change::Start(upstream, *team)));
             changes.push((run.end_us, Change::End(upstream, *team)));
-            let earliest = first.entry(run.id.as_str()).or_insert(run.arrived_us);
-            *earliest = run.arrived_us.min(*earliest);
+            let found = first.entry(run.id.as_str());
+            found.or_insert((run.arrived_us, run.start_us));
         }
         for attempt in attempts {
             let Some(team) = owners.get(attempt.id.as_str()) else {
                 continue;
             };
             let from = attempt.sent_us + plan::CLIENT_DELAY.as_micros() as u64;
-            let to = first.get(attempt.id.as_str()).copied();
-            let to = to.unwrap_or(attempt.ended_us);
-            if from < to {
-                changes.push((from, Change::Wait(*team)));
-                changes.push((to, Change::Leave(*team)));
-            }
+            let never = (attempt.ended_us, attempt.ended_us);
+            let (held, start) = first.get(attempt.id.as_str()).copied().unwrap_or(never);
+            changes.push((from, Change::Queue));
+            changes.push((held.max(from), Change::Hold));
+            changes.push((from, Change::Wait(*team)));
+            changes.push((start.max(from), Change::Go(*team)));
         }
         changes.sort_by_key(|(time, _)| *time);
         Self {
@@ -233,6 +238,7 @@
         time_us: changes.first().map_or(0, |(time, _)| *time),
         served: vec![0.0; teams],
         waiting: vec![0; teams],
+        pending: 0,
         held: 0.0,
         ran: 0.0,
         usable: 0.0,
@@ -252,8 +258,7 @@
                 point.ran += span * total.min(scale.engine_slots);
                 point.held += span * f64::from(*held).min(scale.engine_slots);
             }
-            let waiting: u32 = point.waiting.iter().sum();
-            let wanted = f64::from(waiting + held.iter().sum::<u32>());
+            let wanted = f64::from(point.pending + held.iter().sum::<u32>());
             point.usable += span * wanted.min(scale.slots);
         }
         match *change {
@@ -264,7 +269,9 @@
                 held[upstream] = held[upstream].saturating_sub(1);
             }
             Change::Wait(team) => point.waiting[team] += 1,
-            Change::Leave(team) => point.waiting[team] = point.waiting[team].saturating_sub(1),
+            Change::Go(team) => point.waiting[team] = point.waiting[team].saturating_sub(1),
+            Change::Queue => point.pending += 1,
+            Change::Hold => point.pending = point.pending.saturating_sub(1),
         }
     }
     points.push(point);
--- a/crates/load/src/session.rs
+++ b/crates/load/src/session.rs
@@ -139,11 +139,14 @@
     /// Returns the attempts of a service.
     #[must_use]
     pub fn attempts(&self, service: &str) -> Vec<&Attempt> {
-        let attempt = |event| match event {
-            Event::Attempt(attempt) if attempt.service == service => Some(attempt),
-            _ => None,
-        };
-        self.events.iter().filter_map(attempt).collect()
+        let mut attempts = Vec::new();
+        for event in &self.events {
+            match event {
+                Event::Attempt(attempt) if attempt.service == service => attempts.push(attempt),
+                _ => {}
+            }
+        }
+        attempts
     }
 
     /// Returns the service that teams received from the model engines.
