Add the control and faults experiments to tsw-load

Cause: cost of control and safety under faults are targets of their own. Ruled out: counting the data path as control; a baseline run of the same load gives its CPU.

--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -154,6 +154,12 @@
         &self.shared.recorder
     }
 
+    /// Returns the number of operations begun so far.
+    #[must_use]
+    pub fn operations(&self) -> usize {
+        usize::try_from(self.shared.operations.get()).unwrap_or(usize::MAX)
+    }
+
     /// Carries out an operation, sending it again as often as needed and allowed.
     pub async fn run(&self, wish: &Wish) -> Outcome {
         let shared = &self.shared;
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -11,7 +11,7 @@
         ///
         /// Example: tsw-load measure fairness --deployment harborgray --json
         cmd measure {
-            /// One of fairness, crest, mixed, slow, flood.
+            /// One of fairness, crest, control, mixed, slow, flood, faults.
             required scenario: String
             /// harborgray or quesada.
             required --deployment name: Deployment
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -16,9 +16,11 @@
 
 use crate::{client, delay, http, keys, plan, policy, ports, process, programs, relay};
 
+mod fault;
 mod router;
 mod upstream;
 
+pub use fault::Watch;
 pub use router::Router;
 pub use upstream::Upstreams;
 
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -8,8 +8,10 @@
     session::{self, Evidence, Session},
 };
 
+mod control;
 mod crest;
 mod fairness;
+mod faults;
 mod flood;
 mod mixed;
 mod slow;
@@ -20,7 +22,9 @@
 pub const TEAMS: usize = 16;
 
 /// Names of the experiments, in order of priority.
-pub const NAMES: [&str; 5] = ["fairness", "crest", "mixed", "slow", "flood"];
+pub const NAMES: [&str; 7] = [
+    "fairness", "crest", "control", "mixed", "slow", "flood", "faults",
+];
 
 /// Why an experiment has no result.
 #[derive(Debug, thiserror::Error)]
@@ -72,9 +76,11 @@
     match name {
         "fairness" => fairness::run(request).await,
         "crest" => crest::run(request).await,
+        "control" => control::run(request).await,
         "mixed" => mixed::run(request).await,
         "slow" => slow::run(request).await,
         "flood" => flood::run(request).await,
+        "faults" => faults::run(request).await,
         _ => Err(Error::Unknown(name.to_owned())),
     }
 }
