Load models from the weight store and let outages end in the stand-ins

Cause: orders should lead to reads of the weight store, and tests need outages of open length. Ruled out: answering pending watches of a stopped service, which a real one would not do. Before and after: orders took effect at once; now models load within the store's limit.

--- a/crates/fake/src/booking.rs
+++ b/crates/fake/src/booking.rs
@@ -247,7 +247,8 @@
         if crash.exit {
             std::process::exit(CRASH_EXIT_CODE);
         }
-        self.outage.begin(Duration::from_millis(crash.down_ms));
+        self.outage
+            .begin(Some(Duration::from_millis(crash.down_ms)));
         self.free.notify_waiters();
     }
 }
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -35,6 +35,7 @@
 mod state;
 pub mod stats;
 pub mod timing;
+mod weights;
 
 pub use batch::{token, total};
 pub use state::{Crash, Engine};
@@ -88,6 +89,8 @@
     pub event_gap: u64,
     /// What is done with old fencing tokens.
     pub fencing: Fencing,
+    /// Base URL of the weight store; models load at once without one.
+    pub weights: Option<String>,
     /// What a crash does when the control call does not say it.
     pub crash: Crash,
 }
@@ -103,6 +106,7 @@
             event_lag: Duration::from_millis(1_000),
             event_gap: 10,
             fencing: Fencing::Ignored,
+            weights: None,
             crash: Crash {
                 exit: false,
                 down_ms: 2_000,
--- a/crates/fake/src/engine/serve.rs
+++ b/crates/fake/src/engine/serve.rs
@@ -48,7 +48,7 @@
         }
         (&Method::POST, "/v1/orders") => {
             let order: state::Order = call.json()?;
-            match engine.state().order(order) {
+            match engine.order(order) {
                 Ok(()) => Ok(http::done()),
                 Err(known) => {
                     let body = serde_json::json!({"error": "stale fence", "fence": known});
--- a/crates/fake/src/engine/state.rs
+++ b/crates/fake/src/engine/state.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, Notify};
 
-use super::{batch, cache, report, stats, Fencing, Options, CRASH_EXIT_CODE};
+use super::{batch, cache, report, stats, weights, Fencing, Options, CRASH_EXIT_CODE};
 use crate::{history, http};
 
 /// Largest delay of a step that the next steps make up for.
@@ -74,6 +74,8 @@
     slow: (f64, Option<Instant>),
     leaving: Option<Instant>,
     runs: u64,
+    /// Changes with each order and crash, which end the loading of models.
+    orders: u64,
 }
 
 /// One engine. Clones share the same state.
@@ -98,6 +100,7 @@
             slow: (1.0, None),
             leaving: None,
             runs: 0,
+            orders: 0,
             options,
             history,
         };
@@ -206,13 +209,28 @@
         self.state().cancel(|run| run.request.request_id == id)
     }
 
+    /// Carries an order out, or returns the newer fencing token.
+    pub(super) fn order(&self, order: Order) -> Result<(), u64> {
+        let mut state = self.state();
+        state.order(order)?;
+        let number = state.orders;
+        match state.options.weights.clone() {
+            Some(base) => {
+                actix_rt::spawn(weights::load(self.clone(), base, number));
+            }
+            None => state.stats.loaded = state.stats.models.clone(),
+        }
+        Ok(())
+    }
+
     /// Drops all streams and all memory, and exits or closes the listener for a time.
     pub fn crash(&self, crash: Crash) {
         self.state().fail();
         if crash.exit {
             std::process::exit(CRASH_EXIT_CODE);
         }
-        self.outage.begin(Duration::from_millis(crash.down_ms));
+        self.outage
+            .begin(Some(Duration::from_millis(crash.down_ms)));
     }
 
     /// Makes steps `factor` times longer, for a time or for good.
@@ -358,11 +376,26 @@
         self.kv.clear();
         self.stats.fence = 0;
         self.stats.models.clear();
+        self.stats.loaded.clear();
+        self.orders += 1;
         self.sample();
     }
 
-    /// Carries an order out, or returns the newer fencing token.
-    pub(super) fn order(&mut self, order: Order) -> Result<(), u64> {
+    /// Returns the first model of order number `order` that is not loaded, while it is the last.
+    pub(super) fn next_model(&self, order: u64) -> Option<String> {
+        let stats = &self.stats;
+        let mut open = stats.models.iter().filter(|m| !stats.loaded.contains(m));
+        open.next().filter(|_| order == self.orders).cloned()
+    }
+
+    /// Notes that a model was loaded for order number `order`.
+    pub(super) fn loaded(&mut self, order: u64, model: String) {
+        if order == self.orders {
+            self.stats.loaded.push(model);
+        }
+    }
+
+    fn order(&mut self, order: Order) -> Result<(), u64> {
         let known = self.stats.fence;
         if order.fence < known && self.options.fencing == Fencing::Checked {
             self.stats.orders_refused += 1;
@@ -370,6 +403,9 @@
         }
         self.stats.fence = order.fence;
         self.stats.models = order.models;
+        let models = &self.stats.models;
+        self.stats.loaded.retain(|model| models.contains(model));
+        self.orders += 1;
         self.role = order.role;
         Ok(())
     }
--- a/crates/fake/src/engine/stats.rs
+++ b/crates/fake/src/engine/stats.rs
@@ -38,6 +38,10 @@
     pub orders_refused: u64,
     /// Models that the last order named.
     pub models: Vec<String>,
+    /// Models of the last order that are loaded.
+    pub loaded: Vec<String>,
+    /// Reads that the weight store refused.
+    pub weights_refused: u64,
     /// Counters by team.
     pub teams: IndexMap<String, Team>,
 }
--- a/crates/fake/src/flags.rs
+++ b/crates/fake/src/flags.rs
@@ -65,6 +65,8 @@
             optional --event-gap number: u64
             /// What is done with an old fencing token: checked or ignored (ignored).
             optional --fencing how: Fencing
+            /// Base URL of the weight store, to load ordered models from; otherwise they load at once.
+            optional --weights url: String
             /// Time without a listener after a crash, in milliseconds (2000).
             optional --down-ms ms: u64
             /// Exit at a crash. Default for a single engine without --down-ms.
--- a/crates/fake/src/http.rs
+++ b/crates/fake/src/http.rs
@@ -237,27 +237,45 @@
     Ok(handler(call).await)
 }
 
+/// Waits for a time, or forever.
+async fn pause(time: Option<Duration>) {
+    match time {
+        Some(time) => actix_rt::time::sleep(time).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Lets a stand-in close its own listener for a time.
 #[derive(Debug, Default)]
 pub struct Outage {
     notify: Notify,
-    down: Cell<Duration>,
+    over: Notify,
+    down: Cell<Option<Duration>>,
 }
 
 impl Outage {
-    /// Closes the listener and all connections; they come back after `down`.
-    pub fn begin(&self, down: Duration) {
+    /// Closes the listener and all connections; they come back after `down`, or at
+    /// [`Outage::end`].
+    pub fn begin(&self, down: Option<Duration>) {
         self.down.set(down);
         self.notify.notify_one();
     }
 
+    /// Ends an outage early.
+    pub fn end(&self) {
+        self.over.notify_waiters();
+    }
+
     /// Restarts `server` after each outage, forever.
     pub async fn supervise(self: Rc<Self>, mut server: Server, handler: Handler) {
         loop {
             self.notify.notified().await;
             let address = server.address();
             server.stop().await;
-            actix_rt::time::sleep(self.down.get()).await;
+            tokio::select! {
+                () = self.over.notified() => {}
+                () = pause(self.down.get()) => {}
+            }
             server = loop {
                 match Server::bind(address, Rc::clone(&handler)).await {
                     Ok(server) => break server,
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -81,6 +81,7 @@
         event_lag: millis(flags.event_lag_ms, usual.event_lag),
         event_gap: flags.event_gap.unwrap_or(usual.event_gap),
         fencing: flags.fencing.unwrap_or(usual.fencing),
+        weights: flags.weights,
         crash,
     };
     let history = history::Writer::open(flags.history.as_deref())?;
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -78,7 +78,8 @@
     Hang,
     /// With status 503.
     Error,
-    /// By closing all connections, and refusing new ones, of all three services.
+    /// By closing all connections, and refusing new ones, of all three services, until any of them
+    /// gets another mode.
     Close,
 }
 
@@ -207,11 +208,12 @@
         .find_map(|prefix| path.strip_prefix(prefix).map(|rest| format!("/{rest}")))
         .unwrap_or(path);
     if let Some(key) = path.strip_prefix("/v1/values/") {
-        let refused = state.switches.config.pass().await;
-        return match refused {
-            Some(reply) => reply,
-            None => state.values.read(key, &call).await,
-        };
+        if let Some(refused) = state.switches.config.pass().await {
+            return refused;
+        }
+        let reply = state.values.read(key, &call).await;
+        // The service may have stopped answering while a watch was pending.
+        return state.switches.config.pass().await.unwrap_or(reply);
     }
     if path == "/v1/hosts" {
         let refused = state.switches.hosts.pass().await;
@@ -243,9 +245,9 @@
     if verb == "mode" {
         let change: Change = call.json()?;
         if change.mode == Mode::Close {
-            let down = Duration::from_millis(change.for_ms.unwrap_or(u64::MAX / 2_000));
-            state.outage.begin(down);
+            state.outage.begin(change.for_ms.map(Duration::from_millis));
         } else {
+            state.outage.end();
             switch.set(change);
         }
         return Ok(http::done());
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -8,7 +8,7 @@
 use awc::http::StatusCode;
 use serde_json::{json, Value};
 use support::{any, get, is_complete, lines, pause, post, post_raw, read, run, send, until};
-use tsw_fake::{engine, history, names};
+use tsw_fake::{engine, history, names, platform};
 
 struct Fleet {
     fleet: engine::Fleet,
@@ -281,6 +281,31 @@
     });
 }
 
+/// Guards against models that are loaded above the rate limit of the weight store, or not at all.
+#[test]
+fn ordered_models_are_loaded_from_the_weight_store() {
+    run(async {
+        let options = platform::Options {
+            weight_rate: 1,
+            ..platform::Options::default()
+        };
+        let store = platform::Platform::bind(options)
+            .await
+            .expect("a free port");
+        let mut options = fast();
+        options.weights = Some(format!("http://{}", store.address()));
+        let fleet = Fleet::start(1, options).await;
+        let order = json!({"fence": 1, "models": ["a", "b"], "role": "all"});
+        let sent = post(fleet.address(0), "/v1/orders", &order.to_string()).await;
+        assert_eq!(sent.0, StatusCode::OK);
+        assert!(fleet.stats(0).loaded.len() < 2);
+        until(|| async { fleet.stats(0).loaded == ["a", "b"] }).await;
+        assert!(fleet.stats(0).weights_refused >= 1);
+        let stats: Value = read(store.control(), "/control/weights/stats").await;
+        assert_eq!(stats["reads"], json!({"a": 1, "b": 1}));
+    });
+}
+
 /// Guards against a crash that leaves streams open, ends them cleanly, or takes other engines down.
 #[test]
 fn a_crash_breaks_the_streams_of_one_engine_for_a_time() {
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -155,6 +155,49 @@
     });
 }
 
+/// Guards against a watch that is answered by a service that does not answer.
+#[test]
+fn a_pending_watch_stops_with_the_service() {
+    run(async {
+        let platform = start().await;
+        let address = platform.address();
+        put(platform.control(), 1).await;
+        let path = format!("{VALUE}?after=1&wait_ms=5000");
+        let watch = actix_rt::spawn(async move { get(address, &path).await });
+        pause(50).await;
+        control(&platform, "/control/config/mode", &json!({"mode": "hang"})).await;
+        put(platform.control(), 2).await;
+        let cut = actix_rt::time::timeout(std::time::Duration::from_millis(200), watch).await;
+        assert!(cut.is_err());
+        control(
+            &platform,
+            "/control/config/mode",
+            &json!({"mode": "answer"}),
+        )
+        .await;
+        assert_eq!(get(address, VALUE).await.1, r#"{"revision":2}"#);
+    });
+}
+
+/// Guards against an outage without an end.
+#[test]
+fn closed_listeners_open_again() {
+    run(async {
+        let platform = start().await;
+        let address = platform.address();
+        put(platform.control(), 1).await;
+        control(&platform, "/control/config/mode", &json!({"mode": "close"})).await;
+        until(|| async { send(Method::GET, address, VALUE, &[], "").await.is_err() }).await;
+        control(
+            &platform,
+            "/control/config/mode",
+            &json!({"mode": "answer"}),
+        )
+        .await;
+        until(|| async { send(Method::GET, address, VALUE, &[], "").await.is_ok() }).await;
+    });
+}
+
 fn entry(host: &str, domain: &str) -> Value {
     json!({"host": host, "domain": domain, "role": "router", "state": "live",
         "address": "127.0.0.1:7000", "peer_address": "127.0.0.1:7001"})
