--- a/crates/toucan/src/keys.rs
+++ b/crates/toucan/src/keys.rs
@@ -49,8 +49,9 @@
         /// The cause.
         source: io::Error,
     },
-    /// A record key was deleted, but its public part is still there.
-    #[error("{} is still there without its private key; move it to the archive of public keys, as old records need it", path.display())]
+    /// A record key was deleted, but its public part is still there. A host name keeps its record key
+    /// for good, because an auditor knows one key for each host.
+    #[error("{} is still there without its private key; restore the key, or give the host a new name, as old records need the public key", path.display())]
     Public {
         /// The public key.
         path: PathBuf,
