Fail the check of an empty directory and accept a closed output

Ruled out: resetting the signal for broken pipes, which needs unsafe code. Before and after: exit code 101 with a panic; now 0. An empty directory passed; now it is a fault.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -178,7 +178,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file cannot be read.
-    #[error("cannot read settings {}: {source}; give a readable file with --config", path.display())]
+    #[error("cannot read settings {}: {source}; give a readable settings file", path.display())]
     Read {
         /// The file.
         path: PathBuf,
--- a/crates/fake/src/booking.rs
+++ b/crates/fake/src/booking.rs
@@ -100,6 +100,8 @@
     options: Options,
     history: history::Writer,
     bookings: Vec<Booking>,
+    /// Executions by key, or request identifier of a request without a key.
+    counts: IndexMap<String, u64>,
     stats: Stats,
     /// Changes with each crash, so that an execution from before it does not end afterwards.
     generation: u64,
@@ -179,6 +181,7 @@
             options,
             history,
             bookings: Vec::new(),
+            counts: IndexMap::new(),
             stats: Stats::default(),
             generation: 0,
             slow: (1.0, None),
@@ -271,9 +274,11 @@
         let line = self.line(history::Event::Start, Some(&booking));
         self.history.write(&line);
         let identity = booking.request.identity().to_owned();
-        let before = self.bookings.iter();
-        let before = before.filter(|b| !identity.is_empty() && b.request.identity() == identity);
-        self.stats.repeated += u64::from(before.count() == 1);
+        if !identity.is_empty() {
+            let count = self.counts.entry(identity).or_default();
+            *count += 1;
+            self.stats.repeated += u64::from(*count == 2);
+        }
         self.stats.started += 1;
         self.stats.running += 1;
         if self.leaving_ms().is_some_and(|ms| ms > LEAVING_GRACE_MS) {
--- a/crates/toucan/src/audit.rs
+++ b/crates/toucan/src/audit.rs
@@ -111,7 +111,7 @@
                 receipts,
                 unsigned,
             } = summary;
-            println!(
+            crate::say!(
                 "{lines} records in {chains} chains are complete and unchanged; {heads} signed \
                  heads and {receipts} receipts match; {unsigned} records follow the last signed \
                  head of their chain"
@@ -127,9 +127,9 @@
             match place {
                 Some(record) => {
                     let (path, line) = (record.path.display(), record.line);
-                    println!("{path}:{line}: record {seq} of chain {chain} {kind}");
+                    crate::say!("{path}:{line}: record {seq} of chain {chain} {kind}");
                 }
-                None => println!("record {seq} of chain {chain} {kind}, as a receipt shows"),
+                None => crate::say!("record {seq} of chain {chain} {kind}, as a receipt shows"),
             }
             Ok(Outcome::Faults)
         }
--- a/crates/toucan/src/bundle.rs
+++ b/crates/toucan/src/bundle.rs
@@ -58,7 +58,7 @@
         path: out.to_owned(),
         source,
     })?;
-    println!(
+    crate::say!(
         "{}: revision {revision}, {} teams, {} services, {} of {} bytes, digest {}",
         out.display(),
         bundle.teams.len(),
--- a/crates/toucan/src/check.rs
+++ b/crates/toucan/src/check.rs
@@ -1,6 +1,6 @@
 //! `toucan check`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use tsw_config::{check, collect, settings};
 
@@ -14,29 +14,46 @@
     }
     let mut count = 0;
     for path in paths {
-        if path.is_dir() {
-            let set = check::Set::read(&collect::walk(path)?);
-            for fault in set.faults() {
-                println!("{fault}");
-            }
-            count += set.faults().len();
-            let (teams, services) = (set.teams(), set.services());
-            println!("{}: teams: {teams}, services: {services}", path.display());
-        } else {
-            match settings::Settings::load(path) {
-                Ok(settings) => println!("{}: settings of {}", path.display(), settings.host),
-                Err(fault) => {
-                    println!("{fault}");
-                    count += 1;
-                }
-            }
-        }
+        count += match path.is_dir() {
+            true => directory(path)?,
+            false => file(path),
+        };
+    }
+    if count == 0 {
+        return Ok(Outcome::Success);
+    }
+    crate::say!("{count} faults found");
+    Ok(Outcome::Faults)
+}
+
+/// Checks team and service files; returns the number of faults. A directory without any counts as a
+/// fault, because it is most likely the wrong one.
+fn directory(path: &Path) -> Result<usize, collect::Error> {
+    let files = collect::walk(path)?;
+    let shown = path.display();
+    if files.is_empty() {
+        crate::say!("{shown}: no *.team.yaml and no *.service.yaml; give the directory with them");
+        return Ok(1);
     }
-    match count {
-        0 => Ok(Outcome::Success),
-        count => {
-            println!("{count} faults found");
-            Ok(Outcome::Faults)
+    let set = check::Set::read(&files);
+    for fault in set.faults() {
+        crate::say!("{fault}");
+    }
+    let (teams, services) = (set.teams(), set.services());
+    crate::say!("{shown}: teams: {teams}, services: {services}");
+    Ok(set.faults().len())
+}
+
+/// Checks a settings file; returns the number of faults.
+fn file(path: &Path) -> usize {
+    match settings::Settings::load(path) {
+        Ok(settings) => {
+            crate::say!("{}: settings of {}", path.display(), settings.host);
+            0
+        }
+        Err(fault) => {
+            crate::say!("{fault}");
+            1
         }
     }
 }
--- a/crates/toucan/src/keys.rs
+++ b/crates/toucan/src/keys.rs
@@ -140,7 +140,7 @@
     let (key_file, file) = (format!("{host}.key"), format!("{host}.pem"));
     let (key_path, path) = (directory.join(&key_file), directory.join(&file));
     if key_path.exists() && path.exists() {
-        println!("kept {}", path.display());
+        crate::say!("kept {}", path.display());
         return Ok(());
     }
     for stale in [&key_path, &path] {
@@ -207,7 +207,7 @@
     let path = directory.join(file);
     let token = fs::read_to_string(&path).map_err(|source| Error::File { path, source })?;
     let digest = hex::encode(Sha256::digest(token.trim().as_bytes()));
-    println!("team {team}: tokens: [\"{digest}\"]");
+    crate::say!("team {team}: tokens: [\"{digest}\"]");
     Ok(())
 }
 
@@ -226,7 +226,7 @@
 ) -> Result<(), Error> {
     let path = directory.join(file);
     if path.exists() {
-        println!("kept {}", path.display());
+        crate::say!("kept {}", path.display());
         return Ok(());
     }
     let content = content().map_err(|source| Error::Generate {
@@ -240,6 +240,6 @@
         path: path.clone(),
         source,
     })?;
-    println!("made {}", path.display());
+    crate::say!("made {}", path.display());
     Ok(())
 }
--- a/crates/toucan/src/main.rs
+++ b/crates/toucan/src/main.rs
@@ -2,6 +2,15 @@
 
 use std::process::ExitCode;
 
+/// Prints a line to standard output. A reader that has closed it, such as `head`, is no failure.
+macro_rules! say {
+    ($($part:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($part)*);
+    }};
+}
+pub(crate) use say;
+
 mod audit;
 mod bundle;
 mod check;
--- a/crates/toucan/src/operator.rs
+++ b/crates/toucan/src/operator.rs
@@ -98,8 +98,8 @@
     let pretty = serde_json::from_slice::<serde_json::Value>(body)
         .and_then(|value| serde_json::to_string_pretty(&value));
     match pretty {
-        Ok(text) => println!("{text}"),
-        Err(_) => println!("{}", String::from_utf8_lossy(body).trim_end()),
+        Ok(text) => crate::say!("{text}"),
+        Err(_) => crate::say!("{}", String::from_utf8_lossy(body).trim_end()),
     }
     Ok(())
 }
--- a/crates/toucan/tests/config.rs
+++ b/crates/toucan/tests/config.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::process::{Command, Stdio};
+
 use support::{toucan, Directory};
 use tsw_config::bundle;
 
@@ -74,6 +76,15 @@
     assert!(run.out.contains("line 2"), "{run:?}");
 }
 
+/// Guards against the check of a wrong directory that passes.
+#[test]
+fn a_directory_without_files_is_a_fault() {
+    let directory = Directory::new();
+    let run = toucan(&["check", directory.text()]);
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(run.out.contains("no *.team.yaml"), "{run:?}");
+}
+
 /// Guards against a bundle that routers refuse.
 #[test]
 fn a_bundle_can_be_read_by_routers() {
@@ -131,3 +142,19 @@
     assert_eq!(run.code, 1, "{run:?}");
     assert!(run.err.contains("no *.service.yaml"), "{run:?}");
 }
+
+/// Guards against a panic when the reader of the output closes it, as `head` does.
+#[test]
+fn a_closed_output_is_no_failure() {
+    let directory = Directory::valid();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_toucan"))
+        .args(["check", directory.text()])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("it ends");
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+}
