Set the stop signal's handler before the stand-ins report ready

Cause: a test failed once in six runs; SIGTERM right after the ready line killed the program. Ruled out: a slow start; the signal arrived before its handler existed. Conclusion: whoever reads the ready line can stop the program at once.

--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -130,8 +130,9 @@
     for (name, address) in listen {
         line.push_str(&format!(" {name}={address}"));
     }
-    println!("{line} control={control}");
+    // The handler is in place before the line, because whoever reads the line may stop the program.
     let mut stop = unix::signal(unix::SignalKind::terminate())?;
+    println!("{line} control={control}");
     tokio::select! {
         _ = stop.recv() => Ok(()),
         interrupted = tokio::signal::ctrl_c() => Ok(interrupted?),
