Keep bookings single, stops clean and dead upstreams idle

Cause: the HTTP client reports a connection that closed after the request was written as a connect error, so a booking could have been sent twice; stops reset late connections; a dead upstream was granted in a loop. Ruled out: pausing the accept thread; the kernel would still accept connections. Conclusion: bookings use fresh connections, the callers' listener closes first, State::Unreachable and Lane::hold (crate grant) end the loops.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -52,6 +52,8 @@
     Stopped = 104 Info "stopped";
     /// The longest graceful shutdown is over while requests are in flight.
     DrainOverdue = 105 Error "drain-overdue";
+    /// A connection cannot be accepted.
+    AcceptFailed = 106 Error "accept-failed";
     /// A bundle is in force.
     BundleAdopted = 201 Info "bundle-adopted";
     /// A bundle failed its checks; the accepted one stays.
@@ -114,6 +116,10 @@
     PoisonConfirmed = 410 Error "poison-confirmed";
     /// A suspected fingerprint was cleared.
     PoisonCleared = 411 Info "poison-cleared";
+    /// An upstream accepts no connection; it gets one request at a time until one succeeds.
+    UpstreamDown = 412 Warn "upstream-down";
+    /// An upstream that accepted no connection answers again.
+    UpstreamUp = 413 Info "upstream-up";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/grant/src/entry.rs
+++ b/crates/grant/src/entry.rs
@@ -330,6 +330,9 @@
         }
         let request = self.pick(&grant).filter(|_| fresh && current);
         let Some(request) = request else {
+            if let Some(lane) = self.lanes.get_mut(&(grant.team.clone(), grant.class)) {
+                lane.hold(now);
+            }
             return commands.push(self.unused(from, grant.id));
         };
         self.remove(request);
--- a/crates/grant/src/entry/lane.rs
+++ b/crates/grant/src/entry/lane.rs
@@ -37,6 +37,8 @@
     told: HashMap<Peer, Told>,
     /// Where in the list of homes a short backlog starts to ask.
     turn: usize,
+    /// Until when nothing more is advertised.
+    held: time::Tick,
 }
 
 impl Lane {
@@ -47,6 +49,7 @@
             waiting: BTreeMap::new(),
             told: HashMap::new(),
             turn,
+            held: time::Tick::ZERO,
         }
     }
 
@@ -81,6 +84,14 @@
         }
     }
 
+    /// Advertises nothing for a while, because no waiting request may use a grant that arrived. A
+    /// home that was asked again at once would grant the same upstream again and again.
+    pub fn hold(&mut self, now: time::Tick) {
+        if !self.waiting.is_empty() {
+            self.held = now + BATCH;
+        }
+    }
+
     /// Forgets what a home was told, as it is new or lost it.
     pub fn forget(&mut self, peer: Peer) {
         self.told.remove(&peer);
@@ -117,6 +128,9 @@
         (tick, refresh): (bool, time::Span),
     ) -> Option<Line> {
         let part = self.part(now, place, homes);
+        if part > 0 && now < self.held {
+            return None;
+        }
         let told = self.told.get(&peer).copied();
         let counted = told.map_or(0, |told| told.counted);
         let quiet = told.map_or(time::Span::MAX, |told| now.since(told.at));
--- a/crates/grant/src/home/receive.rs
+++ b/crates/grant/src/home/receive.rs
@@ -64,7 +64,7 @@
                 State::Started | State::Running { .. } => run.confirmed = true,
                 State::Finished { .. } => self.settle(now, report.id, End::Finished),
                 State::Failed => self.settle(now, report.id, End::Failed),
-                State::Unused => self.settle(now, report.id, End::Unused),
+                State::Unused | State::Unreachable => self.settle(now, report.id, End::Unused),
             }
         }
     }
--- a/crates/grant/src/message.rs
+++ b/crates/grant/src/message.rs
@@ -125,6 +125,8 @@
     Failed,
     /// No request was sent; the slot is free.
     Unused,
+    /// No request was sent, because the upstream accepts no connection; the slot is free.
+    Unreachable,
 }
 
 /// All grants that an entry router uses. Entry router to home, at session start and when the home
--- /dev/null
+++ b/crates/toucand/src/accept.rs
@@ -0,0 +1,77 @@
+//! The listener for callers.
+//!
+//! It is kept apart from the HTTP server of the operators, because a planned stop closes it first: a
+//! caller that connects late is then refused and goes elsewhere, while open connections are served.
+
+use std::{net::TcpListener, rc::Rc, time::Duration};
+
+use actix_http::{HttpService, KeepAlive, Request};
+use actix_rt::time;
+use actix_service::{Service, ServiceFactory};
+use tsw_event::{emit, Event};
+
+use crate::{caller, router::Router};
+
+/// Pause after a failure to accept, such as a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections of callers until the router closes the listener.
+pub async fn run(router: Rc<Router>, listener: TcpListener) {
+    let handler = router.clone();
+    // A caller that closes its side of the connection has given up, so half-closed connections are
+    // not kept.
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(Duration::from_secs(60)))
+        .client_request_timeout(Duration::from_secs(10))
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .h1_allow_half_closed(false)
+        .finish(move |request: Request| caller::handle(handler.clone(), request))
+        .tcp_auto_h2c();
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let listener = listener
+        .set_nonblocking(true)
+        .and_then(|()| tokio::net::TcpListener::from_std(listener));
+    let listener = match listener {
+        Ok(listener) => listener,
+        Err(error) => return emit(Event::AcceptFailed, &[("cause", &error)]),
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = router.close_callers.notified() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = service.call(stream);
+                let open = Open::new(&router);
+                actix_rt::spawn(async move {
+                    // An error concerns this connection only, and its caller sees it too.
+                    let _ = serving.await;
+                    drop(open);
+                });
+            }
+            Err(error) => {
+                emit(Event::AcceptFailed, &[("cause", &error)]);
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts a connection while it lives.
+struct Open(Rc<Router>);
+
+impl Open {
+    fn new(router: &Rc<Router>) -> Self {
+        router.connections.set(router.connections.get() + 1);
+        Self(router.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
--- a/crates/toucand/src/booking.rs
+++ b/crates/toucand/src/booking.rs
@@ -25,7 +25,7 @@
 /// Longest wait of a call with a key for a router that starts.
 const START_WAIT: Duration = Duration::from_secs(3);
 /// Workers that are tried when no connection can be made.
-const MAX_ATTEMPTS: u32 = 5;
+const MAX_ATTEMPTS: u32 = 20;
 
 /// Answers a non-idempotent call.
 ///
--- a/crates/toucand/src/caller.rs
+++ b/crates/toucand/src/caller.rs
@@ -23,6 +23,9 @@
     stream::{Failure, Output, Relay},
 };
 
+/// Longest time for which an answer with a permit is kept: its witnesses may be gone later.
+const MAX_PERMIT_KEEP_MS: u64 = 5_000;
+
 #[derive(Serialize)]
 struct Located {
     addresses: Vec<Place>,
@@ -47,6 +50,7 @@
 ///
 /// Never fails; faults become answers.
 pub async fn handle(router: Rc<Router>, mut request: Request) -> Result<Reply, Infallible> {
+    router.last_request.set(router.now());
     let given = call::request_id(request.headers());
     let request_id = match &given {
         Ok(Some(id)) => id.clone(),
@@ -112,6 +116,8 @@
     if *request.method() != Method::GET {
         return Err(Refusal::Method);
     }
+    // An answer without a permit would be kept for a while, so there is none before or after work.
+    router.check_open()?;
     let query = request.uri().query().unwrap_or_default();
     let service = query
         .split('&')
@@ -128,9 +134,14 @@
     } else {
         None
     };
+    let keep_ms = router.settings().tuning.keep_ms;
     let located = Located {
         addresses: router.places(),
-        keep_ms: router.settings().tuning.keep_ms,
+        keep_ms: if service.repeatable {
+            keep_ms
+        } else {
+            keep_ms.min(MAX_PERMIT_KEEP_MS)
+        },
         permit,
     };
     Ok(reply::json(StatusCode::OK, &located))
--- a/crates/toucand/src/engine.rs
+++ b/crates/toucand/src/engine.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 
-use crate::{call::Call, request::Running, router::Router, slot::Slot};
+use crate::{call::Call, plain, request::Running, router::Router, slot::Slot};
 
 /// Longest time for a connection and the head of a response. Tokens come later.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -142,9 +142,9 @@
     let sending = time::timeout(HEAD_TIMEOUT, request.send_json(&body));
     let response = match sending.await {
         Err(_) | Ok(Err(SendRequestError::Timeout)) => return Err(Broken::Timeout),
-        Ok(Err(SendRequestError::Connect(error))) => {
+        Ok(Err(error)) if plain::is_unsent(&error) => {
             if let Some(slot) = attempt.slot.take() {
-                slot.unused();
+                slot.unreachable();
             }
             return Err(Broken::Unreachable(error.to_string()));
         }
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -8,10 +8,11 @@
 //! - State: [`router`], [`state`], [`out`], [`task`].
 //! - Controllers: [`membership`], [`configuration`], [`scheduling`], [`tables`], [`poison`],
 //!   [`placement`], [`audit`], [`health`].
-//! - Requests: [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
+//! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
 //!   [`booking`], [`refusal`], [`reply`].
 //! - Others: [`peers`], [`platform`], [`hosts`], [`operator`], [`metrics`], [`recent`].
 
+pub mod accept;
 pub mod audit;
 pub mod booking;
 pub mod call;
--- a/crates/toucand/src/plain.rs
+++ b/crates/toucand/src/plain.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{header::CONTENT_TYPE, Method};
 use actix_rt::time;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
 use tsw_base::{name, time::Tick};
 use tsw_once::{End, Response};
@@ -47,6 +47,18 @@
     Deadline,
 }
 
+/// Returns whether an error shows that no byte of the request was sent. The client also reports a
+/// connection that closed after the request was written as a connect error.
+#[must_use]
+pub const fn is_unsent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(error) => {
+            !matches!(error, ConnectError::Disconnected | ConnectError::H2(_))
+        }
+        _ => false,
+    }
+}
+
 /// Sends a request to the worker of a slot and reads the whole response.
 ///
 /// # Errors
@@ -59,8 +71,13 @@
     deadline: Tick,
 ) -> Result<Response, Fault> {
     let url = format!("http://{}{}", slot.address(), request.path);
-    let mut builder = router
-        .client
+    // A kept connection may have been closed by the worker, and a request that is written to it may
+    // or may not have arrived. A call that may run only once gets a connection of its own.
+    let client = match request.key {
+        Some(_) => &router.fresh_client,
+        None => &router.client,
+    };
+    let mut builder = client
         .request(request.method.clone(), url)
         .insert_header(("toucan-request-id", &*request.request_id))
         .insert_header(("toucan-team", request.team.as_str()));
@@ -95,8 +112,8 @@
             Ok(response)
         }
         Ok(Ok(Err(error))) => Err(Fault::Broken(error.to_string())),
-        Ok(Err(SendRequestError::Connect(error))) => {
-            slot.unused();
+        Ok(Err(error)) if is_unsent(&error) => {
+            slot.unreachable();
             Err(Fault::Unreachable(error.to_string()))
         }
         Ok(Err(error)) => Err(Fault::Broken(error.to_string())),
--- a/crates/toucand/src/router.rs
+++ b/crates/toucand/src/router.rs
@@ -3,8 +3,9 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::TcpListener,
     rc::{Rc, Weak},
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -36,6 +37,8 @@
     pub settings: settings::Settings,
     /// Keys.
     pub keys: Keys,
+    /// Listener for callers, until the router takes it.
+    pub callers: Mutex<Option<TcpListener>>,
     /// Asks the router to finish its work and stop.
     pub stop: Notify,
     /// Tells the main thread that the router has ended.
@@ -53,6 +56,25 @@
     Draining,
 }
 
+/// Time for which an idle connection to an upstream is kept. Common servers close theirs after 5 s.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
+
+fn client(keep_alive: Duration) -> awc::Client {
+    let connector = awc::Connector::new()
+        .limit(0)
+        .timeout(Duration::from_secs(1))
+        .conn_keep_alive(keep_alive);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+/// Messages of this router to itself that are delivered after one decision. The rest waits for the
+/// next one, so that two controllers that keep answering each other do not stop the process.
+const LOCAL_MESSAGES: usize = 1_024;
+
 /// The router process. All its tasks run on one thread.
 pub struct Router {
     plan: Arc<Plan>,
@@ -60,6 +82,8 @@
     clock: Clock,
     /// Client for upstreams and platform.
     pub client: awc::Client,
+    /// Client that uses a connection for one request only.
+    pub fresh_client: awc::Client,
     /// Metrics.
     pub metrics: Metrics,
     state: RefCell<State>,
@@ -68,6 +92,10 @@
     recent: RefCell<recent::Ring>,
     requests: Cell<u64>,
     in_flight: Cell<u64>,
+    pub(crate) connections: Cell<u64>,
+    pub(crate) last_request: Cell<Tick>,
+    /// Asks the callers' listener to close.
+    pub close_callers: Notify,
     /// Wakes the reader of the host list.
     pub hosts_wanted: Notify,
     /// Wakes the timer of the scheduling.
@@ -88,22 +116,16 @@
             host: settings.host.clone(),
             incarnation: host::Incarnation::new(clock::unix_micros() / 1_000, rand::random()),
         };
-        let connector = awc::Connector::new()
-            .limit(0)
-            .timeout(Duration::from_secs(1))
-            .conn_keep_alive(Duration::from_secs(30));
-        let client = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .finish();
+        let (kept, fresh_client) = (client(KEEP_ALIVE), client(Duration::ZERO));
+
         let metrics = Metrics::new()?;
         let clock = Clock::start();
         let state = State::new(&plan, &id);
         Ok(Rc::new_cyclic(|this| Self {
             id,
             clock,
-            client,
+            client: kept,
+            fresh_client,
             metrics,
             state: RefCell::new(state),
             phase: Cell::new(Phase::Starting),
@@ -111,6 +133,9 @@
             recent: RefCell::default(),
             requests: Cell::new(0),
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
+            last_request: Cell::new(Tick::ZERO),
+            close_callers: Notify::new(),
             hosts_wanted: Notify::new(),
             ticks_wanted: Notify::new(),
             lines: RefCell::default(),
@@ -149,7 +174,10 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let result = decide(&mut state, now);
-        while let Some(message) = state.out.next_local() {
+        for _ in 0..LOCAL_MESSAGES {
+            let Some(message) = state.out.next_local() else {
+                break;
+            };
             let me = self.id.clone();
             state.receive(now, &me, message);
         }
--- a/crates/toucand/src/scheduling.rs
+++ b/crates/toucand/src/scheduling.rs
@@ -486,7 +486,7 @@
         now: Tick,
         health: &mut health::Controller,
         membership: &membership::Controller,
-        changed: &IndexMap<name::Upstream, (name::Service, u32)>,
+        changed: &health::Changes,
     ) {
         for (upstream, (service, limit)) in changed {
             let listed = board.hosts.upstreams.get(upstream);
--- a/crates/toucand/src/serve.rs
+++ b/crates/toucand/src/serve.rs
@@ -1,9 +1,17 @@
 //! The HTTP servers and the life of the process.
 
-use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use actix_http::{HttpService, KeepAlive, Request};
+use actix_http::{error::DispatchError, HttpService, KeepAlive, Request};
+use actix_rt::net::TcpStream;
 use actix_server::Server;
+use actix_service::boxed::{self, BoxServiceFactory};
 use tokio::{
     signal::unix::{signal, SignalKind},
     sync::{mpsc, Notify},
@@ -12,7 +20,7 @@
 use tsw_event::{emit, Event};
 
 use crate::{
-    caller, keys, operator,
+    keys, operator,
     router::{Plan, Router},
     start,
 };
@@ -62,28 +70,27 @@
     }
 }
 
-macro_rules! service {
-    ($plan:expr, $handle:path, $half_closed:expr) => {{
-        let plan = $plan.clone();
-        move || {
-            let router = router(&plan);
-            HttpService::build()
-                .keep_alive(KeepAlive::Timeout(Duration::from_secs(60)))
-                .client_request_timeout(Duration::from_secs(10))
-                .client_disconnect_timeout(Duration::from_secs(1))
-                .h1_allow_half_closed($half_closed)
-                .finish(move |request: Request| {
-                    let router = router.clone();
-                    async move {
-                        match router {
-                            Some(router) => $handle(router, request).await,
-                            None => std::future::pending().await,
-                        }
+/// Returns the factory of the operators' HTTP service. It makes the router on the worker's thread.
+fn operators(
+    plan: Arc<Plan>,
+) -> impl Fn() -> BoxServiceFactory<(), TcpStream, (), DispatchError, ()> + Clone + Send {
+    move || {
+        let router = router(&plan);
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(Duration::from_secs(60)))
+            .client_request_timeout(Duration::from_secs(10))
+            .finish(move |request: Request| {
+                let router = router.clone();
+                async move {
+                    match router {
+                        Some(router) => operator::handle(router, request).await,
+                        // The process is about to end.
+                        None => std::future::pending().await,
                     }
-                })
-                .tcp_auto_h2c()
-        }
-    }};
+                }
+            });
+        boxed::factory(service.tcp_auto_h2c())
+    }
 }
 
 /// Runs a router with the given settings until it has stopped gracefully.
@@ -94,38 +101,29 @@
 pub async fn run(settings: settings::Settings) -> Result<(), Error> {
     let keys = keys::Keys::load(&settings)?;
     let listen = settings.listen.clone();
+    let bind = |key, address| {
+        move |source| Error::Bind {
+            key,
+            address,
+            source,
+        }
+    };
+    let callers = TcpListener::bind(listen.caller).map_err(bind("caller", listen.caller))?;
     let (end, mut ended) = mpsc::unbounded_channel();
     let plan = Arc::new(Plan {
         settings,
         keys,
+        callers: Mutex::new(Some(callers)),
         stop: Notify::new(),
         end,
     });
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
-    let bind = |key, address| {
-        move |source| Error::Bind {
-            key,
-            address,
-            source,
-        }
-    };
-    // A caller that closes its side of the connection has given up, so half-closed connections are
-    // not kept.
+    // The only worker runs all of the router. More than one would each make a router.
     let server = Server::build()
         .workers(1)
         .disable_signals()
         .shutdown_timeout(1)
-        .bind(
-            "callers",
-            listen.caller,
-            service!(plan, caller::handle, false),
-        )
-        .map_err(bind("caller", listen.caller))?
-        .bind(
-            "operators",
-            listen.operator,
-            service!(plan, operator::handle, true),
-        )
+        .bind("operators", listen.operator, operators(plan.clone()))
         .map_err(bind("operator", listen.operator))?
         .run();
     let handle = server.handle();
--- a/crates/toucand/src/slot.rs
+++ b/crates/toucand/src/slot.rs
@@ -125,9 +125,9 @@
         self.state = State::Finished { pace };
     }
 
-    /// Releases the slot of a request that certainly did not reach the upstream.
-    pub fn unused(mut self) {
-        self.state = State::Unused;
+    /// Releases the slot of a request that was not sent because the upstream accepts no connection.
+    pub fn unreachable(mut self) {
+        self.state = State::Unreachable;
     }
 }
 
--- a/crates/toucand/src/start.rs
+++ b/crates/toucand/src/start.rs
@@ -13,7 +13,7 @@
 use tsw_wire::message::{Fetch, Message};
 
 use crate::{
-    metrics, peers, platform,
+    accept, metrics, peers, platform,
     router::{Phase, Plan, Router},
 };
 
@@ -37,6 +37,9 @@
 const BUSY_TICK: Duration = Duration::from_millis(10);
 /// Time after the last request in which late messages and responses still leave.
 const LINGER: Duration = Duration::from_millis(500);
+/// Time without a request after which the connections of callers are closed at the end. Each request
+/// until then is answered, and asked to close its connection.
+const QUIET: Duration = Duration::from_millis(1_500);
 
 /// Why the router cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -86,6 +89,10 @@
 }
 
 async fn begin(router: &Rc<Router>) -> Result<(), Error> {
+    let callers = router.plan().callers.lock();
+    if let Some(listener) = callers.ok().and_then(|mut callers| callers.take()) {
+        actix_rt::spawn(accept::run(router.clone(), listener));
+    }
     let link = peers::listen(router)?;
     router.act(|state, _| state.out.connect(link));
     first_hosts(router).await?;
@@ -279,6 +286,12 @@
     }
 }
 
+/// Returns whether callers have left: no connection is open, or none was used for a while.
+fn is_quiet(router: &Router) -> bool {
+    let silence = router.now().since(router.last_request.get());
+    router.connections.get() == 0 || silence.as_duration() >= QUIET
+}
+
 /// Finishes the requests in flight and leaves the fleet.
 async fn drain(router: &Rc<Router>) {
     router.set_phase(Phase::Draining);
@@ -286,7 +299,8 @@
     router.act(|state, now| state.leave(now));
     let limit = Duration::from_millis(router.settings().tuning.drain_ms);
     let until = Instant::now() + limit;
-    while router.in_flight() > 0 && Instant::now() < until {
+    router.close_callers.notify_one();
+    while (router.in_flight() > 0 || !is_quiet(router)) && Instant::now() < until {
         time::sleep(Duration::from_millis(20)).await;
     }
     if router.in_flight() > 0 {
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -214,6 +214,7 @@
             out,
             scheduling,
             health,
+            membership,
             ..
         } = self;
         let from = from.clone();
@@ -226,7 +227,8 @@
                 (demand.service.clone(), home::Event::Demand { from, demand })
             }
             Message::Release(release) => {
-                health.released(board, now, &release);
+                let changed = health.released(board, now, &release);
+                scheduling.set_limits(board, out, now, health, membership, &changed);
                 (
                     release.service.clone(),
                     home::Event::Release { from, release },
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -10,7 +10,10 @@
 use futures_util::future::{pending, LocalBoxFuture};
 use serde_json::{Map, Value};
 use sha2::{Digest, Sha256};
-use tsw_base::time::{Span, Tick};
+use tsw_base::{
+    name,
+    time::{Span, Tick},
+};
 use tsw_event::Event;
 use tsw_grant::message::Class;
 use tsw_health::pace::Stream;
@@ -26,6 +29,8 @@
 
 /// Attempts of one request, so that a request that no engine completes ends.
 const MAX_ATTEMPTS: u32 = 5;
+/// Attempts of one request that end without a connection to the engine.
+const MAX_UNSENT: u32 = 20;
 /// Shortest time between two reports of the pace of a stream.
 const REPORT_PERIOD: Span = Span::from_millis(250);
 
@@ -67,8 +72,10 @@
     spare: Option<Spare>,
     hedging: bool,
     attempts: u32,
+    unsent: u32,
     ran: bool,
     last_error: Option<Broken>,
+    avoid: Option<name::Upstream>,
     next: u64,
     digest: Sha256,
     sent: Tick,
@@ -105,8 +112,10 @@
             spare: Some(Spare::Waiting(wait)),
             hedging: false,
             attempts: 1,
+            unsent: 0,
             ran: false,
             last_error: None,
+            avoid: None,
             next: 0,
             digest: Sha256::new(),
             sent: now,
@@ -191,6 +200,8 @@
     }
 
     fn granted(&mut self, slot: crate::slot::Slot) {
+        // A later attempt avoids this upstream unless this one succeeds.
+        self.avoid = Some(slot.upstream().clone());
         let opening = engine::open(
             self.router.clone(),
             slot,
@@ -361,10 +372,18 @@
 
     /// Asks for another slot after a failure, if the budget for retries allows it.
     fn again(&mut self) -> Result<Option<Output>, Failure> {
-        if self.attempts >= MAX_ATTEMPTS || (self.ran && !self.router.allow_retry(&self.call)) {
+        let unsent = matches!(self.last_error, Some(Broken::Unreachable(_)));
+        self.unsent += u32::from(unsent);
+        // An attempt that was not sent costs the upstreams nothing, so it has a limit of its own.
+        let allowed = if unsent {
+            self.unsent < MAX_UNSENT
+        } else {
+            self.attempts < MAX_ATTEMPTS && self.router.allow_retry(&self.call)
+        };
+        if !allowed {
             return Err(self.failure("upstream"));
         }
-        self.attempts += 1;
+        self.attempts += u32::from(!unsent);
         self.router.retried(&self.call, self.next);
         let class = if self.ran {
             Class::Urgent
@@ -375,7 +394,7 @@
     }
 
     fn wait(&mut self, class: Class) -> Result<Option<Output>, Failure> {
-        let wait = self.router.enqueue(&self.call, class, None);
+        let wait = self.router.enqueue(&self.call, class, self.avoid.clone());
         self.spare = Some(Spare::Waiting(wait));
         Ok(None)
     }
