Add the demonstration 'try' to tsw-load

Cause: a fresh checkout needs one command that shows the fleet at work. Ruled out: one kept locate answer for all teams; a permit is for one team only. Conclusion: callers also leave a router that answers 503, which is stopping.

--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -100,6 +100,7 @@
 struct Ended {
     outcome: Outcome,
     retry_after: Option<Duration>,
+    stopping: bool,
 }
 
 struct Shared {
@@ -109,7 +110,8 @@
     entries: Vec<Entry>,
     model: String,
     booking: String,
-    kept: RefCell<HashMap<(usize, String), Kept>>,
+    /// Answers by router, service and team; a permit is for one team.
+    kept: RefCell<HashMap<(usize, String, String), Kept>>,
     operations: Cell<u64>,
 }
 
@@ -190,7 +192,14 @@
             match ended.outcome {
                 Outcome::Complete => return ended.outcome,
                 Outcome::Unknown if wish.booking() => return ended.outcome,
-                Outcome::NotRun => key = None,
+                Outcome::NotRun => {
+                    key = None;
+                    // A router that stops is not to be asked again.
+                    if ended.stopping {
+                        self.forget(origin);
+                        origin += 1;
+                    }
+                }
                 Outcome::Unsent | Outcome::None => {
                     self.forget(origin);
                     origin += 1;
@@ -208,14 +217,14 @@
     fn forget(&self, origin: usize) {
         let origin = origin % self.shared.entries.len();
         let mut kept = self.shared.kept.borrow_mut();
-        kept.retain(|(from, _), _| *from != origin);
+        kept.retain(|(from, _, _), _| *from != origin);
     }
 
     /// Returns the kept answer of a router to "where to connect", or asks it.
-    async fn locate(&self, origin: usize, service: &str, token: &str) -> Option<Located> {
+    async fn locate(&self, origin: usize, service: &str, team: &plan::Team) -> Option<Located> {
         let shared = &self.shared;
         let origin = origin % shared.entries.len();
-        let slot = (origin, service.to_owned());
+        let slot = (origin, service.to_owned(), team.name.clone());
         if let Some(kept) = shared.kept.borrow().get(&slot) {
             if kept.until > Instant::now() {
                 return Some(kept.located.clone());
@@ -226,7 +235,8 @@
         let ask = async {
             let url = format!("http://{address}/v1/locate?service={service}");
             let request = shared.http.get(url);
-            let request = request.insert_header(("authorization", format!("Bearer {token}")));
+            let request =
+                request.insert_header(("authorization", format!("Bearer {}", team.token)));
             let mut reply = request.send().await.ok()?;
             let body = reply.body().await.ok()?;
             serde_json::from_slice::<Located>(&body).ok()
@@ -258,7 +268,7 @@
         } else {
             &shared.model
         };
-        let located = self.locate(origin, service, &wish.team.token).await?;
+        let located = self.locate(origin, service, &wish.team).await?;
         let preferred = &shared.entries[origin % shared.entries.len()].host;
         let places = &located.addresses;
         let place = places.iter().find(|place| place.host == *preferred);
@@ -291,6 +301,7 @@
         let ended = Ended {
             outcome: attempt.outcome,
             retry_after,
+            stopping: attempt.status == 503,
         };
         shared.recorder.record(Event::Attempt(attempt));
         Some(ended)
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -7,6 +7,17 @@
 xflags::xflags! {
     /// Load generator, experiments and checks for a fleet of routers. Test only.
     cmd tsw-load {
+        /// Run three routers with stand-ins, send requests of several teams, stop one router.
+        ///
+        /// Example: tsw-load try
+        cmd try {
+            /// harborgray (default) or quesada.
+            optional --deployment name: Deployment
+            /// Seed of all random numbers (1).
+            optional --seed number: u64
+            /// Directory for the files of the run (a temporary one).
+            optional --directory path: PathBuf
+        }
         /// Run an experiment and check its history.
         ///
         /// Example: tsw-load measure fairness --deployment harborgray --json
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod check;
 pub mod client;
 pub mod delay;
+pub mod demo;
 pub mod generate;
 pub mod history;
 pub mod http;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,7 +5,7 @@
 use eyre::Context as _;
 use serde_json::json;
 use tokio::signal::unix;
-use tsw_load::{baseline, scenario, session};
+use tsw_load::{baseline, demo, plan::Deployment, policy::Policy, scenario, session};
 
 mod flags;
 
@@ -29,6 +29,7 @@
     match flags.subcommand {
         flags::TswLoadCmd::BaselineRouter(flags) => run_baseline(flags.config).await,
         flags::TswLoadCmd::Measure(flags) => measure(flags).await,
+        flags::TswLoadCmd::Try(flags) => demonstrate(flags).await,
     }
 }
 
@@ -39,10 +40,24 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn demonstrate(flags: flags::Try) -> eyre::Result<ExitCode> {
+    let request = session::Request {
+        deployment: flags.deployment.unwrap_or(Deployment::Harborgray),
+        policy: Policy::Toucan,
+        seed: flags.seed.unwrap_or(1),
+        seconds: None,
+        directory: flags.directory,
+    };
+    Ok(match demo::run(&request).await? {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
 async fn measure(flags: flags::Measure) -> eyre::Result<ExitCode> {
     let request = session::Request {
         deployment: flags.deployment,
-        policy: flags.policy.unwrap_or(tsw_load::policy::Policy::Toucan),
+        policy: flags.policy.unwrap_or(Policy::Toucan),
         seed: flags.seed.unwrap_or(1),
         seconds: flags.seconds,
         directory: flags.directory,
--- a/crates/load/src/session.rs
+++ b/crates/load/src/session.rs
@@ -228,7 +228,7 @@
         return 0.0;
     };
     for value in values {
-        histogram.saturating_record((value * 1e3) as u64);
+        let _ = histogram.record((value * 1e3) as u64);
     }
     histogram.value_at_quantile(part) as f64 / 1e3
 }
