Read responses of plain services on a connection of their own

Cause: the pooled client returns success when a response ends before its stated length or its last chunk, so a truncated response was passed on as complete. Ruled out: comparing the length header only; it misses chunked responses. Conclusion: truncated responses count as broken, and a failed connection is told apart from a request that may have been received.

--- a/crates/toucand/src/caller.rs
+++ b/crates/toucand/src/caller.rs
@@ -236,7 +236,7 @@
             Err(fault) => {
                 ran |= !matches!(fault, plain::Fault::Unreachable(_));
                 router.plain_failed(call, &upstream, &fault);
-                let spent = attempt >= MAX_ATTEMPTS || fault == plain::Fault::Deadline;
+                let spent = attempt >= MAX_ATTEMPTS || matches!(fault, plain::Fault::Deadline);
                 if spent || (ran && !router.allow_retry(call)) {
                     if ran {
                         return Ok(cut(router, call, "upstream", &fault.to_string()));
--- a/crates/toucand/src/engine.rs
+++ b/crates/toucand/src/engine.rs
@@ -4,12 +4,15 @@
 
 use actix_http::{Method, StatusCode};
 use actix_rt::time;
-use awc::{error::SendRequestError, ClientResponse};
+use awc::{
+    error::{ConnectError, SendRequestError},
+    ClientResponse,
+};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::StreamExt;
 use serde::Deserialize;
 
-use crate::{call::Call, plain, request::Running, router::Router, slot::Slot};
+use crate::{call::Call, request::Running, router::Router, slot::Slot};
 
 /// Longest time for a connection and the head of a response. Tokens come later.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -142,7 +145,7 @@
     let sending = time::timeout(HEAD_TIMEOUT, request.send_json(&body));
     let response = match sending.await {
         Err(_) | Ok(Err(SendRequestError::Timeout)) => return Err(Broken::Timeout),
-        Ok(Err(error)) if plain::is_unsent(&error) => {
+        Ok(Err(error)) if is_unsent(&error) => {
             if let Some(slot) = attempt.slot.take() {
                 slot.unreachable();
             }
@@ -271,3 +274,14 @@
     }
     Ok(lines)
 }
+
+/// Returns whether an error shows that no byte of the request was sent. The client also reports a
+/// connection that closed after the request was written as a connect error.
+const fn is_unsent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(error) => {
+            !matches!(error, ConnectError::Disconnected | ConnectError::H2(_))
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/exchange.rs
@@ -0,0 +1,116 @@
+//! One HTTP/1.1 request and response on a connection of its own.
+//!
+//! The pooled client reports a body that ends early as complete, and cannot always tell whether a
+//! request was sent. A plain service's response is passed on as complete, and a call that may run
+//! only once must not be reported as not run, so both are decided here on the connection itself.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use actix_codec::Framed;
+use actix_http::{
+    body::BodySize,
+    error::{ParseError, PayloadError},
+    h1::{ClientCodec, Message, MessageType},
+    RequestHead, RequestHeadType, ResponseHead,
+};
+use actix_rt::time;
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+
+/// Why an exchange gave no whole response.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection could be made: no byte was sent.
+    #[error("cannot connect: {0}")]
+    Connect(io::Error),
+    /// The request could not be written in full.
+    #[error("cannot send the request: {0}")]
+    Send(io::Error),
+    /// The head of the response is malformed.
+    #[error("cannot read the head of the response: {0}")]
+    Head(ParseError),
+    /// The body of the response is malformed.
+    #[error("cannot read the body of the response: {0}")]
+    Body(PayloadError),
+    /// The connection ended before the response did.
+    #[error("the response ends after {bytes} bytes of its body")]
+    Truncated {
+        /// Bytes of the body that were received.
+        bytes: usize,
+    },
+    /// The body of the response is larger than allowed.
+    #[error("the body of the response has more than {limit} bytes")]
+    Large {
+        /// Most bytes allowed.
+        limit: usize,
+    },
+}
+
+/// A connection on which nothing was sent.
+#[derive(Debug)]
+pub struct Connection(TcpStream);
+
+impl Connection {
+    /// Opens a connection, in at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`]; no byte of a request was sent.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Error> {
+        let stream = time::timeout(limit, TcpStream::connect(address)).await;
+        let stream = stream.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        stream.map(Self).map_err(Error::Connect)
+    }
+
+    /// Sends a request and reads the whole response, whose body may have up to `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole response. The request may have been received.
+    pub async fn run(
+        self,
+        head: RequestHead,
+        body: Bytes,
+        limit: usize,
+    ) -> Result<(ResponseHead, Bytes), Error> {
+        let mut framed = Framed::new(self.0, ClientCodec::default());
+        send(&mut framed, head, body).await.map_err(Error::Send)?;
+        let head = match framed.next().await {
+            Some(Ok(head)) => head,
+            Some(Err(error)) => return Err(Error::Head(error)),
+            None => return Err(Error::Truncated { bytes: 0 }),
+        };
+        if framed.codec_ref().message_type() == MessageType::None {
+            return Ok((head, Bytes::new()));
+        }
+        let mut chunks = framed.into_map_codec(ClientCodec::into_payload_codec);
+        let mut body = BytesMut::new();
+        loop {
+            match chunks.next().await {
+                Some(Ok(Some(chunk))) if body.len() + chunk.len() > limit => {
+                    return Err(Error::Large { limit })
+                }
+                Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+                Some(Ok(None)) => return Ok((head, body.freeze())),
+                Some(Err(error)) => return Err(Error::Body(error)),
+                None => return Err(Error::Truncated { bytes: body.len() }),
+            }
+        }
+    }
+}
+
+async fn send(
+    framed: &mut Framed<TcpStream, ClientCodec>,
+    head: RequestHead,
+    body: Bytes,
+) -> Result<(), io::Error> {
+    let size = BodySize::Sized(body.len() as u64);
+    let head = RequestHeadType::Owned(head);
+    framed.feed(Message::Item((head, size))).await?;
+    if !body.is_empty() {
+        framed.feed(Message::Chunk(Some(body))).await?;
+    }
+    framed.feed(Message::Chunk(None)).await?;
+    framed.flush().await
+}
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod engine;
+pub mod exchange;
 pub mod health;
 pub mod hosts;
 pub mod keys;
--- a/crates/toucand/src/plain.rs
+++ b/crates/toucand/src/plain.rs
@@ -1,15 +1,20 @@
 //! One attempt to get a response from a worker of a plain service.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use actix_http::{header::CONTENT_TYPE, Method};
+use actix_http::{
+    header::{HeaderName, HeaderValue, CONTENT_TYPE, HOST},
+    Method, RequestHead, ResponseHead,
+};
 use actix_rt::time;
-use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
 use tsw_base::{name, time::Tick};
 use tsw_once::{End, Response};
 
-use crate::{router::Router, slot::Slot};
+use crate::{exchange, router::Router, slot::Slot};
+
+/// Longest time to open a connection to a worker.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest body of a response.
 const MAX_RESPONSE_BYTES: usize = 1_000_000;
@@ -34,31 +39,19 @@
 }
 
 /// Why an attempt gave no complete response.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Fault {
-    /// No connection could be made: no byte reached the upstream.
-    #[error("no connection: {0}")]
-    Unreachable(String),
+    /// No byte of the request reached the upstream.
+    #[error("not sent: {0}")]
+    Unreachable(exchange::Error),
     /// The connection broke after the request may have been sent.
     #[error("the connection broke: {0}")]
-    Broken(String),
+    Broken(exchange::Error),
     /// The response did not arrive before the deadline.
     #[error("no response before the deadline")]
     Deadline,
 }
 
-/// Returns whether an error shows that no byte of the request was sent. The client also reports a
-/// connection that closed after the request was written as a connect error.
-#[must_use]
-pub const fn is_unsent(error: &SendRequestError) -> bool {
-    match error {
-        SendRequestError::Connect(error) => {
-            !matches!(error, ConnectError::Disconnected | ConnectError::H2(_))
-        }
-        _ => false,
-    }
-}
-
 /// Sends a request to the worker of a slot and reads the whole response.
 ///
 /// # Errors
@@ -70,53 +63,66 @@
     request: &Request,
     deadline: Tick,
 ) -> Result<Response, Fault> {
-    let url = format!("http://{}{}", slot.address(), request.path);
-    // A kept connection may have been closed by the worker, and a request that is written to it may
-    // or may not have arrived. A call that may run only once gets a connection of its own.
-    let client = match request.key {
-        Some(_) => &router.fresh_client,
-        None => &router.client,
+    let head = head(slot.address(), request);
+    slot.start();
+    let left = || deadline.since(router.now()).as_duration();
+    let limit = left().min(CONNECT_TIMEOUT);
+    let connection = match exchange::Connection::open(slot.address(), limit).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            slot.unreachable();
+            return Err(Fault::Unreachable(error));
+        }
     };
-    let mut builder = client
-        .request(request.method.clone(), url)
-        .insert_header(("toucan-request-id", &*request.request_id))
-        .insert_header(("toucan-team", request.team.as_str()));
+    let exchange = connection.run(head, request.body.clone(), MAX_RESPONSE_BYTES);
+    match time::timeout(left(), exchange).await {
+        Ok(Ok((head, body))) => {
+            slot.finish(None);
+            Ok(response(&head, &body))
+        }
+        Ok(Err(error)) => Err(Fault::Broken(error)),
+        Err(_) => Err(Fault::Deadline),
+    }
+}
+
+fn head(address: SocketAddr, request: &Request) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = request.method.clone();
+    head.uri = request.path.parse().unwrap_or_default();
+    let host = address.to_string();
+    let mut headers = vec![
+        (HOST, host.as_str()),
+        (
+            HeaderName::from_static("toucan-request-id"),
+            &*request.request_id,
+        ),
+        (
+            HeaderName::from_static("toucan-team"),
+            request.team.as_str(),
+        ),
+    ];
     if request.method != Method::GET {
-        builder = builder.insert_header((CONTENT_TYPE, &*request.content_type));
+        headers.push((CONTENT_TYPE, &*request.content_type));
     }
     if let Some(key) = &request.key {
-        builder = builder.insert_header(("toucan-key", &**key));
+        headers.push((HeaderName::from_static("toucan-key"), key));
     }
-    slot.start();
-    let left = deadline.since(router.now()).as_duration();
-    let exchange = async {
-        let mut response = builder.send_body(request.body.clone()).await?;
-        let status = response.status().as_u16();
-        let content_type = response
-            .headers()
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .map_or_else(|| Arc::from(""), Arc::from);
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-        Ok::<_, SendRequestError>(body.map(|body| Response {
-            end: End::Complete,
-            status,
-            code: Arc::from(""),
-            content_type,
-            body: Arc::from(&body[..]),
-        }))
-    };
-    match time::timeout(left, exchange).await {
-        Ok(Ok(Ok(response))) => {
-            slot.finish(None);
-            Ok(response)
+    for (name, value) in headers {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            head.headers.insert(name, value);
         }
-        Ok(Ok(Err(error))) => Err(Fault::Broken(error.to_string())),
-        Ok(Err(error)) if is_unsent(&error) => {
-            slot.unreachable();
-            Err(Fault::Unreachable(error.to_string()))
-        }
-        Ok(Err(error)) => Err(Fault::Broken(error.to_string())),
-        Err(_) => Err(Fault::Deadline),
+    }
+    head
+}
+
+fn response(head: &ResponseHead, body: &Bytes) -> Response {
+    let content_type = head.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    Response {
+        end: End::Complete,
+        status: head.status.as_u16(),
+        code: Arc::from(""),
+        content_type: Arc::from(content_type.unwrap_or_default()),
+        body: Arc::from(&body[..]),
     }
 }
--- a/crates/toucand/src/router.rs
+++ b/crates/toucand/src/router.rs
@@ -59,11 +59,11 @@
 /// Time for which an idle connection to an upstream is kept. Common servers close theirs after 5 s.
 const KEEP_ALIVE: Duration = Duration::from_secs(3);
 
-fn client(keep_alive: Duration) -> awc::Client {
+fn client() -> awc::Client {
     let connector = awc::Connector::new()
         .limit(0)
         .timeout(Duration::from_secs(1))
-        .conn_keep_alive(keep_alive);
+        .conn_keep_alive(KEEP_ALIVE);
     awc::Client::builder()
         .connector(connector)
         .disable_timeout()
@@ -82,8 +82,6 @@
     clock: Clock,
     /// Client for upstreams and platform.
     pub client: awc::Client,
-    /// Client that uses a connection for one request only.
-    pub fresh_client: awc::Client,
     /// Metrics.
     pub metrics: Metrics,
     state: RefCell<State>,
@@ -116,16 +114,13 @@
             host: settings.host.clone(),
             incarnation: host::Incarnation::new(clock::unix_micros() / 1_000, rand::random()),
         };
-        let (kept, fresh_client) = (client(KEEP_ALIVE), client(Duration::ZERO));
-
         let metrics = Metrics::new()?;
         let clock = Clock::start();
         let state = State::new(&plan, &id);
         Ok(Rc::new_cyclic(|this| Self {
             id,
             clock,
-            client: kept,
-            fresh_client,
+            client: client(),
             metrics,
             state: RefCell::new(state),
             phase: Cell::new(Phase::Starting),
--- /dev/null
+++ b/crates/toucand/tests/exchange.rs
@@ -0,0 +1,87 @@
+//! Tests of the exchange with a worker of a plain service.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix_http::RequestHead;
+use bytes::Bytes;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+use toucand::exchange::{Connection, Error};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Serves one connection: reads a request and writes `response`, then closes.
+async fn serve_once(response: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let mut request = [0; 1_024];
+        let read = stream.read(&mut request).await.expect("request");
+        assert!(read > 0);
+        stream.write_all(response.as_bytes()).await.expect("write");
+    });
+    address
+}
+
+async fn run(response: &'static str) -> Result<Bytes, Error> {
+    let address = serve_once(response).await;
+    let connection = Connection::open(address, LIMIT).await?;
+    let body = Bytes::from_static(b"{}");
+    let (_, body) = connection.run(RequestHead::default(), body, 16).await?;
+    Ok(body)
+}
+
+/// Guards against passing on a response as complete that ends before its stated length.
+#[actix_rt::test]
+async fn refuses_a_body_shorter_than_its_length() {
+    let result = run("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort").await;
+    assert!(
+        matches!(result, Err(Error::Truncated { bytes: 5 })),
+        "{result:?}"
+    );
+}
+
+/// Guards against passing on a chunked response as complete that lacks its last chunk.
+#[actix_rt::test]
+async fn refuses_chunks_without_an_end() {
+    let result = run("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n").await;
+    assert!(
+        matches!(result, Err(Error::Truncated { bytes: 5 })),
+        "{result:?}"
+    );
+}
+
+/// Guards against the opposite fault: a whole response that is taken for a broken one.
+#[actix_rt::test]
+async fn returns_whole_bodies() {
+    let sized = run("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole").await;
+    assert_eq!(sized.expect("whole response"), "whole");
+    let chunked =
+        run("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n").await;
+    assert_eq!(chunked.expect("whole response"), "whole");
+    let empty = run("HTTP/1.1 204 No Content\r\n\r\n").await;
+    assert_eq!(empty.expect("whole response"), "");
+}
+
+/// Guards against a response that fills the memory of the router.
+#[actix_rt::test]
+async fn refuses_a_large_body() {
+    let result = run("HTTP/1.1 200 OK\r\ncontent-length: 17\r\n\r\nseventeen letters").await;
+    assert!(
+        matches!(result, Err(Error::Large { limit: 16 })),
+        "{result:?}"
+    );
+}
+
+/// Guards against reporting a call as possibly run when no connection was made.
+#[actix_rt::test]
+async fn reports_that_nothing_was_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    drop(listener);
+    let result = Connection::open(address, LIMIT).await;
+    assert!(matches!(result, Err(Error::Connect(_))), "{result:?}");
+}
