--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -194,9 +194,11 @@
                 Outcome::Unknown if wish.booking() => return ended.outcome,
                 Outcome::NotRun => {
                     key = None;
-                    // A router that stops is not to be asked again.
-                    if ended.stopping {
+                    // The permit may be the reason, and a router that stops is not to be asked again.
+                    if wish.booking() || ended.stopping {
                         self.forget(origin);
+                    }
+                    if ended.stopping {
                         origin += 1;
                     }
                 }
@@ -250,7 +252,10 @@
             until: Instant::now() + Duration::from_millis(located.keep_ms),
             located: located.clone(),
         };
-        shared.kept.borrow_mut().insert(slot, kept);
+        // An answer without a permit is of no use for a booking.
+        if kept.located.permit.is_some() || service == shared.model {
+            shared.kept.borrow_mut().insert(slot, kept);
+        }
         Some(located)
     }
 
@@ -274,7 +279,8 @@
         let place = places.iter().find(|place| place.host == *preferred);
         let place = place.unwrap_or(&places[0]);
         if wish.booking() && key.is_none() {
-            *key = located.permit.map(|permit| format!("{permit}.{id}"));
+            // A router that stops gives no permit; the caller asks the next one.
+            *key = Some(format!("{}.{id}", located.permit?));
         }
         let mut attempt = Attempt {
             operation,
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -37,6 +37,15 @@
             /// Print one JSON object.
             optional --json
         }
+        /// Make a Markdown page with plots of the results of several runs.
+        ///
+        /// Example: tsw-load report --output report results/*.json
+        cmd report {
+            /// Files whose last line is the JSON object of a run.
+            repeated file: PathBuf
+            /// Directory for the page and the plots (the current one).
+            optional --output path: PathBuf
+        }
         /// Run a baseline router; started by experiments.
         cmd baseline-router {
             /// File with the settings.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod process;
 pub mod programs;
 pub mod relay;
+pub mod report;
 pub mod scenario;
 pub mod service;
 pub mod session;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,7 +5,7 @@
 use eyre::Context as _;
 use serde_json::json;
 use tokio::signal::unix;
-use tsw_load::{baseline, demo, plan::Deployment, policy::Policy, scenario, session};
+use tsw_load::{baseline, demo, plan::Deployment, policy::Policy, report, scenario, session};
 
 mod flags;
 
@@ -29,6 +29,12 @@
     match flags.subcommand {
         flags::TswLoadCmd::BaselineRouter(flags) => run_baseline(flags.config).await,
         flags::TswLoadCmd::Measure(flags) => measure(flags).await,
+        flags::TswLoadCmd::Report(flags) => {
+            let output = flags.output.unwrap_or_else(|| PathBuf::from("."));
+            let page = report::write(&flags.file, &output)?;
+            println!("{}", page.display());
+            Ok(ExitCode::SUCCESS)
+        }
         flags::TswLoadCmd::Try(flags) => demonstrate(flags).await,
     }
 }
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -154,9 +154,10 @@
         }
     }
 
+    /// Returns the index of the last change until a time, or of the first one if all are later.
     fn at(&self, time_us: u64) -> Option<usize> {
         let after = self.points.partition_point(|p| p.time_us <= time_us);
-        after.checked_sub(1)
+        (!self.points.is_empty()).then(|| after.saturating_sub(1))
     }
 
     /// Returns the slot-seconds that each team received in a time, to the nearest change.
