--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -7,11 +7,12 @@
 //! - Start and end: [`keys`], [`start`], [`serve`], [`clock`].
 //! - State: [`router`], [`state`], [`out`], [`task`].
 //! - Controllers: [`membership`], [`configuration`], [`scheduling`], [`tables`], [`poison`],
-//!   [`placement`], [`audit`].
-//! - Requests: [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
-//!   [`booking`], [`refusal`], [`reply`], [`pace`].
+//!   [`placement`], [`audit`], [`health`].
+//! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
+//!   [`booking`], [`refusal`], [`reply`].
 //! - Others: [`peers`], [`platform`], [`hosts`], [`operator`], [`metrics`], [`recent`].
 
+pub mod accept;
 pub mod audit;
 pub mod booking;
 pub mod call;
@@ -19,13 +20,13 @@
 pub mod clock;
 pub mod configuration;
 pub mod engine;
+pub mod health;
 pub mod hosts;
 pub mod keys;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod out;
-pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod plain;
--- a/crates/toucand/src/slot.rs
+++ b/crates/toucand/src/slot.rs
@@ -101,6 +101,12 @@
         &self.granted.upstream
     }
 
+    /// Returns the grant.
+    #[must_use]
+    pub const fn granted(&self) -> &Granted {
+        &self.granted
+    }
+
     /// Returns the address of the upstream.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
@@ -119,9 +125,9 @@
         self.state = State::Finished { pace };
     }
 
-    /// Releases the slot of a request that certainly did not reach the upstream.
-    pub fn unused(mut self) {
-        self.state = State::Unused;
+    /// Releases the slot of a request that was not sent because the upstream accepts no connection.
+    pub fn unreachable(mut self) {
+        self.state = State::Unreachable;
     }
 }
 
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -10,9 +10,13 @@
 use futures_util::future::{pending, LocalBoxFuture};
 use serde_json::{Map, Value};
 use sha2::{Digest, Sha256};
-use tsw_base::time::{Span, Tick};
+use tsw_base::{
+    name,
+    time::{Span, Tick},
+};
 use tsw_event::Event;
 use tsw_grant::message::Class;
+use tsw_health::pace::Stream;
 
 use crate::{
     call::Call,
@@ -25,6 +29,10 @@
 
 /// Attempts of one request, so that a request that no engine completes ends.
 const MAX_ATTEMPTS: u32 = 5;
+/// Attempts of one request that end without a connection to the engine.
+const MAX_UNSENT: u32 = 20;
+/// Shortest time between two reports of the pace of a stream.
+const REPORT_PERIOD: Span = Span::from_millis(250);
 
 /// How a request ends without a complete response.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -64,13 +72,15 @@
     spare: Option<Spare>,
     hedging: bool,
     attempts: u32,
+    unsent: u32,
     ran: bool,
     last_error: Option<Broken>,
+    avoid: Option<name::Upstream>,
     next: u64,
     digest: Sha256,
-    opened: Tick,
-    progress: Tick,
-    gap: Option<Span>,
+    sent: Tick,
+    pace: Stream,
+    reported: Option<(Tick, Span)>,
     over: bool,
     flight: Flight,
 }
@@ -102,13 +112,15 @@
             spare: Some(Spare::Waiting(wait)),
             hedging: false,
             attempts: 1,
+            unsent: 0,
             ran: false,
             last_error: None,
+            avoid: None,
             next: 0,
             digest: Sha256::new(),
-            opened: now,
-            progress: now,
-            gap: None,
+            sent: now,
+            pace: Stream::new(now),
+            reported: None,
             over: false,
             flight,
         }
@@ -159,8 +171,8 @@
 
     async fn step(&mut self) -> Step {
         let now = self.router.now();
-        let stall = self.stall_limit();
-        let hedge_in = (self.progress + stall).since(now).as_duration();
+        let stall = self.router.stall(&self.call, self.sent, &self.pace);
+        let hedge_in = stall.since(now).as_duration();
         let hedge = self.active.is_some() && self.spare.is_none() && !self.hedging;
         let deadline_in = self.call.deadline.since(now).as_duration();
         let Self { active, spare, .. } = self;
@@ -187,12 +199,9 @@
         }
     }
 
-    /// Returns the time without a token after which a stream counts as stalled.
-    fn stall_limit(&self) -> Span {
-        self.router.stall_limit(&self.call.service, self.next == 0)
-    }
-
     fn granted(&mut self, slot: crate::slot::Slot) {
+        // A later attempt avoids this upstream unless this one succeeds.
+        self.avoid = Some(slot.upstream().clone());
         let opening = engine::open(
             self.router.clone(),
             slot,
@@ -214,9 +223,15 @@
         }
         self.active = Some(attempt);
         self.spare = None;
+        self.restart();
+    }
+
+    /// Starts to follow the pace of another attempt.
+    fn restart(&mut self) {
         let now = self.router.now();
-        self.opened = now;
-        self.progress = now;
+        self.sent = now;
+        self.pace = Stream::new(now);
+        self.reported = None;
     }
 
     fn accept(&mut self, lines: Vec<Line>, from_spare: bool) -> Result<Option<Output>, Failure> {
@@ -264,22 +279,33 @@
             if let Some(Spare::Open(attempt)) = self.spare.take() {
                 self.router.resumed(&self.call, &attempt, before);
                 self.active = Some(attempt);
+                self.restart();
             }
         } else {
             self.spare = None;
         }
         self.hedging = false;
+        let tokens = self.next - before;
+        let first = before == 0 && tokens > 0;
+        self.router
+            .progress(&self.call, &mut self.pace, first, tokens);
+        self.report_pace();
+    }
+
+    /// Tells the home the pace when it has changed notably.
+    fn report_pace(&mut self) {
         let now = self.router.now();
-        let tokens = (self.next - before).max(1);
-        if before == 0 {
-            self.router.first_token(&self.call, now.since(self.opened));
-        } else {
-            let gap = now.since(self.progress) / tokens;
-            self.gap = Some(self.gap.map_or(gap, |old| (old * 7 + gap) / 8));
-            self.router.token_gap(&self.call.service, gap);
+        let Some(mean) = self.pace.mean(now) else {
+            return;
+        };
+        let due = match self.reported {
+            None => now.since(self.sent) >= REPORT_PERIOD,
+            Some((at, old)) => now.since(at) >= REPORT_PERIOD && (mean > old * 2 || old > mean * 2),
+        };
+        if let (true, Some(slot)) = (due, self.active.as_ref().and_then(Attempt::slot)) {
+            self.router.report_pace(slot, mean);
+            self.reported = Some((now, mean));
         }
-        self.progress = now;
-        self.router.metrics.tokens.inc_by(tokens);
     }
 
     /// Handles an attempt that sent something wrong; what it sent before that is kept.
@@ -346,10 +372,18 @@
 
     /// Asks for another slot after a failure, if the budget for retries allows it.
     fn again(&mut self) -> Result<Option<Output>, Failure> {
-        if self.attempts >= MAX_ATTEMPTS || (self.ran && !self.router.allow_retry(&self.call)) {
+        let unsent = matches!(self.last_error, Some(Broken::Unreachable(_)));
+        self.unsent += u32::from(unsent);
+        // An attempt that was not sent costs the upstreams nothing, so it has a limit of its own.
+        let allowed = if unsent {
+            self.unsent < MAX_UNSENT
+        } else {
+            self.attempts < MAX_ATTEMPTS && self.router.allow_retry(&self.call)
+        };
+        if !allowed {
             return Err(self.failure("upstream"));
         }
-        self.attempts += 1;
+        self.attempts += u32::from(!unsent);
         self.router.retried(&self.call, self.next);
         let class = if self.ran {
             Class::Urgent
@@ -360,13 +394,15 @@
     }
 
     fn wait(&mut self, class: Class) -> Result<Option<Output>, Failure> {
-        let wait = self.router.enqueue(&self.call, class, None);
+        let wait = self.router.enqueue(&self.call, class, self.avoid.clone());
         self.spare = Some(Spare::Waiting(wait));
         Ok(None)
     }
 
     fn hedge(&mut self) {
         self.hedging = true;
+        // The silence counts as a gap, so that the home learns of a slow engine before it ends.
+        self.report_pace();
         if self.attempts >= MAX_ATTEMPTS || !self.router.allow_hedge(&self.call) {
             return;
         }
@@ -442,7 +478,7 @@
         self.over = true;
         self.spare = None;
         if let Some(attempt) = self.active.take() {
-            attempt.finish(self.gap);
+            attempt.finish(self.pace.mean(self.router.now()));
         }
         self.router.ended(
             &self.call,
