--- /dev/null
+++ b/spec/adopt.pml
@@ -0,0 +1,130 @@
+/*
+ * Adoption of the configuration: two publishers, a configuration service whose reads may be stale or
+ * go backward, three routers that also learn from each other and may restart with empty memory.
+ *
+ * A value, once published, may be read at any later time: stale and backward reads, delayed and
+ * repeated messages between routers, which hold published values only. Both publishers may publish the same
+ * revision with different content.
+ *
+ * Step                                   Rust function
+ *   Router: read, learn                  adopt::Store::offer
+ *   Router: restart                      a new adopt::Store
+ *   Router: ask, ready                   the daemon before /readyz; view::View::compare
+ *   Publisher                            `toucan bundle` and the operators' upload
+ *
+ * Proved: a running router never replaces a revision by a lower one, nor the content of a revision by
+ * other content; a restarted router is ready only with a revision at least as high as that of every
+ * peer that it asked and that answered.
+ *
+ * Not covered: that a new revision reaches every router within 5 s.
+ *
+ * Broken variants: LOWER, CONFLICT, READY.
+ */
+
+#define R 3
+#define TOP 3                  /* revisions 1 to TOP */
+
+/* Bit (2 * revision + content) tells whether the value was ever published. */
+bool published[8];
+
+byte value[R];                 /* 2 * revision + content; 0 and 1 before the first adoption */
+bool ready;
+bool asked[R];
+byte floor;                    /* highest revision among the answers of peers */
+
+#define REVISION(v) ((v) / 2)
+
+inline adopt(r, v)
+{
+    assert(REVISION(v) >= REVISION(value[r]));
+    assert(REVISION(v) > REVISION(value[r]) || v == value[r]);
+    value[r] = v
+}
+
+inline offer(r, v)
+{
+    if
+    :: REVISION(v) > REVISION(value[r]) -> adopt(r, v)
+#ifdef LOWER
+    :: REVISION(v) < REVISION(value[r]) -> adopt(r, v)
+#endif
+#ifdef CONFLICT
+    :: REVISION(v) == REVISION(value[r]) && v != value[r] -> adopt(r, v)
+#endif
+    :: else
+    fi
+}
+
+proctype Publisher(byte content)
+{
+    byte revision = 1;
+    do
+    :: atomic { revision <= TOP -> published[2 * revision + content] = true; revision++ }
+    :: atomic { revision <= TOP -> revision++ }       /* the other publisher has this one */
+    :: revision > TOP -> break
+    od
+}
+
+/* Every router adopts and restarts. Router 0 also stands for the way of each one to readiness. */
+proctype Router(byte r)
+{
+    byte v;
+end:
+    do
+    /* read from the service, or learn from an old message of a peer */
+    :: atomic { select(v : 2 .. 7);
+           if
+           :: published[v] -> offer(r, v)
+           :: else
+           fi;
+           v = 0 }
+    /* restart */
+    :: atomic { value[r] = 0;
+           if
+           :: r == 0 -> ready = false; floor = 0; asked[1] = false; asked[2] = false
+           :: else
+           fi }
+    od
+}
+
+active proctype Start()
+{
+    byte peer;
+end:
+    do
+    /* ask a peer; the answer is its value now */
+    :: atomic { !ready ->
+           select(peer : 1 .. 2);
+           if
+           :: !asked[peer] ->
+                  asked[peer] = true;
+                  if
+                  :: REVISION(value[peer]) > floor -> floor = REVISION(value[peer])
+                  :: else
+                  fi;
+#ifndef READY
+                  offer(0, value[peer])
+#endif
+           :: else
+           fi;
+           peer = 0 }
+    /* ready */
+    :: atomic { !ready && asked[1] && asked[2] ->
+           assert(REVISION(value[0]) >= floor);
+           ready = true;
+           floor = 0;
+           asked[1] = false;
+           asked[2] = false }
+    od
+}
+
+init
+{
+    atomic {
+        run Publisher(0);
+        run Publisher(1);
+        run Router(0);
+        run Router(1);
+        run Router(2)
+    }
+}
