Follow the home's charges and log grants and replays

Cause: the home now says itself when its charges are due. Ruled out: a period in the daemon. Conclusion: charges go to partners when due, and in full to a new partner.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -144,7 +144,7 @@
     SealSent = 604 Info "seal-sent";
     /// A key was sealed: its call can no longer run.
     Sealed = 605 Info "sealed";
-    /// A key is answered from a stored response.
+    /// A key is answered at once: from a stored response, or because it cannot run.
     Replayed = 606 Info "replayed";
     /// An order was sent to an engine.
     OrderSent = 701 Info "order-sent";
--- a/crates/toucand/src/booking.rs
+++ b/crates/toucand/src/booking.rs
@@ -133,7 +133,7 @@
         Err(refusal) => return tsw_once::Response::not_run(refusal.code()),
     };
     for _ in 0..MAX_ATTEMPTS {
-        let slot = match router.slot_before(&mut wait, owned.deadline).await {
+        let slot = match router.slot_before(&mut wait, &call).await {
             Ok(slot) => slot,
             Err(refusal) => return tsw_once::Response::not_run(refusal.code()),
         };
--- a/crates/toucand/src/caller.rs
+++ b/crates/toucand/src/caller.rs
@@ -215,7 +215,7 @@
     let mut wait = router.admit(call)?;
     let mut ran = false;
     for attempt in 1.. {
-        let slot = match router.slot_before(&mut wait, call.deadline).await {
+        let slot = match router.slot_before(&mut wait, call).await {
             Ok(slot) => slot,
             Err(refusal) if ran => {
                 let text = refusal.to_string();
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -137,11 +137,25 @@
     /// # Errors
     ///
     /// Returns why there is no slot.
-    pub async fn slot_before(&self, wait: &mut Wait, deadline: Tick) -> Result<Slot, Refusal> {
-        let left = deadline.since(self.now()).as_duration();
-        time::timeout(left, wait.slot())
+    pub async fn slot_before(&self, wait: &mut Wait, call: &Call) -> Result<Slot, Refusal> {
+        let left = call.deadline.since(self.now()).as_duration();
+        let slot = time::timeout(left, wait.slot())
             .await
-            .unwrap_or(Err(Refusal::Deadline))
+            .unwrap_or(Err(Refusal::Deadline))?;
+        self.granted(call, &slot);
+        Ok(slot)
+    }
+
+    /// Notes that a call got a slot.
+    pub fn granted(&self, call: &Call, slot: &Slot) {
+        self.note(
+            Event::Granted,
+            &call.request_id,
+            &[
+                ("upstream", slot.upstream()),
+                ("number", &slot.granted().id.number),
+            ],
+        );
     }
 
     /// Takes a waiting request out of its queue.
--- a/crates/toucand/src/scheduling.rs
+++ b/crates/toucand/src/scheduling.rs
@@ -19,9 +19,6 @@
 
 use crate::{health, membership, out::Out, refusal::Refusal, slot};
 
-/// Period of the exchange of totals between homes.
-const SERVED_PERIOD_US: u64 = 100_000;
-
 /// What the choice of homes depends on: epoch of the fleet, changes of the upstreams, revision of
 /// the bundle.
 type Basis = (u64, u64, u64);
@@ -74,7 +71,6 @@
     greeted: IndexSet<(name::Service, name::Host)>,
     waiters: HashMap<Request, Waiter>,
     last_request: u64,
-    next_served: Tick,
 }
 
 impl Controller {
@@ -101,7 +97,6 @@
             greeted: IndexSet::new(),
             waiters: HashMap::new(),
             last_request: 0,
-            next_served: Tick::ZERO,
         }
     }
 
@@ -312,7 +307,13 @@
             .entry(service.clone())
             .or_insert_with(|| home::Home::new(service.clone(), me, tuning));
         for command in home.handle(now, event) {
-            let home::Command::Grant { to, grant } = command;
+            let (to, grant) = match command {
+                home::Command::Grant { to, grant } => (to, grant),
+                home::Command::Served { served } => {
+                    self.send_served(out, &served);
+                    continue;
+                }
+            };
             health.granted(now, &grant);
             let number = grant.id.number;
             emit(
@@ -605,35 +606,29 @@
         for service in services {
             self.queue_event(board, out, now, &service, entry::Event::Tick);
         }
-        if now >= self.next_served {
-            self.next_served = now + tsw_base::time::Span::from_micros(SERVED_PERIOD_US);
-            self.send_served(board, out, now);
-        }
+        self.greet_partners(board, out);
     }
 
-    fn send_served(&mut self, board: &mut Board, out: &mut Out, now: Tick) {
+    /// Sends all charges to the routers that need them and have none yet.
+    fn greet_partners(&mut self, board: &mut Board, out: &mut Out) {
         for (service, partners) in &self.partners {
-            if partners.is_empty() {
-                continue;
-            }
-            let Some(home) = board.homes.write(&self.homes).get_mut(service) else {
-                continue;
-            };
-            let changes = home.served(now, false);
             for host in partners {
-                let known = !self.greeted.insert((service.clone(), host.clone()));
-                let served = if known {
-                    changes.clone()
-                } else {
-                    home.served(now, true)
-                };
-                if !served.lines.is_empty() {
-                    out.send(host, Message::Served(served));
+                if !self.greeted.insert((service.clone(), host.clone())) {
+                    continue;
+                }
+                if let Some(home) = board.homes.write(&self.homes).get_mut(service) {
+                    out.send(host, Message::Served(home.served()));
                 }
             }
         }
     }
 
+    fn send_served(&self, out: &mut Out, served: &Served) {
+        for host in self.partners.get(&served.service).into_iter().flatten() {
+            out.send(host, Message::Served(served.clone()));
+        }
+    }
+
     /// Takes the totals of another home.
     pub fn served(
         &mut self,
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -200,6 +200,7 @@
     }
 
     fn granted(&mut self, slot: crate::slot::Slot) {
+        self.router.granted(&self.call, &slot);
         // A later attempt avoids this upstream unless this one succeeds.
         self.avoid = Some(slot.upstream().clone());
         let opening = engine::open(
--- a/crates/toucand/src/tables.rs
+++ b/crates/toucand/src/tables.rs
@@ -214,8 +214,11 @@
         };
         self.handle_owner(board, out, now, event);
         // An immediate answer means that the key was known or refused and will not run.
-        if new && !self.waiters.contains_key(&ticket) {
-            self.owned.swap_remove(&id);
+        if !self.waiters.contains_key(&ticket) {
+            emit(Event::Replayed, &[("key", &KeyId(&id))]);
+            if new {
+                self.owned.swap_remove(&id);
+            }
         }
     }
 
@@ -411,6 +414,15 @@
     }
 }
 
+/// The identity of a key in a form that suits a log line.
+struct KeyId<'a>(&'a permit::Id);
+
+impl std::fmt::Display for KeyId<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}.{}", self.0.owner, self.0.number, self.0.suffix)
+    }
+}
+
 /// A key in a form that suits a log line.
 struct Short<'a>(&'a Key);
 
