--- /dev/null
+++ b/crates/toucand/tests/calls.rs
@@ -0,0 +1,243 @@
+//! Guards against tokens that are lost or repeated when an engine fails, against slots that stay
+//! taken after a caller has left, against bookings that run twice, and against stops that cut a
+//! response.
+
+mod support;
+
+use std::{
+    cell::RefCell,
+    io::{Read as _, Write as _},
+    net::TcpStream,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use awc::http::StatusCode;
+use futures_util::StreamExt as _;
+use support::{Engine, Journal, Router, Upstream, TOKEN};
+
+async fn engines(list: &[Engine], journal: &Rc<RefCell<Journal>>, slots: u32) -> Vec<Upstream> {
+    let names = ["engine-1", "engine-2"];
+    let mut upstreams = Vec::new();
+    for (number, engine) in list.iter().enumerate() {
+        upstreams.push(Upstream {
+            name: names[number],
+            service: "reviews",
+            address: support::engine(number, *engine, journal.clone()).await,
+            slots,
+        });
+    }
+    upstreams
+}
+
+async fn generate(router: &Router, tokens: u64) -> (StatusCode, bytes::Bytes) {
+    let client = awc::Client::default();
+    let request = client.post(router.call_url("reviews")).bearer_auth(TOKEN);
+    let body = format!(r#"{{"prompt":"x","max_tokens":{tokens}}}"#);
+    let mut response = request.send_body(body).await.expect("an answer");
+    let body = response.body().await.expect("a whole body");
+    (response.status(), body)
+}
+
+#[actix_rt::test]
+async fn broken_stream_resumes_at_the_next_token() {
+    let journal = Rc::new(RefCell::new(Journal::default()));
+    let breaking = Engine {
+        break_after: Some(7),
+        ..Engine::default()
+    };
+    let upstreams = engines(&[breaking, breaking], &journal, 4).await;
+    let router = Router::start(&upstreams).await;
+    let (status, body) = generate(&router, 20).await;
+    assert_eq!(status, StatusCode::OK);
+    let events = support::events(&body);
+    assert_eq!(events.indices, (0..20).collect::<Vec<_>>());
+    let end = events.end.expect("an end event");
+    assert_eq!(end["outcome"], "complete");
+    assert_eq!(end["chunks"], 20);
+    assert_eq!(end["digest"], events.digest.as_str());
+    let starts: Vec<u64> = journal.borrow().started.iter().map(|(_, i)| *i).collect();
+    assert_eq!(starts, [0, 7, 14]);
+}
+
+#[actix_rt::test]
+async fn stalled_stream_continues_on_the_other_engine() {
+    let journal = Rc::new(RefCell::new(Journal::default()));
+    let usual = Engine::default();
+    let stalled = Engine {
+        gap: Duration::from_secs(60),
+        break_after: None,
+    };
+    let upstreams = engines(&[stalled, usual], &journal, 4).await;
+    let router = Router::start(&upstreams).await;
+    // Both engines get a request, whichever is first.
+    let start = Instant::now();
+    let both = futures_util::future::join(generate(&router, 10), generate(&router, 10)).await;
+    for (_, body) in [both.0, both.1] {
+        let events = support::events(&body);
+        assert_eq!(events.indices, (0..10).collect::<Vec<_>>());
+        assert_eq!(events.end.expect("an end event")["outcome"], "complete");
+    }
+    assert!(start.elapsed() < Duration::from_secs(10));
+    assert!(
+        journal.borrow().cancelled >= 1,
+        "the stalled stream goes on"
+    );
+}
+
+#[actix_rt::test]
+async fn slot_of_a_caller_that_left_is_free_again() {
+    let journal = Rc::new(RefCell::new(Journal::default()));
+    let slow = Engine {
+        gap: Duration::from_millis(50),
+        break_after: None,
+    };
+    let upstreams = engines(&[slow], &journal, 1).await;
+    let router = Router::start(&upstreams).await;
+    let client = awc::Client::default();
+    let request = client.post(router.call_url("reviews")).bearer_auth(TOKEN);
+    let body = r#"{"prompt":"x","max_tokens":10000}"#;
+    let mut response = request.send_body(body).await.expect("an answer");
+    response.next().await.expect("a part").expect("no error");
+    drop(response);
+    drop(client);
+    let (status, body) = generate(&router, 3).await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(support::events(&body).indices, [0, 1, 2]);
+    assert_eq!(journal.borrow().cancelled, 1);
+}
+
+#[actix_rt::test]
+async fn request_that_no_engine_takes_is_not_run() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = closed.local_addr().expect("bound");
+    drop(closed);
+    let upstream = Upstream {
+        name: "engine-1",
+        service: "reviews",
+        address,
+        slots: 1,
+    };
+    let router = Router::start(&[upstream]).await;
+    let client = awc::Client::default();
+    let request = client.post(router.call_url("reviews")).bearer_auth(TOKEN);
+    let request = request.insert_header(("toucan-deadline-ms", "700"));
+    let mut response = request
+        .send_body(r#"{"prompt":"x","max_tokens":3}"#)
+        .await
+        .expect("an answer");
+    let body: serde_json::Value = response.json().await.expect("JSON");
+    assert_eq!(body["outcome"], "not-run", "{body}");
+}
+
+#[actix_rt::test]
+async fn booking_runs_once_and_its_answer_is_kept() {
+    let executions = Rc::new(RefCell::new(0));
+    let address = support::worker(Duration::from_millis(50), executions.clone()).await;
+    let upstream = Upstream {
+        name: "worker-1",
+        service: "pickups",
+        address,
+        slots: 2,
+    };
+    let router = Router::start(&[upstream]).await;
+    let key = format!("{}.a", router.permit().await);
+    let call = |body: &'static str| {
+        let client = awc::Client::default();
+        let request = client.post(router.call_url("pickups/v1/book"));
+        let request = request.bearer_auth(TOKEN);
+        let request = request.insert_header(("toucan-key", key.as_str()));
+        async move {
+            let mut response = request.send_body(body).await.expect("an answer");
+            let bytes = response.body().await.expect("a whole body");
+            (response.status(), bytes)
+        }
+    };
+    let both = futures_util::future::join(call("first"), call("first")).await;
+    assert_eq!(both.0, both.1);
+    assert_eq!(both.0 .0, StatusCode::OK);
+    assert_eq!(&both.0 .1[..], br#"{"number":1,"path":"/v1/book"}"#);
+    assert_eq!(call("first").await, both.0);
+    assert_eq!(*executions.borrow(), 1);
+    let (status, body) = call("second").await;
+    assert_eq!(status, StatusCode::CONFLICT, "{body:?}");
+    assert_eq!(*executions.borrow(), 1);
+}
+
+#[actix_rt::test]
+async fn planned_stop_completes_what_is_in_flight() {
+    let journal = Rc::new(RefCell::new(Journal::default()));
+    let slow = Engine {
+        gap: Duration::from_millis(25),
+        break_after: None,
+    };
+    let upstreams = engines(&[slow], &journal, 2).await;
+    let mut router = Router::start(&upstreams).await;
+    let request = awc::Client::default()
+        .post(router.call_url("reviews"))
+        .bearer_auth(TOKEN);
+    let stream = actix_rt::spawn(async move {
+        let sent = request.send_body(r#"{"prompt":"x","max_tokens":40}"#).await;
+        sent.expect("a response")
+            .body()
+            .await
+            .expect("a whole body")
+    });
+    while journal.borrow().started.is_empty() {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    let url = format!("http://{}/v1/drain", router.ports.operator);
+    let drained = awc::Client::default().post(url).send().await;
+    assert_eq!(drained.expect("an answer").status(), StatusCode::ACCEPTED);
+    let events = support::events(&stream.await.expect("the stream ended"));
+    assert_eq!(events.indices.len(), 40);
+    assert_eq!(events.end.expect("an end event")["outcome"], "complete");
+    let until = Instant::now() + Duration::from_secs(10);
+    let status = loop {
+        if let Some(status) = router.process.try_wait().expect("a process") {
+            break status;
+        }
+        assert!(Instant::now() < until, "the process goes on");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(status.success());
+}
+
+#[actix_rt::test]
+async fn cleartext_http2_is_answered() {
+    let router = Router::start(&[]).await;
+    let mut stream = TcpStream::connect(router.ports.caller).expect("connected");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .expect("set");
+    // The connection preface and an empty SETTINGS frame (RFC 9113, sections 3.4 and 6.5).
+    stream
+        .write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0")
+        .expect("sent");
+    let mut frame = [0; 9];
+    stream.read_exact(&mut frame).expect("a frame");
+    assert_eq!(frame[3], 4, "the first frame of the server is SETTINGS");
+}
+
+#[actix_rt::test]
+async fn decisions_can_be_explained() {
+    let journal = Rc::new(RefCell::new(Journal::default()));
+    let upstreams = engines(&[Engine::default()], &journal, 2).await;
+    let router = Router::start(&upstreams).await;
+    let client = awc::Client::default();
+    let request = client.post(router.call_url("reviews")).bearer_auth(TOKEN);
+    let request = request.insert_header(("toucan-request-id", "explain-me"));
+    let body = r#"{"prompt":"x","max_tokens":2}"#;
+    let mut response = request.send_body(body).await.expect("an answer");
+    assert!(response.headers().contains_key("toucan-receipt"));
+    response.body().await.expect("a whole body");
+    let url = format!("http://{}/v1/explain/explain-me", router.ports.operator);
+    let mut explained = client.get(url).send().await.expect("an answer");
+    let body: serde_json::Value = explained.json().await.expect("JSON");
+    let decisions = body["decisions"].as_array().expect("a list");
+    let names: Vec<&str> = decisions
+        .iter()
+        .filter_map(|decision| decision["event"].as_str())
+        .collect();
+    assert_eq!(names, ["queued", "granted", "dispatched", "completed"]);
+}
--- /dev/null
+++ b/crates/toucand/tests/support/mod.rs
@@ -0,0 +1,416 @@
+//! A router process with an in-test platform and in-test upstreams.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use std::{
+    cell::RefCell,
+    convert::Infallible,
+    fs,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{
+    body::{BodyStream, BoxBody, MessageBody},
+    HttpService, Request, Response, StatusCode,
+};
+use actix_service::{Service as _, ServiceFactory as _};
+use bytes::Bytes;
+use ed25519_dalek::pkcs8::{spki::der::pem::LineEnding, EncodePrivateKey as _};
+use futures_util::{future::LocalBoxFuture, StreamExt as _};
+use serde_json::json;
+use sha2::{Digest as _, Sha256};
+
+pub const TOKEN: &str = "counter-token";
+pub const OUTSIDER_TOKEN: &str = "outsider-token";
+
+/// A request as an in-test server sees it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub method: String,
+    pub path: String,
+    pub body: Bytes,
+}
+
+pub type Answer = Response<BoxBody>;
+pub type Handler = Rc<dyn Fn(Seen) -> LocalBoxFuture<'static, Answer>>;
+
+/// Serves HTTP on a free port of this thread until the test ends.
+pub async fn serve(handler: Handler) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let factory = HttpService::build()
+        .h1_allow_half_closed(false)
+        .finish(move |mut request: Request| {
+            let handler = handler.clone();
+            async move {
+                let mut body = Vec::new();
+                let mut payload = request.take_payload();
+                while let Some(Ok(part)) = payload.next().await {
+                    body.extend_from_slice(&part);
+                }
+                let seen = Seen {
+                    method: request.method().to_string(),
+                    path: request.uri().to_string(),
+                    body: body.into(),
+                };
+                Ok::<_, Infallible>(handler(seen).await)
+            }
+        })
+        .tcp_auto_h2c();
+    let service = factory.new_service(()).await.expect("a service");
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let serving = service.call(stream);
+            actix_rt::spawn(async move {
+                let _ = serving.await;
+            });
+        }
+    });
+    address
+}
+
+pub fn text(status: u16, body: impl Into<Bytes>) -> Answer {
+    let status = StatusCode::from_u16(status).expect("a status");
+    Response::with_body(status, body.into()).map_into_boxed_body()
+}
+
+/// How an in-test engine answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Engine {
+    pub gap: Duration,
+    /// Tokens after which the connection breaks.
+    pub break_after: Option<u64>,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            gap: Duration::from_millis(5),
+            break_after: None,
+        }
+    }
+}
+
+/// What in-test engines saw.
+#[derive(Debug, Default)]
+pub struct Journal {
+    pub started: Vec<(usize, u64)>,
+    /// Streams that were dropped before their end.
+    pub cancelled: u64,
+}
+
+struct Running {
+    journal: Rc<RefCell<Journal>>,
+    done: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.done {
+            self.journal.borrow_mut().cancelled += 1;
+        }
+    }
+}
+
+/// Starts an engine that sends the tokens `t0 t1 ...`.
+pub async fn engine(number: usize, engine: Engine, journal: Rc<RefCell<Journal>>) -> SocketAddr {
+    serve(Rc::new(move |seen| {
+        let journal = journal.clone();
+        Box::pin(async move {
+            if seen.path != "/v1/generate" {
+                return text(200, "{}");
+            }
+            let body: serde_json::Value = serde_json::from_slice(&seen.body).expect("JSON");
+            let from = body["resume_from"].as_u64().expect("a number");
+            let total = body["max_tokens"].as_u64().expect("a number");
+            journal.borrow_mut().started.push((number, from));
+            let running = Running {
+                journal,
+                done: false,
+            };
+            let lines = futures_util::stream::unfold(
+                (running, from),
+                move |(mut running, index)| async move {
+                    actix_rt::time::sleep(engine.gap).await;
+                    if engine.break_after.is_some_and(|most| index - from >= most) {
+                        running.done = true;
+                        let broken = std::io::Error::other("the engine broke");
+                        return Some((Err(broken), (running, index)));
+                    }
+                    if index < total {
+                        let line = format!("{{\"i\":{index},\"t\":\"t{index} \"}}\n");
+                        return Some((Ok(Bytes::from(line)), (running, index + 1)));
+                    }
+                    if index == total {
+                        running.done = true;
+                        let line = format!("{{\"end\":true,\"tokens\":{total}}}\n");
+                        return Some((Ok(Bytes::from(line)), (running, index + 1)));
+                    }
+                    None
+                },
+            );
+            let body = BodyStream::new(Box::pin(lines)).boxed();
+            Response::new(StatusCode::OK).set_body(body)
+        })
+    }))
+    .await
+}
+
+/// Starts a worker that counts its executions and answers after `time`.
+pub async fn worker(time: Duration, executions: Rc<RefCell<u64>>) -> SocketAddr {
+    serve(Rc::new(move |seen| {
+        let executions = executions.clone();
+        Box::pin(async move {
+            *executions.borrow_mut() += 1;
+            let number = *executions.borrow();
+            actix_rt::time::sleep(time).await;
+            text(
+                200,
+                format!("{{\"number\":{number},\"path\":\"{}\"}}", seen.path),
+            )
+        })
+    }))
+    .await
+}
+
+pub struct Upstream {
+    pub name: &'static str,
+    pub service: &'static str,
+    pub address: SocketAddr,
+    pub slots: u32,
+}
+
+pub struct Ports {
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub operator: SocketAddr,
+}
+
+impl Ports {
+    fn free() -> Self {
+        let tcp = || {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            listener.local_addr().expect("bound")
+        };
+        let udp = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        Self {
+            caller: tcp(),
+            peer: udp.local_addr().expect("bound"),
+            operator: tcp(),
+        }
+    }
+}
+
+fn digest(token: &str) -> String {
+    hex::encode(Sha256::digest(token.as_bytes()))
+}
+
+/// The bundle of all tests: an idempotent model service, an idempotent plain service and a
+/// non-idempotent one, a team with shares and one without.
+pub fn bundle() -> String {
+    let service = |name: &str, kind: &str, repeatable: bool| json!({"service": name, "kind": kind, "repeatable": repeatable, "slots": 4});
+    json!({
+        "revision": 1,
+        "services": {
+            "reviews": service("reviews", "model", true),
+            "tags": service("tags", "plain", true),
+            "pickups": service("pickups", "plain", false),
+        },
+        "teams": {
+            "counter": {
+                "team": "counter",
+                "tokens": [digest(TOKEN)],
+                "shares": {"reviews": 0.5, "tags": 0.5, "pickups": 0.5},
+            },
+            "outsider": {"team": "outsider", "tokens": [digest(OUTSIDER_TOKEN)], "shares": {}},
+        },
+    })
+    .to_string()
+}
+
+/// Starts a platform with the given upstreams and one router.
+pub async fn platform(ports: &Ports, upstreams: &[Upstream]) -> SocketAddr {
+    let router = json!({
+        "host": "r1", "domain": "north", "role": "router", "state": "live",
+        "address": ports.caller.to_string(), "peer_address": ports.peer.to_string(),
+    });
+    let listed = upstreams.iter().map(|upstream| {
+        json!({
+            "host": upstream.name, "domain": "north", "role": "upstream", "state": "live",
+            "service": upstream.service, "address": upstream.address.to_string(),
+            "slots": upstream.slots,
+        })
+    });
+    let hosts: Vec<serde_json::Value> = std::iter::once(router).chain(listed).collect();
+    let hosts = json!({"revision": 1, "hosts": hosts}).to_string();
+    serve(Rc::new(move |seen| {
+        let hosts = hosts.clone();
+        Box::pin(async move {
+            if seen.path.starts_with("/v1/hosts") {
+                return text(200, hosts);
+            }
+            if seen.path.contains("wait_ms") {
+                actix_rt::time::sleep(Duration::from_secs(30)).await;
+                return text(304, "");
+            }
+            text(200, bundle())
+        })
+    }))
+    .await
+}
+
+/// Writes keys and certificates into a directory.
+pub fn write_keys(directory: &Path) {
+    use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+    let mut params = CertificateParams::new(Vec::new()).expect("no names");
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().expect("a key");
+    let authority = CertifiedIssuer::self_signed(params, key).expect("an authority");
+    let key = KeyPair::generate().expect("a key");
+    let certificate = CertificateParams::new(vec!["r1".to_owned()])
+        .expect("a valid name")
+        .signed_by(&key, &authority)
+        .expect("a certificate");
+    let record = ed25519_dalek::SigningKey::from_bytes(&[7; 32])
+        .to_pkcs8_pem(LineEnding::LF)
+        .expect("a key");
+    let write = |name: &str, text: &str| fs::write(directory.join(name), text).expect("written");
+    write("authority.pem", &authority.pem());
+    write("r1.pem", &certificate.pem());
+    write("r1.key", &key.serialize_pem());
+    write("permit.key", &"ab".repeat(32));
+    write("record.key", &record);
+}
+
+/// Returns settings with `extra` lines at the end.
+pub fn settings(directory: &Path, ports: &Ports, platform: SocketAddr, extra: &str) -> String {
+    let file = |name: &str| directory.join(name).display().to_string();
+    format!(
+        "host: r1\ndomain: north\n\
+         listen: {{caller: \"{}\", peer: \"{}\", operator: \"{}\"}}\n\
+         platform: {{config: \"http://{platform}\", hosts: \"http://{platform}\", \
+         weights: \"http://{platform}\"}}\n\
+         tls: {{authority: {}, certificate: {}, key: {}}}\n\
+         secrets: {{permit_key: {}, record_key: {}}}\n{extra}",
+        ports.caller,
+        ports.peer,
+        ports.operator,
+        file("authority.pem"),
+        file("r1.pem"),
+        file("r1.key"),
+        file("permit.key"),
+        file("record.key"),
+    )
+}
+
+/// A router process. It is killed when dropped.
+pub struct Router {
+    pub ports: Ports,
+    pub process: Child,
+    pub directory: tempfile::TempDir,
+}
+
+impl Router {
+    /// Starts a router with the given upstreams and waits until it is ready.
+    pub async fn start(upstreams: &[Upstream]) -> Self {
+        let directory = tempfile::tempdir().expect("a directory");
+        let ports = Ports::free();
+        let platform = platform(&ports, upstreams).await;
+        write_keys(directory.path());
+        let text = settings(directory.path(), &ports, platform, "log: {level: debug}\n");
+        let process = spawn(&write_settings(directory.path(), &text));
+        let router = Self {
+            ports,
+            process,
+            directory,
+        };
+        let client = awc::Client::default();
+        let url = format!("http://{}/readyz", router.ports.operator);
+        let until = Instant::now() + Duration::from_secs(10);
+        loop {
+            if let Ok(response) = client.get(&url).send().await {
+                if response.status() == StatusCode::OK {
+                    return router;
+                }
+            }
+            assert!(Instant::now() < until, "not ready within 10 s");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn call_url(&self, rest: &str) -> String {
+        format!("http://{}/v1/call/{rest}", self.ports.caller)
+    }
+
+    /// Asks for a permit of the service `pickups`.
+    pub async fn permit(&self) -> String {
+        let url = format!("http://{}/v1/locate?service=pickups", self.ports.caller);
+        let request = awc::Client::default().get(url).bearer_auth(TOKEN);
+        let mut response = request.send().await.expect("an answer");
+        let body: serde_json::Value = response.json().await.expect("JSON");
+        body["permit"].as_str().expect("a permit").to_owned()
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+pub fn write_settings(directory: &Path, text: &str) -> PathBuf {
+    let path = directory.join("toucand.yaml");
+    fs::write(&path, text).expect("written");
+    path
+}
+
+pub fn command(settings: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_toucand"));
+    command.arg("--config").arg(settings);
+    command
+}
+
+fn spawn(settings: &Path) -> Child {
+    let mut command = command(settings);
+    command.stdout(Stdio::null());
+    command.spawn().expect("a process")
+}
+
+/// The events of a streamed response.
+#[derive(Debug, Default)]
+pub struct Events {
+    pub indices: Vec<u64>,
+    pub end: Option<serde_json::Value>,
+    pub digest: String,
+}
+
+/// Reads a whole stream of events.
+pub fn events(body: &[u8]) -> Events {
+    let text = std::str::from_utf8(body).expect("UTF-8");
+    let mut events = Events::default();
+    let mut hasher = Sha256::new();
+    for event in text.split("\n\n").filter(|event| !event.is_empty()) {
+        if let Some(data) = event.strip_prefix("event: end\ndata: ") {
+            events.end = Some(serde_json::from_str(data).expect("JSON"));
+            continue;
+        }
+        let data = event.strip_prefix("data: ").expect("a data event");
+        hasher.update(data);
+        hasher.update("\n");
+        let token: serde_json::Value = serde_json::from_str(data).expect("JSON");
+        events.indices.push(token["i"].as_u64().expect("an index"));
+    }
+    events.digest = hex::encode(hasher.finalize());
+    events
+}
+
+pub fn free_ports() -> Ports {
+    Ports::free()
+}
