--- /dev/null
+++ b/crates/once/tests/fleet.rs
@@ -0,0 +1,453 @@
+//! A fleet of owners, witnesses and survivors under message loss, duplication, delay, restarts and
+//! pauses.
+//!
+//! The schedule is a list of steps that proptest makes and shrinks. Each router has its own clock, so
+//! a router whose clock stands still while others act is a paused one.
+
+use std::collections::HashMap;
+
+use proptest::{prelude::*, strategy::ValueTree};
+use tsw_base::{
+    host, name,
+    time::{Span, Tick},
+};
+use tsw_once::{
+    message::{Digest, End, Note, Noted, Outcome, Reply, Response, Seal, Sealed},
+    owner, permit, survivor, witness, Key, Limits, Run,
+};
+
+const ROUTERS: usize = 4;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Locate { router: usize },
+    Call { router: usize, key: usize, body: u8 },
+    Deliver { index: usize, keep: bool },
+    Drop { index: usize },
+    Advance { router: usize, millis: u64 },
+    Restart { router: usize },
+    Suspect { router: usize, peer: usize },
+    Leave { router: usize },
+    Run { index: usize, fate: u8 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let router = 0..ROUTERS;
+    // Mostly the oldest messages, so that most exchanges get to their end.
+    let index = prop_oneof![3 => 0..4_usize, 1 => 0..64_usize];
+    let millis = prop_oneof![8 => Just(60), 4 => Just(250), 2 => Just(1_100), 1 => Just(9_000)];
+    prop_oneof![
+        20 => router.clone().prop_map(|router| Step::Locate { router }),
+        60 => (router.clone(), 0..6_usize, 0..8_u8).prop_map(|(router, key, body)| Step::Call {
+            router,
+            key,
+            body: u8::from(body == 0),
+        }),
+        400 => (index.clone(), prop::bool::weighted(0.2))
+            .prop_map(|(index, keep)| Step::Deliver { index, keep }),
+        10 => index.clone().prop_map(|index| Step::Drop { index }),
+        40 => (router.clone(), millis)
+            .prop_map(|(router, millis)| Step::Advance { router, millis }),
+        5 => router.clone().prop_map(|router| Step::Restart { router }),
+        10 => (router.clone(), 0..ROUTERS)
+            .prop_map(|(router, peer)| Step::Suspect { router, peer }),
+        1 => router.prop_map(|router| Step::Leave { router }),
+        80 => (index, 0..8_u8).prop_map(|(index, fate)| Step::Run { index, fate }),
+    ]
+}
+
+#[derive(Clone, Debug)]
+enum Payload {
+    Note(Note),
+    Noted(Noted),
+    Outcome(Outcome),
+    Seal(Seal),
+    Sealed(Sealed),
+    Forward(u64, Key, Digest),
+    Answer(u64, Reply),
+}
+
+#[derive(Clone, Debug)]
+struct Mail {
+    from: host::Id,
+    to: name::Host,
+    payload: Payload,
+}
+
+/// Who waits for an owner's reply.
+#[derive(Clone, Debug)]
+enum Origin {
+    Caller(Key, Digest),
+    Peer(host::Id, u64),
+}
+
+struct Router {
+    id: host::Id,
+    now: Tick,
+    issuer: permit::Issuer,
+    owner: owner::Table,
+    witness: witness::Table,
+    survivor: survivor::Table,
+}
+
+impl Router {
+    fn new(index: usize, incarnation: u64, now: Tick) -> Self {
+        let id = host::Id {
+            host: host(index),
+            incarnation: host::Incarnation::new(incarnation, 0),
+        };
+        let limits = Limits {
+            records: 4,
+            team_records: 3,
+            ..Limits::default()
+        };
+        let timing = owner::Timing {
+            retain: Span::from_secs(10),
+            ..owner::Timing::default()
+        };
+        let signer = permit::Signer::new([1; 32]);
+        Self {
+            issuer: permit::Issuer::new(signer, id.clone(), Span::from_secs(8)),
+            owner: owner::Table::new(id.clone(), timing, limits),
+            witness: witness::Table::new(id.clone(), Span::from_secs(9), limits),
+            survivor: survivor::Table::new(survivor::Timing::default()),
+            id,
+            now,
+        }
+    }
+}
+
+fn host(index: usize) -> name::Host {
+    format!("r{index}").parse().expect("a name")
+}
+
+#[derive(Default)]
+struct Truth {
+    runs: HashMap<permit::Id, Vec<Digest>>,
+    not_run: Vec<(permit::Id, Digest)>,
+    conflict: Vec<(permit::Id, Digest)>,
+    complete: Vec<(permit::Id, Digest)>,
+}
+
+impl Truth {
+    fn check(&self) {
+        let none = Vec::new();
+        for (key, runs) in &self.runs {
+            assert!(runs.len() <= 1, "{key:?} ran {} times", runs.len());
+        }
+        for (key, _) in &self.not_run {
+            let runs = self.runs.get(key).unwrap_or(&none);
+            assert!(runs.is_empty(), "{key:?} ran and was called not run");
+        }
+        for (key, digest) in &self.conflict {
+            let runs = self.runs.get(key).unwrap_or(&none);
+            assert!(!runs.contains(digest), "{key:?} ran and was refused");
+        }
+        for (key, digest) in &self.complete {
+            let runs = self.runs.get(key).unwrap_or(&none);
+            assert!(
+                runs.contains(digest),
+                "{key:?} is complete and this body did not run"
+            );
+        }
+    }
+}
+
+struct Fleet {
+    routers: Vec<Router>,
+    incarnation: u64,
+    mail: Vec<Mail>,
+    keys: Vec<Key>,
+    tickets: u64,
+    origins: HashMap<u64, Origin>,
+    forwarded: HashMap<u64, (Key, Digest)>,
+    runs: Vec<(host::Id, Run, Digest, bool)>,
+    digests: HashMap<(host::Id, permit::Id), Digest>,
+    truth: Truth,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            routers: (0..ROUTERS)
+                .map(|index| Router::new(index, 1, Tick::ZERO))
+                .collect(),
+            incarnation: 1,
+            mail: Vec::new(),
+            keys: Vec::new(),
+            tickets: 0,
+            origins: HashMap::new(),
+            forwarded: HashMap::new(),
+            runs: Vec::new(),
+            digests: HashMap::new(),
+            truth: Truth::default(),
+        }
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.tickets += 1;
+        self.tickets
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Locate { router } => self.locate(router),
+            Step::Call { router, key, body } if !self.keys.is_empty() => {
+                let recent = self.keys.len().saturating_sub(6);
+                let key = self.keys[recent + key % (self.keys.len() - recent)].clone();
+                self.call(router, key, Digest([body; 32]));
+            }
+            Step::Deliver { index, keep } if !self.mail.is_empty() => {
+                let index = index % self.mail.len();
+                let mail = if keep {
+                    self.mail[index].clone()
+                } else {
+                    self.mail.remove(index)
+                };
+                self.deliver(mail);
+            }
+            Step::Drop { index } if !self.mail.is_empty() => {
+                self.mail.remove(index % self.mail.len());
+            }
+            Step::Advance { router, millis } => {
+                let now = self.routers[router].now + Span::from_millis(millis);
+                self.routers[router].now = now;
+                self.owner(router, owner::Event::Tick);
+                self.witness(router, witness::Event::Tick);
+                self.survivor(router, survivor::Event::Tick);
+            }
+            Step::Restart { router } => {
+                self.incarnation += 1;
+                let now = Tick::from_micros(self.incarnation);
+                let old = self.routers[router].id.clone();
+                self.routers[router] = Router::new(router, self.incarnation, now);
+                self.runs.retain(|(id, ..)| *id != old);
+            }
+            Step::Suspect { router, peer } => {
+                let id = self.routers[peer].id.clone();
+                self.owner(router, owner::Event::Gone { id: id.clone() });
+                self.survivor(router, survivor::Event::Gone { id });
+            }
+            Step::Leave { router } => self.owner(router, owner::Event::Leave),
+            Step::Run { index, fate } if !self.runs.is_empty() => {
+                self.run(index % self.runs.len(), fate);
+            }
+            _ => {}
+        }
+        self.truth.check();
+    }
+
+    fn locate(&mut self, index: usize) {
+        let witnesses = (1..=2)
+            .map(|step| self.routers[(index + step) % ROUTERS].id.clone())
+            .collect();
+        let (team, service) = ("t".parse().unwrap(), "s".parse().unwrap());
+        let router = &mut self.routers[index];
+        let permit = router
+            .issuer
+            .issue(router.now, self.incarnation, &team, &service, witnesses);
+        for suffix in ["a", "b"] {
+            let key: Key = format!("{permit}.{suffix}").parse().unwrap();
+            self.keys.push(key);
+        }
+    }
+
+    fn call(&mut self, router: usize, key: Key, digest: Digest) {
+        let ticket = self.ticket();
+        if key.permit.owner == self.routers[router].id {
+            self.own(router, Origin::Caller(key.clone(), digest), key, digest);
+        } else {
+            self.forwarded.insert(ticket, (key.clone(), digest));
+            let deadline = self.routers[router].now + Span::from_secs(5);
+            let event = survivor::Event::Call {
+                ticket,
+                key,
+                digest,
+                deadline,
+            };
+            self.survivor(router, event);
+        }
+    }
+
+    fn own(&mut self, router: usize, origin: Origin, key: Key, digest: Digest) {
+        let ticket = self.ticket();
+        self.origins.insert(ticket, origin);
+        let id = self.routers[router].id.clone();
+        self.digests.entry((id, key.id())).or_insert(digest);
+        let event = owner::Event::Call {
+            ticket,
+            key,
+            digest,
+        };
+        self.owner(router, event);
+    }
+
+    fn send(&mut self, from: &host::Id, to: &host::Id, payload: Payload) {
+        self.mail.push(Mail {
+            from: from.clone(),
+            to: to.host.clone(),
+            payload,
+        });
+    }
+
+    fn owner(&mut self, index: usize, event: owner::Event) {
+        let router = &mut self.routers[index];
+        let (id, now) = (router.id.clone(), router.now);
+        for command in router.owner.handle(now, event) {
+            match command {
+                owner::Command::Note { to, note } => self.send(&id, &to, Payload::Note(note)),
+                owner::Command::Outcome { to, outcome } => {
+                    self.send(&id, &to, Payload::Outcome(outcome));
+                }
+                owner::Command::Dispatch { run } => {
+                    // The digest of the call that opened the key is the one that runs.
+                    let digest = self.digests[&(id.clone(), run.key().id())];
+                    self.runs.push((id.clone(), run, digest, false));
+                }
+                owner::Command::Reply { ticket, reply } => match self.origins[&ticket].clone() {
+                    Origin::Caller(key, digest) => self.told(&key, digest, &reply),
+                    Origin::Peer(peer, ticket) => {
+                        self.send(&id, &peer, Payload::Answer(ticket, reply));
+                    }
+                },
+            }
+        }
+    }
+
+    fn witness(&mut self, index: usize, event: witness::Event) {
+        let router = &mut self.routers[index];
+        let (id, now) = (router.id.clone(), router.now);
+        for command in router.witness.handle(now, event) {
+            match command {
+                witness::Command::Noted { to, noted } => {
+                    self.send(&id, &to, Payload::Noted(noted));
+                }
+                witness::Command::Sealed { to, sealed } => {
+                    self.send(&id, &to, Payload::Sealed(sealed));
+                }
+            }
+        }
+    }
+
+    fn survivor(&mut self, index: usize, event: survivor::Event) {
+        let router = &mut self.routers[index];
+        let (id, now) = (router.id.clone(), router.now);
+        for command in router.survivor.handle(now, event) {
+            match command {
+                survivor::Command::Forward { to, ticket } => {
+                    let (key, digest) = self.forwarded[&ticket].clone();
+                    self.send(&id, &to, Payload::Forward(ticket, key, digest));
+                }
+                survivor::Command::Seal { to, seal } => self.send(&id, &to, Payload::Seal(seal)),
+                survivor::Command::Reply { ticket, reply } => {
+                    let (key, digest) = self.forwarded[&ticket].clone();
+                    self.told(&key, digest, &reply);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, mail: Mail) {
+        let to = self.routers.iter().position(|r| r.id.host == mail.to);
+        let to = to.expect("a router");
+        let from = mail.from;
+        match mail.payload {
+            Payload::Note(note) => self.witness(to, witness::Event::Note { from, note }),
+            Payload::Outcome(outcome) => {
+                self.witness(to, witness::Event::Outcome { from, outcome });
+            }
+            Payload::Seal(seal) => self.witness(to, witness::Event::Seal { from, seal }),
+            Payload::Noted(noted) => self.owner(to, owner::Event::Noted { from, noted }),
+            Payload::Sealed(sealed) => {
+                self.survivor(to, survivor::Event::Sealed { from, sealed });
+            }
+            Payload::Forward(ticket, key, digest) => {
+                self.own(to, Origin::Peer(from, ticket), key, digest);
+            }
+            Payload::Answer(ticket, reply) => {
+                let event = survivor::Event::Answer {
+                    from,
+                    ticket,
+                    reply,
+                };
+                self.survivor(to, event);
+            }
+        }
+    }
+
+    /// Moves a run on: to the upstream, then to its end. A run may also be refused before it
+    /// reaches the upstream.
+    fn run(&mut self, index: usize, fate: u8) {
+        let (_, run, digest, sent) = &mut self.runs[index];
+        if !*sent && fate > 0 {
+            *sent = true;
+            let (key, digest) = (run.key().id(), *digest);
+            self.truth.runs.entry(key).or_default().push(digest);
+            return;
+        }
+        let (id, run, _, sent) = self.runs.remove(index);
+        let response = match (sent, fate) {
+            (false, _) => Response::not_run("deadline"),
+            (true, 0) => Response::unknown("connection-broken"),
+            (true, _) => Response {
+                end: End::Complete,
+                status: 200,
+                ..Response::unknown("")
+            },
+        };
+        let router = self.routers.iter().position(|r| r.id == id);
+        let router = router.expect("runs of restarted routers are removed");
+        self.owner(router, owner::Event::Finished { run, response });
+    }
+
+    fn told(&mut self, key: &Key, digest: Digest, reply: &Reply) {
+        let entry = (key.id(), digest);
+        match reply {
+            Reply::Final(response) => match response.end {
+                End::Complete => self.truth.complete.push(entry),
+                End::NotRun => self.truth.not_run.push(entry),
+                End::Unknown => {}
+            },
+            Reply::Conflict => self.truth.conflict.push(entry),
+            Reply::Pending | Reply::Stranger => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    /// Guards against a booking that runs twice, a "not run" that is or becomes untrue, a "complete"
+    /// without a run, and a response that belongs to another body.
+    #[test]
+    fn runs_at_most_once_and_not_run_is_true(steps in prop::collection::vec(step(), 1..600)) {
+        let mut fleet = Fleet::new();
+        for step in steps {
+            fleet.step(step);
+        }
+    }
+}
+
+/// Guards against a schedule generator that never reaches the states that the property is about.
+#[test]
+fn schedules_reach_runs_seals_and_replays() {
+    let mut runner = proptest::test_runner::TestRunner::deterministic();
+    let strategy = prop::collection::vec(step(), 600);
+    let (mut runs, mut not_run, mut complete) = (0, 0, 0);
+    for _ in 0..100 {
+        let steps = strategy
+            .new_tree(&mut runner)
+            .expect("a schedule")
+            .current();
+        let mut fleet = Fleet::new();
+        for step in steps {
+            fleet.step(step);
+        }
+        runs += fleet.truth.runs.len();
+        not_run += fleet.truth.not_run.len();
+        complete += fleet.truth.complete.len();
+    }
+    assert!(runs > 100, "{runs} runs");
+    assert!(not_run > 100, "{not_run} calls not run");
+    assert!(complete > 100, "{complete} calls complete");
+}
