--- a/crates/toucand/src/audit.rs
+++ b/crates/toucand/src/audit.rs
@@ -1,13 +1,13 @@
 //! Controller of the audit log.
 
 use tsw_audit::{Chain, Head, Line};
-use tsw_base::{host, name, time::Tick};
+use tsw_base::{host, name};
 use tsw_board::{Board, Pen};
 use tsw_event::{emit, Event};
 use tsw_member::State;
 use tsw_wire::message::Message;
 
-use crate::{clock, out::Out};
+use crate::{clock, out::Out, turn::Turn};
 
 /// Peers that get each chain head.
 const WITNESSES: usize = 2;
@@ -56,16 +56,16 @@
     }
 
     /// Sends the chain head to peers when it is due.
-    pub fn tick(&self, board: &mut Board, out: &mut Out, now: Tick) {
-        if let Some(head) = board.audit.write(&self.pen).head(now) {
-            send(board, out, &head);
+    pub fn tick(&self, turn: &mut Turn<'_>) {
+        if let Some(head) = turn.board.audit.write(&self.pen).head(turn.now) {
+            send(turn.board, turn.out, &head);
         }
     }
 
     /// Sends the last chain head to peers.
-    pub fn close(&self, board: &mut Board, out: &mut Out, now: Tick) {
-        let head = board.audit.write(&self.pen).sign(now);
-        send(board, out, &head);
+    pub fn close(&self, turn: &mut Turn<'_>) {
+        let head = turn.board.audit.write(&self.pen).sign(turn.now);
+        send(turn.board, turn.out, &head);
     }
 }
 
--- a/crates/toucand/src/booking.rs
+++ b/crates/toucand/src/booking.rs
@@ -70,7 +70,7 @@
         .parse()
         .map_err(|error: tsw_once::permit::Error| Refusal::Key(error.to_string()))?;
     router
-        .look(|state| state.tables.verify(&key, &call.team, &call.service))
+        .look(|state| state.control.tables.verify(&key, &call.team, &call.service))
         .map_err(|error| Refusal::Key(error.to_string()))?;
     Ok(key)
 }
@@ -114,15 +114,14 @@
 /// Runs a call as the owner of its key. It goes on when the caller disconnects.
 pub async fn run(router: Rc<Router>, run: Run) {
     let _flight = Flight::start(&router);
-    let owned = router.look(|state| state.tables.owned(&run));
+    let owned = router.look(|state| state.control.tables.owned(&run));
     let response = match owned {
         Some(owned) => execute(&router, &owned).await,
         None => tsw_once::Response::not_run("request-missing"),
     };
     router.act(|state, now| {
-        state
-            .tables
-            .finished(&mut state.board, &mut state.out, now, run, response);
+        let (mut turn, control) = state.split(now);
+        control.tables.finished(&mut turn, run, response);
     });
 }
 
@@ -194,9 +193,8 @@
 
     fn submit(&self, key: Key, call: &Call) -> tokio::sync::oneshot::Receiver<Answer> {
         self.act(|state, now| {
-            state
-                .tables
-                .call(&mut state.board, &mut state.out, now, key, call)
+            let (mut turn, control) = state.split(now);
+            control.tables.call(&mut turn, key, call)
         })
     }
 
@@ -210,7 +208,8 @@
         if self.phase() != Phase::Ready {
             return None;
         }
-        let issued = self.act(|state, now| state.tables.issue(&state.board, now, team, service));
+        let issued =
+            self.act(|state, now| state.control.tables.issue(&state.board, now, team, service));
         Some(issued.to_string())
     }
 }
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -5,7 +5,7 @@
 //! read the whole blackboard and write their own sections.
 //!
 //! - Start and end: [`keys`], [`start`], [`serve`], [`clock`].
-//! - State: [`router`], [`state`], [`out`], [`task`].
+//! - State: [`router`], [`state`], [`out`], [`task`], [`turn`].
 //! - Controllers: [`membership`], [`configuration`], [`scheduling`], [`tables`], [`poison`],
 //!   [`placement`], [`audit`], [`health`].
 //! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
@@ -45,3 +45,4 @@
 pub mod stream;
 pub mod tables;
 pub mod task;
+pub mod turn;
--- a/crates/toucand/src/membership.rs
+++ b/crates/toucand/src/membership.rs
@@ -1,7 +1,7 @@
 //! Controller of the host list and of the view of the fleet.
 
 use indexmap::IndexMap;
-use tsw_base::{host, name, time::Tick};
+use tsw_base::{host, name};
 use tsw_board::{
     hosts::{List, Upstream},
     Board, Pen,
@@ -10,7 +10,7 @@
 use tsw_member::{event, View};
 use tsw_wire::message::{Fetch, Hosts, Message};
 
-use crate::out::Out;
+use crate::turn::Turn;
 
 /// Owner of the sections about hosts and the fleet.
 #[derive(Debug)]
@@ -57,18 +57,12 @@
     }
 
     /// Gives an event to the view and carries out what follows.
-    pub fn handle(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        event: event::Event,
-    ) -> Effect {
+    pub fn handle(&mut self, turn: &mut Turn<'_>, event: event::Event) -> Effect {
         let mut effect = Effect::default();
-        for command in board.fleet.write(&self.fleet).handle(now, event) {
+        for command in turn.board.fleet.write(&self.fleet).handle(turn.now, event) {
             match command {
-                event::Command::Ping { to, ping } => out.send(&to, Message::Ping(ping)),
-                event::Command::Ack { to, ack } => out.send(&to, Message::Ack(ack)),
+                event::Command::Ping { to, ping } => turn.out.send(&to, Message::Ping(ping)),
+                event::Command::Ack { to, ack } => turn.out.send(&to, Message::Ack(ack)),
                 event::Command::Changed(change) => {
                     let state = format!("{:?}", change.state).to_lowercase();
                     emit(
@@ -85,10 +79,10 @@
                 event::Command::Behind { peer, .. } => {
                     effect.behind = true;
                     let fetch = Fetch {
-                        bundle: board.configuration.revision(),
-                        hosts: board.hosts.revision,
+                        bundle: turn.board.configuration.revision(),
+                        hosts: turn.board.hosts.revision,
                     };
-                    out.send(&peer, Message::Fetch(fetch));
+                    turn.out.send(&peer, Message::Fetch(fetch));
                 }
             }
         }
@@ -97,12 +91,12 @@
 
     /// Takes a host list that was read from the platform. One with a lower revision than that in
     /// use is ignored.
-    pub fn adopt(&mut self, board: &mut Board, out: &mut Out, now: Tick, list: List) -> Effect {
-        if list.revision < board.hosts.revision || list == *board.hosts {
+    pub fn adopt(&mut self, turn: &mut Turn<'_>, list: List) -> Effect {
+        if list.revision < turn.board.hosts.revision || list == *turn.board.hosts {
             return Effect::default();
         }
         self.changes += 1;
-        log_changes(&board.hosts, &list);
+        log_changes(&turn.board.hosts, &list);
         let (routers, upstreams) = (list.routers.len(), list.upstreams.len());
         emit(
             Event::HostsAdopted,
@@ -112,14 +106,14 @@
                 ("upstreams", &upstreams),
             ],
         );
-        if let Some(link) = out.link() {
-            for host in board.hosts.routers.keys() {
+        if let Some(link) = turn.out.link() {
+            for host in turn.board.hosts.routers.keys() {
                 if !list.routers.contains_key(host) {
                     link.set_address(host, None);
                 }
             }
             for (host, router) in &list.routers {
-                if *host != out.me().host {
+                if *host != turn.out.me().host {
                     link.set_address(host, Some(router.peer_address));
                 }
             }
@@ -134,8 +128,8 @@
             revision: list.revision,
             hosts: listed.collect(),
         };
-        *board.hosts.write(&self.hosts) = list;
-        self.handle(board, out, now, event)
+        *turn.board.hosts.write(&self.hosts) = list;
+        self.handle(turn, event)
     }
 
     /// Returns which upstreams are leaving, for a peer whose host list is older.
--- a/crates/toucand/src/operator.rs
+++ b/crates/toucand/src/operator.rs
@@ -110,8 +110,8 @@
             json!({
                 "upstream": name,
                 "service": upstream.service,
-                "leaving": state.membership.is_leaving(name, upstream),
-                "home": state.scheduling.is_owned(name),
+                "leaving": state.control.membership.is_leaving(name, upstream),
+                "home": state.control.scheduling.is_owned(name),
                 "running": usage.map(|usage| usage.0),
                 "limit": usage.map(|usage| usage.1),
             })
@@ -124,7 +124,7 @@
             "bundle_revision": board.configuration.revision(),
             "hosts_revision": board.hosts.revision,
             "in_flight": router.in_flight(),
-            "waiting": state.scheduling.waiting(),
+            "waiting": state.control.scheduling.waiting(),
             "peers": peers.collect::<Vec<_>>(),
             "upstreams": services.collect::<Vec<_>>(),
         })
--- a/crates/toucand/src/peers.rs
+++ b/crates/toucand/src/peers.rs
@@ -36,9 +36,8 @@
             let router = greeter.upgrade();
             router.map_or_else(Vec::new, |router| {
                 router.act(|state, now| {
-                    state
-                        .scheduling
-                        .greeting(&mut state.board, &mut state.out, now, peer)
+                    let (mut turn, control) = state.split(now);
+                    control.scheduling.greeting(&mut turn, peer)
                 })
             })
         }),
--- a/crates/toucand/src/placement.rs
+++ b/crates/toucand/src/placement.rs
@@ -6,13 +6,13 @@
 use actix_rt::time;
 use indexmap::IndexMap;
 use serde_json::json;
-use tsw_base::{name, time::Tick};
-use tsw_board::{Board, Pen};
+use tsw_base::name;
+use tsw_board::Pen;
 use tsw_config::service;
 use tsw_event::{emit, Event};
 use tsw_place::{plan, Dispatch, Order};
 
-use crate::{out::Out, router::Router, task};
+use crate::{router::Router, task, turn::Turn};
 
 /// Longest time for an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -34,16 +34,15 @@
     /// router is home of.
     pub fn update(
         &self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
+        turn: &mut Turn<'_>,
         is_owned: impl Fn(&name::Upstream) -> bool,
         is_leaving: impl Fn(&name::Upstream, &tsw_board::hosts::Upstream) -> bool,
     ) {
-        let Some(bundle) = board.configuration.bundle().cloned() else {
+        let Some(bundle) = turn.board.configuration.bundle().cloned() else {
             return;
         };
-        let engines: Vec<plan::Engine> = board
+        let engines: Vec<plan::Engine> = turn
+            .board
             .hosts
             .upstreams
             .iter()
@@ -59,7 +58,7 @@
             })
             .collect();
         let fencing = |name: &name::Upstream| {
-            let service = &board.hosts.upstreams.get(name)?.service;
+            let service = &turn.board.hosts.upstreams.get(name)?.service;
             Some(bundle.services.get(service)?.fencing)
         };
         let orders: IndexMap<_, _> = plan::orders(&bundle, &engines)
@@ -74,13 +73,18 @@
             orders,
             engines: engines.len(),
         };
-        self.handle(board, out, now, event);
+        self.handle(turn, event);
     }
 
     /// Gives an event to the dispatch and carries out what follows.
-    pub fn handle(&self, board: &mut Board, out: &mut Out, now: Tick, event: tsw_place::Event) {
-        for command in board.placement.write(&self.pen).handle(now, event) {
-            out.start(task::Task::Order {
+    pub fn handle(&self, turn: &mut Turn<'_>, event: tsw_place::Event) {
+        for command in turn
+            .board
+            .placement
+            .write(&self.pen)
+            .handle(turn.now, event)
+        {
+            turn.out.start(task::Task::Order {
                 upstream: command.upstream,
                 order: command.order,
             });
@@ -130,9 +134,8 @@
     };
     router.metrics.orders.with_label_values(&[result]).inc();
     router.act(|state, now| {
-        state
-            .placement
-            .handle(&mut state.board, &mut state.out, now, event);
+        let (mut turn, control) = state.split(now);
+        control.placement.handle(&mut turn, event);
     });
 }
 
--- a/crates/toucand/src/poison.rs
+++ b/crates/toucand/src/poison.rs
@@ -7,7 +7,7 @@
 use tsw_poison::{Command, Fingerprint, Treatment, Verdict, Watch};
 use tsw_wire::message::Message;
 
-use crate::{call::Call, out::Out};
+use crate::{call::Call, turn::Turn};
 
 /// Owner of the section about requests that crash upstreams.
 #[derive(Debug)]
@@ -38,16 +38,16 @@
     }
 
     /// Gives an event to the watch and carries out what follows.
-    pub fn handle(&self, board: &mut Board, out: &mut Out, now: Tick, event: tsw_poison::Event) {
-        for command in board.poison.write(&self.pen).handle(now, event) {
+    pub fn handle(&self, turn: &mut Turn<'_>, event: tsw_poison::Event) {
+        for command in turn.board.poison.write(&self.pen).handle(turn.now, event) {
             match command {
                 Command::Broadcast(suspect) => {
                     log(&suspect);
-                    let peers = board.fleet.peers();
+                    let peers = turn.board.fleet.peers();
                     let peers = peers.filter(|(_, _, state)| *state != State::Dead);
                     let hosts: Vec<name::Host> = peers.map(|(id, _, _)| id.host.clone()).collect();
                     for host in hosts {
-                        out.send(&host, Message::Suspect(suspect.clone()));
+                        turn.out.send(&host, Message::Suspect(suspect.clone()));
                     }
                 }
                 Command::Confirmed(fingerprint) => {
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -67,7 +67,7 @@
         let bytes = call.body.len() as u64;
         let admitted = self.act(|state, now| {
             let board = &mut state.board;
-            state.scheduling.admit(
+            state.control.scheduling.admit(
                 board,
                 now,
                 &call.service,
@@ -124,9 +124,8 @@
             admitted,
         };
         let (request, answer) = self.act(|state, now| {
-            state
-                .scheduling
-                .push(&mut state.board, &mut state.out, now, ask)
+            let (mut turn, control) = state.split(now);
+            control.scheduling.push(&mut turn, ask)
         });
         self.ticks_wanted.notify_one();
         Wait::new(self.clone(), request, answer)
@@ -161,9 +160,8 @@
     /// Takes a waiting request out of its queue.
     pub fn withdraw(&self, request: Request) {
         self.act(|state, now| {
-            state
-                .scheduling
-                .withdraw(&mut state.board, &mut state.out, now, request);
+            let (mut turn, control) = state.split(now);
+            control.scheduling.withdraw(&mut turn, request);
         });
     }
 
@@ -182,14 +180,10 @@
             );
         }
         self.act(|state, now| {
-            state.scheduling.end(
-                &mut state.board,
-                &mut state.out,
-                now,
-                &granted.service,
-                granted.id,
-                progress,
-            );
+            let (mut turn, control) = state.split(now);
+            control
+                .scheduling
+                .end(&mut turn, &granted.service, granted.id, progress);
         });
     }
 
@@ -240,9 +234,8 @@
 
     fn watch_poison(&self, event: tsw_poison::Event) {
         self.act(|state, now| {
-            state
-                .poison
-                .handle(&mut state.board, &mut state.out, now, event);
+            let (mut turn, control) = state.split(now);
+            control.poison.handle(&mut turn, event);
         });
     }
 
@@ -309,7 +302,12 @@
     }
 
     fn pulse<R>(&self, service: &name::Service, change: impl FnOnce(&mut Pulse) -> R) -> R {
-        self.act(|state, _| state.health.pulse(&mut state.board, service, change))
+        self.act(|state, _| {
+            state
+                .control
+                .health
+                .pulse(&mut state.board, service, change)
+        })
     }
 
     /// Returns whether the budget allows a retry, and takes it out of the budget.
@@ -346,14 +344,10 @@
     pub fn report_pace(&self, slot: &Slot, pace: Span) {
         let granted = slot.granted();
         self.act(|state, now| {
-            state.scheduling.progress(
-                &mut state.board,
-                &mut state.out,
-                now,
-                &granted.service,
-                granted.id,
-                pace,
-            );
+            let (mut turn, control) = state.split(now);
+            control
+                .scheduling
+                .progress(&mut turn, &granted.service, granted.id, pace);
         });
     }
 
@@ -361,7 +355,7 @@
     pub fn audit(&self, event: &str, request_id: &str, fields: &[(&str, &str)]) {
         /// Lines that are kept for receipts of answers that are being made.
         const KEPT: usize = 4_096;
-        let line = self.act(|state, _| state.audit.record(&mut state.board, event, fields));
+        let line = self.act(|state, _| state.control.audit.record(&mut state.board, event, fields));
         let mut lines = self.lines.borrow_mut();
         if lines.len() >= KEPT {
             lines.clear();
--- a/crates/toucand/src/scheduling.rs
+++ b/crates/toucand/src/scheduling.rs
@@ -4,20 +4,21 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::oneshot;
-use tsw_admit::gate::{Gate, Refusal as Shed};
 use tsw_base::{host, name, time::Tick};
 use tsw_board::{hosts, Board, Gates, Homes, Pen, Queues};
 use tsw_config::{bundle, service, settings};
 use tsw_event::{emit, Event};
 use tsw_grant::{
     entry, home,
-    message::{Class, Grant, Id, Request, State},
+    message::{Class, Request},
 };
 use tsw_member::{rendezvous, State as Member};
 use tsw_share::message::Served;
 use tsw_wire::message::Message;
 
-use crate::{health, membership, out::Out, refusal::Refusal, slot};
+use crate::{health, membership, out::Out, slot, turn::Turn};
+
+mod queue;
 
 /// What the choice of homes depends on: epoch of the fleet, changes of the upstreams, revision of
 /// the bundle.
@@ -116,18 +117,16 @@
     /// changed.
     pub fn update(
         &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
+        turn: &mut Turn<'_>,
         membership: &membership::Controller,
         health: &mut health::Controller,
     ) -> bool {
         let basis = (
-            board.fleet.epoch(),
+            turn.board.fleet.epoch(),
             membership.changes(),
-            board.configuration.revision(),
+            turn.board.configuration.revision(),
         );
-        let Some(bundle) = board.configuration.bundle().cloned() else {
+        let Some(bundle) = turn.board.configuration.bundle().cloned() else {
             return false;
         };
         if self.basis == Some(basis) {
@@ -136,8 +135,8 @@
         self.basis = Some(basis);
         let mut owned = IndexMap::new();
         for service in bundle.services.values() {
-            self.assign(board, out, now, service, (membership, health), &mut owned);
-            self.set_shares(board, out, now, health, service, &bundle);
+            self.assign(turn, service, (membership, health), &mut owned);
+            self.set_shares(turn, health, service, &bundle);
         }
         let lost: Vec<_> = self
             .owned
@@ -147,9 +146,9 @@
             .collect();
         self.owned = owned;
         for (upstream, service) in lost {
-            health.remove(board, &service, &upstream);
+            health.remove(turn.board, &service, &upstream);
             let event = home::Event::Disown { upstream };
-            self.home_event(board, out, now, health, &service, event);
+            self.home_event(turn, health, &service, event);
         }
         true
     }
@@ -157,14 +156,13 @@
     /// Assigns the upstreams of a service to homes.
     fn assign(
         &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
+        turn: &mut Turn<'_>,
         service: &service::Service,
         (membership, health): (&membership::Controller, &mut health::Controller),
         owned: &mut IndexMap<name::Upstream, name::Service>,
     ) {
-        let listed: Vec<(name::Upstream, hosts::Upstream)> = board
+        let listed: Vec<(name::Upstream, hosts::Upstream)> = turn
+            .board
             .hosts
             .upstreams
             .iter()
@@ -174,12 +172,12 @@
         let groups = listed.len().div_ceil(self.group_size as usize).max(1) as u32;
         let homes: Vec<Option<host::Id>> = (0..groups)
             .map(|group| {
-                let host = board.fleet.home(&service.service, group)?;
-                board.fleet.id(host).cloned()
+                let host = turn.board.fleet.home(&service.service, group)?;
+                turn.board.fleet.id(host).cloned()
             })
             .collect();
         let was_home = self.owned.values().any(|other| *other == service.service);
-        let is_home = homes.iter().flatten().any(|id| id == out.me());
+        let is_home = homes.iter().flatten().any(|id| id == turn.out.me());
         if is_home != was_home && !listed.is_empty() {
             let event = if is_home {
                 Event::HomeGained
@@ -188,32 +186,39 @@
             };
             emit(event, &[("service", &service.service)]);
         }
-        self.set_partners(board, out, &service.service, groups, &homes, is_home);
+        self.set_partners(
+            turn.board,
+            turn.out,
+            &service.service,
+            groups,
+            &homes,
+            is_home,
+        );
         let mut places = Vec::new();
         for (name, upstream) in listed {
             let group = rendezvous::group(&name, groups);
             let Some(home) = homes[group as usize].clone() else {
                 continue;
             };
-            if home == *out.me() {
+            if home == *turn.out.me() {
                 let slots = match upstream.slots {
                     0 => service.slots,
                     slots => slots,
                 };
                 let leaving = membership.is_leaving(&name, &upstream);
-                let limit = health.set_slots(board, &service.service, &name, slots);
+                let limit = health.set_slots(turn.board, &service.service, &name, slots);
                 let event = home::Event::Upstream {
                     upstream: name.clone(),
                     slots,
                     limit: if leaving { 0 } else { limit },
                 };
                 owned.insert(name.clone(), service.service.clone());
-                self.home_event(board, out, now, health, &service.service, event);
+                self.home_event(turn, health, &service.service, event);
             }
             places.push((name, home));
         }
         let event = entry::Event::Homes { upstreams: places };
-        self.queue_event(board, out, now, &service.service, event);
+        self.queue_event(turn, &service.service, event);
     }
 
     /// Notes which routers get the totals of this home: the other homes of the service, and the
@@ -246,14 +251,12 @@
 
     fn set_shares(
         &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
+        turn: &mut Turn<'_>,
         health: &mut health::Controller,
         service: &service::Service,
         bundle: &bundle::Bundle,
     ) {
-        let upstreams = board.hosts.upstreams.values();
+        let upstreams = turn.board.hosts.upstreams.values();
         let own = upstreams.filter(|upstream| upstream.service == service.service);
         let slots = own.map(|upstream| match upstream.slots {
             0 => u64::from(service.slots),
@@ -267,8 +270,8 @@
         });
         let shares = shares.collect();
         let event = home::Event::Shares { slots, shares };
-        self.home_event(board, out, now, health, &service.service, event);
-        let peers = board.fleet.peers();
+        self.home_event(turn, health, &service.service, event);
+        let peers = turn.board.fleet.peers();
         let live = peers.filter(|(id, _, state)| {
             *state != Member::Dead
                 && *id
@@ -278,43 +281,42 @@
                     }
         });
         let mut live: Vec<host::Id> = live.map(|(id, _, _)| id.clone()).collect();
-        live.push(out.me().clone());
+        live.push(turn.out.me().clone());
         let event = home::Event::Routers { live };
-        self.home_event(board, out, now, health, &service.service, event);
+        self.home_event(turn, health, &service.service, event);
     }
 
     /// Gives an event to the home of a service and carries out what follows.
     pub fn home_event(
         &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
+        turn: &mut Turn<'_>,
         health: &mut health::Controller,
         service: &name::Service,
         event: home::Event,
     ) {
-        let known = board
+        let known = turn
+            .board
             .configuration
             .bundle()
             .is_some_and(|bundle| bundle.services.contains_key(service));
         if !known {
             return;
         }
-        let me = out.me().incarnation;
+        let me = turn.out.me().incarnation;
         let tuning = self.home_tuning;
-        let homes = board.homes.write(&self.homes);
+        let homes = turn.board.homes.write(&self.homes);
         let home = homes
             .entry(service.clone())
             .or_insert_with(|| home::Home::new(service.clone(), me, tuning));
-        for command in home.handle(now, event) {
+        for command in home.handle(turn.now, event) {
             let (to, grant) = match command {
                 home::Command::Grant { to, grant } => (to, grant),
                 home::Command::Served { served } => {
-                    self.send_served(out, &served);
+                    self.send_served(turn.out, &served);
                     continue;
                 }
             };
-            health.granted(now, &grant);
+            health.granted(turn.now, &grant);
             let number = grant.id.number;
             emit(
                 Event::SlotGranted,
@@ -326,171 +328,20 @@
                     ("number", &number),
                 ],
             );
-            out.send(&to.host, Message::Grant(grant));
-        }
-    }
-
-    /// Gives an event to the queue of a service and carries out what follows.
-    fn queue_event(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        service: &name::Service,
-        event: entry::Event,
-    ) {
-        let spread = out.me().incarnation.get();
-        let tuning = self.queue_tuning;
-        let queues = board.queues.write(&self.queues);
-        let queue = queues
-            .entry(service.clone())
-            .or_insert_with(|| entry::Queue::new(service.clone(), spread, tuning));
-        let commands = queue.handle(now, event);
-        for command in commands {
-            self.carry_out(board, out, now, service, command);
-        }
-    }
-
-    fn carry_out(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        service: &name::Service,
-        command: entry::Command,
-    ) {
-        match command {
-            entry::Command::Run {
-                request,
-                grant,
-                upstream,
-            } => self.run(board, out, now, service, (request, grant, upstream)),
-            entry::Command::Expire { request } => {
-                if let Some(waiter) = self.waiters.remove(&request) {
-                    self.leave(board, &waiter);
-                    // The caller may be gone.
-                    let _ = waiter.answer.send(Err(Refusal::Deadline));
-                }
-            }
-            entry::Command::Demand { to, demand } => out.send(&to.host, Message::Demand(demand)),
-            entry::Command::Release { to, release } => {
-                out.send(&to.host, Message::Release(release));
-            }
-            entry::Command::Holdings { to, holdings } => {
-                out.send(&to.host, Message::Holdings(holdings));
-            }
-        }
-    }
-
-    fn run(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        service: &name::Service,
-        (request, id, upstream): (Request, Id, name::Upstream),
-    ) {
-        let address = board.hosts.upstreams.get(&upstream).map(|u| u.address);
-        let waiter = self.waiters.remove(&request);
-        let (Some(waiter), Some(address)) = (waiter, address) else {
-            return self.end(board, out, now, service, id, State::Unused);
-        };
-        if let Some(bytes) = waiter.admitted {
-            self.gate(board, service).grant(now, &waiter.team, bytes);
-        }
-        let granted = slot::Granted {
-            service: service.clone(),
-            id,
-            upstream,
-            address,
-        };
-        if waiter.answer.send(Ok(granted)).is_err() {
-            self.end(board, out, now, service, id, State::Unused);
-        }
-    }
-
-    /// Puts a request into the queue of its service.
-    pub fn push(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        ask: Ask,
-    ) -> (Request, oneshot::Receiver<slot::Answer>) {
-        self.last_request += 1;
-        let request = Request(self.last_request);
-        let (answer, receiver) = oneshot::channel();
-        let waiter = Waiter {
-            service: ask.service.clone(),
-            team: ask.team.clone(),
-            admitted: ask.admitted,
-            answer,
-        };
-        self.waiters.insert(request, waiter);
-        let event = entry::Event::Push {
-            request,
-            team: ask.team,
-            class: ask.class,
-            deadline: ask.deadline,
-            avoid: ask.avoid,
-        };
-        self.queue_event(board, out, now, &ask.service, event);
-        (request, receiver)
-    }
-
-    /// Takes a waiting request out of its queue.
-    pub fn withdraw(&mut self, board: &mut Board, out: &mut Out, now: Tick, request: Request) {
-        if let Some(waiter) = self.waiters.remove(&request) {
-            self.leave(board, &waiter);
-            let event = entry::Event::Cancel { request };
-            self.queue_event(board, out, now, &waiter.service, event);
-        }
-    }
-
-    fn gate<'a>(&self, board: &'a mut Board, service: &name::Service) -> &'a mut Gate {
-        let gates = board.gates.write(&self.gates);
-        let limit = tsw_config::team::DEFAULT_QUEUE_LIMIT;
-        let gate = gates.entry(service.clone());
-        gate.or_insert_with(|| Gate::new(limit, self.queue_bytes))
-    }
-
-    fn leave(&self, board: &mut Board, waiter: &Waiter) {
-        if let Some(bytes) = waiter.admitted {
-            self.gate(board, &waiter.service).leave(&waiter.team, bytes);
+            turn.out.send(&to.host, Message::Grant(grant));
         }
     }
 
-    /// Admits a request of `bytes` bytes into the queue of its team, which may hold `limit`.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the request is not admitted.
-    pub fn admit(
-        &self,
-        board: &mut Board,
-        now: Tick,
-        service: &name::Service,
-        team: &name::Team,
-        (limit, bytes): (u32, u64),
-        deadline: Tick,
-    ) -> Result<(), Shed> {
-        let gate = self.gate(board, service);
-        gate.set_limit(team, limit);
-        gate.admit(now, team, bytes, deadline)
-    }
-
     /// Takes over limits that changed.
     pub fn set_limits(
         &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
+        turn: &mut Turn<'_>,
         health: &mut health::Controller,
         membership: &membership::Controller,
         changed: &health::Changes,
     ) {
         for (upstream, (service, limit)) in changed {
-            let listed = board.hosts.upstreams.get(upstream);
+            let listed = turn.board.hosts.upstreams.get(upstream);
             let leaving = listed.is_none_or(|listed| membership.is_leaving(upstream, listed));
             if leaving || !self.is_owned(upstream) {
                 continue;
@@ -500,113 +351,28 @@
                 slots: u32::MAX,
                 limit: *limit,
             };
-            self.home_event(board, out, now, health, service, event);
+            self.home_event(turn, health, service, event);
         }
     }
 
-    /// Reports the pace of a running stream.
-    pub fn progress(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        service: &name::Service,
-        grant: Id,
-        pace: tsw_base::time::Span,
-    ) {
-        let event = entry::Event::Progress { grant, pace };
-        self.queue_event(board, out, now, service, event);
-    }
-
-    /// Reports how the use of a grant ended.
-    pub fn end(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        service: &name::Service,
-        grant: Id,
-        state: State,
-    ) {
-        let event = entry::Event::End { grant, state };
-        self.queue_event(board, out, now, service, event);
-    }
-
-    /// Takes a grant of a home.
-    pub fn grant(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        from: &host::Id,
-        grant: Grant,
-    ) {
-        let service = grant.service.clone();
-        let event = entry::Event::Grant {
-            from: from.clone(),
-            grant,
-        };
-        self.queue_event(board, out, now, &service, event);
-    }
-
-    /// Returns the messages that start a session with a home.
-    pub fn greeting(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        peer: &name::Host,
-    ) -> Vec<Message> {
-        let Some(home) = board.fleet.id(peer).cloned() else {
-            return Vec::new();
-        };
-        self.greeted.retain(|(_, host)| host != peer);
-        let mut messages = Vec::new();
-        let services: Vec<name::Service> = board.queues.keys().cloned().collect();
-        for service in services {
-            let queues = board.queues.write(&self.queues);
-            let Some(queue) = queues.get_mut(&service) else {
-                continue;
-            };
-            let event = entry::Event::Session { home: home.clone() };
-            for command in queue.handle(now, event) {
-                match command {
-                    entry::Command::Demand { to, demand } if to == home => {
-                        messages.push(Message::Demand(demand));
-                    }
-                    entry::Command::Release { to, release } if to == home => {
-                        messages.push(Message::Release(release));
-                    }
-                    entry::Command::Holdings { to, holdings } if to == home => {
-                        messages.push(Message::Holdings(holdings));
-                    }
-                    other => self.carry_out(board, out, now, &service, other),
-                }
-            }
-        }
-        messages
-    }
-
     /// Lets time pass.
-    pub fn tick(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        health: &mut health::Controller,
-    ) {
-        let services: Vec<name::Service> = board.homes.keys().cloned().collect();
+    pub fn tick(&mut self, turn: &mut Turn<'_>, health: &mut health::Controller) {
+        let services: Vec<name::Service> = turn.board.homes.keys().cloned().collect();
         for service in services {
-            let running = board.homes.get(&service).is_some_and(|h| h.running() > 0);
+            let running = turn
+                .board
+                .homes
+                .get(&service)
+                .is_some_and(|h| h.running() > 0);
             if running || self.owned.values().any(|other| *other == service) {
-                self.home_event(board, out, now, health, &service, home::Event::Tick);
+                self.home_event(turn, health, &service, home::Event::Tick);
             }
         }
-        let services: Vec<name::Service> = board.queues.keys().cloned().collect();
+        let services: Vec<name::Service> = turn.board.queues.keys().cloned().collect();
         for service in services {
-            self.queue_event(board, out, now, &service, entry::Event::Tick);
+            self.queue_event(turn, &service, entry::Event::Tick);
         }
-        self.greet_partners(board, out);
+        self.greet_partners(turn.board, turn.out);
     }
 
     /// Sends all charges to the routers that need them and have none yet.
@@ -630,16 +396,9 @@
     }
 
     /// Takes the totals of another home.
-    pub fn served(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        health: &mut health::Controller,
-        served: Served,
-    ) {
+    pub fn served(&mut self, turn: &mut Turn<'_>, health: &mut health::Controller, served: Served) {
         let service = served.service.clone();
         let event = home::Event::Served { served };
-        self.home_event(board, out, now, health, &service, event);
+        self.home_event(turn, health, &service, event);
     }
 }
--- a/crates/toucand/src/start.rs
+++ b/crates/toucand/src/start.rs
@@ -307,7 +307,8 @@
         emit(Event::DrainOverdue, &[("in_flight", &router.in_flight())]);
     }
     router.act(|state, now| {
-        state.audit.close(&mut state.board, &mut state.out, now);
+        let (mut turn, control) = state.split(now);
+        control.audit.close(&mut turn);
     });
     time::sleep(LINGER).await;
     let link = router.look(|state| state.out.link().cloned());
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -9,15 +9,11 @@
 
 use crate::{
     audit, configuration, health, membership, out::Out, placement, poison, router::Plan,
-    scheduling, tables, task,
+    scheduling, tables, task, turn::Turn,
 };
 
-/// The blackboard with its controllers.
-pub struct State {
-    /// The blackboard.
-    pub board: Board,
-    /// What decisions lead to.
-    pub out: Out,
+/// The controllers.
+pub struct Controllers {
     /// Host list and fleet.
     pub membership: membership::Controller,
     /// The bundle in force.
@@ -34,11 +30,24 @@
     pub placement: placement::Controller,
     /// The audit log.
     pub audit: audit::Controller,
+}
+
+/// The blackboard with its controllers.
+pub struct State {
+    /// The blackboard.
+    pub board: Board,
+    /// What decisions lead to.
+    pub out: Out,
+    /// The controllers.
+    pub control: Controllers,
     /// Answers of peers that were asked for a bundle at the start.
     pub bundle_answers: usize,
     next_slow: Tick,
 }
 
+/// Period of placement and of the watch for requests that crash upstreams.
+const SLOW_PERIOD: tsw_base::time::Span = tsw_base::time::Span::from_millis(100);
+
 fn timing(plan: &Plan) -> Timing {
     Timing {
         probe: tsw_base::time::Span::from_millis(plan.settings.tuning.probe_ms),
@@ -81,9 +90,7 @@
             witness: pens.witness,
             survivor: pens.survivor,
         };
-        Self {
-            board,
-            out: Out::new(id.clone()),
+        let control = Controllers {
             membership: membership::Controller::new(pens.hosts, pens.fleet),
             configuration: configuration::Controller::new(pens.configuration),
             scheduling: scheduling::Controller::new(
@@ -99,16 +106,30 @@
             poison: poison::Controller::new(pens.poison),
             placement: placement::Controller::new(pens.placement),
             audit: audit::Controller::new(pens.audit),
+        };
+        Self {
+            board,
+            out: Out::new(id.clone()),
+            control,
             bundle_answers: 0,
             next_slow: Tick::ZERO,
         }
     }
 
+    /// Returns what a decision needs, and the controllers.
+    pub fn split(&mut self, now: Tick) -> (Turn<'_>, &mut Controllers) {
+        let turn = Turn {
+            board: &mut self.board,
+            out: &mut self.out,
+            now,
+        };
+        (turn, &mut self.control)
+    }
+
     /// Gives an event to membership and tells the other controllers what follows.
     pub fn member(&mut self, now: Tick, event: event::Event) {
-        let effect = self
-            .membership
-            .handle(&mut self.board, &mut self.out, now, event);
+        let (mut turn, control) = self.split(now);
+        let effect = control.membership.handle(&mut turn, event);
         self.follow(now, effect);
     }
 
@@ -117,22 +138,26 @@
             self.out.start(task::Task::ReadHosts);
         }
         for id in &effect.gone {
-            self.tables.gone(&mut self.board, &mut self.out, now, id);
+            let (mut turn, control) = self.split(now);
+            control.tables.gone(&mut turn, id);
         }
         self.update(now);
     }
 
     /// Takes a host list that was read from the platform.
     pub fn hosts(&mut self, now: Tick, list: tsw_board::hosts::List) {
-        let effect = self
-            .membership
-            .adopt(&mut self.board, &mut self.out, now, list);
+        let (mut turn, control) = self.split(now);
+        let effect = control.membership.adopt(&mut turn, list);
         self.follow(now, effect);
     }
 
     /// Takes a bundle. `source` is where it was read.
     pub fn bundle(&mut self, now: Tick, content: &[u8], source: &dyn std::fmt::Display) {
-        if self.configuration.offer(&mut self.board, content, source) {
+        if self
+            .control
+            .configuration
+            .offer(&mut self.board, content, source)
+        {
             let revision = self.board.configuration.revision();
             self.member(now, event::Event::Bundle { revision });
         }
@@ -140,20 +165,15 @@
 
     /// Brings homes, queues and orders in step with what they depend on.
     fn update(&mut self, now: Tick) {
-        let Self {
-            board,
-            out,
-            membership,
-            scheduling,
-            placement,
-            health,
-            ..
-        } = self;
-        if scheduling.update(board, out, now, membership, health) {
-            placement.update(
-                board,
-                out,
-                now,
+        let (mut turn, control) = self.split(now);
+        let turn = &mut turn;
+        if control
+            .scheduling
+            .update(turn, &control.membership, &mut control.health)
+        {
+            let (scheduling, membership) = (&control.scheduling, &control.membership);
+            control.placement.update(
+                turn,
                 |upstream| scheduling.is_owned(upstream),
                 |name, upstream| membership.is_leaving(name, upstream),
             );
@@ -175,7 +195,7 @@
                 }
             }
             Message::Hosts(hosts) => {
-                self.membership.learn(&self.board, hosts);
+                self.control.membership.learn(&self.board, hosts);
                 self.update(now);
             }
             Message::Demand(_)
@@ -185,16 +205,16 @@
             | Message::Served(_) => self.schedule(now, from, message),
             Message::Suspect(suspect) => {
                 let event = tsw_poison::Event::Message(suspect);
-                self.poison
-                    .handle(&mut self.board, &mut self.out, now, event);
+                let (mut turn, control) = self.split(now);
+                control.poison.handle(&mut turn, event);
             }
-            Message::Head(head) => self.audit.witness(&mut self.board, from, &head),
+            Message::Head(head) => self.control.audit.witness(&mut self.board, from, &head),
             message => self.once(now, from, message),
         }
     }
 
     fn fetch(&mut self, from: &tsw_base::name::Host, fetch: tsw_wire::message::Fetch) {
-        let mut bundle = self.configuration.message(&self.board);
+        let mut bundle = self.control.configuration.message(&self.board);
         if bundle.revision <= fetch.bundle {
             // A router that starts counts the answers, so it gets one without content.
             bundle.content = std::sync::Arc::from([]);
@@ -209,26 +229,25 @@
     }
 
     fn schedule(&mut self, now: Tick, from: &host::Id, message: Message) {
-        let Self {
-            board,
-            out,
-            scheduling,
-            health,
-            membership,
-            ..
-        } = self;
+        let (mut turn, control) = self.split(now);
+        let turn = &mut turn;
         let from = from.clone();
         let (service, event) = match message {
-            Message::Grant(grant) => return scheduling.grant(board, out, now, &from, grant),
+            Message::Grant(grant) => return control.scheduling.grant(turn, &from, grant),
             Message::Served(served) => {
-                return scheduling.served(board, out, now, health, served);
+                return control.scheduling.served(turn, &mut control.health, served);
             }
             Message::Demand(demand) => {
                 (demand.service.clone(), home::Event::Demand { from, demand })
             }
             Message::Release(release) => {
-                let changed = health.released(board, now, &release);
-                scheduling.set_limits(board, out, now, health, membership, &changed);
+                let changed = control.health.released(turn.board, now, &release);
+                control.scheduling.set_limits(
+                    turn,
+                    &mut control.health,
+                    &control.membership,
+                    &changed,
+                );
                 (
                     release.service.clone(),
                     home::Event::Release { from, release },
@@ -240,29 +259,40 @@
             ),
             _ => return,
         };
-        scheduling.home_event(board, out, now, health, &service, event);
+        control
+            .scheduling
+            .home_event(turn, &mut control.health, &service, event);
     }
 
     fn once(&mut self, now: Tick, from: &host::Id, message: Message) {
-        let Self {
-            board, out, tables, ..
-        } = self;
+        let (mut turn, control) = self.split(now);
+        let turn = &mut turn;
         let from = from.clone();
         match message {
             Message::Note(note) => {
-                tables.witness(board, out, now, witness::Event::Note { from, note });
+                control
+                    .tables
+                    .witness(turn, witness::Event::Note { from, note });
             }
             Message::Outcome(outcome) => {
-                tables.witness(board, out, now, witness::Event::Outcome { from, outcome });
+                control
+                    .tables
+                    .witness(turn, witness::Event::Outcome { from, outcome });
             }
             Message::Seal(seal) => {
-                tables.witness(board, out, now, witness::Event::Seal { from, seal });
+                control
+                    .tables
+                    .witness(turn, witness::Event::Seal { from, seal });
             }
             Message::Noted(noted) => {
-                tables.handle_owner(board, out, now, owner::Event::Noted { from, noted });
+                control
+                    .tables
+                    .handle_owner(turn, owner::Event::Noted { from, noted });
             }
             Message::Sealed(sealed) => {
-                tables.survive(board, out, now, survivor::Event::Sealed { from, sealed });
+                control
+                    .tables
+                    .survive(turn, survivor::Event::Sealed { from, sealed });
             }
             Message::Answer(answer) => {
                 let event = survivor::Event::Answer {
@@ -270,64 +300,55 @@
                     ticket: answer.ticket,
                     reply: answer.reply,
                 };
-                tables.survive(board, out, now, event);
+                control.tables.survive(turn, event);
             }
-            Message::Forward(forward) => tables.forwarded(board, out, now, &from, forward),
+            Message::Forward(forward) => control.tables.forwarded(turn, &from, forward),
             _ => {}
         }
     }
 
     /// Lets time pass for scheduling, which is due more often than the rest.
     pub fn tick_fast(&mut self, now: Tick) {
-        let Self {
-            board,
-            out,
-            scheduling,
-            health,
-            ..
-        } = self;
-        scheduling.tick(board, out, now, health);
+        let (mut turn, control) = self.split(now);
+        let turn = &mut turn;
+        control.scheduling.tick(turn, &mut control.health);
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Tick) {
         self.member(now, event::Event::Tick);
-        let Self {
-            board,
-            out,
-            tables,
-            placement,
-            audit,
-            poison,
-            health,
-            scheduling,
-            membership,
-            ..
-        } = self;
-        tables.tick(board, out, now);
-        let changed = health.tick(board, now);
-        scheduling.set_limits(board, out, now, health, membership, &changed);
-        audit.tick(board, out, now);
-        if now >= self.next_slow {
-            self.next_slow = now + tsw_base::time::Span::from_millis(100);
-            placement.handle(board, out, now, tsw_place::Event::Tick);
-            if !board.poison.is_empty() {
-                poison.handle(board, out, now, tsw_poison::Event::Tick);
+        let next_slow = self.next_slow;
+        let (mut turn, control) = self.split(now);
+        let turn = &mut turn;
+        control.tables.tick(turn);
+        let changed = control.health.tick(turn.board, now);
+        control
+            .scheduling
+            .set_limits(turn, &mut control.health, &control.membership, &changed);
+        control.audit.tick(turn);
+        let slow = now >= next_slow;
+        if slow {
+            control.placement.handle(turn, tsw_place::Event::Tick);
+            if !turn.board.poison.is_empty() {
+                control.poison.handle(turn, tsw_poison::Event::Tick);
             }
         }
+        if slow {
+            self.next_slow = now + SLOW_PERIOD;
+        }
         self.tick_fast(now);
     }
 
     /// Returns whether scheduling needs ticks at the short period.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        self.scheduling.waiting() > 0 || self.board.homes.values().any(|h| h.running() > 0)
+        self.control.scheduling.waiting() > 0 || self.board.homes.values().any(|h| h.running() > 0)
     }
 
     /// Takes no new work from now on.
     pub fn leave(&mut self, now: Tick) {
         self.member(now, event::Event::Leave);
-        self.tables
-            .handle_owner(&mut self.board, &mut self.out, now, owner::Event::Leave);
+        let (mut turn, control) = self.split(now);
+        control.tables.handle_owner(&mut turn, owner::Event::Leave);
     }
 }
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -14,7 +14,6 @@
     name,
     time::{Span, Tick},
 };
-use tsw_event::Event;
 use tsw_grant::message::Class;
 use tsw_health::pace::Stream;
 
@@ -22,11 +21,12 @@
     call::Call,
     engine::{self, Attempt, Broken, Line},
     refusal::Refusal,
-    reply::Outcome,
     router::{Flight, Router},
     slot::Wait,
 };
 
+mod end;
+
 /// Attempts of one request, so that a request that no engine completes ends.
 const MAX_ATTEMPTS: u32 = 5;
 /// Attempts of one request that end without a connection to the engine.
@@ -446,61 +446,6 @@
             message: cause.unwrap_or_else(|| "no upstream completed the response".to_owned()),
         }
     }
-
-    fn fail(&mut self, failure: Failure) -> Result<Output, Failure> {
-        if self.next == 0 {
-            self.end(&failure);
-            return Err(failure);
-        }
-        let mut events = BytesMut::new();
-        self.close(&failure, &mut events);
-        Ok(Output::Last(events.freeze()))
-    }
-
-    fn close(&mut self, failure: &Failure, events: &mut BytesMut) {
-        self.end(failure);
-        self.end_event(Outcome::Cut, events);
-    }
-
-    fn end(&mut self, failure: &Failure) {
-        self.over = true;
-        self.active = None;
-        self.spare = None;
-        match failure {
-            Failure::Refused(refusal) => self.router.refused(&self.call, refusal),
-            Failure::Cut { code, message } => {
-                self.router
-                    .ended(&self.call, Outcome::Cut, Event::Cut, code, message);
-            }
-        }
-    }
-
-    fn complete(&mut self, mut events: BytesMut) -> Output {
-        self.over = true;
-        self.spare = None;
-        if let Some(attempt) = self.active.take() {
-            attempt.finish(self.pace.mean(self.router.now()));
-        }
-        self.router.ended(
-            &self.call,
-            Outcome::Complete,
-            Event::Completed,
-            "",
-            &format!("tokens={}", self.next),
-        );
-        self.end_event(Outcome::Complete, &mut events);
-        Output::Last(events.freeze())
-    }
-
-    fn end_event(&self, outcome: Outcome, events: &mut BytesMut) {
-        let end = serde_json::json!({
-            "outcome": outcome.as_str(),
-            "chunks": self.next,
-            "digest": hex::encode(self.digest.clone().finalize()),
-            "request_id": &*self.call.request_id,
-        });
-        events.put_slice(format!("event: end\ndata: {end}\n\n").as_bytes());
-    }
 }
 
 impl Drop for Relay {
--- a/crates/toucand/src/tables.rs
+++ b/crates/toucand/src/tables.rs
@@ -15,7 +15,7 @@
 };
 use tsw_wire::message::Message;
 
-use crate::{call::Call, clock, out::Out, plain, task};
+use crate::{call::Call, clock, out::Out, plain, task, turn::Turn};
 
 /// Witnesses of a permit.
 const WITNESSES: usize = permit::MAX_WITNESSES;
@@ -124,14 +124,7 @@
     }
 
     /// Takes a call of a caller of this router. The final answer arrives on the channel.
-    pub fn call(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        key: Key,
-        call: &Call,
-    ) -> oneshot::Receiver<Reply> {
+    pub fn call(&mut self, turn: &mut Turn<'_>, key: Key, call: &Call) -> oneshot::Receiver<Reply> {
         let (sender, receiver) = oneshot::channel();
         let ticket = self.ticket(Waiter::Local(sender));
         let digest = digest(
@@ -140,7 +133,7 @@
             &call.content_type,
             &call.body,
         );
-        if key.permit.owner == *out.me() {
+        if key.permit.owner == *turn.out.me() {
             let request = plain::Request {
                 method: call.method.clone(),
                 path: call.path.clone(),
@@ -156,7 +149,7 @@
                 cost_hint: call.cost_hint,
                 deadline: call.deadline,
             };
-            self.own(board, out, now, ticket, key, digest, owned);
+            self.own(turn, ticket, key, digest, owned);
             return receiver;
         }
         let forward = Forward {
@@ -165,7 +158,7 @@
             method: Arc::from(call.method.as_str()),
             path: call.path.clone(),
             content_type: call.content_type.clone(),
-            remaining: call.deadline.since(now),
+            remaining: call.deadline.since(turn.now),
             cost_hint: call.cost_hint,
             request_id: call.request_id.clone(),
             body: Arc::from(&call.body[..]),
@@ -182,26 +175,17 @@
             digest,
             deadline: call.deadline,
         };
-        self.survive(board, out, now, event);
-        let gone = board.fleet.id(&id.host) != Some(&id)
-            || board.fleet.state(&id.host) == Some(State::Dead);
+        self.survive(turn, event);
+        let gone = turn.board.fleet.id(&id.host) != Some(&id)
+            || turn.board.fleet.state(&id.host) == Some(State::Dead);
         if gone {
-            self.survive(board, out, now, survivor::Event::Gone { id });
+            self.survive(turn, survivor::Event::Gone { id });
         }
         receiver
     }
 
     #[allow(clippy::too_many_arguments)]
-    fn own(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        ticket: u64,
-        key: Key,
-        digest: Digest,
-        owned: Owned,
-    ) {
+    fn own(&mut self, turn: &mut Turn<'_>, ticket: u64, key: Key, digest: Digest, owned: Owned) {
         let id = key.id();
         let new = !self.owned.contains_key(&id);
         if new {
@@ -212,7 +196,7 @@
             key,
             digest,
         };
-        self.handle_owner(board, out, now, event);
+        self.handle_owner(turn, event);
         // An immediate answer means that the key was known or refused and will not run.
         if !self.waiters.contains_key(&ticket) {
             emit(Event::Replayed, &[("key", &KeyId(&id))]);
@@ -223,26 +207,19 @@
     }
 
     /// Takes a call that a peer forwarded.
-    pub fn forwarded(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        from: &host::Id,
-        forward: Forward,
-    ) {
+    pub fn forwarded(&mut self, turn: &mut Turn<'_>, from: &host::Id, forward: Forward) {
         let permit = &forward.key.permit;
         let valid = self
             .signer
             .verify(&forward.key, &permit.team, &permit.service)
             .is_ok();
         let method = forward.method.parse();
-        let (Ok(method), true, true) = (method, valid, permit.owner == *out.me()) else {
+        let (Ok(method), true, true) = (method, valid, permit.owner == *turn.out.me()) else {
             let answer = Answer {
                 ticket: forward.ticket,
                 reply: Reply::Stranger,
             };
-            return out.send(&from.host, Message::Answer(answer));
+            return turn.out.send(&from.host, Message::Answer(answer));
         };
         let digest = digest(
             &forward.method,
@@ -262,13 +239,13 @@
                 body: Bytes::copy_from_slice(&forward.body),
             },
             cost_hint: forward.cost_hint,
-            deadline: now + forward.remaining,
+            deadline: turn.now + forward.remaining,
         };
         let ticket = self.ticket(Waiter::Peer {
             to: from.clone(),
             ticket: forward.ticket,
         });
-        self.own(board, out, now, ticket, forward.key, digest, owned);
+        self.own(turn, ticket, forward.key, digest, owned);
     }
 
     /// Returns the request of a key that is to run.
@@ -278,41 +255,28 @@
     }
 
     /// Takes the final response of a run.
-    pub fn finished(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        run: Run,
-        response: tsw_once::Response,
-    ) {
+    pub fn finished(&mut self, turn: &mut Turn<'_>, run: Run, response: tsw_once::Response) {
         self.owned.swap_remove(&run.key().id());
         let event = owner::Event::Finished { run, response };
-        self.handle_owner(board, out, now, event);
+        self.handle_owner(turn, event);
     }
 
     /// Gives an event to the owner's table and carries out what follows.
-    pub fn handle_owner(
-        &mut self,
-        board: &mut Board,
-        out: &mut Out,
-        now: Tick,
-        event: owner::Event,
-    ) {
-        for command in board.owner.write(&self.owner).handle(now, event) {
+    pub fn handle_owner(&mut self, turn: &mut Turn<'_>, event: owner::Event) {
+        for command in turn.board.owner.write(&self.owner).handle(turn.now, event) {
             match command {
                 owner::Command::Note { to, note } => {
                     emit(
                         Event::IntentSent,
                         &[("witness", &to), ("key", &Short(&note.key))],
                     );
-                    out.send(&to.host, Message::Note(note));
+                    turn.out.send(&to.host, Message::Note(note));
                 }
                 owner::Command::Outcome { to, outcome } => {
-                    out.send(&to.host, Message::Outcome(outcome));
+                    turn.out.send(&to.host, Message::Outcome(outcome));
                 }
-                owner::Command::Dispatch { run } => out.start(task::Task::Run(run)),
-                owner::Command::Reply { ticket, reply } => self.reply(out, ticket, reply),
+                owner::Command::Dispatch { run } => turn.out.start(task::Task::Run(run)),
+                owner::Command::Reply { ticket, reply } => self.reply(turn.out, ticket, reply),
             }
         }
     }
@@ -342,12 +306,17 @@
     }
 
     /// Gives an event to the table of forwarded calls and carries out what follows.
-    pub fn survive(&mut self, board: &mut Board, out: &mut Out, now: Tick, event: survivor::Event) {
-        for command in board.survivor.write(&self.survivor).handle(now, event) {
+    pub fn survive(&mut self, turn: &mut Turn<'_>, event: survivor::Event) {
+        for command in turn
+            .board
+            .survivor
+            .write(&self.survivor)
+            .handle(turn.now, event)
+        {
             match command {
                 survivor::Command::Forward { to, ticket } => {
                     if let Some(forward) = self.forwards.get(&ticket) {
-                        out.send(&to.host, Message::Forward(forward.clone()));
+                        turn.out.send(&to.host, Message::Forward(forward.clone()));
                     }
                 }
                 survivor::Command::Seal { to, seal } => {
@@ -355,19 +324,24 @@
                         Event::SealSent,
                         &[("witness", &to), ("key", &Short(&seal.key))],
                     );
-                    out.send(&to.host, Message::Seal(seal));
+                    turn.out.send(&to.host, Message::Seal(seal));
                 }
                 survivor::Command::Reply { ticket, reply } => {
                     self.forwards.remove(&ticket);
-                    self.reply(out, ticket, reply);
+                    self.reply(turn.out, ticket, reply);
                 }
             }
         }
     }
 
     /// Gives an event to the witness's table and carries out what follows.
-    pub fn witness(&mut self, board: &mut Board, out: &mut Out, now: Tick, event: witness::Event) {
-        for command in board.witness.write(&self.witness).handle(now, event) {
+    pub fn witness(&mut self, turn: &mut Turn<'_>, event: witness::Event) {
+        for command in turn
+            .board
+            .witness
+            .write(&self.witness)
+            .handle(turn.now, event)
+        {
             match command {
                 witness::Command::Noted { to, noted } => {
                     let verdict = format!("{:?}", noted.verdict).to_lowercase();
@@ -379,37 +353,37 @@
                             ("verdict", &verdict),
                         ],
                     );
-                    out.send(&to.host, Message::Noted(noted));
+                    turn.out.send(&to.host, Message::Noted(noted));
                 }
                 witness::Command::Sealed { to, sealed } => {
                     let sealed_now = sealed.finding == tsw_once::Finding::Sealed;
                     if sealed_now {
                         emit(Event::Sealed, &[("survivor", &to)]);
                     }
-                    out.send(&to.host, Message::Sealed(sealed));
+                    turn.out.send(&to.host, Message::Sealed(sealed));
                 }
             }
         }
     }
 
     /// Takes the end of a run of a peer's process.
-    pub fn gone(&mut self, board: &mut Board, out: &mut Out, now: Tick, id: &host::Id) {
-        self.handle_owner(board, out, now, owner::Event::Gone { id: id.clone() });
-        self.survive(board, out, now, survivor::Event::Gone { id: id.clone() });
+    pub fn gone(&mut self, turn: &mut Turn<'_>, id: &host::Id) {
+        self.handle_owner(turn, owner::Event::Gone { id: id.clone() });
+        self.survive(turn, survivor::Event::Gone { id: id.clone() });
         self.waiters
             .retain(|_, waiter| !matches!(waiter, Waiter::Peer { to, .. } if to == id));
     }
 
     /// Lets time pass.
-    pub fn tick(&mut self, board: &mut Board, out: &mut Out, now: Tick) {
-        if !board.owner.is_empty() {
-            self.handle_owner(board, out, now, owner::Event::Tick);
+    pub fn tick(&mut self, turn: &mut Turn<'_>) {
+        if !turn.board.owner.is_empty() {
+            self.handle_owner(turn, owner::Event::Tick);
         }
-        if !board.survivor.is_empty() {
-            self.survive(board, out, now, survivor::Event::Tick);
+        if !turn.board.survivor.is_empty() {
+            self.survive(turn, survivor::Event::Tick);
         }
-        if !board.witness.is_empty() {
-            self.witness(board, out, now, witness::Event::Tick);
+        if !turn.board.witness.is_empty() {
+            self.witness(turn, witness::Event::Tick);
         }
     }
 }
