Do not call a refused request with a genuine key not run

Cause: a router that starts, or has an older bundle, refused a retried booking as not run although its first copy may have run. Ruled out: answering from the tables without a bundle; team and service cannot be checked then. Figures: a test of the refusal; it gave not-run before. Conclusion: such refusals have outcome unknown.

--- a/crates/toucand/src/booking.rs
+++ b/crates/toucand/src/booking.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::{
-    header::{HeaderValue, CONTENT_TYPE},
+    header::{HeaderMap, HeaderValue, CONTENT_TYPE},
     Response, StatusCode,
 };
 use actix_rt::time;
@@ -23,7 +23,7 @@
 /// Time beyond the deadline in which the tables decide the outcome of a call.
 const GRACE: Span = Span::from_millis(2_000);
 /// Longest wait of a call with a key for a router that starts.
-const START_WAIT: Duration = Duration::from_secs(3);
+pub const START_WAIT: Duration = Duration::from_secs(3);
 /// Workers that are tried when no connection can be made.
 const MAX_ATTEMPTS: u32 = 20;
 
@@ -64,6 +64,23 @@
     }
 }
 
+/// Returns whether a request carries a key that this fleet issued, for whatever team and service.
+#[must_use]
+pub fn has_genuine_key(router: &Router, headers: &HeaderMap) -> bool {
+    let key = headers.get("toucan-key");
+    let key = key.and_then(|value| value.to_str().ok()?.parse::<Key>().ok());
+    key.is_some_and(|key| {
+        let permit = &key.permit;
+        let verified = router.look(|state| {
+            state
+                .control
+                .tables
+                .verify(&key, &permit.team, &permit.service)
+        });
+        verified.is_ok()
+    })
+}
+
 fn key(router: &Router, call: &Call) -> Result<Key, Refusal> {
     let text = call.key.as_ref().ok_or(Refusal::KeyMissing)?;
     let key: Key = text
--- a/crates/toucand/src/caller.rs
+++ b/crates/toucand/src/caller.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tsw_base::name;
 use tsw_config::service::Kind;
+use tsw_event::Event;
 
 use crate::{
     booking,
@@ -62,6 +63,9 @@
     };
     let mut answer = match answer {
         Ok(answer) => answer,
+        Err(refusal) if booking::has_genuine_key(&router, request.headers()) => {
+            unknown(&router, &refusal, &request_id)
+        }
         Err(refusal) => {
             router.rejected(&request_id, &refusal);
             refused(&router, &refusal, &request_id)
@@ -81,6 +85,22 @@
     answer
 }
 
+/// Answers a request that was refused although its key was issued by this fleet. Another copy of it
+/// may have been run, by this router or another one that accepted it.
+fn unknown(router: &Router, refusal: &Refusal, request_id: &Arc<str>) -> Reply {
+    let (code, message) = (refusal.code(), refusal.to_string());
+    router.note(
+        Event::Unknown,
+        request_id,
+        &[("code", &code), ("cause", refusal)],
+    );
+    let fields = [("request", &**request_id), ("code", code)];
+    router.audit(Outcome::Unknown.as_str(), request_id, &fields);
+    let mut answer = reply::broken(Outcome::Unknown, code, &message, request_id);
+    sign(router, &mut answer, request_id);
+    answer
+}
+
 /// Adds a signed receipt to an answer.
 pub fn sign(router: &Router, answer: &mut Reply, request_id: &str) {
     if let Some(receipt) = router.receipt(request_id) {
@@ -99,8 +119,11 @@
     if !request.path().starts_with("/v1/call/") {
         return Err(Refusal::Path);
     }
-    let rules = router.rules().ok_or(Refusal::Starting)?;
     let arrived = router.now();
+    if booking::has_genuine_key(router, request.headers()) {
+        router.wait_started(booking::START_WAIT).await;
+    }
+    let rules = router.rules().ok_or(Refusal::Starting)?;
     let call = call::read(request, request_id.clone(), arrived, &rules).await?;
     if !call.repeatable {
         return booking::handle(router, Rc::new(call)).await;
@@ -253,7 +276,7 @@
 }
 
 fn cut(router: &Router, call: &Call, code: &'static str, message: &str) -> Reply {
-    router.ended(call, Outcome::Cut, tsw_event::Event::Cut, code, message);
+    router.ended(call, Outcome::Cut, Event::Cut, code, message);
     let mut answer = reply::broken(Outcome::Cut, code, message, &call.request_id);
     sign(router, &mut answer, &call.request_id);
     answer
--- a/crates/toucand/tests/calls.rs
+++ b/crates/toucand/tests/calls.rs
@@ -164,6 +164,22 @@
     assert_eq!(*executions.borrow(), 1);
 }
 
+#[actix_rt::test]
+async fn refusal_of_a_genuine_key_does_not_claim_that_it_was_not_run() {
+    // A router that does not know the team yet must not say "not run" about a call that another
+    // router may have accepted.
+    let router = Router::start(&[]).await;
+    let key = format!("{}.a", router.permit().await);
+    let client = awc::Client::default();
+    let request = client.post(router.call_url("pickups"));
+    let request = request.bearer_auth("not-known-yet");
+    let request = request.insert_header(("toucan-key", key));
+    let mut response = request.send_body("{}").await.expect("an answer");
+    let body: serde_json::Value = response.json().await.expect("JSON");
+    assert_eq!(body["outcome"], "unknown", "{body}");
+    assert_eq!(body["code"], "credential");
+}
+
 #[actix_rt::test]
 async fn planned_stop_completes_what_is_in_flight() {
     let journal = Rc::new(RefCell::new(Journal::default()));
