End on a panic or a later incarnation, and read loads after a router has died

Cause: a panic ended only the task it was in; a superseded run went on unheard; slots of a dead router waited 2 s. Ruled out: reading loads all the time; the home counts its own grants.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -54,6 +54,8 @@
     DrainOverdue = 105 Error "drain-overdue";
     /// A connection cannot be accepted.
     AcceptFailed = 106 Error "accept-failed";
+    /// A decision or a task failed in a way that it must not; the process ends.
+    Panicked = 107 Error "panicked";
     /// A bundle is in force.
     BundleAdopted = 201 Info "bundle-adopted";
     /// A bundle failed its checks; the accepted one stays.
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -10,7 +10,7 @@
 //!   [`placement`], [`audit`], [`health`].
 //! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
 //!   [`booking`], [`refusal`], [`reply`].
-//! - Others: [`peers`], [`platform`], [`hosts`], [`operator`], [`metrics`], [`recent`].
+//! - Others: [`peers`], [`platform`], [`hosts`], [`load`], [`operator`], [`metrics`], [`recent`].
 
 pub mod accept;
 pub mod audit;
@@ -24,6 +24,7 @@
 pub mod health;
 pub mod hosts;
 pub mod keys;
+pub mod load;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
--- a/crates/toucand/src/membership.rs
+++ b/crates/toucand/src/membership.rs
@@ -10,7 +10,7 @@
 use tsw_member::{event, View};
 use tsw_wire::message::{Fetch, Hosts, Message};
 
-use crate::turn::Turn;
+use crate::{task, turn::Turn};
 
 /// Owner of the sections about hosts and the fleet.
 #[derive(Debug)]
@@ -75,6 +75,7 @@
                 }
                 event::Command::Superseded { by } => {
                     emit(Event::Superseded, &[("by", &by)]);
+                    turn.out.start(task::Task::Stop);
                 }
                 event::Command::Behind { peer, .. } => {
                     effect.behind = true;
--- a/crates/toucand/src/router.rs
+++ b/crates/toucand/src/router.rs
@@ -201,6 +201,10 @@
                 actix_rt::spawn(crate::placement::send(router, upstream, order));
             }
             task::Task::ReadHosts => router.hosts_wanted.notify_one(),
+            task::Task::ReadLoads => {
+                actix_rt::spawn(crate::load::read(router));
+            }
+            task::Task::Stop => router.plan.stop.notify_one(),
         }
     }
 
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -1,7 +1,13 @@
 //! The blackboard with its controllers.
 
-use tsw_base::{host, time::Tick};
+use std::net::SocketAddr;
+
+use tsw_base::{
+    host, name,
+    time::{Span, Tick},
+};
 use tsw_board::{Board, Start};
+use tsw_config::service::Kind;
 use tsw_grant::home;
 use tsw_member::{event, Timing, View};
 use tsw_once::{owner, permit, survivor, witness, Limits};
@@ -46,11 +52,11 @@
 }
 
 /// Period of placement and of the watch for requests that crash upstreams.
-const SLOW_PERIOD: tsw_base::time::Span = tsw_base::time::Span::from_millis(100);
+const SLOW_PERIOD: Span = Span::from_millis(100);
 
 fn timing(plan: &Plan) -> Timing {
     Timing {
-        probe: tsw_base::time::Span::from_millis(plan.settings.tuning.probe_ms),
+        probe: Span::from_millis(plan.settings.tuning.probe_ms),
         ..Timing::default()
     }
 }
@@ -60,8 +66,8 @@
     #[must_use]
     pub fn new(plan: &Plan, id: &host::Id) -> Self {
         let tuning = &plan.settings.tuning;
-        let retain = tsw_base::time::Span::from_millis(tuning.retain_ms);
-        let lifetime = tsw_base::time::Span::from_millis(tuning.permit_ms);
+        let retain = Span::from_millis(tuning.retain_ms);
+        let lifetime = Span::from_millis(tuning.permit_ms);
         let domain = plan.settings.domain.clone();
         let owner_timing = owner::Timing {
             retain,
@@ -137,6 +143,9 @@
         if effect.behind {
             self.out.start(task::Task::ReadHosts);
         }
+        if !effect.gone.is_empty() {
+            self.out.start(task::Task::ReadLoads);
+        }
         for id in &effect.gone {
             let (mut turn, control) = self.split(now);
             control.tables.gone(&mut turn, id);
@@ -307,6 +316,39 @@
         }
     }
 
+    /// Takes the load that an engine reports.
+    pub fn load(&mut self, now: Tick, upstream: &name::Upstream, running: u32, age: Span) {
+        let listed = self.board.hosts.upstreams.get(upstream);
+        let Some(service) = listed.map(|listed| listed.service.clone()) else {
+            return;
+        };
+        let event = home::Event::Load {
+            upstream: upstream.clone(),
+            running,
+            age,
+        };
+        let (mut turn, control) = self.split(now);
+        control
+            .scheduling
+            .home_event(&mut turn, &mut control.health, &service, event);
+    }
+
+    /// Returns the engines that this router schedules, with their addresses.
+    #[must_use]
+    pub fn own_engines(&self) -> Vec<(name::Upstream, SocketAddr)> {
+        let Some(bundle) = self.board.configuration.bundle() else {
+            return Vec::new();
+        };
+        let upstreams = self.board.hosts.upstreams.iter();
+        let own = upstreams.filter(|(name, upstream)| {
+            let service = bundle.services.get(&upstream.service);
+            self.control.scheduling.is_owned(name)
+                && service.is_some_and(|service| service.kind == Kind::Model)
+        });
+        own.map(|(name, upstream)| (name.clone(), upstream.address))
+            .collect()
+    }
+
     /// Lets time pass for scheduling, which is due more often than the rest.
     pub fn tick_fast(&mut self, now: Tick) {
         let (mut turn, control) = self.split(now);
--- a/crates/toucand/src/task.rs
+++ b/crates/toucand/src/task.rs
@@ -16,4 +16,8 @@
     },
     /// Read the host list now.
     ReadHosts,
+    /// Ask the engines that this router schedules for their load.
+    ReadLoads,
+    /// Stop gracefully.
+    Stop,
 }
