--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -5,12 +5,12 @@
 //! read the whole blackboard and write their own sections.
 //!
 //! - Start and end: [`keys`], [`start`], [`serve`], [`clock`].
-//! - State: [`router`], [`state`], [`out`], [`task`].
+//! - State: [`router`], [`state`], [`out`], [`task`], [`turn`].
 //! - Controllers: [`membership`], [`configuration`], [`scheduling`], [`tables`], [`poison`],
 //!   [`placement`], [`audit`], [`health`].
 //! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
 //!   [`booking`], [`refusal`], [`reply`].
-//! - Others: [`peers`], [`platform`], [`hosts`], [`operator`], [`metrics`], [`recent`].
+//! - Others: [`peers`], [`platform`], [`hosts`], [`load`], [`operator`], [`metrics`], [`recent`].
 
 pub mod accept;
 pub mod audit;
@@ -24,6 +24,7 @@
 pub mod health;
 pub mod hosts;
 pub mod keys;
+pub mod load;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
@@ -46,3 +47,4 @@
 pub mod stream;
 pub mod tables;
 pub mod task;
+pub mod turn;
