Read the routers' audit lines, and bind child processes to their parent

Cause: the checker has to compare what routers recorded with what upstreams ran. Ruled out: death signals set by the daemons themselves; the launcher's own step before exec does it. Conclusion: a killed tsw-load leaves no process; unrecorded runs and broken chains are findings.

--- a/crates/load/src/check.rs
+++ b/crates/load/src/check.rs
@@ -6,7 +6,10 @@
 
 use serde::Serialize;
 
-use crate::history::{Attempt, Event, Outcome};
+use crate::{
+    history::{Attempt, Event, Outcome},
+    records::Records,
+};
 
 /// An upstream that is leaving must get no new work this long after the host list says so.
 pub const LEAVING_GRACE_US: u64 = 3_000_000;
@@ -51,6 +54,8 @@
     pub config_reverts: u64,
     /// Requests sent to an upstream that has been leaving for too long.
     pub late_dispatch: u64,
+    /// Runs that no router recorded, and audit logs that do not pass verification.
+    pub audit_faults: u64,
     /// Operations checked.
     pub operations: u64,
     /// Operations whose final answer was "unknown".
@@ -72,9 +77,9 @@
     }
 }
 
-/// Applies all rules.
+/// Applies all rules. Rules about audit lines need `records` that are not empty.
 #[must_use]
-pub fn check(events: &[Event], runs: &[Run]) -> Findings {
+pub fn check(events: &[Event], runs: &[Run], records: &Records) -> Findings {
     let mut findings = Findings::default();
     let attempts: Vec<&Attempt> = events
         .iter()
@@ -89,6 +94,7 @@
     planned_stop(events, &attempts, &mut findings);
     reverts(events, &mut findings);
     late(events, runs, &mut findings);
+    audit(runs, records, &mut findings);
     findings
 }
 
@@ -262,3 +268,35 @@
         }
     }
 }
+
+fn audit(runs: &[Run], records: &Records, findings: &mut Findings) {
+    for fault in &records.faults {
+        findings.note(|f| &mut f.audit_faults, format!("audit: {fault}"));
+    }
+    if records.records.is_empty() {
+        return;
+    }
+    let with = |event: &str| -> HashSet<&str> {
+        let lines = records.records.iter().filter(|r| r.event == event);
+        lines.map(|r| r.request.as_str()).collect()
+    };
+    let (dispatched, refused) = (with("dispatched"), with("refused"));
+    for run in runs.iter().filter(|run| !run.id.is_empty()) {
+        let id = run.id.as_str();
+        if !dispatched.contains(id) {
+            findings.note(
+                |f| &mut f.audit_faults,
+                format!(
+                    "audit: no router recorded the run of {id} at {}",
+                    run.upstream
+                ),
+            );
+        }
+        if refused.contains(id) {
+            findings.note(
+                |f| &mut f.false_not_run,
+                format!("false not-run: the audit log says that {id} was refused, and it ran"),
+            );
+        }
+    }
+}
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -1,6 +1,6 @@
 //! Arguments of the program.
 
-use std::path::PathBuf;
+use std::{ffi::OsString, path::PathBuf};
 
 use tsw_load::{plan::Deployment, policy::Policy};
 
@@ -30,6 +30,8 @@
             optional --policy name: Policy
             /// Seed of all random numbers (1).
             optional --seed number: u64
+            /// Let callers know the cost of their requests exactly (fairness only).
+            optional --exact-hints
             /// Length of the measured time.
             optional --seconds number: u64
             /// Directory for the files of the run (a temporary one).
@@ -46,6 +48,11 @@
             /// Directory for the page and the plots (the current one).
             optional --output path: PathBuf
         }
+        /// Become another program that ends with the process that started this one.
+        cmd child {
+            /// Program and arguments, after two dashes.
+            repeated command: OsString
+        }
         /// Run a baseline router; started by experiments.
         cmd baseline-router {
             /// File with the settings.
--- a/crates/load/src/generate.rs
+++ b/crates/load/src/generate.rs
@@ -49,6 +49,7 @@
     random: RefCell<Pcg64Mcg>,
     rates: RefCell<Vec<f64>>,
     patience: Duration,
+    hint_factor: Cell<f64>,
 }
 
 /// Generates load until it is told to stop.
@@ -79,6 +80,7 @@
                 random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
                 rates: RefCell::new(vec![0.0; fleet.teams.len()]),
                 patience: PATIENCE,
+                hint_factor: Cell::new(HINT_FACTOR),
             }),
             teams: fleet.teams.clone(),
         }
@@ -89,13 +91,19 @@
         self.shared.mix.set(mix);
     }
 
+    /// Makes all later hints right.
+    pub fn make_hints_exact(&self) {
+        self.shared.hint_factor.set(1.0);
+    }
+
     fn wish(&self, team: usize, booking: bool) -> client::Wish {
         let random = &mut *self.shared.random.borrow_mut();
         let tokens = match booking {
             true => 0,
             false => self.shared.mix.get().draw(random),
         };
-        let error = random.gen_range(1.0 / HINT_FACTOR..HINT_FACTOR);
+        let factor = self.shared.hint_factor.get();
+        let error = random.gen_range(1.0 / factor..=factor);
         client::Wish {
             team: self.teams[team].clone(),
             origin: self.shared.origins[team].sample(random),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ports;
 pub mod process;
 pub mod programs;
+pub mod records;
 pub mod relay;
 pub mod report;
 pub mod scenario;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,11 +1,17 @@
 //! Load generator, experiments and checks for a fleet of routers.
 
-use std::{fs, path::PathBuf, process::ExitCode};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use eyre::Context as _;
 use serde_json::json;
 use tokio::signal::unix;
-use tsw_load::{baseline, demo, plan::Deployment, policy::Policy, report, scenario, session};
+use tsw_load::{
+    baseline, demo, plan::Deployment, policy::Policy, process, report, scenario, session,
+};
 
 mod flags;
 
@@ -14,6 +20,13 @@
 
 fn main() -> eyre::Result<ExitCode> {
     let flags = flags::TswLoad::from_env_or_exit();
+    if let flags::TswLoadCmd::Child(flags) = &flags.subcommand {
+        let (program, arguments) = flags
+            .command
+            .split_first()
+            .ok_or_else(|| eyre::eyre!("name the program to run after --"))?;
+        return Err(process::become_child(Path::new(program), arguments).into());
+    }
     actix_rt::System::new().block_on(async {
         let mut stop = unix::signal(unix::SignalKind::terminate())?;
         // Dropping the work on a signal ends all processes that it started.
@@ -28,6 +41,7 @@
 async fn run(flags: flags::TswLoad) -> eyre::Result<ExitCode> {
     match flags.subcommand {
         flags::TswLoadCmd::BaselineRouter(flags) => run_baseline(flags.config).await,
+        flags::TswLoadCmd::Child(_) => Ok(ExitCode::FAILURE),
         flags::TswLoadCmd::Measure(flags) => measure(flags).await,
         flags::TswLoadCmd::Report(flags) => {
             let output = flags.output.unwrap_or_else(|| PathBuf::from("."));
@@ -52,6 +66,7 @@
         policy: Policy::Toucan,
         seed: flags.seed.unwrap_or(1),
         seconds: None,
+        exact_hints: false,
         directory: flags.directory,
     };
     Ok(match demo::run(&request).await? {
@@ -66,6 +81,7 @@
         policy: flags.policy.unwrap_or(Policy::Toucan),
         seed: flags.seed.unwrap_or(1),
         seconds: flags.seconds,
+        exact_hints: flags.exact_hints,
         directory: flags.directory,
     };
     let outcome = scenario::run(&flags.scenario, &request).await?;
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -1,13 +1,16 @@
 //! Child processes that never outlive the value that stands for them.
 
 use std::{
+    env,
+    ffi::{OsStr, OsString},
     fs, io,
+    os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
-    process::{ExitStatus, Stdio},
+    process::{Command, ExitStatus, Stdio},
     time::Duration,
 };
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
 use tokio::{process, time};
 
 /// Clock ticks a second in `/proc`; Linux reports CPU time to programs in this unit.
@@ -94,7 +97,7 @@
             .open(&output)
             .map_err(failed)?;
         let errors = file.try_clone().map_err(failed)?;
-        let child = process::Command::new(program)
+        let child = command(program)
             .args(arguments)
             .current_dir(directory)
             .stdin(Stdio::null())
@@ -206,6 +209,34 @@
     }
 }
 
+/// Returns a command that starts `program` through this program, so that it ends even when this
+/// process is killed and drops nothing.
+fn command(program: &Path) -> process::Command {
+    let own = env::current_exe().unwrap_or_default();
+    if own.file_name() != Some(OsStr::new(env!("CARGO_PKG_NAME"))) {
+        return process::Command::new(program);
+    }
+    let mut command = process::Command::new(own);
+    command.args(["child", "--"]).arg(program);
+    command
+}
+
+/// Becomes another program that is killed when the process that started this one ends.
+///
+/// Returns only when the program cannot be started, with the reason.
+#[must_use]
+pub fn become_child(program: &Path, arguments: &[OsString]) -> Error {
+    let bound = set_parent_process_death_signal(Some(Signal::KILL));
+    let source = match bound {
+        Ok(()) => Command::new(program).args(arguments).exec(),
+        Err(error) => error.into(),
+    };
+    Error::Start {
+        program: program.to_owned(),
+        source,
+    }
+}
+
 fn usage(pid: u32) -> Option<Usage> {
     let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
     // The second field is the program's name in parentheses and may hold spaces.
--- a/crates/load/src/scenario/fairness.rs
+++ b/crates/load/src/scenario/fairness.rs
@@ -24,6 +24,9 @@
     let plan = session.fleet.plan().clone();
     let scale = Scale::of(&plan);
     let generator = Generator::new(session.client.clone(), &plan, Mix::default(), request.seed);
+    if request.exact_hints {
+        generator.make_hints_exact();
+    }
     generator.closed(false, |team| {
         let slots = scale.shares[team] * scale.slots;
         (slots * CALLERS_PER_SLOT) as usize + CALLERS_EXTRA
@@ -52,6 +55,7 @@
         "utilisation": held,
         "utilisation_running": ran,
         "largest_run_s": largest,
+        "exact_hints": request.exact_hints,
         "shares": scale.shares,
         "served_parts": parts,
         "seconds": length.as_secs(),
--- a/crates/load/src/scenario/faults.rs
+++ b/crates/load/src/scenario/faults.rs
@@ -6,10 +6,13 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
-use super::{capacity_rate, counts, usual, Error, Outcome};
+use tsw_config::settings;
+
+use super::{capacity_rate, counts, Error, Outcome, ROUTERS, TEAMS};
 use crate::{
     generate::{Generator, Mix},
     history::{Event, Recorder},
+    plan,
     session::{Request, Session, DRAIN_LIMIT},
 };
 
@@ -219,7 +222,9 @@
 }
 
 pub(super) async fn run(request: &Request) -> Result<Outcome, Error> {
-    let session = usual(request).await?;
+    let fleet = plan::Fleet::new(request.deployment, ROUTERS, None, TEAMS);
+    // Audit lines are exported at this level.
+    let session = Session::start(request, fleet, settings::Level::Info).await?;
     let plan = session.fleet.plan().clone();
     let generator = Generator::new(session.client.clone(), &plan, Mix::default(), request.seed);
     let bookings = Generator::new(session.client.clone(), &plan, Mix::default(), !request.seed);
@@ -280,6 +285,7 @@
     let current = latest.values().filter(|r| **r == revision).count();
     let fields = json!({
         "faults_injected": driver.injected,
+        "audit_lines": evidence.records.records.len(),
         "routers_unready": unready,
         "slow_stops": driver.slow_stops,
         "last_revision": revision,
--- a/crates/load/src/session.rs
+++ b/crates/load/src/session.rs
@@ -17,6 +17,7 @@
     launch,
     plan::{self, Deployment},
     policy::Policy,
+    records::Records,
     service,
 };
 
@@ -34,6 +35,8 @@
     pub seed: u64,
     /// Length of the measured time, if it is not the usual one.
     pub seconds: Option<u64>,
+    /// Whether the callers' hints of costs are right, for a diagnosis of their influence.
+    pub exact_hints: bool,
     /// Directory for the files of the run; a temporary one when absent.
     pub directory: Option<PathBuf>,
 }
@@ -112,7 +115,8 @@
     pub fn evidence(&self) -> io::Result<Evidence> {
         let events = self.client.recorder().events();
         let path = self.fleet.directory().join("upstreams.jsonl");
-        Evidence::new(events, &path)
+        let records = Records::read(self.fleet.directory(), self.fleet.plan());
+        Evidence::new(events, &path, records)
     }
 }
 
@@ -123,17 +127,23 @@
     pub events: Vec<Event>,
     /// Runs at upstreams.
     pub runs: Vec<Run>,
+    /// Audit lines of routers.
+    pub records: Records,
 }
 
 impl Evidence {
-    fn new(events: Vec<Event>, upstreams: &Path) -> io::Result<Self> {
+    fn new(events: Vec<Event>, upstreams: &Path, records: Records) -> io::Result<Self> {
         let mut lines: Vec<Line> = match upstreams.exists() {
             true => history::read(upstreams)?,
             false => Vec::new(),
         };
         lines.sort_by_key(|line| line.time_us);
         let runs = service::runs(&lines, client::now_us());
-        Ok(Self { events, runs })
+        Ok(Self {
+            events,
+            runs,
+            records,
+        })
     }
 
     /// Returns the attempts of a service.
@@ -159,7 +169,7 @@
     /// Applies the rules of the checker.
     #[must_use]
     pub fn check(&self) -> check::Findings {
-        check::check(&self.events, &self.runs)
+        check::check(&self.events, &self.runs, &self.records)
     }
 
     /// Returns the largest slot time of a run that ended in a time, in seconds.
--- a/crates/load/tests/check.rs
+++ b/crates/load/tests/check.rs
@@ -3,8 +3,13 @@
 use tsw_load::{
     check::{self, Run},
     history::{Attempt, Event, Outcome},
+    records::{Record, Records},
 };
 
+fn none() -> Records {
+    Records::default()
+}
+
 fn attempt(operation: u64, id: &str, outcome: Outcome) -> Attempt {
     Attempt {
         operation,
@@ -83,7 +88,11 @@
         key: "permit.k1".to_owned(),
         ..run("2-1", 1_000_100)
     };
-    let findings = check::check(&events, &[run("1-1", 1), run("1-2", 1_000_000), once]);
+    let findings = check::check(
+        &events,
+        &[run("1-1", 1), run("1-2", 1_000_000), once],
+        &none(),
+    );
     assert!(findings.clean(), "{:?}", findings.details);
     assert_eq!(findings.operations, 3);
 }
@@ -96,7 +105,7 @@
         begin(2),
         Event::Attempt(attempt(2, "2-1", Outcome::None)),
     ];
-    assert_eq!(check::check(&events, &[]).lost, 2);
+    assert_eq!(check::check(&events, &[], &none()).lost, 2);
 }
 
 /// Guards against truncated, repeated or foreign tokens in an answer that is called complete.
@@ -112,7 +121,7 @@
         begin(2),
         Event::Attempt(wrong),
     ];
-    assert_eq!(check::check(&events, &[]).lost, 2);
+    assert_eq!(check::check(&events, &[], &none()).lost, 2);
 }
 
 /// Guards against a booking that ran twice under one key, whichever way the upstream names it.
@@ -122,12 +131,12 @@
     let second = booking(1, "1-2", Outcome::Complete);
     let events = [begin(1), Event::Attempt(first), Event::Attempt(second)];
     let runs = [run("1-1", 1), run("1-2", 2)];
-    assert_eq!(check::check(&events, &runs).duplicated, 1);
+    assert_eq!(check::check(&events, &runs, &none()).duplicated, 1);
     let by_key = |start| Run {
         key: "permit.k1".to_owned(),
         ..run("", start)
     };
-    let findings = check::check(&events, &[by_key(1), by_key(2)]);
+    let findings = check::check(&events, &[by_key(1), by_key(2)], &none());
     assert_eq!(findings.duplicated, 1);
 }
 
@@ -145,7 +154,7 @@
         ..run("", 9)
     };
     assert_eq!(
-        check::check(&events, &[run("1-1", 5), by_key]).false_not_run,
+        check::check(&events, &[run("1-1", 5), by_key], &none()).false_not_run,
         2
     );
 }
@@ -168,7 +177,7 @@
         },
         Event::Attempt(later),
     ];
-    assert_eq!(check::check(&events, &[]).cut_by_planned_stop, 1);
+    assert_eq!(check::check(&events, &[], &none()).cut_by_planned_stop, 1);
 }
 
 /// Guards against a router that goes back to an older configuration.
@@ -180,7 +189,7 @@
         time_us,
     };
     let events = [revision(2, 1), revision(3, 2), revision(2, 3)];
-    assert_eq!(check::check(&events, &[]).config_reverts, 1);
+    assert_eq!(check::check(&events, &[], &none()).config_reverts, 1);
 }
 
 /// Guards against new work for an upstream more than 3 s after the host list called it leaving.
@@ -197,5 +206,28 @@
         run("1-2", 4_100_000),
         run("1-3", 9_500_000),
     ];
-    assert_eq!(check::check(&events, &runs).late_dispatch, 1);
+    assert_eq!(check::check(&events, &runs, &none()).late_dispatch, 1);
+}
+
+/// Guards against runs that no audit line shows, refusals of requests that ran, and audit logs that
+/// were tampered with.
+#[test]
+fn finds_faults_of_the_audit_log() {
+    let record = |event: &str, request: &str| Record {
+        router: "r00".to_owned(),
+        event: event.to_owned(),
+        request: request.to_owned(),
+    };
+    let runs = [run("1-1", 1), run("1-2", 2)];
+    let records = Records {
+        records: vec![record("dispatched", "1-1"), record("refused", "1-1")],
+        faults: vec!["line 3 of chain r00 is missing".to_owned()],
+    };
+    let findings = check::check(&[], &runs, &records);
+    assert_eq!((findings.audit_faults, findings.false_not_run), (2, 1));
+    let records = Records {
+        records: vec![record("dispatched", "1-1"), record("dispatched", "1-2")],
+        faults: Vec::new(),
+    };
+    assert!(check::check(&[], &runs, &records).clean());
 }
