Test membership in a simulated fleet

Cause: views have to converge after any faults, at constant cost, and notice a death within 2 s. Ruled out: messages before the timer after a pause; the timer runs first in the simulation.

--- /dev/null
+++ b/crates/member/tests/view.rs
@@ -0,0 +1,471 @@
+//! A simulated fleet of views with delays, losses, pauses, deaths, restarts and partitions.
+
+use std::collections::{BTreeMap, HashSet};
+
+use proptest::prelude::*;
+use tsw_base::{
+    host, name,
+    time::{Span, Tick},
+};
+use tsw_member::{Change, Command, Event, Listed, State, Timing, View};
+
+/// One-way delay of a message, in steps of [`STEP`].
+const DELAY: u64 = 1;
+const STEP: Span = Span::from_millis(10);
+
+struct Node {
+    view: View,
+    up: bool,
+    paused_until: u64,
+    inbox: Vec<Event>,
+    changes: Vec<(u64, Change)>,
+    sent: u64,
+    behind: u64,
+}
+
+struct Fleet {
+    nodes: Vec<Node>,
+    now: u64,
+    mail: BTreeMap<u64, Vec<(usize, usize, Event)>>,
+    split: HashSet<usize>,
+    listed: Vec<Listed>,
+    revision: u64,
+    incarnation: u64,
+}
+
+fn name(index: usize) -> name::Host {
+    format!("r{index}").parse().unwrap()
+}
+
+fn domain(index: usize) -> name::Domain {
+    format!("d{}", index % 3).parse().unwrap()
+}
+
+fn index(host: &name::Host) -> usize {
+    host.as_str()[1..].parse().unwrap()
+}
+
+fn node(index: usize, incarnation: u64) -> Node {
+    let id = host::Id {
+        host: name(index),
+        incarnation: host::Incarnation::new(incarnation, 0),
+    };
+    let seed = index as u64 * 1_000 + incarnation;
+    Node {
+        view: View::new(id, domain(index), Timing::default(), seed),
+        up: true,
+        paused_until: 0,
+        inbox: Vec::new(),
+        changes: Vec::new(),
+        sent: 0,
+        behind: 0,
+    }
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let listed = (0..size)
+            .map(|index| Listed {
+                host: name(index),
+                domain: domain(index),
+                leaving: false,
+            })
+            .collect();
+        let mut fleet = Self {
+            nodes: (0..size).map(|index| node(index, 1)).collect(),
+            now: 0,
+            mail: BTreeMap::new(),
+            split: HashSet::new(),
+            listed,
+            revision: 1,
+            incarnation: 1,
+        };
+        for index in 0..size {
+            fleet.list(index);
+        }
+        fleet
+    }
+
+    fn tick(&self) -> Tick {
+        Tick::ZERO + STEP * (self.now + 1)
+    }
+
+    /// Gives a node the current host list.
+    fn list(&mut self, index: usize) {
+        let event = Event::Hosts {
+            revision: self.revision,
+            hosts: self.listed.clone(),
+        };
+        self.handle(index, event);
+    }
+
+    fn handle(&mut self, from: usize, event: Event) {
+        let now = self.tick();
+        let (at, step) = (self.now + DELAY, self.now);
+        let node = &mut self.nodes[from];
+        for command in node.view.handle(now, event) {
+            let (to, event) = match command {
+                Command::Ping { to, ping } => {
+                    let from = name(from);
+                    (to, Event::Ping { from, ping })
+                }
+                Command::Ack { to, ack } => {
+                    let from = name(from);
+                    (to, Event::Ack { from, ack })
+                }
+                Command::Changed(change) => {
+                    node.changes.push((step, change));
+                    continue;
+                }
+                Command::Behind { .. } => {
+                    node.behind += 1;
+                    continue;
+                }
+                Command::Superseded { .. } => continue,
+            };
+            node.sent += 1;
+            let mail = self.mail.entry(at).or_default();
+            mail.push((from, index(&to), event));
+        }
+    }
+
+    fn run(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.now += 1;
+            for (from, to, event) in self.mail.remove(&self.now).unwrap_or_default() {
+                let apart = self.split.contains(&from) != self.split.contains(&to);
+                if self.nodes[to].up && !apart {
+                    self.nodes[to].inbox.push(event);
+                }
+            }
+            for index in 0..self.nodes.len() {
+                if !self.nodes[index].up || self.nodes[index].paused_until > self.now {
+                    continue;
+                }
+                // The timer first: after a pause it may run before the messages that wait.
+                self.handle(index, Event::Tick);
+                for event in std::mem::take(&mut self.nodes[index].inbox) {
+                    self.handle(index, event);
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.incarnation += 1;
+        self.nodes[index] = node(index, self.incarnation);
+        self.list(index);
+    }
+
+    fn state(&self, viewer: usize, of: usize) -> State {
+        self.nodes[viewer].view.state(&name(of)).unwrap()
+    }
+
+    fn homes(&self, viewer: usize) -> Vec<Option<usize>> {
+        let service = "s".parse().unwrap();
+        let view = &self.nodes[viewer].view;
+        (0..40)
+            .map(|group| view.home(&service, group).map(index))
+            .collect()
+    }
+
+    /// Asserts that all running nodes agree on who is up and on every home.
+    fn assert_agreement(&self) {
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|i| self.nodes[*i].up)
+            .collect();
+        for viewer in &up {
+            for (of, node) in self.nodes.iter().enumerate() {
+                let dead = self.state(*viewer, of) == State::Dead;
+                assert_eq!(dead, !node.up, "r{viewer} on r{of}");
+            }
+            assert_eq!(self.homes(*viewer), self.homes(up[0]), "r{viewer}");
+        }
+    }
+}
+
+/// Guards against a dead router that stays home of its groups, or is noticed late by some.
+#[test]
+fn a_death_is_noticed_by_all_within_two_seconds() {
+    for size in [3, 7, 28] {
+        let mut fleet = Fleet::new(size);
+        fleet.run(300);
+        fleet.assert_agreement();
+        fleet.nodes[1].up = false;
+        fleet.run(200);
+        fleet.assert_agreement();
+        assert!(!fleet.homes(0).contains(&Some(1)));
+    }
+}
+
+/// Guards against a session failure that is not used: the daemon reports it at once.
+#[test]
+fn a_broken_session_shortens_the_detection() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.nodes[1].up = false;
+    fleet.handle(0, Event::Broken { host: name(1) });
+    fleet.run(95);
+    assert_eq!(fleet.state(0, 1), State::Dead);
+}
+
+/// Guards against false deaths: a pause of 100 ms, of a peer or of the router itself, must not even
+/// make a suspect.
+#[test]
+fn a_pause_of_100_ms_makes_no_suspect() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    for round in 0..30 {
+        let paused = round % 7;
+        fleet.nodes[paused].paused_until = fleet.now + 10;
+        fleet.run(25);
+    }
+    for node in &fleet.nodes {
+        let late = node.changes.iter().filter(|(step, _)| *step > 300);
+        assert_eq!(late.count(), 0);
+    }
+}
+
+/// Guards against a router that takes its peers for dead after a pause of its own.
+#[test]
+fn a_router_that_was_paused_does_not_suspect_its_peers() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.nodes[2].paused_until = fleet.now + 500;
+    fleet.run(510);
+    let changes = &fleet.nodes[2].changes;
+    let late = changes.iter().filter(|(step, change)| {
+        *step > 300 && change.id.host != name(2) && change.state >= State::Suspect
+    });
+    assert_eq!(late.count(), 0);
+}
+
+/// Guards against a suspect whose refutation arrived during a pause of this router.
+#[test]
+fn a_router_that_was_paused_hears_refutations_first() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.nodes[3].paused_until = fleet.now + 1_000;
+    while fleet.state(2, 3) != State::Suspect {
+        fleet.run(1);
+    }
+    fleet.nodes[3].paused_until = 0;
+    fleet.nodes[2].paused_until = fleet.now + 100;
+    fleet.run(300);
+    let mut changes = fleet.nodes[2].changes.iter();
+    assert!(!changes.any(|(_, change)| change.state == State::Dead));
+}
+
+/// Guards against a router that stays dead after a long pause, and against a death that the router
+/// cannot refute with its old incarnation.
+#[test]
+fn a_paused_router_rejoins_by_itself() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.nodes[2].paused_until = fleet.now + 500;
+    fleet.run(400);
+    assert_eq!(fleet.state(0, 2), State::Dead);
+    fleet.run(300);
+    fleet.assert_agreement();
+}
+
+/// Guards against two sides that stay apart after a partition heals.
+#[test]
+fn sides_of_a_partition_rejoin() {
+    let mut fleet = Fleet::new(12);
+    fleet.run(300);
+    fleet.split = (0..4).collect();
+    fleet.run(1_000);
+    assert_eq!(fleet.state(0, 5), State::Dead);
+    assert_eq!(fleet.state(5, 0), State::Dead);
+    fleet.split.clear();
+    fleet.run(500);
+    fleet.assert_agreement();
+}
+
+/// Guards against a restart that is not told apart from the run before: its slots would be kept.
+#[test]
+fn a_restart_is_a_death_and_a_birth() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    let old = fleet.nodes[3].view.id(&name(3)).unwrap().clone();
+    fleet.restart(3);
+    fleet.run(100);
+    let new = fleet.nodes[3].view.id(&name(3)).unwrap().clone();
+    let seen: Vec<(host::Id, State)> = fleet.nodes[0]
+        .changes
+        .iter()
+        .filter(|(step, _)| *step > 300)
+        .map(|(_, change)| (change.id.clone(), change.state))
+        .collect();
+    assert_eq!(seen, vec![(old, State::Dead), (new, State::Alive)]);
+}
+
+/// Guards against new homes on a router that leaves, by its own word or by the host list's.
+#[test]
+fn a_leaving_router_gets_no_home() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.handle(1, Event::Leave);
+    fleet.listed[2].leaving = true;
+    fleet.revision += 1;
+    for index in 0..7 {
+        fleet.list(index);
+    }
+    fleet.run(200);
+    for viewer in 0..7 {
+        let homes = fleet.homes(viewer);
+        assert!(!homes.contains(&Some(1)), "r{viewer}");
+        assert!(!homes.contains(&Some(2)), "r{viewer}");
+        assert_eq!(fleet.state(viewer, 1), State::Leaving, "r{viewer}");
+    }
+    assert!(fleet.nodes.iter().all(|node| !node
+        .view
+        .witnesses(2, 1)
+        .iter()
+        .any(|id| [1, 2].contains(&index(&id.host)))));
+}
+
+/// Guards against a leaving router that gets homes again because it is suspect.
+#[test]
+fn a_leaving_suspect_gets_no_home() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.handle(1, Event::Leave);
+    fleet.run(100);
+    fleet.nodes[1].up = false;
+    while fleet.state(0, 1) != State::Suspect {
+        fleet.run(1);
+    }
+    assert!(!fleet.homes(0).contains(&Some(1)));
+}
+
+/// Guards against a change of one host that moves the homes of others.
+#[test]
+fn a_death_moves_only_its_own_homes() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    let before = fleet.homes(0);
+    fleet.nodes[4].up = false;
+    fleet.run(300);
+    for (old, new) in before.iter().zip(fleet.homes(0)) {
+        if *old != Some(4) {
+            assert_eq!(*old, new);
+        }
+    }
+}
+
+/// Guards against a cost that grows with the fleet, with all peers alive or with most of them dead.
+#[test]
+fn messages_per_period_do_not_grow_with_the_fleet() {
+    for dead in [0, 90] {
+        let mut fleet = Fleet::new(100);
+        fleet.run(100);
+        for node in fleet.nodes.iter_mut().skip(100 - dead) {
+            node.up = false;
+        }
+        fleet.run(500);
+        let before: Vec<u64> = fleet.nodes.iter().map(|node| node.sent).collect();
+        fleet.run(1_000);
+        for (node, before) in fleet.nodes.iter().zip(before).take(100 - dead) {
+            // 50 rounds of 3 probes, as many answers again with room for chance, 10 dead probes.
+            let sent = node.sent - before;
+            assert!(sent <= 50 * 3 * 3 + 10, "{sent} messages");
+        }
+    }
+}
+
+/// Guards against a router that misses a newer bundle or host list: its peers' probes tell of it.
+#[test]
+fn probes_tell_of_newer_revisions() {
+    let mut fleet = Fleet::new(3);
+    fleet.run(300);
+    fleet.handle(0, Event::Bundle { revision: 9 });
+    fleet.run(60);
+    assert!(fleet.nodes[1].behind > 0);
+    assert!(fleet.nodes[2].behind > 0);
+}
+
+/// Guards against a failure domain without reader, and against readers in the wrong domain.
+#[test]
+fn each_domain_has_two_readers_of_its_own() {
+    let fleet = Fleet::new(9);
+    for number in 0..3 {
+        let domain = domain(number);
+        let readers = fleet.nodes[0].view.readers(&domain);
+        assert_eq!(readers.len(), 2);
+        assert!(readers.iter().all(|host| index(host) % 3 == number));
+    }
+    let readers = fleet.nodes.iter().filter(|node| node.view.is_reader());
+    assert_eq!(readers.count(), 6);
+}
+
+/// Guards against witnesses that fail together with the owner or with each other.
+#[test]
+fn witnesses_are_in_other_domains() {
+    let mut fleet = Fleet::new(9);
+    fleet.run(300);
+    for salt in 0..20 {
+        let witnesses = fleet.nodes[0].view.witnesses(2, salt);
+        let mut domains: Vec<usize> = witnesses.iter().map(|id| index(&id.host) % 3).collect();
+        domains.sort_unstable();
+        assert_eq!(domains, vec![1, 2]);
+    }
+}
+
+/// Guards against an old host list that replaces a newer one.
+#[test]
+fn an_older_host_list_is_ignored() {
+    let mut fleet = Fleet::new(3);
+    let event = Event::Hosts {
+        revision: 1,
+        hosts: Vec::new(),
+    };
+    fleet.handle(0, event);
+    assert_eq!(fleet.nodes[0].view.peers().count(), 2);
+}
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(usize),
+    Restart(usize),
+    Pause(usize, u64),
+    Split(Vec<bool>),
+    Heal,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..7_usize).prop_map(Fault::Kill),
+        (0..7_usize).prop_map(Fault::Restart),
+        (0..7_usize, 1..400_u64).prop_map(|(node, steps)| Fault::Pause(node, steps)),
+        prop::collection::vec(any::<bool>(), 7).prop_map(Fault::Split),
+        Just(Fault::Heal),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
+
+    /// Guards against views that differ for good after any series of faults.
+    #[test]
+    fn views_converge_after_any_faults(faults in prop::collection::vec((fault(), 0..200_u64), 0..8)) {
+        let mut fleet = Fleet::new(7);
+        fleet.run(100);
+        for (fault, steps) in faults {
+            match fault {
+                Fault::Kill(node) => fleet.nodes[node].up = false,
+                Fault::Restart(node) => fleet.restart(node),
+                Fault::Pause(node, steps) => fleet.nodes[node].paused_until = fleet.now + steps,
+                Fault::Split(sides) => {
+                    fleet.split = (0..7).filter(|node| sides[*node]).collect();
+                }
+                Fault::Heal => fleet.split.clear(),
+            }
+            fleet.run(steps);
+        }
+        fleet.split.clear();
+        fleet.run(400 + 1_500);
+        fleet.assert_agreement();
+    }
+}
