Test that an adopted configuration never reverts

Cause: stale, backward and conflicting reads must not change what is in force, except to a higher revision. Ruled out: a change of the rule; it holds as it is. Removing the comparison with a lower or an equal revision fails a test.

--- /dev/null
+++ b/crates/config/tests/adopt.rs
@@ -0,0 +1,62 @@
+//! Adoption of bundles.
+
+use proptest::prelude::*;
+use tsw_config::{adopt, bundle};
+
+fn bundle(revision: u64, content: bool) -> bundle::Bundle {
+    let team = r#"{"team":"t","tokens":[],"shares":{}}"#;
+    let teams = if content {
+        format!(r#""t":{team}"#)
+    } else {
+        String::new()
+    };
+    let text = format!(r#"{{"revision":{revision},"services":{{}},"teams":{{{teams}}}}}"#);
+    bundle::Bundle::parse(text.as_bytes()).expect("a bundle")
+}
+
+proptest! {
+    /// Guards against a revision in force that is replaced by a lower one, or by other content under
+    /// the same number, whatever stale, backward or conflicting reads arrive.
+    #[test]
+    fn what_is_in_force_never_reverts(offers in prop::collection::vec((1..8_u64, any::<bool>()), 0..60)) {
+        let mut store = adopt::Store::default();
+        for (revision, content) in offers {
+            let before = store.current().cloned();
+            let offered = bundle(revision, content);
+            let verdict = store.offer(offered.clone());
+            let after = store.current().cloned().expect("a bundle is in force");
+            let expected = match &before {
+                None => adopt::Verdict::Adopted,
+                Some(old) if revision > old.revision => adopt::Verdict::Adopted,
+                Some(old) if revision < old.revision => {
+                    adopt::Verdict::Older { current: old.revision }
+                }
+                Some(old) if **old == offered => adopt::Verdict::Same,
+                Some(old) => adopt::Verdict::Conflict {
+                    current: old.digest(),
+                    offered: offered.digest(),
+                },
+            };
+            if verdict == adopt::Verdict::Adopted {
+                prop_assert_eq!(&*after, &offered);
+            } else {
+                prop_assert_eq!(Some(&after), before.as_ref());
+            }
+            prop_assert_eq!(verdict, expected);
+            prop_assert_eq!(store.revision(), after.revision);
+        }
+    }
+
+    /// Guards against routers that end with different bundles when no two publications share a
+    /// number, whatever the order in which they arrive.
+    #[test]
+    fn the_order_of_arrival_does_not_matter(mut order in Just((1..10_u64).collect::<Vec<_>>()).prop_shuffle(),
+                                            repeats in prop::collection::vec(1..10_u64, 0..10)) {
+        let mut store = adopt::Store::default();
+        order.extend(repeats);
+        for revision in order {
+            store.offer(bundle(revision, revision % 2 == 0));
+        }
+        prop_assert_eq!(store.revision(), 9);
+    }
+}
