--- a/spec/grant.pml
+++ b/spec/grant.pml
@@ -9,12 +9,12 @@
  * than GRANT_TTL, which is shorter than the detection of a failure.
  *
  * Step                                   Rust function (crate grant)
- *   Entry: notice, greet                 entry::Queue: Holdings and Demand to a new home or session
- *   Entry: take or drop a grant          entry::Queue: age of the demand, session of the grant
- *   Entry: finish                        entry::Queue: Release
- *   Home: hold, release                  home::Home: events holdings, demand, release
- *   Home: grant                          home::Home: command grant
- *   Home: reclaim                        home::Home: event entry gone
+ *   Entry: notice, greet                 entry::Queue::set_homes, ::greet, ::holdings
+ *   Entry: take or drop a grant          entry::Queue::grant
+ *   Entry: finish                        entry::Queue::report
+ *   Home: hold, release                  home::Home::holdings, ::demand, ::release
+ *   Home: grant                          home::Home::fill
+ *   Home: reclaim                        home::Home::set_live, ::bury
  *   View                                 member::View::home
  *
  * Proved: a grant that a home issues while all entry routers have it as home and their holdings have
@@ -22,6 +22,9 @@
  * waiting request is granted in the end; the number of grants is bounded, so that no exchange of
  * messages goes on for ever.
  *
+ * The model drops a grant that was issued before the entry router's last holdings. The crate keeps it
+ * charged by the number of the last grant seen, in Holdings, which the model does not follow.
+ *
  * Not covered: the bound while two homes grant at once, and while a home started without the holdings
  * of a router that did not answer within 100 ms.
  *
