Replace a session whose peer has restarted or was dead

Cause: messages to the earlier run of a killed router went on for 10 s until its session timed out; with two routers killed at a time bookings waited 8 s. Ruled out: a shorter idle time-out; large fleets would open sessions all the time. Conclusion: a session of a new run, and a state of dead, reset the session; the new test failed before.

--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -69,6 +69,17 @@
             connection: connection.clone(),
         },
     );
+    drop(inbound);
+    let before = shared
+        .runs
+        .borrow_mut()
+        .insert(id.host.clone(), id.incarnation);
+    if before.is_some_and(|before| before != id.incarnation) {
+        // The session to the earlier run gets no answer and would time out much later.
+        if let Some(peer) = shared.peers.borrow().get(&id.host) {
+            peer.reset();
+        }
+    }
     true
 }
 
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -143,6 +143,7 @@
     pub(crate) traffic: Cell<Traffic>,
     pub(crate) peers: RefCell<IndexMap<name::Host, Rc<Peer>>>,
     pub(crate) inbound: RefCell<IndexMap<name::Host, inbound::Session>>,
+    pub(crate) runs: RefCell<IndexMap<name::Host, host::Incarnation>>,
 }
 
 impl Shared {
@@ -196,6 +197,7 @@
             traffic: Cell::default(),
             peers: RefCell::default(),
             inbound: RefCell::default(),
+            runs: RefCell::default(),
         });
         actix_rt::spawn(inbound::accept(shared.clone()));
         Ok(Self { shared })
@@ -219,6 +221,16 @@
         }
     }
 
+    /// Ends the session to a peer, if there is one. The next message opens another.
+    ///
+    /// A session whose peer was cut off resends at growing intervals, and one whose peer has
+    /// restarted goes on until it times out, so a new session works sooner.
+    pub fn reset(&self, host: &name::Host) {
+        if let Some(peer) = self.shared.peers.borrow().get(host) {
+            peer.reset();
+        }
+    }
+
     /// Queues a message for a peer and opens a session if there is none. A message for a host
     /// without an address is dropped.
     pub fn send(&self, host: &name::Host, message: message::Message) {
--- a/crates/link/tests/session.rs
+++ b/crates/link/tests/session.rs
@@ -1,7 +1,12 @@
 //! Guards against sessions with processes outside the fleet, against peers that claim another
 //! host's name, and against messages that get lost or reordered within a session.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 use rustls_pki_types::{PrivateKeyDer, PrivatePkcs8KeyDer};
@@ -168,6 +173,63 @@
     assert_eq!(received(&log), Vec::<u64>::new());
 }
 
+/// Passes datagrams on between peers that send to it and `to`, which can be replaced.
+fn relay(to: Rc<Cell<SocketAddr>>) -> SocketAddr {
+    let address = free_address();
+    actix_rt::spawn(async move {
+        let front = Rc::new(tokio::net::UdpSocket::bind(address).await.expect("bound"));
+        let back = Rc::new(
+            tokio::net::UdpSocket::bind("127.0.0.1:0")
+                .await
+                .expect("bound"),
+        );
+        let source = Rc::new(Cell::new(address));
+        let (from, answers, caller) = (front.clone(), back.clone(), source.clone());
+        actix_rt::spawn(async move {
+            let mut buffer = [0; 65_536];
+            while let Ok((len, _)) = answers.recv_from(&mut buffer).await {
+                let _ = from.send_to(&buffer[..len], caller.get()).await;
+            }
+        });
+        let mut buffer = [0; 65_536];
+        while let Ok((len, peer)) = front.recv_from(&mut buffer).await {
+            source.set(peer);
+            let _ = back.send_to(&buffer[..len], to.get()).await;
+        }
+    });
+    address
+}
+
+#[actix_rt::test]
+async fn session_to_a_killed_run_is_replaced_when_the_next_run_connects() {
+    // A killed process says nothing, and the old session would go on until it times out.
+    let fleet = Authority::new();
+    let (a, a_address, _) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
+    let target = Rc::new(Cell::new(address));
+    let name = "b".parse().expect("a valid name");
+    a.set_address(&name, Some(relay(target.clone())));
+    a.send(&name, fetch(1));
+    until(&log, |_| received(&log) == [0, 1]).await;
+    let a_name = "a".parse().expect("a valid name");
+    b.set_address(&a_name, Some(a_address));
+    b.send(&a_name, fetch(9));
+
+    // The address now leads to another run, which knows nothing of the session.
+    let (next, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 2));
+    target.set(address);
+    next.set_address(&a_name, Some(a_address));
+    next.send(&a_name, fetch(3));
+    for number in 10..40 {
+        a.send(&name, fetch(number));
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        if !received(&log).is_empty() {
+            return;
+        }
+    }
+    panic!("nothing arrived at the next run within 3 s");
+}
+
 #[actix_rt::test]
 async fn session_is_opened_again_after_a_restart_of_the_peer() {
     let fleet = Authority::new();
--- a/crates/toucand/src/membership.rs
+++ b/crates/toucand/src/membership.rs
@@ -70,6 +70,9 @@
                         &[("peer", &change.id), ("state", &state)],
                     );
                     if change.state == tsw_member::State::Dead {
+                        if let Some(link) = turn.out.link() {
+                            link.reset(&change.id.host);
+                        }
                         effect.gone.push(change.id);
                     }
                 }
