--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,116 @@
-//! Placeholder.
+//! Load generator, experiments and checks for a fleet of routers.
 
-fn main() {}
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use eyre::Context as _;
+use serde_json::json;
+use tokio::signal::unix;
+use tsw_load::{
+    baseline, demo, plan::Deployment, policy::Policy, process, report, scenario, session,
+};
+
+mod flags;
+
+/// Violations that are printed one by one.
+const MAX_DETAILS: usize = 20;
+
+fn main() -> eyre::Result<ExitCode> {
+    let flags = flags::TswLoad::from_env_or_exit();
+    if let flags::TswLoadCmd::Child(flags) = &flags.subcommand {
+        let (program, arguments) = flags
+            .command
+            .split_first()
+            .ok_or_else(|| eyre::eyre!("name the program to run after --"))?;
+        return Err(process::become_child(Path::new(program), arguments).into());
+    }
+    actix_rt::System::new().block_on(async {
+        let mut stop = unix::signal(unix::SignalKind::terminate())?;
+        // Dropping the work on a signal ends all processes that it started.
+        tokio::select! {
+            done = run(flags) => done,
+            _ = stop.recv() => Ok(ExitCode::FAILURE),
+            _ = tokio::signal::ctrl_c() => Ok(ExitCode::FAILURE),
+        }
+    })
+}
+
+async fn run(flags: flags::TswLoad) -> eyre::Result<ExitCode> {
+    match flags.subcommand {
+        flags::TswLoadCmd::BaselineRouter(flags) => run_baseline(flags.config).await,
+        flags::TswLoadCmd::Child(_) => Ok(ExitCode::FAILURE),
+        flags::TswLoadCmd::Measure(flags) => measure(flags).await,
+        flags::TswLoadCmd::Report(flags) => {
+            let output = flags.output.unwrap_or_else(|| PathBuf::from("."));
+            let page = report::write(&flags.file, &output)?;
+            println!("{}", page.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        flags::TswLoadCmd::Try(flags) => demonstrate(flags).await,
+    }
+}
+
+async fn run_baseline(path: PathBuf) -> eyre::Result<ExitCode> {
+    let bytes = fs::read(&path).wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    let config: baseline::Config = serde_json::from_slice(&bytes)?;
+    baseline::run(config).await?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn demonstrate(flags: flags::Try) -> eyre::Result<ExitCode> {
+    let request = session::Request {
+        deployment: flags.deployment.unwrap_or(Deployment::Harborgray),
+        policy: Policy::Toucan,
+        seed: flags.seed.unwrap_or(1),
+        seconds: None,
+        exact_hints: false,
+        directory: flags.directory,
+    };
+    Ok(match demo::run(&request).await? {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
+async fn measure(flags: flags::Measure) -> eyre::Result<ExitCode> {
+    let request = session::Request {
+        deployment: flags.deployment,
+        policy: flags.policy.unwrap_or(Policy::Toucan),
+        seed: flags.seed.unwrap_or(1),
+        seconds: flags.seconds,
+        exact_hints: flags.exact_hints,
+        directory: flags.directory,
+    };
+    let outcome = scenario::run(&flags.scenario, &request).await?;
+    let findings = &outcome.findings;
+    let mut result = json!({
+        "scenario": flags.scenario,
+        "deployment": request.deployment.as_str(),
+        "policy": request.policy.as_str(),
+        "seed": request.seed,
+    });
+    if let Some(map) = result.as_object_mut() {
+        map.extend(outcome.fields.clone());
+        if let Ok(serde_json::Value::Object(mut found)) = serde_json::to_value(findings) {
+            found.remove("details");
+            map.extend(found);
+        }
+    }
+    for line in findings.details.iter().take(MAX_DETAILS) {
+        eprintln!("{line}");
+    }
+    if flags.json {
+        println!("{result}");
+    } else if let Some(map) = result.as_object() {
+        for (key, value) in map {
+            println!("{key:<28} {value}");
+        }
+    }
+    Ok(match findings.clean() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
--- /dev/null
+++ b/crates/toucand/src/serve.rs
@@ -0,0 +1,157 @@
+//! The HTTP servers and the life of the process.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use actix_http::{error::DispatchError, HttpService, KeepAlive, Request};
+use actix_rt::net::TcpStream;
+use actix_server::Server;
+use actix_service::boxed::{self, BoxServiceFactory};
+use tokio::{
+    signal::unix::{signal, SignalKind},
+    sync::{mpsc, Notify},
+};
+use tsw_config::settings;
+use tsw_event::{emit, Event};
+
+use crate::{
+    keys, operator,
+    router::{Plan, Router},
+    start,
+};
+
+/// Why the process cannot start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings are refused.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    /// The log cannot be set up.
+    #[error(transparent)]
+    Log(#[from] tsw_event::setup::Error),
+    /// A key cannot be used.
+    #[error(transparent)]
+    Keys(#[from] keys::Error),
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}; correct listen.{key}")]
+    Bind {
+        /// The setting.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The signal handler cannot be set.
+    #[error("cannot handle signals: {0}")]
+    Signal(io::Error),
+    /// The router cannot start.
+    #[error(transparent)]
+    Start(#[from] start::Error),
+    /// The server ended by itself.
+    #[error("the HTTP server ended: {0}")]
+    Server(io::Error),
+}
+
+/// Returns the router of this thread; a fault ends the process.
+fn router(plan: &Arc<Plan>) -> Option<Rc<Router>> {
+    match start::on_this_thread(plan) {
+        Ok(router) => Some(router),
+        Err(error) => {
+            // The main thread may have ended already.
+            let _ = plan.end.send(Err(error));
+            None
+        }
+    }
+}
+
+/// Returns the factory of the operators' HTTP service. It makes the router on the worker's thread.
+fn operators(
+    plan: Arc<Plan>,
+) -> impl Fn() -> BoxServiceFactory<(), TcpStream, (), DispatchError, ()> + Clone + Send {
+    move || {
+        let router = router(&plan);
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(Duration::from_secs(60)))
+            .client_request_timeout(Duration::from_secs(10))
+            .finish(move |request: Request| {
+                let router = router.clone();
+                async move {
+                    match router {
+                        Some(router) => operator::handle(router, request).await,
+                        // The process is about to end.
+                        None => std::future::pending().await,
+                    }
+                }
+            });
+        boxed::factory(service.tcp_auto_h2c())
+    }
+}
+
+/// Runs a router with the given settings until it has stopped gracefully.
+///
+/// # Errors
+///
+/// Returns why it cannot start.
+pub async fn run(settings: settings::Settings) -> Result<(), Error> {
+    let keys = keys::Keys::load(&settings)?;
+    let listen = settings.listen.clone();
+    let bind = |key, address| {
+        move |source| Error::Bind {
+            key,
+            address,
+            source,
+        }
+    };
+    let callers = TcpListener::bind(listen.caller).map_err(bind("caller", listen.caller))?;
+    let (end, mut ended) = mpsc::unbounded_channel();
+    let plan = Arc::new(Plan {
+        settings,
+        keys,
+        callers: Mutex::new(Some(callers)),
+        stop: Notify::new(),
+        end,
+    });
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    // The only worker runs all of the router. More than one would each make a router.
+    let server = Server::build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .bind("operators", listen.operator, operators(plan.clone()))
+        .map_err(bind("operator", listen.operator))?
+        .run();
+    let handle = server.handle();
+    emit(
+        Event::Started,
+        &[
+            ("host", &plan.settings.host),
+            ("caller", &listen.caller),
+            ("operator", &listen.operator),
+            ("peer", &listen.peer),
+        ],
+    );
+    let mut server = std::pin::pin!(server);
+    let result = loop {
+        tokio::select! {
+            result = ended.recv() => break result.unwrap_or(Ok(())).map_err(Error::from),
+            result = &mut server => {
+                let gone = io::Error::from(io::ErrorKind::UnexpectedEof);
+                return Err(Error::Server(result.err().unwrap_or(gone)));
+            }
+            _ = terminate.recv() => plan.stop.notify_one(),
+        }
+    };
+    let stopping = async {
+        handle.stop(false).await;
+    };
+    let both = async { tokio::join!(stopping, server) };
+    // The process ends in any case; this only gives the server time to close its connections.
+    let _ = tokio::time::timeout(Duration::from_secs(2), both).await;
+    result
+}
