Test that every call is answered and a set-back clock is told

Cause: a caller without an answer has lost its booking; a lower incarnation is not heard by peers. Ruled out: faults while the fleet settles; every call at a router that runs on must then be answered.

--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -21,6 +21,7 @@
     changes: Vec<(u64, Change)>,
     sent: u64,
     behind: u64,
+    superseded: bool,
 }
 
 struct Fleet {
@@ -59,6 +60,7 @@
         changes: Vec::new(),
         sent: 0,
         behind: 0,
+        superseded: false,
     }
 }
 
@@ -72,13 +74,13 @@
             })
             .collect();
         let mut fleet = Self {
-            nodes: (0..size).map(|index| node(index, 1)).collect(),
+            nodes: (0..size).map(|index| node(index, 10)).collect(),
             now: 0,
             mail: BTreeMap::new(),
             split: HashSet::new(),
             listed,
             revision: 1,
-            incarnation: 1,
+            incarnation: 10,
         };
         for index in 0..size {
             fleet.list(index);
@@ -121,7 +123,10 @@
                     node.behind += 1;
                     continue;
                 }
-                Command::Superseded { .. } => continue,
+                Command::Superseded { .. } => {
+                    node.superseded = true;
+                    continue;
+                }
             };
             node.sent += 1;
             let mail = self.mail.entry(at).or_default();
@@ -301,6 +306,18 @@
     assert_eq!(seen, vec![(old, State::Dead), (new, State::Alive)]);
 }
 
+/// Guards against a router that is never heard again because its clock was set back at a restart: it
+/// is told, so that it can start anew.
+#[test]
+fn a_restart_with_a_lower_incarnation_is_told() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.nodes[3] = node(3, 9);
+    fleet.list(3);
+    fleet.run(500);
+    assert!(fleet.nodes[3].superseded);
+}
+
 /// Guards against new homes on a router that leaves, by its own word or by the host list's.
 #[test]
 fn a_leaving_router_gets_no_home() {
--- a/crates/once/tests/fleet.rs
+++ b/crates/once/tests/fleet.rs
@@ -77,7 +77,7 @@
 /// Who waits for an owner's reply.
 #[derive(Clone, Debug)]
 enum Origin {
-    Caller(Key, Digest),
+    Caller(u64, Key, Digest),
     Peer(host::Id, u64),
 }
 
@@ -161,6 +161,8 @@
     tickets: u64,
     origins: HashMap<u64, Origin>,
     forwarded: HashMap<u64, (Key, Digest)>,
+    /// Calls without a final answer, with the router that the caller is connected to.
+    open: HashMap<u64, host::Id>,
     runs: Vec<(host::Id, Run, Digest, bool)>,
     digests: HashMap<(host::Id, permit::Id), Digest>,
     truth: Truth,
@@ -178,6 +180,7 @@
             tickets: 0,
             origins: HashMap::new(),
             forwarded: HashMap::new(),
+            open: HashMap::new(),
             runs: Vec::new(),
             digests: HashMap::new(),
             truth: Truth::default(),
@@ -222,6 +225,7 @@
                 let old = self.routers[router].id.clone();
                 self.routers[router] = Router::new(router, self.incarnation, now);
                 self.runs.retain(|(id, ..)| *id != old);
+                self.open.retain(|_, id| *id != old);
             }
             Step::Suspect { router, peer } => {
                 let id = self.routers[peer].id.clone();
@@ -254,8 +258,10 @@
 
     fn call(&mut self, router: usize, key: Key, digest: Digest) {
         let ticket = self.ticket();
+        self.open.insert(ticket, self.routers[router].id.clone());
         if key.permit.owner == self.routers[router].id {
-            self.own(router, Origin::Caller(key.clone(), digest), key, digest);
+            let origin = Origin::Caller(ticket, key.clone(), digest);
+            self.own(router, origin, key, digest);
         } else {
             self.forwarded.insert(ticket, (key.clone(), digest));
             let deadline = self.routers[router].now + Span::from_secs(5);
@@ -305,7 +311,9 @@
                     self.runs.push((id.clone(), run, digest, false));
                 }
                 owner::Command::Reply { ticket, reply } => match self.origins[&ticket].clone() {
-                    Origin::Caller(key, digest) => self.told(&key, digest, &reply),
+                    Origin::Caller(ticket, key, digest) => {
+                        self.told(ticket, &key, digest, &reply);
+                    }
                     Origin::Peer(peer, ticket) => {
                         self.send(&id, &peer, Payload::Answer(ticket, reply));
                     }
@@ -341,7 +349,7 @@
                 survivor::Command::Seal { to, seal } => self.send(&id, &to, Payload::Seal(seal)),
                 survivor::Command::Reply { ticket, reply } => {
                     let (key, digest) = self.forwarded[&ticket].clone();
-                    self.told(&key, digest, &reply);
+                    self.told(ticket, &key, digest, &reply);
                 }
             }
         }
@@ -400,7 +408,28 @@
         self.owner(router, owner::Event::Finished { run, response });
     }
 
-    fn told(&mut self, key: &Key, digest: Digest, reply: &Reply) {
+    /// Lets time pass without further faults until every call has its answer.
+    fn settle(&mut self) {
+        for _ in 0..80 {
+            for mail in std::mem::take(&mut self.mail) {
+                self.deliver(mail);
+            }
+            while !self.runs.is_empty() {
+                self.run(0, 1);
+            }
+            for router in 0..ROUTERS {
+                self.step(Step::Advance {
+                    router,
+                    millis: 100,
+                });
+            }
+        }
+    }
+
+    fn told(&mut self, ticket: u64, key: &Key, digest: Digest, reply: &Reply) {
+        if !matches!(reply, Reply::Pending) {
+            self.open.remove(&ticket);
+        }
         let entry = (key.id(), digest);
         match reply {
             Reply::Final(response) => match response.end {
@@ -426,6 +455,18 @@
             fleet.step(step);
         }
     }
+
+    /// Guards against a booking that is lost: a call whose caller gets no answer although its router
+    /// runs on.
+    #[test]
+    fn every_call_is_answered(steps in prop::collection::vec(step(), 1..200)) {
+        let mut fleet = Fleet::new();
+        for step in steps {
+            fleet.step(step);
+        }
+        fleet.settle();
+        prop_assert!(fleet.open.is_empty(), "{:?}", fleet.open);
+    }
 }
 
 /// Guards against a schedule generator that never reaches the states that the property is about.
