Send the same body with each attempt of a booking

Cause: the load client put the number of the attempt into the body, so a retried booking was a key conflict and counted as a false 'not run'. Conclusion: a key stands for one request.

--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -324,7 +324,9 @@
             attempt.id, attempt.operation, wish.team.name
         );
         let body = if wish.booking() {
-            serde_json::json!({"item": prompt})
+            // The same for all attempts of an operation, as a key stands for one request.
+            let item = format!("{} for {}", attempt.operation, wish.team.name);
+            serde_json::json!({"item": item})
         } else {
             serde_json::json!({"prompt": prompt, "max_tokens": wish.tokens})
         };
