Measure control at the design rate and count hedges in the slow experiment

Cause: at 4 requests/s a router, CPU per request was too noisy to tell control from the data path. Ruled out: the design rate at 14 and 28 routers; callers and engines would compete for the cores.

--- a/crates/load/src/generate.rs
+++ b/crates/load/src/generate.rs
@@ -23,20 +23,32 @@
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
 /// Distribution of the cost of requests.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Mix {
+    /// Fewest and most tokens of a short request.
+    pub short: (u64, u64),
     /// One of so many requests is long; 0 for none.
     pub long_every: u32,
     /// Tokens of a long request.
     pub long_tokens: u64,
 }
 
+impl Default for Mix {
+    fn default() -> Self {
+        Self {
+            short: (SHORT_LOW, SHORT_HIGH),
+            long_every: 0,
+            long_tokens: 0,
+        }
+    }
+}
+
 impl Mix {
     fn draw(self, random: &mut Pcg64Mcg) -> u64 {
         if self.long_every > 0 && random.gen_ratio(1, self.long_every) {
             return self.long_tokens;
         }
-        random.gen_range(SHORT_LOW..=SHORT_HIGH)
+        random.gen_range(self.short.0..=self.short.1)
     }
 }
 
--- a/crates/load/src/launch/router.rs
+++ b/crates/load/src/launch/router.rs
@@ -198,4 +198,18 @@
             tokio::time::sleep(READY_POLL).await;
         }
     }
+
+    /// Returns the sum over all running routers of a counter in their metrics.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let mut sum = 0.0;
+        for router in self.routers.iter().filter(|r| r.process.is_some()) {
+            let Ok(body) = http::get(router.operator, "/metrics").await else {
+                continue;
+            };
+            let text = String::from_utf8_lossy(&body);
+            let line = text.lines().find_map(|line| line.strip_prefix(name));
+            sum += line.and_then(|n| n.trim().parse().ok()).unwrap_or(0.0);
+        }
+        sum
+    }
 }
--- a/crates/load/src/scenario/mixed.rs
+++ b/crates/load/src/scenario/mixed.rs
@@ -35,6 +35,7 @@
     let mix = Mix {
         long_every: LONG_EVERY,
         long_tokens: LONG_TOKENS,
+        ..Mix::default()
     };
     generator.set_mix(mix);
     tokio::time::sleep(WARM_UP).await;
--- a/crates/load/src/scenario/slow.rs
+++ b/crates/load/src/scenario/slow.rs
@@ -57,6 +57,8 @@
     }
     let to = session.phase("end");
     generator.stop(DRAIN_LIMIT).await;
+    let hedges = session.fleet.metric("toucan_hedges_total ").await;
+    let resumes = session.fleet.metric("toucan_resumes_total ").await;
     let evidence = session.evidence()?;
     let within = |from: u64, to: u64| {
         let found = evidence.latencies(&plan.model, |a| a.sent_us >= from && a.sent_us < to);
@@ -70,6 +72,8 @@
         "slowed_p99_ms": with.1,
         "healthy_p50_ms": before.0,
         "healthy_p99_ms": before.1,
+        "hedges": hedges,
+        "resumes": resumes,
         "slowed_requests": with.2,
         "healthy_requests": before.2,
         "attempts": counts(&evidence, &plan.model),
