--- a/crates/load/src/programs.rs
+++ b/crates/load/src/programs.rs
@@ -76,6 +76,7 @@
 }
 
 fn build(root: &Path, directory: &Path) -> Result<(), Error> {
+    eprintln!("Building toucand and tsw-fake ...");
     let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command.current_dir(root).args(["build", "--quiet"]);
