--- a/crates/toucand/src/booking.rs
+++ b/crates/toucand/src/booking.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::{
-    header::{HeaderValue, CONTENT_TYPE},
+    header::{HeaderMap, HeaderValue, CONTENT_TYPE},
     Response, StatusCode,
 };
 use actix_rt::time;
@@ -23,7 +23,7 @@
 /// Time beyond the deadline in which the tables decide the outcome of a call.
 const GRACE: Span = Span::from_millis(2_000);
 /// Longest wait of a call with a key for a router that starts.
-const START_WAIT: Duration = Duration::from_secs(3);
+pub const START_WAIT: Duration = Duration::from_secs(3);
 /// Workers that are tried when no connection can be made.
 const MAX_ATTEMPTS: u32 = 20;
 
@@ -64,13 +64,30 @@
     }
 }
 
+/// Returns whether a request carries a key that this fleet issued, for whatever team and service.
+#[must_use]
+pub fn has_genuine_key(router: &Router, headers: &HeaderMap) -> bool {
+    let key = headers.get("toucan-key");
+    let key = key.and_then(|value| value.to_str().ok()?.parse::<Key>().ok());
+    key.is_some_and(|key| {
+        let permit = &key.permit;
+        let verified = router.look(|state| {
+            state
+                .control
+                .tables
+                .verify(&key, &permit.team, &permit.service)
+        });
+        verified.is_ok()
+    })
+}
+
 fn key(router: &Router, call: &Call) -> Result<Key, Refusal> {
     let text = call.key.as_ref().ok_or(Refusal::KeyMissing)?;
     let key: Key = text
         .parse()
         .map_err(|error: tsw_once::permit::Error| Refusal::Key(error.to_string()))?;
     router
-        .look(|state| state.tables.verify(&key, &call.team, &call.service))
+        .look(|state| state.control.tables.verify(&key, &call.team, &call.service))
         .map_err(|error| Refusal::Key(error.to_string()))?;
     Ok(key)
 }
@@ -114,15 +131,14 @@
 /// Runs a call as the owner of its key. It goes on when the caller disconnects.
 pub async fn run(router: Rc<Router>, run: Run) {
     let _flight = Flight::start(&router);
-    let owned = router.look(|state| state.tables.owned(&run));
+    let owned = router.look(|state| state.control.tables.owned(&run));
     let response = match owned {
         Some(owned) => execute(&router, &owned).await,
         None => tsw_once::Response::not_run("request-missing"),
     };
     router.act(|state, now| {
-        state
-            .tables
-            .finished(&mut state.board, &mut state.out, now, run, response);
+        let (mut turn, control) = state.split(now);
+        control.tables.finished(&mut turn, run, response);
     });
 }
 
@@ -194,9 +210,8 @@
 
     fn submit(&self, key: Key, call: &Call) -> tokio::sync::oneshot::Receiver<Answer> {
         self.act(|state, now| {
-            state
-                .tables
-                .call(&mut state.board, &mut state.out, now, key, call)
+            let (mut turn, control) = state.split(now);
+            control.tables.call(&mut turn, key, call)
         })
     }
 
@@ -210,7 +225,8 @@
         if self.phase() != Phase::Ready {
             return None;
         }
-        let issued = self.act(|state, now| state.tables.issue(&state.board, now, team, service));
+        let issued =
+            self.act(|state, now| state.control.tables.issue(&state.board, now, team, service));
         Some(issued.to_string())
     }
 }
