Probe a fixed set of peers in a large fleet

Cause: probes went round all peers in random order. A session closes after 10 s without use, and above 150 routers a peer comes round less often than that, so that nearly each of 30 probes a second would need a new QUIC handshake. Ruled out: longer idle times; they keep a session to every peer. Conclusion: sessions of membership grow with the logarithm of the fleet.

--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -10,7 +10,10 @@
     time::{Span, Tick},
 };
 
-use crate::timing;
+use crate::{rendezvous, timing};
+
+/// Purpose of the hashes that order the hosts around the ring.
+const RING: u64 = 1;
 
 /// A probe that is not answered yet.
 #[derive(Clone, Debug)]
@@ -22,6 +25,10 @@
 /// The order of probes and the open ones.
 #[derive(Clone, Debug)]
 pub(crate) struct Schedule {
+    /// All peers in the order of their hashes.
+    ring: Vec<name::Host>,
+    /// Place in the ring of the peer that follows this router.
+    next: usize,
     order: Vec<name::Host>,
     position: usize,
     dead: VecDeque<name::Host>,
@@ -33,6 +40,8 @@
 impl Schedule {
     pub(crate) fn new(seed: u64) -> Self {
         Self {
+            ring: Vec::new(),
+            next: 0,
             order: Vec::new(),
             position: 0,
             dead: VecDeque::new(),
@@ -42,25 +51,32 @@
         }
     }
 
-    /// Replaces the peers that are probed.
-    pub(crate) fn set<'a>(&mut self, hosts: impl Iterator<Item = &'a name::Host>) {
-        self.order = hosts.cloned().collect();
-        self.order.shuffle(&mut self.random);
+    /// Replaces the peers of `me`.
+    pub(crate) fn set<'a>(&mut self, me: &name::Host, hosts: impl Iterator<Item = &'a name::Host>) {
+        let place = |host: &name::Host| (rendezvous::weight(RING, host.as_str()), host.clone());
+        self.ring = hosts.cloned().collect();
+        self.ring.sort_by_cached_key(place);
+        self.next = self.ring.partition_point(|host| place(host) < place(me));
+        self.order.clear();
         self.position = 0;
     }
 
-    /// Returns the peers of the next round: each peer once in every pass through the order.
+    /// Returns the peers of the next round: each that is to be probed once in every pass through
+    /// the order.
     pub(crate) fn round(&mut self, skip: impl Fn(&name::Host) -> bool) -> Vec<name::Host> {
         let mut chosen: Vec<name::Host> = Vec::new();
-        for _ in 0..timing::SCAN.min(self.order.len()) {
+        for _ in 0..timing::SCAN.min(self.ring.len()) {
             if chosen.len() == timing::FANOUT {
                 break;
             }
             if self.position == self.order.len() {
+                self.order = self.targets(&skip);
                 self.order.shuffle(&mut self.random);
                 self.position = 0;
             }
-            let host = &self.order[self.position];
+            let Some(host) = self.order.get(self.position) else {
+                break;
+            };
             self.position += 1;
             if !skip(host) && !chosen.contains(host) {
                 chosen.push(host.clone());
@@ -69,6 +85,26 @@
         chosen
     }
 
+    /// Returns the peers to probe: all of a small fleet, else those at the distances 1, 2, 4 and so
+    /// on around the ring of the peers that are not skipped.
+    ///
+    /// A fixed choice lets probes reuse sessions: a session that is unused for some seconds closes,
+    /// and in a large fleet a random peer would need a new one for nearly each probe. Statements
+    /// still reach every host within a number of rounds that grows with the logarithm of the fleet.
+    fn targets(&self, skip: impl Fn(&name::Host) -> bool) -> Vec<name::Host> {
+        let (before, after) = self.ring.split_at(self.next);
+        let hosts = after.iter().chain(before);
+        let live: Vec<&name::Host> = hosts.filter(|host| !skip(host)).collect();
+        if live.len() <= timing::ALL {
+            return live.into_iter().cloned().collect();
+        }
+        let distances = (0..usize::BITS).map(|power| 1 << power);
+        let distances = distances.take_while(|distance| *distance <= live.len());
+        distances
+            .map(|distance: usize| live[distance - 1].clone())
+            .collect()
+    }
+
     /// Adds a host to those that are probed at the slower pace.
     pub(crate) fn bury(&mut self, host: &name::Host) {
         if !self.dead.contains(host) {
--- a/crates/member/src/timing.rs
+++ b/crates/member/src/timing.rs
@@ -34,6 +34,10 @@
 /// Peers that one round probes.
 pub const FANOUT: usize = 3;
 
+/// Most peers that are all probed. With more, a router probes a number that grows with their
+/// logarithm.
+pub const ALL: usize = 12;
+
 /// Entries of the shuffled order that one round looks at, so that many dead hosts do not make a
 /// round longer.
 pub const SCAN: usize = 12;
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -198,7 +198,7 @@
                 commands.push(Command::Changed(peer.change()));
             }
         }
-        self.schedule.set(self.peers.keys());
+        self.schedule.set(&self.me.id.host, self.peers.keys());
     }
 
     fn greet(
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -20,6 +20,7 @@
     inbox: Vec<Event>,
     changes: Vec<(u64, Change)>,
     sent: u64,
+    probed: HashSet<usize>,
     behind: u64,
     superseded: bool,
 }
@@ -59,6 +60,7 @@
         inbox: Vec::new(),
         changes: Vec::new(),
         sent: 0,
+        probed: HashSet::new(),
         behind: 0,
         superseded: false,
     }
@@ -108,6 +110,7 @@
         for command in node.view.handle(now, event) {
             let (to, event) = match command {
                 Command::Ping { to, ping } => {
+                    node.probed.insert(index(&to));
                     let from = name(from);
                     (to, Event::Ping { from, ping })
                 }
@@ -392,6 +395,33 @@
     }
 }
 
+/// Guards against probes of ever other peers, each of which would need a new session in a large
+/// fleet, and against a router that nobody probes when most of its usual probers are dead.
+#[test]
+fn probes_go_to_few_peers_and_leave_nobody_out() {
+    for dead in [0, 90] {
+        let mut fleet = Fleet::new(100);
+        fleet.run(100);
+        for node in fleet.nodes.iter_mut().skip(100 - dead) {
+            node.up = false;
+        }
+        fleet.run(500);
+        let mut targets: Vec<HashSet<usize>> = vec![HashSet::new(); 100];
+        for node in &mut fleet.nodes {
+            node.probed.clear();
+        }
+        fleet.run(1_000);
+        for (index, node) in fleet.nodes.iter().enumerate().take(100 - dead) {
+            targets[index].extend(node.probed.iter().filter(|to| **to < 100 - dead));
+            assert!(targets[index].len() <= 12, "{:?}", targets[index]);
+        }
+        for index in 0..100 - dead {
+            let probers = targets.iter().filter(|targets| targets.contains(&index));
+            assert!(probers.count() >= 3, "router {index} has too few probers");
+        }
+    }
+}
+
 /// Guards against a router that misses a newer bundle or host list: its peers' probes tell of it.
 #[test]
 fn probes_tell_of_newer_revisions() {
