Let reports of started requests wait for other messages

Cause: each request sent four packets to its home and got as many acknowledgements; the report that a grant is in use frees no slot. Ruled out: leaving the report out; the home counts a grant that nobody mentions as lost. Conclusion: such reports and chain heads wait up to 40 ms.

--- a/crates/link/src/outbound.rs
+++ b/crates/link/src/outbound.rs
@@ -20,6 +20,8 @@
     pub(crate) queue: RefCell<VecDeque<message::Message>>,
     pub(crate) connection: RefCell<Option<quinn::Connection>>,
     wake: Notify,
+    /// Whether a message waits that is not to be held back.
+    urgent: Cell<bool>,
     running: Cell<bool>,
     removed: Cell<bool>,
 }
@@ -43,6 +45,7 @@
     host: &name::Host,
     peer: &Rc<Peer>,
     message: message::Message,
+    urgent: bool,
 ) {
     let full = peer.queue.borrow().len() >= shared.options.queue;
     if full {
@@ -57,6 +60,7 @@
         });
     }
     peer.queue.borrow_mut().push_back(message);
+    peer.urgent.set(peer.urgent.get() || urgent);
     peer.wake.notify_one();
     if !peer.running.replace(true) {
         actix_rt::spawn(run(shared.clone(), host.clone(), peer.clone()));
@@ -162,6 +166,15 @@
         if Instant::now() < due {
             time::sleep_until(due.into()).await;
         }
+        let hold = Instant::now() + shared.options.hold;
+        while !peer.urgent.get() && Instant::now() < hold {
+            tokio::select! {
+                () = peer.wake.notified() => {}
+                () = time::sleep_until(hold.into()) => {}
+                error = connection.closed() => return error.to_string(),
+            }
+        }
+        peer.urgent.set(false);
         batch.extend(peer.queue.take());
     }
 }
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -90,6 +90,8 @@
 pub struct Options {
     /// Shortest time between two sends to a peer.
     pub flush: Duration,
+    /// Longest time for which messages that are not urgent wait for others to go with.
+    pub hold: Duration,
     /// Most messages that wait for one peer.
     pub queue: usize,
     /// Longest time to open a session or to write a batch.
@@ -102,6 +104,7 @@
     fn default() -> Self {
         Self {
             flush: Duration::from_millis(2),
+            hold: Duration::from_millis(40),
             queue: 16_384,
             timeout: Duration::from_millis(1_000),
             backoff: Duration::from_millis(200),
@@ -234,9 +237,19 @@
     /// Queues a message for a peer and opens a session if there is none. A message for a host
     /// without an address is dropped.
     pub fn send(&self, host: &name::Host, message: message::Message) {
+        self.push(host, message, true);
+    }
+
+    /// Queues a message that may wait for others, for at most [`Options::hold`]. It keeps its place
+    /// in the order of messages.
+    pub fn send_later(&self, host: &name::Host, message: message::Message) {
+        self.push(host, message, false);
+    }
+
+    fn push(&self, host: &name::Host, message: message::Message, urgent: bool) {
         let peer = self.shared.peers.borrow().get(host).cloned();
         match peer {
-            Some(peer) => outbound::push(&self.shared, host, &peer, message),
+            Some(peer) => outbound::push(&self.shared, host, &peer, message, urgent),
             None => self.shared.count(|traffic| traffic.dropped += 1),
         }
     }
--- a/crates/link/tests/session.rs
+++ b/crates/link/tests/session.rs
@@ -121,6 +121,22 @@
     assert!(traffic.sent_bytes > 1_000 && traffic.received_bytes > 0);
 }
 
+#[actix_rt::test]
+async fn message_that_may_wait_arrives_in_its_place_and_by_itself() {
+    let fleet = Authority::new();
+    let (a, _, _) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (_b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
+    let b = "b".parse().expect("a valid name");
+    a.set_address(&b, Some(address));
+    a.send(&b, fetch(1));
+    until(&log, |_| received(&log).len() == 2).await;
+    a.send_later(&b, fetch(2));
+    a.send(&b, fetch(3));
+    until(&log, |_| received(&log) == [0, 1, 2, 3]).await;
+    a.send_later(&b, fetch(4));
+    until(&log, |_| received(&log) == [0, 1, 2, 3, 4]).await;
+}
+
 #[actix_rt::test]
 async fn certificate_of_another_authority_is_refused() {
     let (fleet, other) = (Authority::new(), Authority::new());
--- a/crates/toucand/src/out.rs
+++ b/crates/toucand/src/out.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use tsw_base::{host, name};
+use tsw_grant::message as grant;
 use tsw_link::Link;
 use tsw_wire::message;
 
@@ -53,7 +54,11 @@
         if *to == self.me.host {
             self.local.push_back(message);
         } else if let Some(link) = &self.link {
-            link.send(to, message);
+            if may_wait(&message) {
+                link.send_later(to, message);
+            } else {
+                link.send(to, message);
+            }
         }
     }
 
@@ -72,3 +77,18 @@
         std::mem::take(&mut self.tasks)
     }
 }
+
+/// Returns whether a message can wait for others to go with: a report that a grant is in use frees no
+/// slot, and a chain head is due only once a second.
+fn may_wait(message: &message::Message) -> bool {
+    match message {
+        message::Message::Release(release) => release.reports.iter().all(|report| {
+            matches!(
+                report.state,
+                grant::State::Started | grant::State::Running { .. }
+            )
+        }),
+        message::Message::Head(_) => true,
+        _ => false,
+    }
+}
