Measure idle routers after the load in the control experiment

Cause: with 28 routers the handshakes of the start fell into the idle time. Conclusion: idle is measured last; 14 routers get the design rate, 28 get 40 requests/s each.

--- a/crates/load/src/scenario/control.rs
+++ b/crates/load/src/scenario/control.rs
@@ -13,9 +13,9 @@
     session::{Evidence, Request, Session},
 };
 
-/// Sizes of the fleet and requests a second for each router. The larger fleets get fewer, so that
+/// Sizes of the fleet and requests a second for each router. The largest fleet gets fewer, so that
 /// callers and engines do not compete with the routers for the machine.
-const SIZES: [(usize, f64); 4] = [(3, 55.0), (7, 55.0), (14, 20.0), (28, 10.0)];
+const SIZES: [(usize, f64); 4] = [(3, 55.0), (7, 55.0), (14, 55.0), (28, 40.0)];
 /// Requests a second and router of the design scale, to which all figures are scaled.
 const DESIGN_RATE: f64 = 55.0;
 /// Tokens of a request: few, since the cost of control does not depend on them.
@@ -102,9 +102,6 @@
         Session::start(&request, plan.clone(), settings::Level::Warn).await;
     let session = session?;
     tokio::time::sleep(SETTLE).await;
-    let first = sample(&session).await;
-    tokio::time::sleep(IDLE).await;
-    let second = sample(&session).await;
     let mix = Mix {
         short: TOKENS,
         ..Mix::default()
@@ -117,14 +114,18 @@
     }
     generator.open(false, even);
     tokio::time::sleep(RAMP).await;
-    let third = sample(&session).await;
+    let first = sample(&session).await;
     tokio::time::sleep(LOADED).await;
-    let fourth = sample(&session).await;
+    let second = sample(&session).await;
     generator.stop(DRAIN).await;
+    // Idle comes last, when the handshakes of the start are over.
+    let third = sample(&session).await;
+    tokio::time::sleep(IDLE).await;
+    let fourth = sample(&session).await;
     let evidence = session.evidence()?;
     Ok((
-        used(&first, &second, routers),
         used(&third, &fourth, routers),
+        used(&first, &second, routers),
         evidence,
     ))
 }
