--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -3,6 +3,62 @@
 //! - [`entry`]: waiting requests at an entry router, their demand and the use of grants.
 //! - [`home`]: decides which waiting request gets each free slot.
 //! - [`message`]: what entry routers and homes tell each other.
+//!
+//! # Example
+//!
+//! A program that is entry router and home at once. Between several routers the messages in the
+//! commands travel in sessions that keep their order; `to` names the receiver.
+//!
+//! ```
+//! use std::collections::VecDeque;
+//! use tsw_base::{host, time::{Span, Tick}};
+//! use tsw_grant::{entry, home, message};
+//!
+//! let me = host::Id { host: "r1".parse()?, incarnation: host::Incarnation::new(1, 0) };
+//! let mut queue = entry::Queue::new("reviews".parse()?, 0, entry::Tuning::default());
+//! let mut home = home::Home::new("reviews".parse()?, me.incarnation, home::Tuning::default());
+//! let now = Tick::from_micros(1_000_000);
+//!
+//! // What the embedder knows from its configuration and its list of hosts.
+//! let shares = vec![("north".parse()?, 1_000_000)];
+//! home.handle(now, home::Event::Shares { slots: 1, shares });
+//! home.handle(now, home::Event::Routers { live: vec![me.clone()] });
+//! home.handle(now, home::Event::Upstream { upstream: "engine-1".parse()?, slots: 1, limit: 1 });
+//! let upstreams = vec![("engine-1".parse()?, me.clone())];
+//! let mut commands = VecDeque::from(queue.handle(now, entry::Event::Homes { upstreams }));
+//!
+//! // A request was admitted. The number is the embedder's own.
+//! let (request, class, team) = (message::Request(7), message::Class::Short, "north".parse()?);
+//! let deadline = now + Span::from_secs(5);
+//! let push = entry::Event::Push { request, team, class, deadline, avoid: None };
+//! commands.extend(queue.handle(now, push));
+//!
+//! let mut runs = Vec::new();
+//! while let Some(command) = commands.pop_front() {
+//!     let from = me.clone();
+//!     let event = match command {
+//!         entry::Command::Demand { demand, .. } => home::Event::Demand { from, demand },
+//!         entry::Command::Release { release, .. } => home::Event::Release { from, release },
+//!         entry::Command::Holdings { holdings, .. } => home::Event::Holdings { from, holdings },
+//!         entry::Command::Expire { .. } => continue, // answered as not run
+//!         entry::Command::Run { request, grant, .. } => {
+//!             // The request is sent to the upstream here. Its end releases the slot.
+//!             runs.push(request);
+//!             let state = message::State::Finished { pace: None };
+//!             commands.extend(queue.handle(now, entry::Event::End { grant, state }));
+//!             continue;
+//!         }
+//!     };
+//!     for command in home.handle(now, event) {
+//!         let home::Command::Grant { grant, .. } = command else { continue };
+//!         let grant = entry::Event::Grant { from: me.clone(), grant };
+//!         commands.extend(queue.handle(now, grant));
+//!     }
+//! }
+//! assert_eq!(runs, [request]);
+//! assert_eq!((queue.running(), home.running()), (0, 0));
+//! # Ok::<(), tsw_base::name::Error>(())
+//! ```
 
 pub mod entry;
 pub mod home;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,6 +8,62 @@
 //! - [`rendezvous`]: the hash that makes these choices.
 //! - [`message`]: payloads of [`Ping`], [`Ack`] and [`Update`].
 //! - [`timing`]: periods and limits.
+//!
+//! # Example
+//!
+//! Two routers find each other and agree on the home of a group. Then one of them stops.
+//!
+//! ```
+//! use std::collections::{BTreeMap, VecDeque};
+//! use tsw_base::{host, name, time::{Span, Tick}};
+//! use tsw_member::{Command, Event, Listed, State, Timing, View};
+//!
+//! /// Gives a tick to all views and carries out their commands.
+//! fn tick(views: &mut BTreeMap<name::Host, View>, now: Tick) {
+//!     let mut inbox: VecDeque<_> = views.keys().map(|host| (host.clone(), Event::Tick)).collect();
+//!     while let Some((host, event)) = inbox.pop_front() {
+//!         // A message to a process that stopped is lost.
+//!         let Some(view) = views.get_mut(&host) else { continue };
+//!         for command in view.handle(now, event) {
+//!             let from = host.clone();
+//!             match command {
+//!                 Command::Ping { to, ping } => inbox.push_back((to, Event::Ping { from, ping })),
+//!                 Command::Ack { to, ack } => inbox.push_back((to, Event::Ack { from, ack })),
+//!                 // For the log, and to end what was in flight with a peer that died.
+//!                 Command::Changed(_) => {}
+//!                 // Reasons to stop the process, and to fetch a bundle or host list from the peer.
+//!                 Command::Superseded { .. } | Command::Behind { .. } => {}
+//!             }
+//!         }
+//!     }
+//! }
+//!
+//! let (r1, r2): (name::Host, name::Host) = ("r1".parse()?, "r2".parse()?);
+//! let domain: name::Domain = "north".parse()?;
+//! let listed = |host: name::Host| Listed { host, domain: domain.clone(), leaving: false };
+//! let mut views = BTreeMap::new();
+//! for host in [&r1, &r2] {
+//!     let id = host::Id { host: host.clone(), incarnation: host::Incarnation::new(1, 0) };
+//!     let mut view = View::new(id, domain.clone(), Timing::default(), 7);
+//!     let hosts = vec![listed(r1.clone()), listed(r2.clone())];
+//!     view.handle(Tick::ZERO, Event::Hosts { revision: 1, hosts });
+//!     views.insert(host.clone(), view);
+//! }
+//! let mut now = Tick::from_micros(1);
+//! tick(&mut views, now);
+//! let service = "reviews".parse()?;
+//! assert!(views[&r1].id(&r2).is_some(), "the answer to the probe names the run of r2");
+//! assert_eq!(views[&r1].home(&service, 0), views[&r2].home(&service, 0));
+//!
+//! views.remove(&r2);
+//! for _ in 0..40 {
+//!     now = now + Span::from_millis(50);
+//!     tick(&mut views, now);
+//! }
+//! assert_eq!(views[&r1].state(&r2), Some(State::Dead));
+//! assert_eq!(views[&r1].home(&service, 0), Some(&r1));
+//! # Ok::<(), name::Error>(())
+//! ```
 
 pub mod choice;
 pub mod event;
