Show how to embed the remaining coordination crates

Some main types had no re-export in lib.rs. Conclusion: each crate can be embedded from its own documentation.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -8,7 +8,7 @@
 //! or leaves.
 //!
 //! ```
-//! use tsw_admit::gate::{Gate, Refusal};
+//! use tsw_admit::{Gate, Refusal};
 //! use tsw_base::{name::Team, time::{Span, Tick}};
 //!
 //! let team: Team = "north".parse()?;
@@ -37,3 +37,5 @@
 //! ```
 
 pub mod gate;
+
+pub use gate::{Gate, Refusal};
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -7,6 +7,52 @@
 //! - [`hosts`]: the host list.
 //! - [`configuration`]: the bundle in force.
 //! - [`health`]: pace of a service and its budgets.
+//!
+//! # Example
+//!
+//! A program with sections of its own. Two controllers read the whole board, and each writes the one
+//! section that it holds the pen of.
+//!
+//! ```
+//! use tsw_admit::{Gate, Refusal};
+//! use tsw_base::{name::Team, time::Tick};
+//! use tsw_board::{section, Pen, Section};
+//! use tsw_health::Budget;
+//!
+//! struct Board {
+//!     gate: Section<Gate>,
+//!     retries: Section<Budget>,
+//! }
+//!
+//! struct Admission(Pen<Gate>);
+//!
+//! impl Admission {
+//!     fn admit(&self, board: &mut Board, team: &Team) -> Result<(), Refusal> {
+//!         let deadline = Tick::from_micros(5_000_000);
+//!         board.gate.write(&self.0).admit(Tick::ZERO, team, 1_000, deadline)
+//!     }
+//! }
+//!
+//! struct Retries(Pen<Budget>);
+//!
+//! impl Retries {
+//!     /// Allows a retry while nothing waits and the budget lasts.
+//!     fn allow(&self, board: &mut Board, team: &Team) -> bool {
+//!         board.gate.waiting(team) == 0 && board.retries.write(&self.0).spend()
+//!     }
+//! }
+//!
+//! let (gate, gate_pen) = section(Gate::new(256, 16_000_000));
+//! let (retries, retries_pen) = section(Budget::new(10, 1));
+//! let mut board = Board { gate, retries };
+//! let (admission, controller) = (Admission(gate_pen), Retries(retries_pen));
+//!
+//! let team: Team = "north".parse()?;
+//! assert!(controller.allow(&mut board, &team));
+//! assert_eq!(admission.admit(&mut board, &team), Ok(()));
+//! assert!(!controller.allow(&mut board, &team));
+//! # Ok::<(), tsw_base::name::Error>(())
+//! ```
 
 mod board;
 pub mod configuration;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,41 @@
 //! - [`check`]: checks them together and reports every [`fault`].
 //! - [`bundle`]: all teams and services under one revision, as the configuration service holds it.
 //! - [`adopt`]: the rule that decides which bundle is in force.
+//!
+//! # Example
+//!
+//! Files become a bundle, the bundle travels as bytes, and a receiver decides what is in force.
+//!
+//! ```
+//! use tsw_config::{adopt, check, collect, Bundle};
+//!
+//! // `collect::walk` finds such files in a directory tree.
+//! let file = |path: &str, kind, text: &str| collect::File {
+//!     path: path.into(),
+//!     kind,
+//!     text: text.to_owned(),
+//! };
+//! let service = "service: pickups\nkind: plain\nrepeatable: false\nslots: 2\n";
+//! let team = "team: counter\ntokens: []\nshares:\n  pickups: 0.5\n";
+//! let set = check::Set::read(&[
+//!     file("pickups.service.yaml", collect::Kind::Service, service),
+//!     file("counter.team.yaml", collect::Kind::Team, team),
+//! ]);
+//! assert!(set.faults().is_empty());
+//! let bytes = set.bundle(3)?.to_bytes()?;
+//!
+//! // A receiver checks the bytes before it offers them.
+//! let mut store = adopt::Store::default();
+//! assert_eq!(store.offer(Bundle::parse(&bytes)?), adopt::Verdict::Adopted);
+//! assert_eq!(store.offer(set.bundle(2)?), adopt::Verdict::Older { current: 3 });
+//! let current = store.current().expect("a bundle was adopted");
+//! assert_eq!(current.teams["counter"].shares["pickups"].as_ppm(), 500_000);
+//!
+//! // The settings of one process do not come from the bundle.
+//! let tuning = tsw_config::settings::Tuning::default();
+//! assert_eq!(tuning.grant_ttl().as_millis(), 1_000);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 pub mod adopt;
 pub mod bundle;
@@ -16,3 +51,6 @@
 pub mod service;
 pub mod settings;
 pub mod team;
+
+pub use bundle::Bundle;
+pub use settings::Settings;
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -3,6 +3,26 @@
 //! - [`Event`]: every event with its number, level and name. `docs/events.md` is the catalogue.
 //! - [`emit`]: writes an event with its fields.
 //! - [`setup`]: text or JSON lines, to standard output or to a file.
+//!
+//! # Example
+//!
+//! A program that logs these events to a file. The log can be set up once in a process.
+//!
+//! ```
+//! use tsw_config::settings::{Format, Level, Log};
+//! use tsw_event::{emit, setup, Event};
+//!
+//! let file = std::env::temp_dir().join(format!("tsw-event-{}.log", std::process::id()));
+//! let log = Log { format: Format::Text, level: Level::Info, file: Some(file.clone()) };
+//! setup::init(&log)?;
+//!
+//! emit(Event::Ready, &[("revision", &7), ("host", &"r1")]);
+//!
+//! let text = std::fs::read_to_string(&file)?;
+//! std::fs::remove_file(&file)?;
+//! assert!(text.ends_with(" INFO 102 ready revision=7 host=r1\n"));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 mod catalogue;
 mod emit;
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -12,11 +12,11 @@
 //! ```
 //! use std::collections::VecDeque;
 //! use tsw_base::{host, time::{Span, Tick}};
-//! use tsw_grant::{entry, home, message};
+//! use tsw_grant::{entry, home, message, Home, Queue};
 //!
 //! let me = host::Id { host: "r1".parse()?, incarnation: host::Incarnation::new(1, 0) };
-//! let mut queue = entry::Queue::new("reviews".parse()?, 0, entry::Tuning::default());
-//! let mut home = home::Home::new("reviews".parse()?, me.incarnation, home::Tuning::default());
+//! let mut queue = Queue::new("reviews".parse()?, 0, entry::Tuning::default());
+//! let mut home = Home::new("reviews".parse()?, me.incarnation, home::Tuning::default());
 //! let now = Tick::from_micros(1_000_000);
 //!
 //! // What the embedder knows from its configuration and its list of hosts.
@@ -63,3 +63,6 @@
 pub mod entry;
 pub mod home;
 pub mod message;
+
+pub use entry::Queue;
+pub use home::Home;
--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -10,7 +10,7 @@
 //!
 //! ```
 //! use tsw_base::{name::Upstream, time::{Span, Tick}};
-//! use tsw_health::{budget::Budget, limit::{Limits, PERIOD}, pace::{Pace, Stream}};
+//! use tsw_health::{limit, Budget, Limits, Pace, Stream};
 //!
 //! // A service with three upstreams of 8 slots each; two requests in 100 may be hedged.
 //! let upstreams: Vec<Upstream> = vec!["a".parse()?, "b".parse()?, "c".parse()?];
@@ -37,10 +37,14 @@
 //! for (upstream, stream) in upstreams.iter().zip(&streams) {
 //!     limits.sample(upstream, stream.mean(now).expect("two tokens"));
 //! }
-//! assert_eq!(limits.tick(now + PERIOD), [(upstreams[2].clone(), 2)]);
+//! assert_eq!(limits.tick(now + limit::PERIOD), [(upstreams[2].clone(), 2)]);
 //! # Ok::<(), tsw_base::name::Error>(())
 //! ```
 
 pub mod budget;
 pub mod limit;
 pub mod pace;
+
+pub use budget::Budget;
+pub use limit::Limits;
+pub use pace::{Pace, Stream};
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,6 +5,51 @@
 //!
 //! Two routers that both believe they are home of an engine send the same order, and an order can be
 //! repeated without effect. An order that follows from an older bundle carries a lower fencing token.
+//!
+//! # Example
+//!
+//! The home of an engine sends it its order until the engine accepts it, and again after a restart.
+//!
+//! ```
+//! use tsw_base::{name, time::{Span, Tick}};
+//! use tsw_config::Bundle;
+//! use tsw_place::{plan, Dispatch, Engine, Event, Pace};
+//!
+//! let bundle = Bundle::parse(br#"{"revision":3,"teams":{},"services":{"reviews":{
+//!     "service":"reviews","kind":"model","repeatable":true,"slots":4,"fencing":"checked",
+//!     "models":[{"model":"large-v2"}]}}}"#)?;
+//! let service: name::Service = "reviews".parse()?;
+//! let upstream: name::Upstream = "engine-1".parse()?;
+//! let engines = [Engine {
+//!     upstream: upstream.clone(),
+//!     domain: "north".parse()?,
+//!     service: service.clone(),
+//!     leaving: false,
+//! }];
+//!
+//! // After each change of the bundle, the host list or the homes: the orders of the engines that
+//! // this router is home of, here all of them.
+//! let fencing = bundle.services[&service].fencing;
+//! let orders = plan::orders(&bundle, &engines).into_iter();
+//! let orders = orders.map(|(upstream, order)| (upstream, (order, fencing))).collect();
+//! let mut dispatch = Dispatch::new(Pace::default());
+//! let mut now = Tick::from_micros(1);
+//! dispatch.handle(now, Event::Desired { orders, engines: engines.len() });
+//!
+//! let commands = dispatch.handle(now, Event::Tick);
+//! let fence = commands[0].order.fence;
+//! assert_eq!((&commands[0].upstream, fence), (&upstream, bundle.revision));
+//! // The engine answered. Without an answer the order is sent again after `Pace::retry`.
+//! dispatch.handle(now, Event::Accepted { upstream: upstream.clone(), fence });
+//!
+//! now = now + Span::from_millis(100);
+//! assert!(dispatch.handle(now, Event::Tick).is_empty());
+//! dispatch.handle(now, Event::Restarted { upstream });
+//! // The restarted engine loads its model again, for which the weight store's rate must allow.
+//! now = now + Span::from_secs(1);
+//! assert_eq!(dispatch.handle(now, Event::Tick), commands);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 pub mod dispatch;
 pub mod plan;
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -13,7 +13,7 @@
 //! use tsw_poison::{watch::Event, Command, Fingerprint, Treatment, Watch};
 //!
 //! /// Gives an event to a router and its findings to the other one.
-//! fn pass(now: Tick, router: &mut Watch, other: &mut Watch, event: Event) {
+//! fn handle(now: Tick, router: &mut Watch, other: &mut Watch, event: Event) {
 //!     for command in router.handle(now, event) {
 //!         match command {
 //!             Command::Broadcast(suspect) => drop(other.handle(now, Event::Message(suspect))),
@@ -28,16 +28,16 @@
 //! let mut now = Tick::from_micros(1);
 //! let upstream: Upstream = "engine-1".parse()?;
 //! let started = Event::Started { fingerprint, upstream: upstream.clone() };
-//! pass(now, &mut first, &mut second, started);
-//! pass(now, &mut first, &mut second, Event::Crashed { upstream });
+//! handle(now, &mut first, &mut second, started);
+//! handle(now, &mut first, &mut second, Event::Crashed { upstream });
 //! // The caller tries again at the second router, which lets it run alone on an upstream.
 //! assert_eq!(second.treatment(now, fingerprint), Treatment::Solo);
 //!
 //! now = now + Span::from_secs(5);
 //! let upstream: Upstream = "engine-2".parse()?;
 //! let started = Event::Started { fingerprint, upstream: upstream.clone() };
-//! pass(now, &mut second, &mut first, started);
-//! pass(now, &mut second, &mut first, Event::Crashed { upstream });
+//! handle(now, &mut second, &mut first, started);
+//! handle(now, &mut second, &mut first, Event::Crashed { upstream });
 //! for router in [&first, &second] {
 //!     assert!(matches!(router.treatment(now, fingerprint), Treatment::Refused { .. }));
 //! }
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -10,7 +10,7 @@
 //!
 //! ```
 //! use tsw_base::{host::Incarnation, name::Team, time::{Span, Tick}};
-//! use tsw_share::book::Book;
+//! use tsw_share::Book;
 //!
 //! let (north, south): (Team, Team) = ("north".parse()?, "south".parse()?);
 //! let shares = [(north.clone(), 500_000), (south.clone(), 500_000)];
@@ -49,3 +49,7 @@
 pub mod book;
 pub mod message;
 pub mod tag;
+
+pub use book::Book;
+pub use message::Served;
+pub use tag::Tag;
