Use plain terms in tsw-load

Cause: some names of the caller and the baseline queue were not the usual ones. Ruled out: nothing else changes. Conclusion: a caller draws and sends calls, and caches the answers of locate.

--- a/crates/load/src/baseline.rs
+++ b/crates/load/src/baseline.rs
@@ -148,12 +148,12 @@
     let team = teams.iter().position(|(known, _)| known == token);
     let team = team.ok_or_else(|| http::fault(StatusCode::UNAUTHORIZED, &"unknown token"))?;
     let hint = call.header("toucan-cost-hint").and_then(|h| h.parse().ok());
-    let (go, granted) = oneshot::channel();
+    let (grant, granted) = oneshot::channel();
     router.queue.borrow_mut().push(Waiting {
         team,
         tokens: body.max_tokens,
         hint: hint.unwrap_or(body.max_tokens),
-        go,
+        grant,
     });
     let granted = granted.await;
     let (run, upstream) =
--- a/crates/load/src/baseline/queue.rs
+++ b/crates/load/src/baseline/queue.rs
@@ -29,7 +29,7 @@
     /// Tokens that the caller expects.
     pub hint: u64,
     /// Takes the number of the run and the index of the engine.
-    pub go: oneshot::Sender<(u64, usize)>,
+    pub grant: oneshot::Sender<(u64, usize)>,
 }
 
 #[derive(Debug)]
@@ -188,7 +188,7 @@
                 charged_s: estimate,
             };
             // A caller that went away meanwhile takes no slot.
-            if waiting.go.send((self.runs, upstream)).is_ok() {
+            if waiting.grant.send((self.runs, upstream)).is_ok() {
                 let tag = self.teams[run.team].tag;
                 self.virtual_time = self.virtual_time.max(tag);
                 self.add(run.team, estimate);
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -58,7 +58,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct Kept {
+struct Cached {
     located: Located,
     until: Instant,
 }
@@ -77,7 +77,7 @@
 
 /// What a caller wants done.
 #[derive(Clone, Debug)]
-pub struct Wish {
+pub struct Call {
     /// The team.
     pub team: plan::Team,
     /// Index of the router that the caller prefers.
@@ -90,7 +90,7 @@
     pub patience: Duration,
 }
 
-impl Wish {
+impl Call {
     const fn booking(&self) -> bool {
         self.tokens == 0
     }
@@ -111,7 +111,7 @@
     model: String,
     booking: String,
     /// Answers by router, service and team; a permit is for one team.
-    kept: RefCell<HashMap<(usize, String, String), Kept>>,
+    cached: RefCell<HashMap<(usize, String, String), Cached>>,
     operations: Cell<u64>,
 }
 
@@ -144,7 +144,7 @@
                 entries,
                 model: fleet.model.clone(),
                 booking: fleet.booking.clone(),
-                kept: RefCell::default(),
+                cached: RefCell::default(),
                 operations: Cell::new(0),
             }),
         }
@@ -163,23 +163,23 @@
     }
 
     /// Carries out an operation, sending it again as often as needed and allowed.
-    pub async fn run(&self, wish: &Wish) -> Outcome {
+    pub async fn run(&self, call: &Call) -> Outcome {
         let shared = &self.shared;
         let operation = shared.operations.get() + 1;
         shared.operations.set(operation);
         shared.recorder.record(Event::Begin {
             operation,
-            team: wish.team.name.clone(),
+            team: call.team.name.clone(),
             time_us: now_us(),
         });
-        let until = Instant::now() + wish.patience;
+        let until = Instant::now() + call.patience;
         let mut key = None;
-        let mut origin = wish.origin;
+        let mut origin = call.origin;
         let mut number = 0;
         loop {
             number += 1;
             let id = format!("{operation}-{number}");
-            let ended = self.attempt(operation, &id, wish, origin, &mut key).await;
+            let ended = self.attempt(operation, &id, call, origin, &mut key).await;
             let Some(ended) = ended else {
                 // Nothing was sent: no router says where to connect.
                 if Instant::now() >= until {
@@ -191,11 +191,11 @@
             };
             match ended.outcome {
                 Outcome::Complete => return ended.outcome,
-                Outcome::Unknown if wish.booking() => return ended.outcome,
+                Outcome::Unknown if call.booking() => return ended.outcome,
                 Outcome::NotRun => {
                     key = None;
                     // The permit may be the reason, and a router that stops is not to be asked again.
-                    if wish.booking() || ended.stopping {
+                    if call.booking() || ended.stopping {
                         self.forget(origin);
                     }
                     if ended.stopping {
@@ -218,18 +218,18 @@
 
     fn forget(&self, origin: usize) {
         let origin = origin % self.shared.entries.len();
-        let mut kept = self.shared.kept.borrow_mut();
-        kept.retain(|(from, _, _), _| *from != origin);
+        let mut cached = self.shared.cached.borrow_mut();
+        cached.retain(|(from, _, _), _| *from != origin);
     }
 
-    /// Returns the kept answer of a router to "where to connect", or asks it.
+    /// Returns the cached answer of a router to "where to connect", or asks it.
     async fn locate(&self, origin: usize, service: &str, team: &plan::Team) -> Option<Located> {
         let shared = &self.shared;
         let origin = origin % shared.entries.len();
         let slot = (origin, service.to_owned(), team.name.clone());
-        if let Some(kept) = shared.kept.borrow().get(&slot) {
-            if kept.until > Instant::now() {
-                return Some(kept.located.clone());
+        if let Some(cached) = shared.cached.borrow().get(&slot) {
+            if cached.until > Instant::now() {
+                return Some(cached.located.clone());
             }
         }
         let address = shared.entries[origin].address;
@@ -248,13 +248,13 @@
         if located.addresses.is_empty() {
             return None;
         }
-        let kept = Kept {
+        let cached = Cached {
             until: Instant::now() + Duration::from_millis(located.keep_ms),
             located: located.clone(),
         };
         // An answer without a permit is of no use for a booking.
-        if kept.located.permit.is_some() || service == shared.model {
-            shared.kept.borrow_mut().insert(slot, kept);
+        if cached.located.permit.is_some() || service == shared.model {
+            shared.cached.borrow_mut().insert(slot, cached);
         }
         Some(located)
     }
@@ -263,34 +263,34 @@
         &self,
         operation: u64,
         id: &str,
-        wish: &Wish,
+        call: &Call,
         origin: usize,
         key: &mut Option<String>,
     ) -> Option<Ended> {
         let shared = &self.shared;
-        let service = if wish.booking() {
+        let service = if call.booking() {
             &shared.booking
         } else {
             &shared.model
         };
-        let located = self.locate(origin, service, &wish.team).await?;
+        let located = self.locate(origin, service, &call.team).await?;
         let preferred = &shared.entries[origin % shared.entries.len()].host;
         let places = &located.addresses;
         let place = places.iter().find(|place| place.host == *preferred);
         let place = place.unwrap_or(&places[0]);
-        if wish.booking() && key.is_none() {
+        if call.booking() && key.is_none() {
             // A router that stops gives no permit; the caller asks the next one.
             *key = Some(format!("{}.{id}", located.permit?));
         }
         let mut attempt = Attempt {
             operation,
             id: id.to_owned(),
-            team: wish.team.name.clone(),
+            team: call.team.name.clone(),
             service: service.clone(),
-            repeatable: !wish.booking(),
+            repeatable: !call.booking(),
             key: key.clone().unwrap_or_default(),
             router: place.host.clone(),
-            asked: wish.tokens,
+            asked: call.tokens,
             sent_us: now_us(),
             first_us: 0,
             ended_us: 0,
@@ -301,7 +301,7 @@
             intact: true,
         };
         shared.clock.sleep(plan::CLIENT_DELAY).await;
-        let retry_after = self.exchange(&mut attempt, wish, &place.address).await;
+        let retry_after = self.exchange(&mut attempt, call, &place.address).await;
         shared.clock.sleep(plan::CLIENT_DELAY).await;
         attempt.ended_us = now_us();
         let ended = Ended {
@@ -316,33 +316,33 @@
     async fn exchange(
         &self,
         attempt: &mut Attempt,
-        wish: &Wish,
+        call: &Call,
         address: &str,
     ) -> Option<Duration> {
         let prompt = format!(
             "{} of {} for {}",
-            attempt.id, attempt.operation, wish.team.name
+            attempt.id, attempt.operation, call.team.name
         );
-        let body = if wish.booking() {
+        let body = if call.booking() {
             serde_json::json!({"item": prompt})
         } else {
-            serde_json::json!({"prompt": prompt, "max_tokens": wish.tokens})
+            serde_json::json!({"prompt": prompt, "max_tokens": call.tokens})
         };
         let url = format!("http://{address}/v1/call/{}", attempt.service);
-        let token = format!("Bearer {}", wish.team.token);
-        let deadline = wish.patience.as_millis().to_string();
+        let token = format!("Bearer {}", call.team.token);
+        let deadline = call.patience.as_millis().to_string();
         let mut request = self.shared.http.post(url);
         request = request
             .insert_header(("authorization", token))
             .insert_header(("content-type", "application/json"))
             .insert_header(("toucan-deadline-ms", deadline))
-            .insert_header(("toucan-cost-hint", wish.hint.to_string()))
+            .insert_header(("toucan-cost-hint", call.hint.to_string()))
             .insert_header(("toucan-request-id", attempt.id.as_str()));
         if !attempt.key.is_empty() {
             request = request.insert_header(("toucan-key", attempt.key.as_str()));
         }
         let send = request.send_body(Bytes::from(body.to_string()));
-        let limit = wish.patience + SILENCE_LIMIT;
+        let limit = call.patience + SILENCE_LIMIT;
         let mut reply = match tokio::time::timeout(limit, send).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(SendRequestError::Connect(error))) => {
--- a/crates/load/src/generate.rs
+++ b/crates/load/src/generate.rs
@@ -108,7 +108,7 @@
         self.shared.hint_factor.set(1.0);
     }
 
-    fn wish(&self, team: usize, booking: bool) -> client::Wish {
+    fn draw_call(&self, team: usize, booking: bool) -> client::Call {
         let random = &mut *self.shared.random.borrow_mut();
         let tokens = match booking {
             true => 0,
@@ -116,7 +116,7 @@
         };
         let factor = self.shared.hint_factor.get();
         let error = random.gen_range(1.0 / factor..=factor);
-        client::Wish {
+        client::Call {
             team: self.teams[team].clone(),
             origin: self.shared.origins[team].sample(random),
             tokens,
@@ -125,10 +125,10 @@
         }
     }
 
-    async fn run(&self, wish: client::Wish) -> Outcome {
+    async fn run(&self, call: client::Call) -> Outcome {
         let running = &self.shared.running;
         running.set(running.get() + 1);
-        let outcome = self.shared.client.run(&wish).await;
+        let outcome = self.shared.client.run(&call).await;
         running.set(running.get() - 1);
         outcome
     }
@@ -141,8 +141,8 @@
                 let generator = self.clone();
                 actix_rt::spawn(async move {
                     while !generator.shared.stop.get() {
-                        let wish = generator.wish(team, booking);
-                        generator.run(wish).await;
+                        let call = generator.draw_call(team, booking);
+                        generator.run(call).await;
                     }
                 });
             }
@@ -177,8 +177,8 @@
                     }
                     let generator = generator.clone();
                     actix_rt::spawn(async move {
-                        let wish = generator.wish(team, booking);
-                        generator.run(wish).await;
+                        let call = generator.draw_call(team, booking);
+                        generator.run(call).await;
                     });
                 }
             });
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -107,7 +107,7 @@
     Start(usize, usize),
     End(usize, usize),
     Wait(usize),
-    Go(usize),
+    Begin(usize),
     Queue,
     Hold,
 }
@@ -145,7 +145,7 @@
             changes.push((from, Change::Queue));
             changes.push((held.max(from), Change::Hold));
             changes.push((from, Change::Wait(*team)));
-            changes.push((start.max(from), Change::Go(*team)));
+            changes.push((start.max(from), Change::Begin(*team)));
         }
         changes.sort_by_key(|(time, _)| *time);
         Self {
@@ -270,7 +270,7 @@
                 held[upstream] = held[upstream].saturating_sub(1);
             }
             Change::Wait(team) => point.waiting[team] += 1,
-            Change::Go(team) => point.waiting[team] = point.waiting[team].saturating_sub(1),
+            Change::Begin(team) => point.waiting[team] = point.waiting[team].saturating_sub(1),
             Change::Queue => point.pending += 1,
             Change::Hold => point.pending = point.pending.saturating_sub(1),
         }
--- a/crates/load/tests/baseline.rs
+++ b/crates/load/tests/baseline.rs
@@ -31,12 +31,12 @@
 type Granted = oneshot::Receiver<(u64, usize)>;
 
 fn push(queue: &mut Queue, team: usize, hint: u64) -> Granted {
-    let (go, granted) = oneshot::channel();
+    let (grant, granted) = oneshot::channel();
     queue.push(Waiting {
         team,
         tokens: 1,
         hint,
-        go,
+        grant,
     });
     granted
 }
