--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -20,7 +20,9 @@
     inbox: Vec<Event>,
     changes: Vec<(u64, Change)>,
     sent: u64,
+    probed: HashSet<usize>,
     behind: u64,
+    superseded: bool,
 }
 
 struct Fleet {
@@ -58,7 +60,9 @@
         inbox: Vec::new(),
         changes: Vec::new(),
         sent: 0,
+        probed: HashSet::new(),
         behind: 0,
+        superseded: false,
     }
 }
 
@@ -72,13 +76,13 @@
             })
             .collect();
         let mut fleet = Self {
-            nodes: (0..size).map(|index| node(index, 1)).collect(),
+            nodes: (0..size).map(|index| node(index, 10)).collect(),
             now: 0,
             mail: BTreeMap::new(),
             split: HashSet::new(),
             listed,
             revision: 1,
-            incarnation: 1,
+            incarnation: 10,
         };
         for index in 0..size {
             fleet.list(index);
@@ -106,6 +110,7 @@
         for command in node.view.handle(now, event) {
             let (to, event) = match command {
                 Command::Ping { to, ping } => {
+                    node.probed.insert(index(&to));
                     let from = name(from);
                     (to, Event::Ping { from, ping })
                 }
@@ -121,7 +126,10 @@
                     node.behind += 1;
                     continue;
                 }
-                Command::Superseded { .. } => continue,
+                Command::Superseded { .. } => {
+                    node.superseded = true;
+                    continue;
+                }
             };
             node.sent += 1;
             let mail = self.mail.entry(at).or_default();
@@ -301,6 +309,18 @@
     assert_eq!(seen, vec![(old, State::Dead), (new, State::Alive)]);
 }
 
+/// Guards against a router that is never heard again because its clock was set back at a restart: it
+/// is told, so that it can start anew.
+#[test]
+fn a_restart_with_a_lower_incarnation_is_told() {
+    let mut fleet = Fleet::new(7);
+    fleet.run(300);
+    fleet.nodes[3] = node(3, 9);
+    fleet.list(3);
+    fleet.run(500);
+    assert!(fleet.nodes[3].superseded);
+}
+
 /// Guards against new homes on a router that leaves, by its own word or by the host list's.
 #[test]
 fn a_leaving_router_gets_no_home() {
@@ -375,6 +395,33 @@
     }
 }
 
+/// Guards against probes of ever other peers, each of which would need a new session in a large
+/// fleet, and against a router that nobody probes when most of its usual probers are dead.
+#[test]
+fn probes_go_to_few_peers_and_leave_nobody_out() {
+    for dead in [0, 90] {
+        let mut fleet = Fleet::new(100);
+        fleet.run(100);
+        for node in fleet.nodes.iter_mut().skip(100 - dead) {
+            node.up = false;
+        }
+        fleet.run(500);
+        let mut targets: Vec<HashSet<usize>> = vec![HashSet::new(); 100];
+        for node in &mut fleet.nodes {
+            node.probed.clear();
+        }
+        fleet.run(1_000);
+        for (index, node) in fleet.nodes.iter().enumerate().take(100 - dead) {
+            targets[index].extend(node.probed.iter().filter(|to| **to < 100 - dead));
+            assert!(targets[index].len() <= 12, "{:?}", targets[index]);
+        }
+        for index in 0..100 - dead {
+            let probers = targets.iter().filter(|targets| targets.contains(&index));
+            assert!(probers.count() >= 3, "router {index} has too few probers");
+        }
+    }
+}
+
 /// Guards against a router that misses a newer bundle or host list: its peers' probes tell of it.
 #[test]
 fn probes_tell_of_newer_revisions() {
