Let upstream stand-ins choose their control port

Cause: a port noted for the control listener was given to one of the stand-in's own listeners. Ruled out: ports from a fixed range. Conclusion: the stand-in binds port 0 and reports the address, as for its other listeners.

--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -152,7 +152,7 @@
         let mut upstreams = Vec::new();
         for service in [&options.fleet.model, &options.fleet.booking] {
             for domain in &options.fleet.domains {
-                let started = start_upstreams(&programs, &options, service, domain, &mut ports);
+                let started = start_upstreams(&programs, &options, service, domain, &ports);
                 upstreams.extend(started.await?);
             }
         }
--- a/crates/load/src/launch/upstream.rs
+++ b/crates/load/src/launch/upstream.rs
@@ -32,7 +32,7 @@
     options: &Options,
     service: &str,
     domain: &str,
-    ports: &mut ports::Ports,
+    ports: &ports::Ports,
 ) -> Result<Option<Upstreams>, Error> {
     let planned = options.fleet.upstreams.iter();
     let own: Vec<_> = planned
@@ -42,15 +42,15 @@
         return Ok(None);
     };
     let name = format!("{service}-{domain}");
-    let (listen, control) = (ports.tcp()?, ports.tcp()?);
-    let any = SocketAddr::new(listen.ip(), 0).to_string();
+    // The stand-in chooses all its ports itself; a port noted before could be one of those.
+    let any = SocketAddr::new(ports.ip(), 0).to_string();
     let history = options.directory.join("upstreams.jsonl");
-    let (control, history) = (control.to_string(), history.display().to_string());
+    let history = history.display().to_string();
     let (count, slots) = (own.len().to_string(), first.slots.to_string());
     let lag = LOAD_LAG_MS.to_string();
     let mut arguments = vec![if first.model { "engine" } else { "booking" }];
     arguments.extend(["--listen", &any, "--name", &name, "--count", &count]);
-    arguments.extend(["--control", &control, "--history", &history]);
+    arguments.extend(["--control", &any, "--history", &history]);
     arguments.extend(["--slots", &slots]);
     let step = options.fleet.step_us.unwrap_or_default();
     let (base, slope) = (step.0.to_string(), step.1.to_string());
--- a/crates/load/src/ports.rs
+++ b/crates/load/src/ports.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Returns the loopback address of the run.
+    #[must_use]
+    pub const fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
     /// Returns an address with a free TCP port.
     ///
     /// # Errors
