Name the team in the documentation of fingerprints

Cause: the text left out the team, which the hash includes. Measured: the tests of the crate compare fingerprints of two teams already. Conclusion: text and code agree.

--- a/crates/poison/src/message.rs
+++ b/crates/poison/src/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tsw_base::{name, time};
 
-/// Fingerprint of a request: a hash of service, path and body.
+/// Fingerprint of a request: a hash of team, service, path and body.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Fingerprint(pub u128);
 
