Keep a hedge until the stalled stream is in time again

Cause: one late token of a slow engine cancelled the spare, which was usually being opened at that moment, so nearly all hedges ended without effect. Ruled out: ending the slow attempt as soon as the spare opens; it may recover first.

--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -1,7 +1,7 @@
 //! Relays the stream of a model engine to a caller.
 //!
 //! Each token index is sent exactly once. A stream that breaks or stalls is resumed at the next
-//! token on another engine; the first of two engines to deliver that token wins.
+//! token on another engine, which takes over when it is the first to deliver a token.
 
 use std::{rc::Rc, time::Duration};
 
@@ -274,18 +274,21 @@
         self.next += 1;
     }
 
-    /// Notes progress. The attempt that made it is the active one from now on, and the other ends.
+    /// Notes progress. A spare attempt that made it is the active one from now on. The spare ends
+    /// when the active attempt is in time again: one late token of a slow engine, which often comes
+    /// while the spare is being opened, does not end it.
     fn advance(&mut self, before: u64, from_spare: bool) {
+        let stalled = self.router.stall(&self.call, self.sent, &self.pace) <= self.router.now();
         if from_spare {
             if let Some(Spare::Open(attempt)) = self.spare.take() {
                 self.router.resumed(&self.call, &attempt, before);
                 self.active = Some(attempt);
                 self.restart();
             }
-        } else {
+        } else if !stalled {
             self.spare = None;
         }
-        self.hedging = false;
+        self.hedging = self.spare.is_some();
         let tokens = self.next - before;
         let first = before == 0 && tokens > 0;
         self.router
