Allow a fifth of the requests to be hedged

Cause: with a quarter of the engines slow, the budget of a tenth was used up, and the streams beyond it stayed on slow engines. Ruled out: no budget; under overload hedges would add to it. A hedge resumes at the next token and ends the slow attempt, so it repeats little work.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -155,7 +155,7 @@
             grant_ttl_ms: 1_000,
             flush_ms: 2,
             probe_ms: 200,
-            hedge_percent: 10,
+            hedge_percent: 20,
             permit_ms: 300_000,
             retain_ms: 3_600_000,
             keep_ms: 30_000,
