--- a/crates/grant/src/home/receive.rs
+++ b/crates/grant/src/home/receive.rs
@@ -69,9 +69,10 @@
                 continue;
             };
             match report.state {
-                State::Started | State::Running { .. } => run.confirmed = true,
+                State::Started => self.begin(now, report.id),
+                State::Running { .. } => run.confirmed = true,
                 State::Hinted { cost } => {
-                    run.confirmed = true;
+                    self.begin(now, report.id);
                     self.correct(report.id, cost);
                 }
                 State::Finished { .. } => self.settle(now, report.id, End::Finished),
