Measure slot time from the grant again

Its cause is not confirmed: starting the slot time at the report of the start does not narrow the gap.

--- a/crates/grant/src/home/ledger.rs
+++ b/crates/grant/src/home/ledger.rs
@@ -79,22 +79,6 @@
         own.or(self.common.get(class)).unwrap_or(estimate::FIRST)
     }
 
-    /// Starts the slot time of a request when its entry router reports that it was sent.
-    ///
-    /// The report of its end takes as long to arrive, so that teams whose entry routers are far from
-    /// the home are not charged for the way of the grant.
-    pub(super) fn begin(&mut self, now: time::Tick, id: Id) {
-        let Some(run) = self.runs.get_mut(&id).filter(|run| !run.confirmed) else {
-            return;
-        };
-        run.confirmed = true;
-        if let Some(start) = run.start {
-            run.start = Some(now);
-            self.due.remove(&(start + run.charged, id));
-            self.due.insert((now + run.charged, id));
-        }
-    }
-
     /// Replaces the charge of a request that has just started by what is expected for its hint.
     pub(super) fn correct(&mut self, id: Id, cost: u32) {
         let Some(run) = self.runs.get(&id) else {
--- a/crates/grant/src/home/receive.rs
+++ b/crates/grant/src/home/receive.rs
@@ -69,10 +69,9 @@
                 continue;
             };
             match report.state {
-                State::Started => self.begin(now, report.id),
-                State::Running { .. } => run.confirmed = true,
+                State::Started | State::Running { .. } => run.confirmed = true,
                 State::Hinted { cost } => {
-                    self.begin(now, report.id);
+                    run.confirmed = true;
                     self.correct(report.id, cost);
                 }
                 State::Finished { .. } => self.settle(now, report.id, End::Finished),
