Ask peers to acknowledge packets less often

Cause: most packets between routers hold one small message, and the peer acknowledges every second one. Ruled out: a longer delay of acknowledgements, because it delays the recovery of a lost last packet.

--- a/crates/link/src/tls.rs
+++ b/crates/link/src/tls.rs
@@ -15,6 +15,12 @@
 /// A session without traffic ends after this time. A peer that runs is probed more often in small
 /// fleets; in large ones sessions that are not in use free their memory.
 const IDLE_TIMEOUT_MS: u32 = 10_000;
+/// Packets that a peer may receive before it acknowledges them, unless the delay below passes first.
+/// Most packets hold one small message, so that the default of two doubles the cost of each.
+const ACK_PACKETS: u32 = 16;
+/// Longest time before an acknowledgement, the default of the protocol. It adds to the time after
+/// which a lost packet is sent again.
+const ACK_DELAY: Duration = Duration::from_millis(25);
 
 /// Why the certificates cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -137,8 +143,12 @@
 }
 
 fn transport() -> Result<quinn::TransportConfig, Error> {
+    let mut acks = quinn::AckFrequencyConfig::default();
+    acks.ack_eliciting_threshold(ACK_PACKETS.into())
+        .max_ack_delay(Some(ACK_DELAY));
     let mut transport = quinn::TransportConfig::default();
     transport
+        .ack_frequency_config(Some(acks))
         .max_concurrent_uni_streams(1_u8.into())
         .max_concurrent_bidi_streams(0_u8.into())
         .max_idle_timeout(Some(quinn::VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
