Write the text of audit lines without copies of them

Cause: each line was copied into two JSON trees for its hash and its text; 6.5 % of the samples were in audit. Ruled out: the signature of receipts, 4 to 5 % of the samples, which each response needs.

--- a/crates/audit/src/canonical.rs
+++ b/crates/audit/src/canonical.rs
@@ -1,6 +1,6 @@
 //! Canonical JSON: keys in byte order, no white space, no fractions.
 
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 use crate::Error;
 
@@ -45,22 +45,37 @@
             out.push(']');
         }
         Value::Object(fields) => {
-            let mut sorted: Vec<_> = fields.iter().collect();
-            sorted.sort_by_key(|(key, _)| *key);
-            out.push('{');
-            for (index, (key, item)) in sorted.into_iter().enumerate() {
-                if index > 0 {
-                    out.push(',');
-                }
-                out.push_str(&serde_json::to_string(key)?);
-                out.push(':');
-                write(item, depth + 1, out)?;
-            }
-            out.push('}');
+            write_object(fields, depth, out)?;
         }
-        Value::Null | Value::Bool(_) | Value::Number(_) | Value::String(_) => {
+        Value::String(text) => write_text(text, out)?,
+        Value::Null | Value::Bool(_) | Value::Number(_) => {
             out.push_str(&serde_json::to_string(value)?);
         }
     }
     Ok(())
 }
+
+pub(crate) fn write_object(
+    fields: &Map<String, Value>,
+    depth: usize,
+    out: &mut String,
+) -> Result<(), Error> {
+    let mut sorted: Vec<_> = fields.iter().collect();
+    sorted.sort_by_key(|(key, _)| *key);
+    out.push('{');
+    for (index, (key, item)) in sorted.into_iter().enumerate() {
+        if index > 0 {
+            out.push(',');
+        }
+        write_text(key, out)?;
+        out.push(':');
+        write(item, depth + 1, out)?;
+    }
+    out.push('}');
+    Ok(())
+}
+
+pub(crate) fn write_text(text: &str, out: &mut String) -> Result<(), Error> {
+    out.push_str(&serde_json::to_string(text)?);
+    Ok(())
+}
--- a/crates/audit/src/line.rs
+++ b/crates/audit/src/line.rs
@@ -1,7 +1,7 @@
 //! One line of a chain.
 
 use serde::{Deserialize, Serialize};
-use serde_json::{json, Map, Value};
+use serde_json::{Map, Value};
 use tsw_base::host;
 
 use crate::{canonical, Error};
@@ -12,6 +12,9 @@
 /// Event of a line that holds a peer's [`Head`](crate::Head).
 pub const HEAD_EVENT: &str = "head";
 
+/// Bytes of the canonical text of a typical line.
+const TEXT_BYTES: usize = 512;
+
 /// One line of a chain.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -39,17 +42,9 @@
     ///
     /// Returns an error for fields without a canonical form.
     pub fn digest(&self) -> Result<String, Error> {
-        let content = json!({
-            "chain": self.chain,
-            "seq": self.seq,
-            "time": self.time,
-            "prev": self.prev,
-            "event": self.event,
-            "fields": self.fields,
-        });
         let mut hasher = blake3::Hasher::new();
         hasher.update(self.prev.as_bytes());
-        hasher.update(canonical::text(&content)?.as_bytes());
+        hasher.update(self.canonical(false)?.as_bytes());
         Ok(hasher.finalize().to_hex().to_string())
     }
 
@@ -59,7 +54,27 @@
     ///
     /// Returns an error for fields without a canonical form.
     pub fn to_json(&self) -> Result<String, Error> {
-        canonical::text(&serde_json::to_value(self)?)
+        self.canonical(true)
+    }
+
+    /// Returns the canonical text of the line, with or without its hash. The members are written in
+    /// the order of their keys without a copy of the line, because each request writes two lines.
+    fn canonical(&self, with_hash: bool) -> Result<String, Error> {
+        let mut out = String::with_capacity(TEXT_BYTES);
+        out.push_str("{\"chain\":");
+        canonical::write_text(&self.chain, &mut out)?;
+        out.push_str(",\"event\":");
+        canonical::write_text(&self.event, &mut out)?;
+        out.push_str(",\"fields\":");
+        canonical::write_object(&self.fields, 1, &mut out)?;
+        if with_hash {
+            out.push_str(",\"hash\":");
+            canonical::write_text(&self.hash, &mut out)?;
+        }
+        out.push_str(",\"prev\":");
+        canonical::write_text(&self.prev, &mut out)?;
+        out.push_str(&format!(",\"seq\":{},\"time\":{}}}", self.seq, self.time));
+        Ok(out)
     }
 
     /// Reads a line.
