Test that the connection to an engine is reused

Cause: nothing noticed that the router opened a connection for each request. Ruled out: a count of accepted connections, which platform and load reads would blur. Conclusion: a response that is not read to its end fails a test.

--- a/crates/toucand/tests/calls.rs
+++ b/crates/toucand/tests/calls.rs
@@ -60,6 +60,24 @@
     assert_eq!(starts, [0, 7, 14]);
 }
 
+/// Guards against a connection for each request, which costs the router a tenth of its CPU time.
+#[actix_rt::test]
+async fn connection_to_an_engine_is_reused() {
+    let journal = Rc::new(RefCell::new(Journal::default()));
+    let upstreams = engines(&[Engine::default()], &journal, 4).await;
+    let router = Router::start(&upstreams).await;
+    for _ in 0..2 {
+        let (status, _) = generate(&router, 3).await;
+        assert_eq!(status, StatusCode::OK);
+        // The end of the engine's response may arrive after that of the router.
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    let peers = journal.borrow().peers.clone();
+    assert_eq!(peers.len(), 2);
+    assert!(peers[0].is_some());
+    assert_eq!(peers[0], peers[1]);
+}
+
 #[actix_rt::test]
 async fn stalled_stream_continues_on_the_other_engine() {
     let journal = Rc::new(RefCell::new(Journal::default()));
--- a/crates/toucand/tests/support/mod.rs
+++ b/crates/toucand/tests/support/mod.rs
@@ -33,6 +33,7 @@
     pub method: String,
     pub path: String,
     pub body: Bytes,
+    pub peer: Option<SocketAddr>,
 }
 
 pub type Answer = Response<BoxBody>;
@@ -58,6 +59,7 @@
                     method: request.method().to_string(),
                     path: request.uri().to_string(),
                     body: body.into(),
+                    peer: request.peer_addr(),
                 };
                 Ok::<_, Infallible>(handler(seen).await)
             }
@@ -101,6 +103,8 @@
 #[derive(Debug, Default)]
 pub struct Journal {
     pub started: Vec<(usize, u64)>,
+    /// Addresses that the requests came from.
+    pub peers: Vec<Option<SocketAddr>>,
     /// Streams that were dropped before their end.
     pub cancelled: u64,
 }
@@ -130,6 +134,7 @@
             let from = body["resume_from"].as_u64().expect("a number");
             let total = body["max_tokens"].as_u64().expect("a number");
             journal.borrow_mut().started.push((number, from));
+            journal.borrow_mut().peers.push(seen.peer);
             let running = Running {
                 journal,
                 done: false,
