Write audit lines at every log level

Cause: audit lines were events of level info of the daemon's logger, so log.level warn dropped them and the audit log had gaps. Ruled out: a higher level for these lines; they are no warnings and would raise alarms. Conclusion: the level of other lines does not affect the audit log.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -1,5 +1,10 @@
 use log::Level;
 
+/// Name of the logger of the daemon.
+pub const TARGET: &str = "toucand";
+/// Name of the logger of the lines of the audit log.
+pub const AUDIT_TARGET: &str = "toucand::audit";
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal;)*) => {
         /// Something that the daemon reports.
@@ -32,6 +37,15 @@
                 match self { $(Self::$name => Level::$level,)* }
             }
 
+            /// Returns the name of the logger of the event.
+            #[must_use]
+            pub const fn target(self) -> &'static str {
+                match self {
+                    Self::Audit => AUDIT_TARGET,
+                    _ => TARGET,
+                }
+            }
+
             /// Returns the name of the event as it is logged.
             #[must_use]
             pub const fn name(self) -> &'static str {
--- a/crates/event/src/emit.rs
+++ b/crates/event/src/emit.rs
@@ -43,7 +43,10 @@
     }
     let source = Fields(event.number(), fields);
     let mut record = log::Record::builder();
-    record.level(level).target("toucand").key_values(&source);
+    record
+        .level(level)
+        .target(event.target())
+        .key_values(&source);
     if setup::is_json() {
         log::logger().log(&record.args(format_args!("{}", event.name())).build());
     } else {
--- a/crates/event/src/setup.rs
+++ b/crates/event/src/setup.rs
@@ -14,6 +14,8 @@
 };
 use tsw_config::settings;
 
+use crate::catalogue;
+
 static JSON: AtomicBool = AtomicBool::new(false);
 
 /// Why the log cannot be set up.
@@ -50,7 +52,8 @@
 
 /// Sets up the log of this process as the settings say.
 ///
-/// Libraries are logged from level `Warn`, so that their details do not hide the events.
+/// Libraries are logged from level `Warn`, so that their details do not hide the events. Lines of
+/// the audit log are written at every level: a missing line makes the log fail its verification.
 ///
 /// # Errors
 ///
@@ -77,7 +80,8 @@
     };
     let config = Config::builder()
         .appender(Appender::builder().build("out", appender))
-        .logger(Logger::builder().build("toucand", level))
+        .logger(Logger::builder().build(catalogue::TARGET, level))
+        .logger(Logger::builder().build(catalogue::AUDIT_TARGET, LevelFilter::Info))
         .build(
             Root::builder()
                 .appender("out")
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -30,7 +30,7 @@
 //! // A request was admitted. The number is the embedder's own.
 //! let (request, class, team) = (message::Request(7), message::Class::Short, "north".parse()?);
 //! let deadline = now + Span::from_secs(5);
-//! let push = entry::Event::Push { request, team, class, deadline, avoid: None };
+//! let push = entry::Event::Push { request, team, class, deadline, avoid: None, cost: 0 };
 //! commands.extend(queue.handle(now, push));
 //!
 //! let mut runs = Vec::new();
