Give engines an identifier of their own for each attempt

Cause: the caller's request identifier named the stream at the engine and stood unescaped in the path of its cancellation. Two teams with the same identifier could cancel each other's streams, and an identifier such as '../orders' changed the path. Ruled out: escaping and prefixing with the team; two requests of one team may be equal too. Measured: the new test fails with the caller's identifier, which both requests share, and passes now; the tests of the daemon and of the stand-ins pass. Conclusion: a cancellation hits one attempt only.

--- a/crates/fake/src/engine/batch.rs
+++ b/crates/fake/src/engine/batch.rs
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub(super) struct Run {
     pub(super) number: u64,
+    /// Identifier that the sender chose for cancellation and export.
+    pub(super) id: String,
     pub(super) request: history::Request,
     pub(super) prompt: String,
     /// Index of the first token to deliver.
--- a/crates/fake/src/engine/state.rs
+++ b/crates/fake/src/engine/state.rs
@@ -180,6 +180,7 @@
         });
         state.batch.waiting.push_back(batch::Run {
             number,
+            id: body.request_id,
             request,
             prompt: body.prompt,
             first: body.resume_from,
@@ -206,7 +207,7 @@
 
     /// Cancels all runs of a request and returns how many there were.
     pub(super) fn cancel_request(&self, id: &str) -> usize {
-        self.state().cancel(|run| run.request.request_id == id)
+        self.state().cancel(|run| run.id == id)
     }
 
     /// Carries an order out, or returns the newer fencing token.
@@ -329,7 +330,7 @@
             prompt: fingerprint(&run.prompt),
             next: run.next,
         };
-        self.import(run.request.request_id.clone(), kv);
+        self.import(run.id.clone(), kv);
     }
 
     pub(super) fn import(&mut self, id: String, kv: Kv) {
@@ -341,7 +342,7 @@
 
     pub(super) fn export(&self, id: &str) -> Option<Kv> {
         let mut running = self.batch.running.iter();
-        match running.find(|run| run.request.request_id == id) {
+        match running.find(|run| run.id == id) {
             Some(run) => Some(Kv {
                 prompt: fingerprint(&run.prompt),
                 next: run.next,
--- a/crates/toucand/src/engine.rs
+++ b/crates/toucand/src/engine.rs
@@ -93,7 +93,7 @@
     running: Option<Running>,
     response: Box<ClientResponse>,
     buffer: BytesMut,
-    request_id: String,
+    id: String,
 }
 
 /// Makes the body for an engine of a caller's body.
@@ -129,7 +129,11 @@
     resume_from: u64,
 ) -> Result<Attempt, Broken> {
     let url = format!("http://{}/v1/generate", slot.address());
-    body.insert("request_id".to_owned(), (*call.request_id).into());
+    // Callers choose their request identifiers, and two teams may choose the same one. The engine
+    // gets the identifier of the grant, so that a cancellation hits this attempt only.
+    let id = slot.granted().id;
+    let id = format!("{}-{}", id.home, id.number);
+    body.insert("request_id".to_owned(), id.as_str().into());
     body.insert("resume_from".to_owned(), resume_from.into());
     let request = router
         .client
@@ -142,7 +146,7 @@
         router,
         slot: Some(slot),
         running: Some(running),
-        request_id: call.request_id.to_string(),
+        id,
     };
     let sending = time::timeout(HEAD_TIMEOUT, request.send_json(&body));
     let response = match sending.await {
@@ -171,7 +175,7 @@
         running: attempt.running.take(),
         response: Box::new(response),
         buffer: BytesMut::new(),
-        request_id: std::mem::take(&mut attempt.request_id),
+        id: std::mem::take(&mut attempt.id),
     })
 }
 
@@ -180,21 +184,21 @@
     router: Rc<Router>,
     slot: Option<Slot>,
     running: Option<Running>,
-    request_id: String,
+    id: String,
 }
 
 impl Drop for Sending {
     fn drop(&mut self) {
         if let Some(slot) = self.slot.take() {
-            cancel(&self.router, slot, &self.request_id);
+            cancel(&self.router, slot, &self.id);
         }
     }
 }
 
 /// Cancels a stream at the engine. The slot is held until the engine has answered, so that the home
 /// does not grant it while the engine still runs the request.
-fn cancel(router: &Rc<Router>, slot: Slot, request_id: &str) {
-    let url = format!("http://{}/v1/generate/{request_id}", slot.address());
+fn cancel(router: &Rc<Router>, slot: Slot, id: &str) {
+    let url = format!("http://{}/v1/generate/{id}", slot.address());
     let request = router.client.request(Method::DELETE, url);
     actix_rt::spawn(async move {
         let _ = time::timeout(CANCEL_TIMEOUT, request.send()).await;
@@ -253,7 +257,7 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         if let Some(slot) = self.slot.take() {
-            cancel(&self.router, slot, &self.request_id);
+            cancel(&self.router, slot, &self.id);
         }
     }
 }
--- a/crates/toucand/tests/calls.rs
+++ b/crates/toucand/tests/calls.rs
@@ -125,6 +125,26 @@
     assert_eq!(journal.borrow().cancelled, 1);
 }
 
+/// Guards against a cancellation that hits the stream of another caller who chose the same request
+/// identifier, and against identifiers that change the path of the cancellation.
+#[actix_rt::test]
+async fn streams_of_equal_request_ids_are_told_apart_at_the_engine() {
+    let journal = Rc::new(RefCell::new(Journal::default()));
+    let upstreams = engines(&[Engine::default()], &journal, 4).await;
+    let router = Router::start(&upstreams).await;
+    let client = awc::Client::default();
+    for _ in 0..2 {
+        let request = client.post(router.call_url("reviews")).bearer_auth(TOKEN);
+        let request = request.insert_header(("toucan-request-id", "../orders?a"));
+        let sent = request.send_body(r#"{"prompt":"x","max_tokens":2}"#).await;
+        sent.expect("an answer").body().await.expect("a whole body");
+    }
+    let ids = journal.borrow().ids.clone();
+    assert_eq!(ids.len(), 2);
+    assert_ne!(ids[0], ids[1]);
+    assert!(ids.iter().all(|id| !id.contains(['/', '?'])), "{ids:?}");
+}
+
 #[actix_rt::test]
 async fn request_that_no_engine_takes_is_not_run() {
     let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/crates/toucand/tests/support/mod.rs
+++ b/crates/toucand/tests/support/mod.rs
@@ -103,6 +103,8 @@
 #[derive(Debug, Default)]
 pub struct Journal {
     pub started: Vec<(usize, u64)>,
+    /// Identifiers of the streams, as the router gave them.
+    pub ids: Vec<String>,
     /// Addresses that the requests came from.
     pub peers: Vec<Option<SocketAddr>>,
     /// Streams that were dropped before their end.
@@ -135,6 +137,8 @@
             let total = body["max_tokens"].as_u64().expect("a number");
             journal.borrow_mut().started.push((number, from));
             journal.borrow_mut().peers.push(seen.peer);
+            let id = body["request_id"].as_str().expect("an identifier");
+            journal.borrow_mut().ids.push(id.to_owned());
             let running = Running {
                 journal,
                 done: false,
