Keep the witnesses of heads and permits fixed

Cause: each chain head went to the next two peers in turn, and each permit named another pair of witnesses. With more than a few routers each of these sessions had closed for lack of use and was opened anew, so idle traffic grew with the fleet. Ruled out: probes; a router probes at most 12 peers, whose sessions stay open. Conclusion: idle traffic no longer grows with the fleet; the cost of each request remains.

--- a/crates/member/src/choice.rs
+++ b/crates/member/src/choice.rs
@@ -77,10 +77,12 @@
     }
 
     /// Returns up to `count` peers as witnesses of a permit, the best first: in other failure
-    /// domains than this router and than each other where that is possible. `salt` spreads the
-    /// choice.
+    /// domains than this router and than each other where that is possible. The choice differs
+    /// between routers, and between values of `choice` in one router; it changes only when one of
+    /// the witnesses or a better one does.
     #[must_use]
-    pub fn witnesses(&self, count: usize, salt: u64) -> Vec<host::Id> {
+    pub fn witnesses(&self, count: usize, choice: u64) -> Vec<host::Id> {
+        let salt = rendezvous::weight(choice, self.me.id.host.as_str());
         let mut pool: Vec<&Peer> = self
             .peers
             .values()
--- a/crates/toucand/src/audit.rs
+++ b/crates/toucand/src/audit.rs
@@ -1,16 +1,17 @@
 //! Controller of the audit log.
 
 use tsw_audit::{Chain, Head, Line};
-use tsw_base::{host, name};
+use tsw_base::host;
 use tsw_board::{Board, Pen};
 use tsw_event::{emit, Event};
-use tsw_member::State;
 use tsw_wire::message::Message;
 
 use crate::{clock, out::Out, turn::Turn};
 
 /// Peers that get each chain head.
 const WITNESSES: usize = 2;
+/// Number of the choice of witnesses; permits use the ones below it.
+const HEADS: u64 = 4;
 
 /// Owner of the section about the audit log.
 #[derive(Debug)]
@@ -69,19 +70,15 @@
     }
 }
 
+/// Sends a head to its witnesses. They stay the same while they live, since a session to a peer that
+/// is used less often than every few seconds would be opened anew for each head.
 fn send(board: &Board, out: &mut Out, head: &Head) {
-    let alive = board.fleet.peers();
-    let alive = alive.filter(|(_, _, state)| *state == State::Alive);
-    let peers: Vec<name::Host> = alive.map(|(id, _, _)| id.host.clone()).collect();
-    if peers.is_empty() {
+    let witnesses = board.fleet.witnesses(WITNESSES, HEADS);
+    if witnesses.is_empty() {
         return;
     }
-    let start = head.seq as usize;
-    for offset in 0..WITNESSES.min(peers.len()) {
-        out.send(
-            &peers[(start + offset) % peers.len()],
-            Message::Head(head.clone()),
-        );
+    for witness in &witnesses {
+        out.send(&witness.host, Message::Head(head.clone()));
     }
     emit(Event::HeadSent, &[("seq", &head.seq)]);
 }
--- a/crates/toucand/src/tables.rs
+++ b/crates/toucand/src/tables.rs
@@ -19,6 +19,9 @@
 
 /// Witnesses of a permit.
 const WITNESSES: usize = permit::MAX_WITNESSES;
+/// Pairs of witnesses among which the permits of a router are spread. More pairs would need sessions
+/// to more peers.
+const WITNESS_CHOICES: u64 = 4;
 
 /// A call that this router owns, as its run needs it.
 #[derive(Clone, Debug)]
@@ -99,7 +102,8 @@
         service: &name::Service,
     ) -> Permit {
         let millis = clock::unix_micros() / 1_000;
-        let witnesses = board.fleet.witnesses(WITNESSES, now.as_micros());
+        let choice = now.as_micros() % WITNESS_CHOICES;
+        let witnesses = board.fleet.witnesses(WITNESSES, choice);
         self.issuer.issue(now, millis, team, service, witnesses)
     }
 
