Replace a hedge that is stalled as well

Cause: with a quarter of the engines slow, a hedge may land on another slow engine, and the request then waited for the end of both moments. Ruled out: a third engine beside the two; it would take a slot for little gain.

--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -71,6 +71,7 @@
     active: Option<Attempt>,
     spare: Option<Spare>,
     hedging: bool,
+    spare_stall: Tick,
     attempts: u32,
     unsent: u32,
     ran: bool,
@@ -111,6 +112,7 @@
             active: None,
             spare: Some(Spare::Waiting(wait)),
             hedging: false,
+            spare_stall: now,
             attempts: 1,
             unsent: 0,
             ran: false,
@@ -171,9 +173,13 @@
 
     async fn step(&mut self) -> Step {
         let now = self.router.now();
-        let stall = self.router.stall(&self.call, self.sent, &self.pace);
-        let hedge_in = stall.since(now).as_duration();
-        let hedge = self.active.is_some() && self.spare.is_none() && !self.hedging;
+        let stall = match &self.spare {
+            None if !self.hedging => Some(self.router.stall(&self.call, self.sent, &self.pace)),
+            Some(Spare::Open(_)) => Some(self.spare_stall),
+            _ => None,
+        };
+        let stall = stall.filter(|_| self.active.is_some());
+        let hedge_in = stall.map_or(Duration::ZERO, |stall| stall.since(now).as_duration());
         let deadline_in = self.call.deadline.since(now).as_duration();
         let Self { active, spare, .. } = self;
         let active = async {
@@ -194,7 +200,7 @@
             biased;
             read = active => Step::Active(read),
             step = spare => step,
-            () = time::sleep(hedge_in.max(Duration::from_millis(1))), if hedge => Step::Stall,
+            () = time::sleep(hedge_in.max(Duration::from_millis(1))), if stall.is_some() => Step::Stall,
             () = time::sleep(deadline_in) => Step::Deadline,
         }
     }
@@ -217,6 +223,7 @@
         self.ran = true;
         if self.active.is_some() {
             self.spare = Some(Spare::Open(attempt));
+            self.follow_spare();
             return;
         }
         if self.next > 0 {
@@ -227,6 +234,12 @@
         self.restart();
     }
 
+    /// Notes that the spare is alive. It counts as stalled when it stays silent from now on.
+    fn follow_spare(&mut self) {
+        let now = self.router.now();
+        self.spare_stall = self.router.stall(&self.call, now, &Stream::new(now));
+    }
+
     /// Starts to follow the pace of another attempt.
     fn restart(&mut self) {
         let now = self.router.now();
@@ -238,6 +251,9 @@
     fn accept(&mut self, lines: Vec<Line>, from_spare: bool) -> Result<Option<Output>, Failure> {
         let mut events = BytesMut::new();
         let before = self.next;
+        if from_spare {
+            self.follow_spare();
+        }
         for line in lines {
             match line {
                 Line::Token { index, .. } if index < self.next => {}
@@ -403,16 +419,25 @@
         Ok(None)
     }
 
+    /// Asks for another engine beside the active one, in place of a spare that is stalled as well.
     fn hedge(&mut self) {
         self.hedging = true;
+        let stalled = self.spare.take();
         // The silence counts as a gap, so that the home learns of a slow engine before it ends.
         self.report_pace();
         if self.attempts >= MAX_ATTEMPTS || !self.router.allow_hedge(&self.call) {
+            // The stalled spare stays, and is not looked at again until it delivers something.
+            self.spare = stalled;
+            self.spare_stall = Tick::from_micros(u64::MAX);
             return;
         }
         self.attempts += 1;
         self.router.hedged(&self.call, self.next);
-        let slow = self.active.as_ref().and_then(Attempt::slot);
+        let slow = match &stalled {
+            Some(Spare::Open(attempt)) => Some(attempt),
+            _ => self.active.as_ref(),
+        };
+        let slow = slow.and_then(Attempt::slot);
         let slow = slow.map(|slot| slot.upstream().clone());
         let wait = self.router.enqueue(&self.call, Class::Urgent, slow);
         self.spare = Some(Spare::Waiting(wait));
