Choose stand-ins by name in one place

Cause: engines and bookings each held the same selection of the stand-in that a control call names, and two test files built the same upstreams by hand. Ruled out: merging the two fleets; they start and drive their members differently. Measured: the tests of the stand-ins and of the daemon pass. Conclusion: one method of the call and two constructors in the test support.

--- a/crates/fake/src/booking.rs
+++ b/crates/fake/src/booking.rs
@@ -364,14 +364,7 @@
     workers: &IndexMap<String, Worker>,
     call: &http::Call,
 ) -> Result<http::Reply, http::Reply> {
-    let name = call.param("name");
-    let chosen = workers
-        .iter()
-        .filter(|(key, _)| name.as_ref().is_none_or(|name| name == *key));
-    let chosen: IndexMap<_, _> = chosen.collect();
-    if chosen.is_empty() {
-        return Err(http::fault(StatusCode::NOT_FOUND, &"no such worker"));
-    }
+    let chosen = call.select(workers)?;
     let each = |action: &dyn Fn(&mut State)| {
         let states = chosen.values().map(|worker| &worker.state);
         states.for_each(|state| action(&mut state.borrow_mut()));
--- a/crates/fake/src/engine/command.rs
+++ b/crates/fake/src/engine/command.rs
@@ -42,14 +42,7 @@
     engines: &IndexMap<String, Engine>,
     call: &http::Call,
 ) -> Result<http::Reply, http::Reply> {
-    let name = call.param("name");
-    let chosen = engines
-        .iter()
-        .filter(|(key, _)| name.as_ref().is_none_or(|name| name == *key));
-    let chosen: IndexMap<_, _> = chosen.collect();
-    if chosen.is_empty() {
-        return Err(http::fault(StatusCode::NOT_FOUND, &"no such engine"));
-    }
+    let chosen = call.select(engines)?;
     let each = |action: &dyn Fn(&Engine)| chosen.values().for_each(|engine| action(engine));
     match call.path.as_str() {
         "/control/slow" => {
--- a/crates/fake/src/http.rs
+++ b/crates/fake/src/http.rs
@@ -14,6 +14,7 @@
 use actix_service::{Service as _, ServiceFactory as _};
 use bytes::{Bytes, BytesMut};
 use futures_util::{future::LocalBoxFuture, StreamExt as _};
+use indexmap::IndexMap;
 use serde::{de::DeserializeOwned, Serialize};
 use tokio::{net::TcpListener, sync::Notify, task};
 
@@ -62,6 +63,24 @@
         })
     }
 
+    /// Returns the stand-in that the parameter `name` names, or all of them without it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to a call that names none of them.
+    pub fn select<'a, T>(
+        &self,
+        all: &'a IndexMap<String, T>,
+    ) -> Result<IndexMap<&'a String, &'a T>, Reply> {
+        let name = self.param("name");
+        let named = |key: &String| name.as_ref().is_none_or(|name| name == key);
+        let chosen: IndexMap<_, _> = all.iter().filter(|(key, _)| named(key)).collect();
+        if chosen.is_empty() {
+            return Err(fault(StatusCode::NOT_FOUND, &"no stand-in has this name"));
+        }
+        Ok(chosen)
+    }
+
     /// Returns a parameter of the query as a number, if it is one.
     #[must_use]
     pub fn number(&self, key: &str) -> Option<u64> {
--- a/crates/toucand/tests/bad_input.rs
+++ b/crates/toucand/tests/bad_input.rs
@@ -123,12 +123,7 @@
         break_after: None,
     };
     let address = support::engine(0, slow, journal.clone()).await;
-    let upstream = Upstream {
-        name: "engine-1",
-        service: "reviews",
-        address,
-        slots: 1,
-    };
+    let upstream = Upstream::engine(address);
     let router = Router::start(&[upstream]).await;
     let request = awc::Client::default()
         .post(router.call_url("reviews"))
@@ -181,12 +176,7 @@
 async fn refused_booking_brings_a_permit() {
     let executions = Rc::new(RefCell::new(0));
     let address = support::worker(Duration::ZERO, executions.clone()).await;
-    let upstream = Upstream {
-        name: "worker-1",
-        service: "pickups",
-        address,
-        slots: 1,
-    };
+    let upstream = Upstream::worker(address, 1);
     let router = Router::start(&[upstream]).await;
     let url = router.call_url("pickups");
     let client = awc::Client::default();
--- a/crates/toucand/tests/calls.rs
+++ b/crates/toucand/tests/calls.rs
@@ -150,12 +150,7 @@
     let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = closed.local_addr().expect("bound");
     drop(closed);
-    let upstream = Upstream {
-        name: "engine-1",
-        service: "reviews",
-        address,
-        slots: 1,
-    };
+    let upstream = Upstream::engine(address);
     let router = Router::start(&[upstream]).await;
     let client = awc::Client::default();
     let request = client.post(router.call_url("reviews")).bearer_auth(TOKEN);
@@ -172,12 +167,7 @@
 async fn booking_runs_once_and_its_answer_is_kept() {
     let executions = Rc::new(RefCell::new(0));
     let address = support::worker(Duration::from_millis(50), executions.clone()).await;
-    let upstream = Upstream {
-        name: "worker-1",
-        service: "pickups",
-        address,
-        slots: 2,
-    };
+    let upstream = Upstream::worker(address, 2);
     let router = Router::start(&[upstream]).await;
     let key = format!("{}.a", router.permit().await);
     let call = |body: &'static str| {
--- a/crates/toucand/tests/support/mod.rs
+++ b/crates/toucand/tests/support/mod.rs
@@ -195,6 +195,28 @@
     pub slots: u32,
 }
 
+impl Upstream {
+    /// An engine with one slot.
+    pub const fn engine(address: SocketAddr) -> Self {
+        Self {
+            name: "engine-1",
+            service: "reviews",
+            address,
+            slots: 1,
+        }
+    }
+
+    /// A worker of the booking service.
+    pub const fn worker(address: SocketAddr, slots: u32) -> Self {
+        Self {
+            name: "worker-1",
+            service: "pickups",
+            address,
+            slots,
+        }
+    }
+}
+
 pub struct Ports {
     pub caller: SocketAddr,
     pub peer: SocketAddr,
