--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings of the daemon, files of teams and services, and the bundle made of them.
 //!
 //! - [`settings`]: the YAML settings of one router process.
+//! - [`gateway`]: the YAML settings of a router on the users' platform.
 //! - [`team`] and [`service`]: the files that operators keep beside each service's code.
 //! - [`collect`]: finds those files in a directory.
 //! - [`check`]: checks them together and reports every [`fault`].
@@ -48,6 +49,7 @@
 pub mod collect;
 mod document;
 pub mod fault;
+pub mod gateway;
 pub mod service;
 pub mod settings;
 pub mod team;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -205,6 +205,18 @@
         /// The least value.
         least: u64,
     },
+    /// A bound is out of its range.
+    #[error("settings {}: {key} is {value}, it must be at least {least}", path.display())]
+    Bound {
+        /// The file.
+        path: PathBuf,
+        /// The key.
+        key: &'static str,
+        /// Its value.
+        value: String,
+        /// The least value.
+        least: String,
+    },
     /// A URL does not start with `http://`.
     #[error("settings {}: platform.{key} is {url:?}, it must start with http://", path.display())]
     Url {
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -70,6 +70,12 @@
     AcceptFailed = 106 Error "accept-failed";
     /// A decision or a task failed in a way that it must not; the process ends.
     Panicked = 107 Error "panicked";
+    /// Changed settings are in use.
+    SettingsReloaded = 108 Info "settings-reloaded";
+    /// Changed settings cannot be used; the ones before stay in use.
+    SettingsRejected = 109 Error "settings-rejected";
+    /// A call to the router itself, or the gossip between routers, failed.
+    InternalFailed = 110 Warn "internal-failed";
     /// A bundle is in force.
     BundleAdopted = 201 Info "bundle-adopted";
     /// A bundle failed its checks; the accepted one stays.
@@ -86,6 +92,12 @@
     HostsRejected = 207 Error "hosts-rejected";
     /// An older bundle was offered and refused.
     BundleOlder = 208 Warn "bundle-older";
+    /// A configuration of the platform is in force.
+    ConfigurationAdopted = 209 Info "configuration-adopted";
+    /// A configuration of the platform cannot be understood; the one before stays in force.
+    ConfigurationRejected = 210 Error "configuration-rejected";
+    /// An entry of the platform names no upstream to use.
+    EntryRejected = 211 Warn "entry-rejected";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused as not run.
--- /dev/null
+++ b/crates/flow/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions about requests between their arrival and their final answer.
+//!
+//! All of them are pure: they take the time as a [`tsw_base::time::Tick`] and hold no sockets.
+//!
+//! - [`prompt`]: what is known of the prompt of a request before it runs.
+//! - [`directory`]: which parts of prompts an engine holds.
+//! - [`pool`]: the upstreams of a service, and which of them serves a request best.
+//! - [`registry`]: which upstreams the platform lists, also after it was away.
+//! - [`queue`]: who waits, in which order, and who is refused.
+//! - [`budget`]: bounds the attempts beyond the first.
+//! - [`verdict`]: what follows from the result of an attempt.
+//! - [`service`]: the state of one service, made of the parts above.
+
+pub mod budget;
+pub mod directory;
+pub mod pool;
+pub mod prompt;
+pub mod queue;
+pub mod registry;
+pub mod service;
+pub mod verdict;
--- /dev/null
+++ b/crates/gate/src/client.rs
@@ -0,0 +1,249 @@
+//! Connections of clients.
+
+use std::{cell::Cell, io, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{tcp::ReadHalf, TcpStream},
+    time,
+};
+use tsw_event::{emit, Event};
+use tsw_http::{body, connection::Connection, head};
+use tsw_relay::{
+    answer::Own,
+    request::Request,
+    responder::Responder,
+    run::{self, End},
+};
+use tsw_route::table::Limits;
+
+use crate::{
+    accept,
+    gate::{Gate, Phase},
+};
+
+/// Longest pause within a body.
+const BODY_PAUSE: Duration = Duration::from_secs(10);
+/// Bytes that a client may send ahead while its request runs.
+const MAX_AHEAD: usize = 65_536;
+/// Time for which a connection is read after an answer that was given before the whole request
+/// was read. Closing it at once could destroy the answer on its way.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Counts a request while it is in flight.
+struct Flight<'a>(&'a Cell<usize>);
+
+impl<'a> Flight<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// What a client sent next.
+enum Next {
+    Request(head::Request),
+    Fault(Own),
+    End,
+}
+
+/// Serves the requests on a connection until it ends.
+///
+/// # Errors
+///
+/// Returns an error if the connection broke.
+pub async fn serve(gate: Rc<Gate>, stream: TcpStream) -> io::Result<()> {
+    let mut connection = Connection::new(stream)?;
+    loop {
+        let limits = gate.router.table().map_or(Limits::default(), |table| table.limits);
+        let head = match next(&gate, &mut connection, &limits).await? {
+            Next::Request(head) => head,
+            Next::Fault(own) => return refuse(&gate, connection, own).await,
+            Next::End => return Ok(()),
+        };
+        if !answer(&gate, &mut connection, head, &limits).await? {
+            return Ok(());
+        }
+    }
+}
+
+/// Waits for the head of the next request.
+async fn next(gate: &Gate, connection: &mut Connection, limits: &Limits) -> io::Result<Next> {
+    let mut phase = gate.phase.subscribe();
+    let mut begun = None;
+    loop {
+        match head::Request::take(&mut connection.buffer, limits.head_bytes) {
+            Ok(Some(head)) => return Ok(Next::Request(head)),
+            Ok(None) => {}
+            Err(head::Error::Long { .. }) => return Ok(Next::Fault(Own::LongHead)),
+            Err(_) => return Ok(Next::Fault(Own::Malformed)),
+        }
+        let idle = connection.buffer.is_empty();
+        let until = if idle {
+            time::Instant::now() + limits.idle_time
+        } else {
+            *begun.get_or_insert_with(|| time::Instant::now() + limits.head_time)
+        };
+        tokio::select! {
+            read = connection.fill() => {
+                if read? == 0 {
+                    return Ok(Next::End);
+                }
+            }
+            () = time::sleep_until(until) => {
+                return Ok(if idle { Next::End } else { Next::Fault(Own::Slow) });
+            }
+            _ = phase.wait_for(|phase| *phase == Phase::Closing), if idle => {
+                return Ok(Next::End);
+            }
+        }
+    }
+}
+
+/// Answers a request that cannot be understood, and closes the connection.
+async fn refuse(gate: &Gate, mut connection: Connection, own: Own) -> io::Result<()> {
+    emit(Event::Refused, &[("cause", &own)]);
+    let head = head::Request {
+        method: Bytes::from_static(b"GET"),
+        target: Bytes::from_static(b"/"),
+        old: false,
+        fields: tsw_http::field::Fields::default(),
+    };
+    let (_, writer) = connection.stream.split();
+    let mut responder = Responder::new(writer, &head, true);
+    run::give(&gate.router, &mut responder, None, own).await?;
+    linger(&mut connection).await;
+    Ok(())
+}
+
+/// Reads what a client still sends after an early answer.
+async fn linger(connection: &mut Connection) {
+    let rest = async {
+        // The end or a fault of the connection is what is waited for.
+        let _ = connection.stream.shutdown().await;
+        while connection.fill().await.is_ok_and(|read| read > 0) {
+            connection.buffer.clear();
+        }
+    };
+    let _ = time::timeout(LINGER, rest).await;
+}
+
+/// Answers one request and returns whether the connection may be used further.
+async fn answer(
+    gate: &Rc<Gate>,
+    connection: &mut Connection,
+    head: head::Request,
+    limits: &Limits,
+) -> io::Result<bool> {
+    let _flight = Flight::new(&gate.in_flight);
+    let table = gate.router.table();
+    let checked = accept::check(&head, table.as_ref(), rand::random());
+    let body = match read_body(connection, &head, limits).await? {
+        Ok(body) => body,
+        Err(own) => {
+            let (_, writer) = connection.stream.split();
+            let mut responder = Responder::new(writer, &head, true);
+            emit(Event::Refused, &[("cause", &own)]);
+            run::give(&gate.router, &mut responder, None, own).await?;
+            linger(connection).await;
+            return Ok(false);
+        }
+    };
+    let arrived = gate.router.now();
+    let closing = *gate.phase.borrow() != Phase::Serving;
+    let (mut reader, writer) = connection.stream.split();
+    let mut responder = Responder::new(writer, &head, closing);
+    let allowed = match checked {
+        Ok(allowed) => allowed,
+        Err(denied) => {
+            let id = denied.id.as_deref();
+            let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                &[("request", &id.unwrap_or("-")), ("cause", &denied.own)];
+            emit(Event::Refused, fields);
+            run::give(&gate.router, &mut responder, id, denied.own).await?;
+            return Ok(responder.is_reusable());
+        }
+    };
+    let request = Rc::new(allowed.request(&head, body, arrived));
+    let end = tokio::select! {
+        end = run::run(&gate.router, &request, &mut responder) => end,
+        () = left(&mut reader, &mut connection.buffer) => {
+            disconnected(gate, &request);
+            return Ok(false);
+        }
+    };
+    match end {
+        Ok(End::Answered) => Ok(responder.is_reusable()),
+        Ok(End::Cut) => Ok(false),
+        Err(error) => {
+            disconnected(gate, &request);
+            Err(error)
+        }
+    }
+}
+
+fn disconnected(gate: &Gate, request: &Request) {
+    let since = gate.router.now().since(request.arrived);
+    emit(
+        Event::Disconnected,
+        &[("request", &request.id), ("after_us", &since.as_micros())],
+    );
+    let labels = [&*request.service, "disconnected"];
+    gate.router.metrics.ended.with_label_values(&labels).inc();
+}
+
+/// Returns when the client has closed its connection.
+async fn left(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
+    while buffer.len() < MAX_AHEAD {
+        match reader.read_buf(buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+    std::future::pending().await
+}
+
+/// Reads the body of a request; the inner error is the answer to a body that is refused.
+async fn read_body(
+    connection: &mut Connection,
+    head: &head::Request,
+    limits: &Limits,
+) -> io::Result<Result<Bytes, Own>> {
+    let length = match head.length() {
+        Ok(body::Length::Exact(bytes)) if bytes > limits.body_bytes as u64 => {
+            return Ok(Err(Own::Long));
+        }
+        Ok(length) => length,
+        Err(_) => return Ok(Err(Own::Malformed)),
+    };
+    if head.fields.lists("expect", "100-continue") && connection.buffer.is_empty() {
+        let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+        connection.stream.write_all(interim).await?;
+    }
+    let mut decoder = body::Decoder::new(length);
+    let mut body = BytesMut::new();
+    loop {
+        match decoder.take(&mut connection.buffer) {
+            Ok(Some(data)) if body.len() + data.len() > limits.body_bytes => {
+                return Ok(Err(Own::Long));
+            }
+            Ok(Some(data)) => body.extend_from_slice(&data),
+            Ok(None) if decoder.is_done() => return Ok(Ok(body.freeze())),
+            Ok(None) => match time::timeout(BODY_PAUSE, connection.fill()).await {
+                Ok(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => {
+                    read?;
+                }
+                Err(_) => return Ok(Err(Own::Slow)),
+            },
+            Err(_) => return Ok(Err(Own::Malformed)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,168 @@
+//! The shared state of a router on the users' platform.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use tokio::sync::watch;
+use tsw_base::time::{Span, Tick};
+use tsw_config::gateway;
+use tsw_event::{emit, Event};
+use tsw_flow::registry::Registry;
+use tsw_member::roster::Roster;
+use tsw_platform::{configuration, store::Item, upstream};
+use tsw_relay::router::Router;
+use tsw_route::Name;
+
+/// Time without a read of the store, by this router or a peer, after which entries that disappear
+/// are not taken for upstreams that ended. Reads are repeated several times a second.
+const AWAY_AFTER: Span = Span::from_millis(1_200);
+
+/// Phase of the life of a process.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Was told to stop; answers each request, and asks clients to connect elsewhere.
+    Draining,
+    /// Takes no further request.
+    Closing,
+}
+
+/// The newest configuration as the store holds it, for peers.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Bytes of the configuration in force.
+    pub configuration: Bytes,
+    /// Entries of upstreams by key.
+    pub entries: IndexMap<Name, (u64, Bytes)>,
+}
+
+/// The shared state of a router on the users' platform.
+pub struct Gate {
+    /// Settings in use.
+    pub settings: RefCell<gateway::Settings>,
+    /// Requests and upstreams.
+    pub router: Rc<Router>,
+    /// The other routers.
+    pub roster: RefCell<Roster>,
+    /// The upstreams that the platform lists.
+    pub registry: RefCell<Registry>,
+    /// What the store holds.
+    pub stored: RefCell<Stored>,
+    /// Phase of the process.
+    pub phase: watch::Sender<Phase>,
+    /// Requests that were read and not answered.
+    pub in_flight: Cell<usize>,
+    /// Last read of the store by this router.
+    pub read: Cell<Tick>,
+    /// Last time at which the store's content was known to be current, also from a peer.
+    pub current: Cell<Tick>,
+}
+
+impl Gate {
+    /// Returns whether clients may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Serving && self.router.table().is_some()
+    }
+
+    /// Notes that what this router knows of the store is current.
+    pub fn set_current(&self) {
+        let now = self.router.now();
+        self.current.set(now);
+        self.registry.borrow_mut().regained(now);
+    }
+
+    /// Notes how old the knowledge of the store is, and forgets upstreams that have not come back.
+    pub fn tick(&self) {
+        let now = self.router.now();
+        if now.since(self.current.get()) > AWAY_AFTER {
+            self.registry.borrow_mut().lost();
+        }
+        self.apply_entries();
+        let mut roster = self.roster.borrow_mut();
+        roster.me.ready = self.is_ready();
+        roster.me.version = self.router.table().map_or(0, |table| table.version);
+        roster.me.revision = self.registry.borrow().revision();
+        roster.me.reads_store = now.since(self.read.get()) <= AWAY_AFTER;
+        self.router.set_routers(1 + roster.live(now).count());
+    }
+
+    /// Offers a configuration and returns whether it is in force now.
+    pub fn offer(&self, bytes: &Bytes, source: &str) -> bool {
+        let table = match configuration::decode(bytes) {
+            Ok(table) => table,
+            Err(error) => {
+                emit(
+                    Event::ConfigurationRejected,
+                    &[("source", &source), ("cause", &error)],
+                );
+                return false;
+            }
+        };
+        let version = table.version;
+        let adopted = self.router.offer(table);
+        if adopted {
+            self.stored.borrow_mut().configuration = bytes.clone();
+            emit(
+                Event::ConfigurationAdopted,
+                &[("version", &version), ("source", &source)],
+            );
+        }
+        adopted
+    }
+
+    /// Takes changed entries of upstreams.
+    pub fn set_items(&self, items: &[Item]) {
+        let now = self.router.now();
+        let mut registry = self.registry.borrow_mut();
+        let mut stored = self.stored.borrow_mut();
+        for item in items {
+            let Some(id) = item.key.strip_prefix(upstream::PREFIX) else {
+                continue;
+            };
+            let key: Name = id.into();
+            let content = item.value.as_ref().map(|bytes| match upstream::decode(id, bytes) {
+                Ok(entry) => Some(entry),
+                Err(error) => {
+                    emit(Event::EntryRejected, &[("entry", &id), ("cause", &error)]);
+                    None
+                }
+            });
+            registry.set(now, &key, item.revision, content);
+            match &item.value {
+                Some(bytes) => {
+                    stored.entries.insert(key, (item.revision, bytes.clone()));
+                }
+                None => {
+                    stored.entries.swap_remove(&key);
+                }
+            }
+        }
+    }
+
+    /// Notes that a list of entries was complete at a revision.
+    pub fn complete(&self, items: &[Item], revision: u64) {
+        let keys: Vec<Name> = items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(upstream::PREFIX))
+            .map(Name::from)
+            .collect();
+        let mut stored = self.stored.borrow_mut();
+        stored
+            .entries
+            .retain(|key, (known, _)| *known > revision || keys.contains(key));
+        let now = self.router.now();
+        self.registry.borrow_mut().complete(now, revision, &keys);
+    }
+
+    /// Gives the upstreams that are listed now to the services.
+    pub fn apply_entries(&self) {
+        let entries = self.registry.borrow_mut().entries(self.router.now());
+        self.router.set_entries(entries);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/gossip.rs
@@ -0,0 +1,142 @@
+//! Membership and load between routers.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, time};
+use tsw_base::time::Tick;
+use tsw_event::{emit, Event};
+use tsw_flow::pool::Use;
+use tsw_member::roster::{Member, LIVE_FOR};
+use tsw_route::Name;
+
+use crate::gate::{Gate, Phase};
+
+/// Period of gossip about members.
+const MEMBERS: Duration = Duration::from_millis(250);
+/// Period of the statements about used upstreams in a fleet of up to [`SMALL`] routers. An engine
+/// reads about two long prompts in this time.
+const USES: Duration = Duration::from_millis(100);
+/// Routers up to which each one tells all others at the full pace. In larger fleets the period
+/// grows with the number of routers, so that each one receives about the same number of messages.
+const SMALL: usize = 8;
+/// Longest datagram that is read.
+const MAX_DATAGRAM: usize = 16_384;
+
+#[derive(Debug, Deserialize, Serialize)]
+enum Message {
+    Members(Vec<Member>),
+    Uses(Vec<(String, String, u32, u64)>),
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Datagram {
+    from: String,
+    message: Message,
+}
+
+async fn send(gate: &Gate, socket: &UdpSocket, to: &[SocketAddr], message: Message) {
+    let from = gate.settings.borrow().host.clone();
+    let bytes = match postcard::to_allocvec(&Datagram { from, message }) {
+        Ok(bytes) => bytes,
+        Err(error) => return emit(Event::InternalFailed, &[("cause", &error)]),
+    };
+    for address in to {
+        // A datagram may be lost on its way as well; the next one says the same or more.
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            emit(Event::InternalFailed, &[("peer", address), ("cause", &error)]);
+        }
+    }
+}
+
+/// Tells other routers which members are known, until the process ends.
+pub async fn tell_members(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
+    let mut phase = gate.phase.subscribe();
+    loop {
+        gate.tick();
+        let now = gate.router.now();
+        let (mut to, members) = gate.roster.borrow_mut().round(now, &mut rand::thread_rng());
+        if *phase.borrow_and_update() != Phase::Serving {
+            // Clients must not be sent to a router that stops.
+            to = gate.roster.borrow().live(now).map(|peer| peer.gossip).collect();
+        }
+        send(&gate, &socket, &to, Message::Members(members)).await;
+        // The end of the phase is told at once.
+        let _ = time::timeout(MEMBERS, phase.changed()).await;
+    }
+}
+
+/// Tells other routers which upstreams are used, until the process ends.
+pub async fn tell_uses(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
+    let mut told = Vec::new();
+    let mut since = Tick::ZERO;
+    loop {
+        let crowd = gate.router.routers().div_ceil(SMALL) as u32;
+        time::sleep(USES * crowd).await;
+        let uses = gate.router.own_use();
+        let now = gate.router.now();
+        let repeat = now.since(since).as_duration() > LIVE_FOR.as_duration() / 3;
+        if uses == told && !repeat {
+            continue;
+        }
+        since = now;
+        let to: Vec<SocketAddr> = gate.roster.borrow().live(now).map(|peer| peer.gossip).collect();
+        let text = uses.iter().map(|(service, upstream, used)| {
+            (service.to_string(), upstream.to_string(), used.requests, used.unread)
+        });
+        let message = Message::Uses(text.collect());
+        told = uses;
+        send(&gate, &socket, &to, message).await;
+    }
+}
+
+/// Hears other routers until the process ends.
+pub async fn hear(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
+    let mut heard: IndexMap<Name, Tick> = IndexMap::new();
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let received = time::timeout(MEMBERS, socket.recv_from(&mut buffer)).await;
+        let now = gate.router.now();
+        heard.retain(|router, at| {
+            let live = now.since(*at) <= LIVE_FOR;
+            if !live {
+                gate.router.set_others(router, &[]);
+            }
+            live
+        });
+        let length = match received {
+            Err(_) => continue,
+            Ok(Ok((length, _))) => length,
+            Ok(Err(error)) => {
+                emit(Event::InternalFailed, &[("cause", &error)]);
+                time::sleep(MEMBERS).await;
+                continue;
+            }
+        };
+        let datagram: Datagram = match postcard::from_bytes(&buffer[..length]) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                emit(Event::FrameDropped, &[("cause", &error)]);
+                continue;
+            }
+        };
+        match datagram.message {
+            Message::Members(members) => {
+                gate.roster.borrow_mut().hear(now, &datagram.from, &members);
+            }
+            Message::Uses(uses) => {
+                let from: Name = datagram.from.as_str().into();
+                let uses: Vec<(Name, Name, Use)> = uses
+                    .into_iter()
+                    .map(|(service, upstream, requests, unread)| {
+                        let used = Use { requests, unread };
+                        (service.into(), upstream.into(), used)
+                    })
+                    .collect();
+                gate.router.set_others(&from, &uses);
+                heard.insert(from, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,20 @@
+//! The router on the users' platform: sockets, timers and the state that they share.
+//!
+//! - [`serve`]: start, signals and the end of the process.
+//! - [`gate`]: the shared state.
+//! - [`client`]: connections of clients; [`accept`]: from the head of a request to its life.
+//! - [`own`]: calls to the router itself: readiness, addresses, metrics, reads by peers.
+//! - [`read`]: reads the platform's store; [`peer`]: reads peers that know more.
+//! - [`gossip`]: membership and load between routers.
+//!
+//! What happens to a request after its admission is in `tsw-relay`, the decisions are in
+//! `tsw-flow`, and the names of the platform are in `tsw-platform`.
+
+pub mod accept;
+pub mod client;
+pub mod gate;
+pub mod gossip;
+pub mod own;
+pub mod peer;
+pub mod read;
+pub mod serve;
--- /dev/null
+++ b/crates/gate/src/peer.rs
@@ -0,0 +1,146 @@
+//! Reads peers that know more of the store than this router.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use tokio::time;
+use tsw_event::{emit, Event};
+use tsw_http::{
+    connection::Connection,
+    exchange::{self, Exchange},
+    field::Fields,
+    head,
+};
+use tsw_member::roster::Member;
+use tsw_platform::{store::Item, upstream};
+
+use crate::gate::Gate;
+
+/// Target of the read.
+pub const TARGET: &str = "/v1/stored";
+/// Period of the comparison with peers.
+const PERIOD: Duration = Duration::from_millis(200);
+/// Longest time for a read.
+const LIMIT: Duration = Duration::from_millis(500);
+
+/// What a router knows of the store.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Knowledge {
+    /// Bytes of the configuration in force; empty if none is known.
+    pub configuration: Vec<u8>,
+    /// Revision up to which the upstreams are known.
+    pub revision: u64,
+    /// Entries of upstreams: name, revision and content.
+    pub entries: Vec<(String, u64, Vec<u8>)>,
+}
+
+/// Why a peer could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection.
+    #[error("no connection: {0}")]
+    Connect(#[from] io::Error),
+    /// No complete answer.
+    #[error(transparent)]
+    Exchange(#[from] exchange::Error),
+    /// The answer is malformed.
+    #[error("malformed answer: {0}")]
+    Form(#[from] postcard::Error),
+    /// No answer in time.
+    #[error("no answer in time")]
+    Timeout,
+}
+
+/// Returns what this router tells a peer.
+#[must_use]
+pub fn knowledge(gate: &Gate) -> Knowledge {
+    let stored = gate.stored.borrow();
+    let entries = stored.entries.iter();
+    Knowledge {
+        configuration: stored.configuration.to_vec(),
+        revision: gate.registry.borrow().revision(),
+        entries: entries
+            .map(|(id, (revision, bytes))| (id.to_string(), *revision, bytes.to_vec()))
+            .collect(),
+    }
+}
+
+/// Compares this router with its peers until the process ends, and reads one that knows more.
+pub async fn run(gate: Rc<Gate>) {
+    loop {
+        time::sleep(PERIOD).await;
+        gate.tick();
+        let Some(peer) = ahead(&gate) else { continue };
+        match time::timeout(LIMIT, fetch(peer.control)).await {
+            Ok(Ok(knowledge)) => take(&gate, &peer, knowledge),
+            Ok(Err(error)) => failed(&peer, &error),
+            Err(_) => failed(&peer, &Error::Timeout),
+        }
+    }
+}
+
+fn failed(peer: &Member, error: &Error) {
+    let fields: &[(&'static str, &dyn std::fmt::Display)] =
+        &[("peer", &peer.host), ("cause", error)];
+    emit(Event::InternalFailed, fields);
+}
+
+/// Returns a peer that knows a newer configuration, or newer upstreams while this router does not
+/// read the store itself.
+fn ahead(gate: &Gate) -> Option<Member> {
+    let now = gate.router.now();
+    let roster = gate.roster.borrow();
+    let (version, revision) = (roster.me.version, roster.me.revision);
+    if !roster.me.reads_store {
+        let same = roster.live(now).any(|peer| peer.reads_store && peer.revision <= revision);
+        if same && revision > 0 {
+            gate.set_current();
+        }
+    }
+    let newer = roster.live(now).filter(|peer| {
+        let upstreams = peer.reads_store && !roster.me.reads_store && peer.revision > revision;
+        peer.version > version || upstreams
+    });
+    newer.max_by_key(|peer| (peer.version, peer.revision)).cloned()
+}
+
+async fn fetch(address: SocketAddr) -> Result<Knowledge, Error> {
+    let connection = Connection::open(address, LIMIT).await?;
+    let mut fields = Fields::default();
+    fields.push("Host", address.to_string());
+    let request = head::Request {
+        method: Bytes::from_static(b"GET"),
+        target: Bytes::from_static(TARGET.as_bytes()),
+        old: false,
+        fields,
+    };
+    let mut exchange = Exchange::open(connection, &request, Bytes::new()).await?;
+    let mut body = BytesMut::new();
+    while let Some(data) = exchange.data().await? {
+        body.extend_from_slice(&data);
+    }
+    Ok(postcard::from_bytes(&body)?)
+}
+
+fn take(gate: &Rc<Gate>, peer: &Member, knowledge: Knowledge) {
+    if !knowledge.configuration.is_empty() {
+        gate.offer(&knowledge.configuration.into(), &peer.host);
+    }
+    if gate.roster.borrow().me.reads_store || knowledge.revision <= gate.registry.borrow().revision() {
+        return;
+    }
+    gate.set_current();
+    let items: Vec<Item> = knowledge
+        .entries
+        .into_iter()
+        .map(|(id, revision, bytes)| Item {
+            key: format!("{}{id}", upstream::PREFIX),
+            value: Some(bytes.into()),
+            revision,
+        })
+        .collect();
+    gate.set_items(&items);
+    gate.complete(&items, knowledge.revision);
+    gate.apply_entries();
+}
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,68 @@
+//! A TCP connection with its read buffer.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::BytesMut;
+use tokio::{io::AsyncReadExt, net::TcpStream, time};
+
+/// Bytes of room kept free in a read buffer. Events of a stream have some hundred bytes.
+const READ_BYTES: usize = 4_096;
+/// Time without an acknowledgement after which the operating system gives a connection up. A peer
+/// behind a partition sends no reset.
+const ACK_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// A TCP connection and the bytes that were read from it and not used yet.
+#[derive(Debug)]
+pub struct Connection {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Bytes that were read and not used yet.
+    pub buffer: BytesMut,
+}
+
+impl Connection {
+    /// Takes over an open connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the options of the socket cannot be set.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
+        Ok(Self {
+            stream,
+            buffer: BytesMut::new(),
+        })
+    }
+
+    /// Connects to an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no connection within the limit.
+    pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = time::timeout(limit, TcpStream::connect(address)).await;
+        Self::new(stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??)
+    }
+
+    /// Reads more bytes into the buffer and returns how many; 0 if the other side closed.
+    ///
+    /// Dropping the future loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        self.buffer.reserve(READ_BYTES);
+        self.stream.read_buf(&mut self.buffer).await
+    }
+
+    /// Returns whether nothing arrived since the last use and the other side did not close.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        self.buffer.is_empty()
+            && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`choice`]: homes, configuration readers and witnesses that follow from a view.
 //! - [`rendezvous`]: the hash that makes these choices.
 //! - [`message`]: payloads of [`Ping`], [`Ack`] and [`Update`].
+//! - [`roster`]: membership by gossip alone, where no host list exists.
 //! - [`timing`]: periods and limits.
 //!
 //! # Example
@@ -71,6 +72,7 @@
 pub mod message;
 mod probe;
 pub mod rendezvous;
+pub mod roster;
 pub mod timing;
 pub mod view;
 
--- /dev/null
+++ b/crates/member/src/roster.rs
@@ -0,0 +1,151 @@
+//! Membership by gossip alone, where no host list exists.
+//!
+//! A router knows the addresses of a few seeds. Each router counts a beat and tells some others
+//! the newest beats that it knows; a router whose beat stands still is no longer listed.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use rand::{seq::SliceRandom, Rng};
+use serde::{Deserialize, Serialize};
+use tsw_base::time::{Span, Tick};
+
+/// Time without a new beat after which a router is no longer listed.
+pub const LIVE_FOR: Span = Span::from_millis(1_800);
+/// Time without a new beat after which a router is forgotten.
+const KNOWN_FOR: Span = Span::from_secs(30);
+/// Routers to which each round of gossip goes.
+const FAN_OUT: usize = 3;
+/// Most members in one message, so that it fits into one datagram.
+const MOST_TOLD: usize = 12;
+/// Rounds after which a seed is asked again even though peers are known, so that two parts of a
+/// fleet that found no seed at first find each other.
+const SEED_ROUNDS: u64 = 8;
+
+/// A router as it describes itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Name of the host.
+    pub host: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Number drawn at the start of the process.
+    pub run: u64,
+    /// Counts up while the process runs.
+    pub beat: u64,
+    /// Address for clients.
+    pub client: SocketAddr,
+    /// Address for gossip.
+    pub gossip: SocketAddr,
+    /// Address for reads by other routers.
+    pub control: SocketAddr,
+    /// Whether clients may be sent there.
+    pub ready: bool,
+    /// Whether it read the platform's store lately.
+    pub reads_store: bool,
+    /// Version of the configuration in force there.
+    pub version: u64,
+    /// Revision up to which it knows the upstreams.
+    pub revision: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    member: Member,
+    heard: Tick,
+}
+
+/// What a router knows of the others.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    /// This router.
+    pub me: Member,
+    seeds: Vec<SocketAddr>,
+    peers: IndexMap<String, Peer>,
+    rounds: u64,
+}
+
+impl Roster {
+    /// Makes the roster of a router that knows only seeds.
+    ///
+    /// ```
+    /// use tsw_base::time::{Span, Tick};
+    /// use tsw_member::roster::{Member, Roster, LIVE_FOR};
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let member = |host: &str| Member {
+    ///     host: host.to_owned(), domain: "north".to_owned(), run: 1, beat: 1, client: address,
+    ///     gossip: address, control: address, ready: true, reads_store: true, version: 0, revision: 0,
+    /// };
+    /// let mut roster = Roster::new(member("r1"), Vec::new());
+    /// let now = Tick::from_micros(1);
+    /// roster.hear(now, "r2", &[member("r2")]);
+    /// assert_eq!(roster.live(now).count(), 1);
+    /// assert_eq!(roster.live(now + LIVE_FOR + Span::from_millis(1)).count(), 0);
+    /// ```
+    #[must_use]
+    pub fn new(me: Member, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            me,
+            seeds,
+            peers: IndexMap::new(),
+            rounds: 0,
+        }
+    }
+
+    /// Replaces the addresses of the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Takes what `from` tells. A router is believed about itself; about others only a later beat
+    /// of a known run counts, or a host that is not known.
+    pub fn hear(&mut self, now: Tick, from: &str, members: &[Member]) {
+        for member in members.iter().filter(|member| member.host != self.me.host) {
+            let known = self.peers.get(&member.host);
+            let news = match known {
+                None => true,
+                Some(known) if known.member.run == member.run => known.member.beat < member.beat,
+                Some(known) => member.host == from || !is_live(known, now),
+            };
+            if news {
+                let peer = Peer {
+                    member: member.clone(),
+                    heard: now,
+                };
+                self.peers.insert(member.host.clone(), peer);
+            }
+        }
+    }
+
+    /// Counts a beat and returns the routers to tell and what to tell them.
+    pub fn round(&mut self, now: Tick, rng: &mut impl Rng) -> (Vec<SocketAddr>, Vec<Member>) {
+        self.me.beat += 1;
+        self.rounds += 1;
+        self.peers
+            .retain(|_, peer| now.since(peer.heard) < KNOWN_FOR);
+        let mut live: Vec<&Member> = self.live(now).collect();
+        live.shuffle(rng);
+        let mut to: Vec<SocketAddr> = live.iter().take(FAN_OUT).map(|m| m.gossip).collect();
+        let own = self.me.gossip;
+        let seeds: Vec<SocketAddr> = self.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        if live.is_empty() {
+            to.extend(&seeds);
+        } else if self.rounds.is_multiple_of(SEED_ROUNDS) {
+            to.extend(seeds.choose(rng));
+        }
+        live.shuffle(rng);
+        let told = live.into_iter().take(MOST_TOLD - 1).cloned();
+        let members = std::iter::once(self.me.clone()).chain(told).collect();
+        (to, members)
+    }
+
+    /// Returns the other routers that run.
+    pub fn live(&self, now: Tick) -> impl Iterator<Item = &Member> {
+        let live = self.peers.values().filter(move |peer| is_live(peer, now));
+        live.map(|peer| &peer.member)
+    }
+}
+
+fn is_live(peer: &Peer, now: Tick) -> bool {
+    now.since(peer.heard) <= LIVE_FOR
+}
--- /dev/null
+++ b/crates/relay/src/router.rs
@@ -0,0 +1,182 @@
+//! The state that all requests of a router share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Instant,
+};
+
+use indexmap::IndexMap;
+use tsw_base::time::{Span, Tick};
+use tsw_flow::{
+    budget::Budget,
+    pool::{Entry, Use},
+    service::Service,
+};
+use tsw_http::pool;
+use tsw_route::{adopt, table::Table, Name};
+
+use crate::{dialect::Dialect, metrics::Metrics, wait::Waiters};
+
+/// Value of the clock at the start, so that all events are later than [`Tick::ZERO`].
+const CLOCK_START: Span = Span::from_secs(1);
+
+/// What the operators of the fleet promise about attempts beyond the first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retries {
+    /// Window over which they are counted.
+    pub window: Span,
+    /// Extra attempts for each request.
+    pub ratio: f64,
+    /// Extra attempts of the whole fleet beyond that.
+    pub slack: f64,
+}
+
+/// What a router is told at its start.
+pub struct Options {
+    /// Its failure domain.
+    pub domain: Name,
+    /// Bounds of extra attempts.
+    pub retries: Retries,
+    /// How upstreams are spoken to.
+    pub dialect: Box<dyn Dialect>,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// The state that all requests of a router share.
+pub struct Router {
+    pub(crate) domain: Name,
+    pub(crate) dialect: Box<dyn Dialect>,
+    /// Counters.
+    pub metrics: Metrics,
+    pub(crate) connections: RefCell<pool::Pool>,
+    pub(crate) services: RefCell<IndexMap<Name, Service>>,
+    pub(crate) waiters: RefCell<Waiters>,
+    current: RefCell<adopt::Current>,
+    entries: RefCell<Vec<Entry>>,
+    retries: Retries,
+    routers: Cell<usize>,
+    start: Instant,
+}
+
+impl Router {
+    /// Makes a router that knows no configuration.
+    #[must_use]
+    pub fn new(options: Options) -> Rc<Self> {
+        Rc::new(Self {
+            domain: options.domain,
+            dialect: options.dialect,
+            metrics: options.metrics,
+            connections: RefCell::default(),
+            services: RefCell::default(),
+            waiters: RefCell::default(),
+            current: RefCell::default(),
+            entries: RefCell::default(),
+            retries: options.retries,
+            routers: Cell::new(1),
+            start: Instant::now(),
+        })
+    }
+
+    /// Returns the time.
+    #[must_use]
+    pub fn now(&self) -> Tick {
+        let elapsed = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Tick::ZERO + CLOCK_START + Span::from_micros(elapsed)
+    }
+
+    /// Returns the table in force.
+    #[must_use]
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.current.borrow().table().cloned()
+    }
+
+    /// Offers a table and returns whether it is in force now.
+    pub fn offer(self: &Rc<Self>, table: Table) -> bool {
+        let adopted = self.current.borrow_mut().offer(table);
+        if adopted {
+            self.configure();
+        }
+        adopted
+    }
+
+    /// Takes the upstreams that the platform states now.
+    pub fn set_entries(self: &Rc<Self>, entries: Vec<Entry>) {
+        *self.entries.borrow_mut() = entries;
+        self.configure();
+    }
+
+    fn configure(self: &Rc<Self>) {
+        let Some(table) = self.table() else { return };
+        {
+            let mut services = self.services.borrow_mut();
+            // A service that a later version drops may still run requests.
+            for (name, stated) in &table.services {
+                let service = services.entry(name.clone()).or_insert_with(|| {
+                    let Retries { window, ratio, slack } = self.retries;
+                    Service::new(Budget::new(window, ratio, slack))
+                });
+                service.configure(stated, &table.limits);
+            }
+            let entries = self.entries.borrow();
+            for (name, service) in services.iter_mut() {
+                let own = entries.iter().filter(|entry| entry.service == *name);
+                service.pool.set_entries(own.cloned().collect(), service.engine());
+            }
+        }
+        self.pump_all();
+    }
+
+    /// Takes the number of routers that run, this one included.
+    pub fn set_routers(&self, routers: usize) {
+        self.routers.set(routers.max(1));
+    }
+
+    /// Returns the number of routers that run.
+    #[must_use]
+    pub fn routers(&self) -> usize {
+        self.routers.get()
+    }
+
+    /// Takes what another router uses; an empty list when it ended.
+    pub fn set_others(self: &Rc<Self>, router: &Name, uses: &[(Name, Name, Use)]) {
+        for (name, service) in self.services.borrow_mut().iter_mut() {
+            let own = uses.iter().filter(|(service, ..)| service == name);
+            let own = own.map(|(_, upstream, used)| (upstream.clone(), *used));
+            service.pool.set_others(router, own.collect());
+        }
+        self.pump_all();
+    }
+
+    /// Returns what this router uses: service, upstream and use.
+    #[must_use]
+    pub fn own_use(&self) -> Vec<(Name, Name, Use)> {
+        let services = self.services.borrow();
+        let uses = services.iter().flat_map(|(name, service)| {
+            let own = service.pool.own();
+            own.map(|(upstream, used)| (name.clone(), upstream.clone(), used))
+        });
+        uses.collect()
+    }
+
+    /// Returns the requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let services = self.services.borrow();
+        services.values().map(|service| service.queue.len()).sum()
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn expire_connections(&self) {
+        self.connections.borrow_mut().expire(Instant::now());
+    }
+
+    pub(crate) fn with_service<R>(
+        &self,
+        name: &Name,
+        change: impl FnOnce(&mut Service) -> R,
+    ) -> Option<R> {
+        self.services.borrow_mut().get_mut(name).map(change)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/wait.rs
@@ -0,0 +1,279 @@
+//! Waits until an upstream has room for a request, and holds the place.
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use tokio::{sync::oneshot, time};
+use tsw_base::time::{Span, Tick};
+use tsw_event::{emit, Event};
+use tsw_flow::{
+    pool::Choice,
+    queue::{self, Waiting},
+    service::Service,
+};
+use tsw_route::Name;
+
+use crate::{answer::Refusal, request::Request, router::Router};
+
+/// Requests at the front of the queue that are tried in turn when a place is free. Those behind
+/// them would need the same places.
+const LOOK_AHEAD: usize = 8;
+/// Part of the time that a client has left after which it is asked to come back at the latest.
+/// Clients ignore a longer time.
+const RETURN_PART: u64 = 4;
+/// Shortest time after which a client is asked to come back.
+const RETURN_LEAST: Span = Span::from_millis(100);
+
+/// A place at an upstream for one request. Dropping it frees the place.
+pub struct Place {
+    router: Rc<Router>,
+    service: Name,
+    choice: Choice,
+    unread: bool,
+}
+
+impl Place {
+    /// Returns the upstream.
+    #[must_use]
+    pub const fn choice(&self) -> &Choice {
+        &self.choice
+    }
+
+    /// Notes that the upstream has read the prompt.
+    pub fn read(&mut self) {
+        if std::mem::take(&mut self.unread) {
+            let choice = &self.choice;
+            self.router
+                .with_service(&self.service, |service| service.pool.read(choice));
+            self.router.pump(&self.service);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let (choice, unread) = (&self.choice, self.unread);
+        self.router.with_service(&self.service, |service| {
+            if unread {
+                service.pool.read(choice);
+            }
+            service.pool.end(choice);
+        });
+        self.router.pump(&self.service);
+    }
+}
+
+struct Waiter {
+    request: Rc<Request>,
+    avoid: Vec<Name>,
+    place: oneshot::Sender<Place>,
+}
+
+/// The requests that wait, by service and number.
+#[derive(Default)]
+pub struct Waiters(IndexMap<(Name, u64), Waiter>);
+
+/// Takes a request out of its queue when its task ends first.
+struct Ticket {
+    router: Rc<Router>,
+    service: Name,
+    number: u64,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let key = (self.service.clone(), self.number);
+        self.router.waiters.borrow_mut().0.swap_remove(&key);
+        self.router
+            .with_service(&self.service, |service| service.queue.remove(self.number));
+    }
+}
+
+/// A request was not given a place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// Why.
+    pub refusal: Refusal,
+    /// When the client may come back.
+    pub after: Span,
+}
+
+fn work(request: &Request) -> u64 {
+    request.prompt.as_ref().map_or(1, |prompt| prompt.work())
+}
+
+impl Router {
+    /// Waits until an upstream other than `avoid` has room for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not to be sent any more.
+    pub async fn place(
+        self: &Rc<Self>,
+        request: &Rc<Request>,
+        avoid: &[Name],
+    ) -> Result<Place, Refused> {
+        let now = self.now();
+        let due = request.due();
+        let wait = self.with_service(&request.service, |service| {
+            if service.queue.is_empty() {
+                if let Some(choice) = service.choose(now, &self.domain, request.prompt.as_ref(), avoid) {
+                    return Ok(Ok(begin(service, now, request, choice)));
+                }
+            }
+            if service.pool.takers() == 0 {
+                return Err(Refusal::NoUpstream);
+            }
+            let until = patience(request, due);
+            let ahead = service.backlog(self.routers());
+            if now + ahead >= until {
+                return Err(Refusal::Late);
+            }
+            let objective = request.route.objective.as_micros();
+            let objective = Span::from_micros(u64::try_from(objective).unwrap_or(u64::MAX));
+            Ok(Err((
+                service.queue.push(Waiting {
+                    number: 0,
+                    team: request.team().into(),
+                    work: work(request),
+                    priority: request.priority,
+                    in_time: request.arrived + objective,
+                    until,
+                }),
+                until,
+            )))
+        });
+        let refuse = |refusal| {
+            let after = self.come_back(request);
+            Err(Refused { refusal, after })
+        };
+        let (number, until) = match wait {
+            None => return refuse(Refusal::NoUpstream),
+            Some(Err(refusal)) => return refuse(refusal),
+            Some(Ok(Ok(choice))) => return Ok(self.hold(request, choice)),
+            Some(Ok(Err(ticket))) => ticket,
+        };
+        self.queued(request, avoid, number, until, now).await
+    }
+
+    async fn queued(
+        self: &Rc<Self>,
+        request: &Rc<Request>,
+        avoid: &[Name],
+        number: u64,
+        until: Tick,
+        now: Tick,
+    ) -> Result<Place, Refused> {
+        let (place, granted) = oneshot::channel();
+        let waiter = Waiter {
+            request: request.clone(),
+            avoid: avoid.to_vec(),
+            place,
+        };
+        let key = (request.service.clone(), number);
+        self.waiters.borrow_mut().0.insert(key, waiter);
+        let _ticket = Ticket {
+            router: self.clone(),
+            service: request.service.clone(),
+            number,
+        };
+        self.metrics.waiting.inc();
+        emit(
+            Event::Queued,
+            &[
+                ("request", &request.id),
+                ("team", &request.team()),
+                ("service", &request.service),
+            ],
+        );
+        self.pump(&request.service);
+        let granted = time::timeout(until.since(now).as_duration(), granted).await;
+        self.metrics.waiting.dec();
+        match granted {
+            Ok(Ok(place)) => Ok(place),
+            _ => Err(Refused {
+                refusal: Refusal::Late,
+                after: self.come_back(request),
+            }),
+        }
+    }
+
+    fn hold(self: &Rc<Self>, request: &Request, choice: Choice) -> Place {
+        Place {
+            router: self.clone(),
+            service: request.service.clone(),
+            choice,
+            unread: true,
+        }
+    }
+
+    /// Returns when a refused client is asked to come back: when what waits now has started, at a
+    /// time drawn at random so that clients that were refused together do not return together.
+    fn come_back(&self, request: &Request) -> Span {
+        let backlog = self.with_service(&request.service, |service| service.backlog(self.routers()));
+        let left = request.deadline.since(self.now()).as_micros() / RETURN_PART;
+        let least = RETURN_LEAST.as_micros();
+        let wait = backlog.unwrap_or(RETURN_LEAST).as_micros().max(least);
+        let spread = 1.0 + rand::random::<f64>();
+        let after = (wait as f64 * spread) as u64;
+        Span::from_micros(after.min(left).max(least.min(left)))
+    }
+
+    /// Gives free places of a service to the requests that wait for them.
+    pub fn pump(self: &Rc<Self>, name: &Name) {
+        let now = self.now();
+        let mut given = Vec::new();
+        {
+            let mut services = self.services.borrow_mut();
+            let Some(service) = services.get_mut(name) else {
+                return;
+            };
+            if service.queue.is_empty() {
+                return;
+            }
+            let mut waiters = self.waiters.borrow_mut();
+            let mut blocked = 0;
+            for waiting in service.queue.order(now) {
+                let key = (name.clone(), waiting.number);
+                let Some(waiter) = waiters.0.get(&key) else {
+                    continue;
+                };
+                let prompt = waiter.request.prompt.as_ref();
+                let choice = service.choose(now, &self.domain, prompt, &waiter.avoid);
+                let Some(choice) = choice else {
+                    blocked += 1;
+                    if blocked >= LOOK_AHEAD {
+                        break;
+                    }
+                    continue;
+                };
+                service.queue.remove(waiting.number);
+                let choice = begin(service, now, &waiter.request, choice);
+                let waiter = waiters.0.swap_remove(&key).expect("found above");
+                given.push((waiter, choice));
+            }
+        }
+        for (waiter, choice) in given {
+            let place = self.hold(&waiter.request, choice);
+            // A client that has left drops its receiver; the place is free again when it is dropped.
+            drop(waiter.place.send(place));
+        }
+    }
+
+    /// Gives free places of all services to the requests that wait for them.
+    pub fn pump_all(self: &Rc<Self>) {
+        let names: Vec<Name> = self.services.borrow().keys().cloned().collect();
+        names.iter().for_each(|name| self.pump(name));
+    }
+}
+
+fn begin(service: &mut Service, now: Tick, request: &Request, choice: Choice) -> Choice {
+    service.queue.charge(now, &request.team().into(), work(request));
+    service.pool.begin(&choice, request.prompt.as_ref());
+    choice
+}
+
+fn patience(request: &Request, due: Tick) -> Tick {
+    let objective = u64::try_from(request.route.objective.as_micros()).unwrap_or(u64::MAX);
+    queue::patience(request.arrived, Span::from_micros(objective), due)
+}
--- a/crates/toucand/src/main.rs
+++ b/crates/toucand/src/main.rs
@@ -2,9 +2,9 @@
 
 mod flags;
 
-use std::{panic, process};
+use std::{fs, panic, process};
 
-use tsw_config::settings::Settings;
+use tsw_config::{gateway, settings::Settings};
 
 /// Status of a process that ended because of a panic, as the standard library has it.
 const PANIC_STATUS: i32 = 101;
@@ -22,10 +22,14 @@
 
 fn main() -> eyre::Result<()> {
     let flags = flags::Toucand::from_env_or_exit();
+    let system = actix_rt::System::new();
+    end_on_panic();
+    if gateway::Settings::is_meant(&fs::read_to_string(&flags.config).unwrap_or_default()) {
+        system.block_on(tsw_gate::serve::run(flags.config))?;
+        return Ok(());
+    }
     let settings = Settings::load(&flags.config)?;
     tsw_event::setup::init(&settings.log)?;
-    end_on_panic();
-    let system = actix_rt::System::new();
     system.block_on(toucand::serve::run(settings))?;
     Ok(())
 }
