Start no more work than the engines do in time, by fair shares of the fleet

Cause: engines accept every request and then serve all of them slowly, so that streams miss their pauses and long ones their deadline; the order of the queues knew only the work that one router gave.

Routers tell each other every 100 ms what each team received; the sum is bounded by the work that the operators state as possible. All routers send a prompt to the engine of the highest rank for its shared parts.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! All of them are pure: they take the time as a [`tsw_base::time::Tick`] and hold no sockets.
 //!
+//! - [`account`]: the work that each team received lately from the whole fleet.
 //! - [`prompt`]: what is known of the prompt of a request before it runs.
 //! - [`directory`]: which parts of prompts an engine holds.
 //! - [`pool`]: the upstreams of a service, and which of them serves a request best.
@@ -11,6 +12,7 @@
 //! - [`verdict`]: what follows from the result of an attempt.
 //! - [`service`]: the state of one service, made of the parts above.
 
+pub mod account;
 pub mod budget;
 pub mod directory;
 pub mod pool;
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -13,9 +13,6 @@
 /// request lengthens each step by about 0.1 ms, in which an engine reads 5 to 6 tokens; a prompt
 /// lasts for some ten steps.
 const RUNNING_TOKENS: u64 = 60;
-/// Advantage in tokens of the engine to which a prompt belongs by rendezvous hashing, so that all
-/// routers send prompts with the same parts to the same engines without talking about them.
-const BELONGS: [u64; 2] = [1, 2];
 /// Added to the cost of a plain upstream in another failure domain, in requests.
 const FAR: f64 = 0.3;
 /// Part by which each result moves the failure rate of an upstream.
@@ -306,12 +303,12 @@
     ranks.sort_unstable_by(|a, b| b.cmp(a));
     let shared: u64 = prompt.tokens - prompt.parts.last().map_or(0, |part| part.tokens).min(prompt.tokens);
     let fits = candidates.iter().filter_map(|upstream| {
-        let held = upstream.held.prefix(&prompt.parts);
-        let rank = ranks.iter().position(|(_, id)| *id == &*upstream.entry.id);
-        let bonus = match rank {
-            Some(0) => shared.saturating_sub(held) * BELONGS[0] / BELONGS[1],
-            _ => 0,
-        };
+        let mut held = upstream.held.prefix(&prompt.parts);
+        // All routers send prompts with the same parts to the engine with the highest rank, so
+        // that it holds them even if this router has sent none there.
+        if ranks.first().is_some_and(|(_, id)| **id == *upstream.entry.id) {
+            held = held.max(shared);
+        }
         let unread = prompt.tokens.saturating_sub(held);
         let waiting = upstream.unread();
         let room = waiting == 0 || waiting + unread <= ask.most_unread;
@@ -319,7 +316,7 @@
             return None;
         }
         let running = u64::from(upstream.requests()) * RUNNING_TOKENS;
-        let cost = (waiting + unread + running).saturating_sub(bonus) as f64;
+        let cost = (waiting + unread + running) as f64;
         let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, *upstream, unread))
     });
--- a/crates/flow/src/prompt.rs
+++ b/crates/flow/src/prompt.rs
@@ -14,8 +14,8 @@
 pub struct Prompt {
     /// Tokens of the prompt.
     pub tokens: u64,
-    /// Most tokens that are generated.
-    pub most: u64,
+    /// Tokens that will probably be generated.
+    pub expected: u64,
     /// The parts in their order. The last one belongs to the request or its session.
     pub parts: Vec<Part>,
 }
@@ -26,7 +26,7 @@
     /// ```
     /// use tsw_flow::prompt::{Part, Prompt};
     /// let parts = vec![Part { id: 1, tokens: 500 }, Part { id: 9, tokens: 20 }];
-    /// let prompt = Prompt { tokens: 520, most: 10, parts };
+    /// let prompt = Prompt { tokens: 520, expected: 10, parts };
     /// assert_eq!(prompt.shared().map(|part| part.id), Some(1));
     /// ```
     #[must_use]
@@ -39,6 +39,6 @@
     /// twice, as the operators' limit of the service counts them.
     #[must_use]
     pub const fn work(&self) -> u64 {
-        self.tokens + 2 * self.most
+        self.tokens + 2 * self.expected
     }
 }
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -1,12 +1,9 @@
 //! Who waits, in which order, and who is refused.
 
-use indexmap::IndexMap;
 use tsw_base::time::{Span, Tick};
 use tsw_route::Name;
 
-/// Time in which the work that a team received counts half. Twice this is about the window over
-/// which the operators measure shares.
-const HALF_LIFE_S: f64 = 2.0;
+use crate::account::Accounts;
 
 /// A request that waits.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,18 +22,6 @@
     pub until: Tick,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Received {
-    work: f64,
-    at: Tick,
-}
-
-impl Received {
-    fn at(self, now: Tick) -> f64 {
-        self.work * 0.5f64.powf(now.since(self.at).as_secs_f64() / HALF_LIFE_S)
-    }
-}
-
 /// The waiting requests of a service at one router.
 ///
 /// Requests that can still be in time go first. Among these the team that received least work
@@ -44,7 +29,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiting: Vec<Waiting>,
-    received: IndexMap<Name, Received>,
     next: u64,
 }
 
@@ -69,10 +53,17 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the work of all waiting requests.
+    /// Returns the work of all waiting requests, or of those of one team.
     #[must_use]
-    pub fn work(&self) -> u64 {
-        self.waiting.iter().map(|waiting| waiting.work).sum()
+    pub fn work(&self, team: Option<&str>) -> u64 {
+        let waiting = self.waiting.iter();
+        let counted = waiting.filter(|waiting| team.is_none_or(|team| *waiting.team == *team));
+        counted.map(|waiting| waiting.work).sum()
+    }
+
+    /// Returns the teams of the waiting requests, each as often as it waits.
+    pub fn teams(&self) -> impl Iterator<Item = &Name> {
+        self.waiting.iter().map(|waiting| &waiting.team)
     }
 
     /// Takes a request out.
@@ -87,12 +78,12 @@
         over.collect()
     }
 
-    /// Returns the waiting requests in the order in which they are to be started.
+    /// Returns the waiting requests in the order in which they are to be started, given the work
+    /// that each team received lately.
     #[must_use]
-    pub fn order(&self, now: Tick) -> Vec<Waiting> {
+    pub fn order(&self, now: Tick, accounts: &Accounts) -> Vec<Waiting> {
         let key = |waiting: &Waiting| {
-            let received = self.received.get(&waiting.team);
-            let received = received.map_or(0.0, |received| received.at(now));
+            let received = accounts.received(now, &waiting.team);
             let late = waiting.in_time < now;
             (late, received as u64, waiting.priority, waiting.in_time)
         };
@@ -100,24 +91,16 @@
         order.sort_by(|a, b| a.0.cmp(&b.0));
         order.into_iter().map(|(_, waiting)| waiting.clone()).collect()
     }
-
-    /// Notes that a team receives work.
-    pub fn charge(&mut self, now: Tick, team: &Name, work: u64) {
-        let received = self.received.entry(team.clone()).or_default();
-        *received = Received {
-            work: received.at(now) + work as f64,
-            at: now,
-        };
-    }
 }
 
-/// Returns when a request has to be refused that arrived at `arrived` and cannot start yet.
+/// Part of the objective for which a request waits for its start. The rest is for the run.
+const WAIT_PART: f64 = 0.5;
+
+/// Returns when a request is refused that arrived at `arrived` and cannot start yet.
 ///
-/// A request waits for as long as it could be in time, and beyond that for the part of its time in
-/// which a late answer is still likely to arrive before the client gives up.
+/// A request that starts later is late, and takes the capacity from one that could be in time.
 #[must_use]
 pub fn patience(arrived: Tick, objective: Span, deadline: Tick) -> Tick {
-    let total = deadline.since(arrived).as_micros();
-    let objective = objective.as_micros();
-    arrived + Span::from_micros(objective.max(total / 4).min(total / 2))
+    let wait = Span::from_micros((objective.as_micros() as f64 * WAIT_PART) as u64);
+    (arrived + wait).min(deadline)
 }
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -4,6 +4,7 @@
 use tsw_route::{table, Name};
 
 use crate::{
+    account::{self, Accounts},
     budget::Budget,
     pool::{Ask, Choice, Pool},
     prompt::Prompt,
@@ -27,6 +28,8 @@
 pub struct Service {
     /// Its upstreams.
     pub pool: Pool,
+    /// The work that its teams received lately.
+    pub accounts: Accounts,
     /// Its waiting requests.
     pub queue: Queue,
     /// Its attempts beyond the first.
@@ -41,6 +44,7 @@
     pub fn new(retries: Budget) -> Self {
         Self {
             pool: Pool::default(),
+            accounts: Accounts::default(),
             queue: Queue::default(),
             retries,
             engine: None,
@@ -88,20 +92,46 @@
         self.pool.choose(now, &ask)
     }
 
-    /// Returns how long the requests that wait now need until all of them have started.
-    #[must_use]
-    pub fn backlog(&self, routers: usize) -> Span {
-        let work = self.queue.work();
-        let per_s = match (self.engine, self.tokens_per_s) {
-            (Some(_), tokens) => {
-                let fleet = tokens.unwrap_or(DEFAULT_READ_PER_S * self.pool.takers().max(1) as u64);
-                fleet / routers.max(1) as u64
+    /// Returns the work that the fleet can do in a second.
+    fn work_per_s(&self) -> f64 {
+        match self.engine {
+            Some(_) => {
+                let usual = DEFAULT_READ_PER_S * self.pool.takers().max(1) as u64;
+                self.tokens_per_s.unwrap_or(usual) as f64
             }
-            (None, _) => u64::from(self.pool.slots()) * PLAIN_PER_SLOT_S / routers.max(1) as u64,
-        };
-        Span::from_micros(work.saturating_mul(1_000_000) / per_s.max(1))
+            None => f64::from(self.pool.slots().max(1)) * PLAIN_PER_SLOT_S,
+        }
+    }
+
+    /// Returns whether the fleet may start more work for engines now.
+    ///
+    /// Engines take every request at once and then serve all of them slowly. Work beyond what they
+    /// can do in time waits at the routers, where the team that received least goes first.
+    #[must_use]
+    pub fn may_start(&self, now: Tick) -> bool {
+        self.engine.is_none()
+            || self.accounts.total(now) < self.work_per_s() * LOAD_PART * account::MEMORY_S
+    }
+
+    /// Returns how long a further request of a team would wait, in a fleet of `routers`.
+    ///
+    /// Each team that wants more than its share gets the same share, so that the requests of one
+    /// team wait for those of the same team.
+    #[must_use]
+    pub fn backlog(&self, now: Tick, routers: usize, team: &str) -> Span {
+        let waiting = self.queue.work(Some(team)) as f64;
+        let mut active: Vec<&Name> = self.queue.teams().collect();
+        active.extend(self.accounts.active(now));
+        active.sort_unstable();
+        active.dedup();
+        let share = self.work_per_s() / active.len().max(1) as f64;
+        let rate = share.max(self.accounts.received(now, team) / account::MEMORY_S);
+        let seconds = waiting * routers.max(1) as f64 / rate.max(1.0);
+        Span::from_micros((seconds * 1e6) as u64)
     }
 }
 
 /// Requests that one slot of a plain upstream answers in a second: one takes about 30 ms.
-const PLAIN_PER_SLOT_S: u64 = 30;
+const PLAIN_PER_SLOT_S: f64 = 30.0;
+/// Part of the work that the operators state as possible up to which requests are started.
+const LOAD_PART: f64 = 1.1;
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -9,15 +9,16 @@
 use tsw_event::{emit, Event};
 use tsw_flow::pool::Use;
 use tsw_member::roster::{Member, LIVE_FOR};
+use tsw_relay::router;
 use tsw_route::Name;
 
 use crate::gate::{Gate, Phase};
 
 /// Period of gossip about members.
 const MEMBERS: Duration = Duration::from_millis(250);
-/// Period of the statements about used upstreams in a fleet of up to [`SMALL`] routers. An engine
+/// Period of the statements about what a router does in a fleet of up to [`SMALL`] routers. An engine
 /// reads about two long prompts in this time.
-const USES: Duration = Duration::from_millis(100);
+const ACTIVITIES: Duration = Duration::from_millis(100);
 /// Routers up to which each one tells all others at the full pace. In larger fleets the period
 /// grows with the number of routers, so that each one receives about the same number of messages.
 const SMALL: usize = 8;
@@ -27,7 +28,43 @@
 #[derive(Debug, Deserialize, Serialize)]
 enum Message {
     Members(Vec<Member>),
-    Uses(Vec<(String, String, u32, u64)>),
+    Activities(Vec<Activity>),
+}
+
+/// What one router does for a service, as it is sent.
+#[derive(Debug, Deserialize, Serialize)]
+struct Activity {
+    service: String,
+    /// Upstream, requests and tokens of prompts that are not read yet.
+    uses: Vec<(String, u32, u64)>,
+    /// Team and work that it received lately.
+    received: Vec<(String, f32)>,
+}
+
+impl From<&router::Activity> for Activity {
+    fn from(activity: &router::Activity) -> Self {
+        let uses = activity.uses.iter();
+        let received = activity.received.iter();
+        Self {
+            service: activity.service.to_string(),
+            uses: uses.map(|(id, used)| (id.to_string(), used.requests, used.unread)).collect(),
+            received: received.map(|(team, work)| (team.to_string(), *work as f32)).collect(),
+        }
+    }
+}
+
+impl From<Activity> for router::Activity {
+    fn from(activity: Activity) -> Self {
+        let uses = activity.uses.into_iter();
+        let received = activity.received.into_iter();
+        Self {
+            service: activity.service.into(),
+            uses: uses
+                .map(|(id, requests, unread)| (id.into(), Use { requests, unread }))
+                .collect(),
+            received: received.map(|(team, work)| (team.into(), f64::from(work))).collect(),
+        }
+    }
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -67,26 +104,21 @@
     }
 }
 
-/// Tells other routers which upstreams are used, until the process ends.
-pub async fn tell_uses(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
-    let mut told = Vec::new();
+/// Tells other routers what this router does, until the process ends.
+pub async fn tell_activities(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
     let mut since = Tick::ZERO;
     loop {
         let crowd = gate.router.routers().div_ceil(SMALL) as u32;
-        time::sleep(USES * crowd).await;
-        let uses = gate.router.own_use();
+        time::sleep(ACTIVITIES * crowd).await;
+        let activities = gate.router.activities();
         let now = gate.router.now();
         let repeat = now.since(since).as_duration() > LIVE_FOR.as_duration() / 3;
-        if uses == told && !repeat {
+        if activities.is_empty() && !repeat {
             continue;
         }
         since = now;
         let to: Vec<SocketAddr> = gate.roster.borrow().live(now).map(|peer| peer.gossip).collect();
-        let text = uses.iter().map(|(service, upstream, used)| {
-            (service.to_string(), upstream.to_string(), used.requests, used.unread)
-        });
-        let message = Message::Uses(text.collect());
-        told = uses;
+        let message = Message::Activities(activities.iter().map(Activity::from).collect());
         send(&gate, &socket, &to, message).await;
     }
 }
@@ -125,16 +157,11 @@
             Message::Members(members) => {
                 gate.roster.borrow_mut().hear(now, &datagram.from, &members);
             }
-            Message::Uses(uses) => {
+            Message::Activities(activities) => {
                 let from: Name = datagram.from.as_str().into();
-                let uses: Vec<(Name, Name, Use)> = uses
-                    .into_iter()
-                    .map(|(service, upstream, requests, unread)| {
-                        let used = Use { requests, unread };
-                        (service.into(), upstream.into(), used)
-                    })
-                    .collect();
-                gate.router.set_others(&from, &uses);
+                let activities: Vec<router::Activity> =
+                    activities.into_iter().map(Into::into).collect();
+                gate.router.set_others(&from, &activities);
                 heard.insert(from, now);
             }
         }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -135,7 +135,7 @@
     }
     actix_rt::spawn(gossip::hear(gate.clone(), socket.clone()));
     actix_rt::spawn(gossip::tell_members(gate.clone(), socket.clone()));
-    actix_rt::spawn(gossip::tell_uses(gate.clone(), socket));
+    actix_rt::spawn(gossip::tell_activities(gate.clone(), socket));
     actix_rt::spawn(peer::run(gate.clone()));
     actix_rt::spawn(read::run(gate.clone(), Subject::Configuration));
     actix_rt::spawn(read::run(gate.clone(), Subject::Upstreams));
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -44,6 +44,23 @@
     pub metrics: Metrics,
 }
 
+/// What one router does for a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Activity {
+    /// The service.
+    pub service: Name,
+    /// Use of upstreams.
+    pub uses: Vec<(Name, Use)>,
+    /// Work that teams received lately.
+    pub received: Vec<(Name, f64)>,
+}
+
+impl Activity {
+    fn is_empty(&self) -> bool {
+        self.uses.is_empty() && self.received.is_empty()
+    }
+}
+
 /// The state that all requests of a router share.
 pub struct Router {
     pub(crate) domain: Name,
@@ -139,25 +156,31 @@
         self.routers.get()
     }
 
-    /// Takes what another router uses; an empty list when it ended.
-    pub fn set_others(self: &Rc<Self>, router: &Name, uses: &[(Name, Name, Use)]) {
+    /// Takes what another router did for each service; nothing when it ended.
+    pub fn set_others(self: &Rc<Self>, router: &Name, activities: &[Activity]) {
+        let now = self.now();
         for (name, service) in self.services.borrow_mut().iter_mut() {
-            let own = uses.iter().filter(|(service, ..)| service == name);
-            let own = own.map(|(_, upstream, used)| (upstream.clone(), *used));
-            service.pool.set_others(router, own.collect());
+            let found = activities.iter().find(|activity| activity.service == *name);
+            let (uses, received) = match found {
+                Some(found) => (found.uses.clone(), found.received.clone()),
+                None => Default::default(),
+            };
+            service.pool.set_others(router, uses);
+            service.accounts.set_others(now, router, received);
         }
         self.pump_all();
     }
 
-    /// Returns what this router uses: service, upstream and use.
+    /// Returns what this router does for each service.
     #[must_use]
-    pub fn own_use(&self) -> Vec<(Name, Name, Use)> {
-        let services = self.services.borrow();
-        let uses = services.iter().flat_map(|(name, service)| {
-            let own = service.pool.own();
-            own.map(|(upstream, used)| (name.clone(), upstream.clone(), used))
+    pub fn activities(&self) -> Vec<Activity> {
+        let (services, now) = (self.services.borrow(), self.now());
+        let activities = services.iter().map(|(name, service)| Activity {
+            service: name.clone(),
+            uses: service.pool.own().map(|(id, used)| (id.clone(), used)).collect(),
+            received: service.accounts.own(now).collect(),
         });
-        uses.collect()
+        activities.filter(|activity| !activity.is_empty()).collect()
     }
 
     /// Returns the requests that wait.
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -116,7 +116,7 @@
         let now = self.now();
         let due = request.due();
         let wait = self.with_service(&request.service, |service| {
-            if service.queue.is_empty() {
+            if service.queue.is_empty() && service.may_start(now) {
                 if let Some(choice) = service.choose(now, &self.domain, request.prompt.as_ref(), avoid) {
                     return Ok(Ok(begin(service, now, request, choice)));
                 }
@@ -125,7 +125,7 @@
                 return Err(Refusal::NoUpstream);
             }
             let until = patience(request, due);
-            let ahead = service.backlog(self.routers());
+            let ahead = service.backlog(now, self.routers(), request.team());
             if now + ahead >= until {
                 return Err(Refusal::Late);
             }
@@ -210,8 +210,11 @@
     /// Returns when a refused client is asked to come back: when what waits now has started, at a
     /// time drawn at random so that clients that were refused together do not return together.
     fn come_back(&self, request: &Request) -> Span {
-        let backlog = self.with_service(&request.service, |service| service.backlog(self.routers()));
-        let left = request.deadline.since(self.now()).as_micros() / RETURN_PART;
+        let now = self.now();
+        let backlog = self.with_service(&request.service, |service| {
+            service.backlog(now, self.routers(), request.team())
+        });
+        let left = request.deadline.since(now).as_micros() / RETURN_PART;
         let least = RETURN_LEAST.as_micros();
         let wait = backlog.unwrap_or(RETURN_LEAST).as_micros().max(least);
         let spread = 1.0 + rand::random::<f64>();
@@ -233,7 +236,10 @@
             }
             let mut waiters = self.waiters.borrow_mut();
             let mut blocked = 0;
-            for waiting in service.queue.order(now) {
+            for waiting in service.queue.order(now, &service.accounts) {
+                if !service.may_start(now) {
+                    break;
+                }
                 let key = (name.clone(), waiting.number);
                 let Some(waiter) = waiters.0.get(&key) else {
                     continue;
@@ -268,7 +274,7 @@
 }
 
 fn begin(service: &mut Service, now: Tick, request: &Request, choice: Choice) -> Choice {
-    service.queue.charge(now, &request.team().into(), work(request));
+    service.accounts.charge(now, &request.team().into(), work(request));
     service.pool.begin(&choice, request.prompt.as_ref());
     choice
 }
