Divide the capacity by what all routers were asked

Each router tells what its teams asked for; the max-min level over the fleet bounds each team, also where its requests are alone in a queue.

--- a/crates/flow/src/account.rs
+++ b/crates/flow/src/account.rs
@@ -1,4 +1,4 @@
-//! The work that each team received lately from the whole fleet.
+//! The work that each team asked for and received lately from the whole fleet.
 
 use indexmap::IndexMap;
 use tsw_base::time::Tick;
@@ -7,95 +7,150 @@
 /// Time constant with which work is forgotten, in seconds: half of the window over which the
 /// operators measure shares. Steady work of a rate amounts to the rate times this.
 pub const MEMORY_S: f64 = 2.0;
-/// Work below which a team is not listed, in tokens or requests.
+/// Work below which a team is not told to other routers, in tokens or requests.
 const NEGLIGIBLE: f64 = 0.05;
 
-/// An amount that is forgotten exponentially.
+/// Work that a team asked for and received lately.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Work of all its requests.
+    pub asked: f64,
+    /// Work of its requests that were started.
+    pub received: f64,
+}
+
+impl Work {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            asked: self.asked + other.asked,
+            received: self.received + other.received,
+        }
+    }
+}
+
+/// Work that is forgotten exponentially.
 #[derive(Clone, Copy, Debug, Default)]
 struct Recent {
-    work: f64,
+    work: Work,
     at: Tick,
 }
 
 impl Recent {
-    fn at(self, now: Tick) -> f64 {
-        self.work * (-now.since(self.at).as_secs_f64() / MEMORY_S).exp()
+    fn at(self, now: Tick) -> Work {
+        let left = (-now.since(self.at).as_secs_f64() / MEMORY_S).exp();
+        Work {
+            asked: self.work.asked * left,
+            received: self.work.received * left,
+        }
+    }
+
+    fn add(&mut self, now: Tick, work: Work) {
+        *self = Self {
+            work: self.at(now).plus(work),
+            at: now,
+        };
     }
 }
 
-/// The work that each team received lately: that of this router, and what other routers tell.
+/// The work of each team: that at this router, and what other routers tell.
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
     own: IndexMap<Name, Recent>,
-    told: IndexMap<Name, (Tick, Vec<(Name, f64)>)>,
+    told: IndexMap<Name, (Tick, Vec<(Name, Work)>)>,
     others: IndexMap<Name, Recent>,
 }
 
 impl Accounts {
+    /// Notes that a team asks this router for work.
+    pub fn ask(&mut self, now: Tick, team: &Name, work: u64) {
+        let asked = work as f64;
+        let received = 0.0;
+        let recent = self.own.entry(team.clone()).or_default();
+        recent.add(now, Work { asked, received });
+    }
+
     /// Notes that a team receives work from this router.
     ///
     /// ```
     /// use tsw_base::time::Tick;
-    /// use tsw_flow::account::Accounts;
+    /// use tsw_flow::account::{Accounts, Work};
     /// let mut accounts = Accounts::default();
     /// let now = Tick::from_micros(1);
     /// accounts.charge(now, &"counter".into(), 100);
-    /// accounts.set_others(now, &"r2".into(), vec![("counter".into(), 50.0)]);
-    /// assert_eq!(accounts.received(now, "counter"), 150.0);
+    /// let other = Work { asked: 60.0, received: 50.0 };
+    /// accounts.set_others(now, &"r2".into(), vec![("counter".into(), other)]);
+    /// assert_eq!(accounts.team(now, "counter").received, 150.0);
     /// ```
     pub fn charge(&mut self, now: Tick, team: &Name, work: u64) {
+        let asked = 0.0;
+        let received = work as f64;
         let recent = self.own.entry(team.clone()).or_default();
-        *recent = Recent {
-            work: recent.at(now) + work as f64,
-            at: now,
-        };
+        recent.add(now, Work { asked, received });
     }
 
     /// Takes what another router did; nothing when it ended.
-    pub fn set_others(&mut self, now: Tick, router: &Name, received: Vec<(Name, f64)>) {
-        if received.is_empty() {
+    pub fn set_others(&mut self, now: Tick, router: &Name, work: Vec<(Name, Work)>) {
+        if work.is_empty() {
             self.told.swap_remove(router);
         } else {
-            self.told.insert(router.clone(), (now, received));
+            self.told.insert(router.clone(), (now, work));
         }
         self.others.clear();
-        for (at, received) in self.told.values() {
-            for (team, work) in received {
+        for (at, teams) in self.told.values() {
+            for (team, work) in teams {
                 let told = Recent {
                     work: *work,
                     at: *at,
                 };
                 let sum = self.others.entry(team.clone()).or_default();
-                sum.work += told.at(now);
-                sum.at = now;
+                sum.add(now, told.at(now));
             }
         }
     }
 
-    /// Returns the work that a team received lately.
+    /// Returns the work of a team.
     #[must_use]
-    pub fn received(&self, now: Tick, team: &str) -> f64 {
-        let at = |recent: Option<&Recent>| recent.map_or(0.0, |recent| recent.at(now));
-        at(self.own.get(team)) + at(self.others.get(team))
+    pub fn team(&self, now: Tick, team: &str) -> Work {
+        let at = |recent: Option<&Recent>| recent.map_or(Work::default(), |recent| recent.at(now));
+        at(self.own.get(team)).plus(at(self.others.get(team)))
     }
 
-    /// Returns the work that all teams received lately.
-    #[must_use]
-    pub fn total(&self, now: Tick) -> f64 {
-        let all = self.own.values().chain(self.others.values());
-        all.map(|recent| recent.at(now)).sum()
+    /// Returns the work that teams had from this router.
+    pub fn own(&self, now: Tick) -> impl Iterator<Item = (Name, Work)> + '_ {
+        let own = self.own.iter();
+        let own = own.map(move |(team, recent)| (team.clone(), recent.at(now)));
+        own.filter(|(_, work)| work.asked + work.received >= NEGLIGIBLE)
     }
 
-    /// Returns the work that teams received lately from this router.
-    pub fn own(&self, now: Tick) -> impl Iterator<Item = (Name, f64)> + '_ {
-        let own = self.own.iter().map(move |(team, recent)| (team.clone(), recent.at(now)));
-        own.filter(|(_, work)| *work >= NEGLIGIBLE)
-    }
-
-    /// Returns the teams that received work lately.
-    pub fn active(&self, now: Tick) -> impl Iterator<Item = &Name> {
-        let all = self.own.iter().chain(&self.others);
-        let active = all.filter(move |(_, recent)| recent.at(now) >= NEGLIGIBLE);
-        active.map(|(team, _)| team)
+    /// Returns the work up to which each team is served when `capacity` is divided among them so
+    /// that the least served team gets as much as possible; infinity if all of them get what they
+    /// ask for.
+    ///
+    /// ```
+    /// use tsw_base::time::Tick;
+    /// let (mut accounts, now) = (tsw_flow::account::Accounts::default(), Tick::from_micros(1));
+    /// for (team, work) in [("a", 10), ("b", 100), ("c", 200)] {
+    ///     accounts.ask(now, &team.into(), work);
+    /// }
+    /// assert_eq!(accounts.level(now, 110.0), 50.0);
+    /// assert_eq!(accounts.level(now, 310.0), f64::INFINITY);
+    /// ```
+    #[must_use]
+    pub fn level(&self, now: Tick, capacity: f64) -> f64 {
+        let others = self.others.keys().filter(|team| !self.own.contains_key(*team));
+        let teams = self.own.keys().chain(others);
+        let mut asked: Vec<f64> = teams.map(|team| self.team(now, team).asked).collect();
+        asked.sort_by(f64::total_cmp);
+        let mut left = capacity;
+        let mut teams = asked.len();
+        for asked in asked {
+            let share = left / teams as f64;
+            if asked > share {
+                return share;
+            }
+            left -= asked;
+            teams -= 1;
+        }
+        f64::INFINITY
     }
 }
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -83,7 +83,7 @@
     #[must_use]
     pub fn order(&self, now: Tick, accounts: &Accounts) -> Vec<Waiting> {
         let key = |waiting: &Waiting| {
-            let received = accounts.received(now, &waiting.team);
+            let received = accounts.team(now, &waiting.team).received;
             let late = waiting.in_time < now;
             (late, received as u64, waiting.priority, waiting.in_time)
         };
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -103,30 +103,39 @@
         }
     }
 
-    /// Returns whether the fleet may start more work for engines now.
+    /// Returns the work up to which each team is served now.
     ///
     /// Engines take every request at once and then serve all of them slowly. Work beyond what they
-    /// can do in time waits at the routers, where the team that received least goes first.
+    /// can do in time waits at the routers. Teams ask different routers, so that each router needs
+    /// to know what the others were asked: it must not start the work of one team with the
+    /// capacity that is due to a team that waits elsewhere.
     #[must_use]
-    pub fn may_start(&self, now: Tick) -> bool {
-        self.engine.is_none()
-            || self.accounts.total(now) < self.work_per_s() * LOAD_PART * account::MEMORY_S
+    pub fn level(&self, now: Tick) -> f64 {
+        match self.engine {
+            Some(_) => {
+                let capacity = self.work_per_s() * LOAD_PART * account::MEMORY_S;
+                self.accounts.level(now, capacity)
+            }
+            None => f64::INFINITY,
+        }
     }
 
-    /// Returns how long a further request of a team would wait, in a fleet of `routers`.
-    ///
-    /// Each team that wants more than its share gets the same share, so that the requests of one
-    /// team wait for those of the same team.
+    /// Returns whether a request of a team may be started, given the level.
     #[must_use]
-    pub fn backlog(&self, now: Tick, routers: usize, team: &str) -> Span {
+    pub fn may_start(&self, now: Tick, team: &str, level: f64) -> bool {
+        self.accounts.team(now, team).received < level
+    }
+
+    /// Returns how long a further request of a team would probably wait, given the level: until
+    /// what the team received is forgotten down to the level.
+    #[must_use]
+    pub fn backlog(&self, now: Tick, team: &str, level: f64) -> Span {
         let waiting = self.queue.work(Some(team)) as f64;
-        let mut active: Vec<&Name> = self.queue.teams().collect();
-        active.extend(self.accounts.active(now));
-        active.sort_unstable();
-        active.dedup();
-        let share = self.work_per_s() / active.len().max(1) as f64;
-        let rate = share.max(self.accounts.received(now, team) / account::MEMORY_S);
-        let seconds = waiting * routers.max(1) as f64 / rate.max(1.0);
+        let due = self.accounts.team(now, team).received + waiting;
+        if due <= level {
+            return Span::ZERO;
+        }
+        let seconds = account::MEMORY_S * (due / level.max(1.0)).ln();
         Span::from_micros((seconds * 1e6) as u64)
     }
 }
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -7,7 +7,7 @@
 use tokio::{net::UdpSocket, time};
 use tsw_base::time::Tick;
 use tsw_event::{emit, Event};
-use tsw_flow::pool::Use;
+use tsw_flow::{account::Work, pool::Use};
 use tsw_member::roster::{Member, LIVE_FOR};
 use tsw_relay::router;
 use tsw_route::Name;
@@ -37,18 +37,20 @@
     service: String,
     /// Upstream, requests and tokens of prompts that are not read yet.
     uses: Vec<(String, u32, u64)>,
-    /// Team and work that it received lately.
-    received: Vec<(String, f32)>,
+    /// Team, and work that it asked for and received lately.
+    teams: Vec<(String, f32, f32)>,
 }
 
 impl From<&router::Activity> for Activity {
     fn from(activity: &router::Activity) -> Self {
         let uses = activity.uses.iter();
-        let received = activity.received.iter();
+        let teams = activity.teams.iter();
         Self {
             service: activity.service.to_string(),
             uses: uses.map(|(id, used)| (id.to_string(), used.requests, used.unread)).collect(),
-            received: received.map(|(team, work)| (team.to_string(), *work as f32)).collect(),
+            teams: teams
+                .map(|(team, work)| (team.to_string(), work.asked as f32, work.received as f32))
+                .collect(),
         }
     }
 }
@@ -56,13 +58,18 @@
 impl From<Activity> for router::Activity {
     fn from(activity: Activity) -> Self {
         let uses = activity.uses.into_iter();
-        let received = activity.received.into_iter();
+        let teams = activity.teams.into_iter();
         Self {
             service: activity.service.into(),
             uses: uses
                 .map(|(id, requests, unread)| (id.into(), Use { requests, unread }))
                 .collect(),
-            received: received.map(|(team, work)| (team.into(), f64::from(work))).collect(),
+            teams: teams
+                .map(|(team, asked, received)| {
+                    let (asked, received) = (f64::from(asked), f64::from(received));
+                    (team.into(), Work { asked, received })
+                })
+                .collect(),
         }
     }
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use tsw_base::time::{Span, Tick};
 use tsw_flow::{
+    account::Work,
     budget::Budget,
     pool::{Entry, Use},
     service::Service,
@@ -51,13 +52,13 @@
     pub service: Name,
     /// Use of upstreams.
     pub uses: Vec<(Name, Use)>,
-    /// Work that teams received lately.
-    pub received: Vec<(Name, f64)>,
+    /// Work of teams lately.
+    pub teams: Vec<(Name, Work)>,
 }
 
 impl Activity {
     fn is_empty(&self) -> bool {
-        self.uses.is_empty() && self.received.is_empty()
+        self.uses.is_empty() && self.teams.is_empty()
     }
 }
 
@@ -161,12 +162,12 @@
         let now = self.now();
         for (name, service) in self.services.borrow_mut().iter_mut() {
             let found = activities.iter().find(|activity| activity.service == *name);
-            let (uses, received) = match found {
-                Some(found) => (found.uses.clone(), found.received.clone()),
+            let (uses, teams) = match found {
+                Some(found) => (found.uses.clone(), found.teams.clone()),
                 None => Default::default(),
             };
             service.pool.set_others(router, uses);
-            service.accounts.set_others(now, router, received);
+            service.accounts.set_others(now, router, teams);
         }
         self.pump_all();
     }
@@ -178,7 +179,7 @@
         let activities = services.iter().map(|(name, service)| Activity {
             service: name.clone(),
             uses: service.pool.own().map(|(id, used)| (id.clone(), used)).collect(),
-            received: service.accounts.own(now).collect(),
+            teams: service.accounts.own(now).collect(),
         });
         activities.filter(|activity| !activity.is_empty()).collect()
     }
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -116,7 +116,10 @@
         let now = self.now();
         let due = request.due();
         let wait = self.with_service(&request.service, |service| {
-            if service.queue.is_empty() && service.may_start(now) {
+            let level = service.level(now);
+            let team = request.team();
+            service.accounts.ask(now, &team.into(), work(request));
+            if service.queue.is_empty() && service.may_start(now, team, level) {
                 if let Some(choice) = service.choose(now, &self.domain, request.prompt.as_ref(), avoid) {
                     return Ok(Ok(begin(service, now, request, choice)));
                 }
@@ -125,7 +128,7 @@
                 return Err(Refusal::NoUpstream);
             }
             let until = patience(request, due);
-            let ahead = service.backlog(now, self.routers(), request.team());
+            let ahead = service.backlog(now, team, level);
             if now + ahead >= until {
                 return Err(Refusal::Late);
             }
@@ -212,7 +215,7 @@
     fn come_back(&self, request: &Request) -> Span {
         let now = self.now();
         let backlog = self.with_service(&request.service, |service| {
-            service.backlog(now, self.routers(), request.team())
+            service.backlog(now, request.team(), service.level(now))
         });
         let left = request.deadline.since(now).as_micros() / RETURN_PART;
         let least = RETURN_LEAST.as_micros();
@@ -236,9 +239,10 @@
             }
             let mut waiters = self.waiters.borrow_mut();
             let mut blocked = 0;
+            let level = service.level(now);
             for waiting in service.queue.order(now, &service.accounts) {
-                if !service.may_start(now) {
-                    break;
+                if !service.may_start(now, &waiting.team, level) {
+                    continue;
                 }
                 let key = (name.clone(), waiting.number);
                 let Some(waiter) = waiters.0.get(&key) else {
