Take a quiet watch of the upstreams for an answer of the store

Ruled out by the raw entries: delayed heartbeats; these are refused by their number all the same.

The store counts as lost after a failed read if no peer reads it either.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -1,10 +1,6 @@
 //! The YAML settings of a router on the users' platform.
 
-use std::{
-    fs,
-    net::SocketAddr,
-    path::Path,
-};
+use std::{fs, net::SocketAddr, path::Path};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/flow/src/account.rs
+++ b/crates/flow/src/account.rs
@@ -137,7 +137,10 @@
     /// ```
     #[must_use]
     pub fn level(&self, now: Tick, capacity: f64) -> f64 {
-        let others = self.others.keys().filter(|team| !self.own.contains_key(*team));
+        let others = self
+            .others
+            .keys()
+            .filter(|team| !self.own.contains_key(*team));
         let teams = self.own.keys().chain(others);
         let mut asked: Vec<f64> = teams.map(|team| self.team(now, team).asked).collect();
         asked.sort_by(f64::total_cmp);
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -57,7 +57,9 @@
     /// Returns the tokens at the start of a prompt that need not be read again.
     #[must_use]
     pub fn prefix(&self, parts: &[Part]) -> u64 {
-        let held = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        let held = parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id));
         held.map(|part| part.tokens).sum()
     }
 }
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -42,6 +42,8 @@
     pub leaving: bool,
     /// Its start. An upstream that starts again under its name knows nothing of before.
     pub born: u64,
+    /// Counts what it says of itself since its start.
+    pub seq: u64,
 }
 
 /// Use of an upstream by one router.
@@ -187,7 +189,10 @@
 
     /// Returns what this router uses.
     pub fn own(&self) -> impl Iterator<Item = (&Name, Use)> {
-        let used = self.upstreams.iter().map(|(id, upstream)| (id, upstream.own));
+        let used = self
+            .upstreams
+            .iter()
+            .map(|(id, upstream)| (id, upstream.own));
         used.filter(|(_, used)| *used != Use::default())
     }
 
@@ -301,12 +306,20 @@
         })
         .collect();
     ranks.sort_unstable_by(|a, b| b.cmp(a));
-    let shared: u64 = prompt.tokens - prompt.parts.last().map_or(0, |part| part.tokens).min(prompt.tokens);
+    let shared: u64 = prompt.tokens
+        - prompt
+            .parts
+            .last()
+            .map_or(0, |part| part.tokens)
+            .min(prompt.tokens);
     let fits = candidates.iter().filter_map(|upstream| {
         let mut held = upstream.held.prefix(&prompt.parts);
         // All routers send prompts with the same parts to the engine with the highest rank, so
         // that it holds them even if this router has sent none there.
-        if ranks.first().is_some_and(|(_, id)| **id == *upstream.entry.id) {
+        if ranks
+            .first()
+            .is_some_and(|(_, id)| **id == *upstream.entry.id)
+        {
             held = held.max(shared);
         }
         let unread = prompt.tokens.saturating_sub(held);
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -68,7 +68,10 @@
 
     /// Takes a request out.
     pub fn remove(&mut self, number: u64) -> Option<Waiting> {
-        let found = self.waiting.iter().position(|waiting| waiting.number == number)?;
+        let found = self
+            .waiting
+            .iter()
+            .position(|waiting| waiting.number == number)?;
         Some(self.waiting.remove(found))
     }
 
@@ -82,14 +85,13 @@
     /// that each team received lately.
     #[must_use]
     pub fn order(&self, now: Tick, accounts: &Accounts) -> Vec<Waiting> {
-        let key = |waiting: &Waiting| {
+        let mut order = self.waiting.clone();
+        order.sort_by_cached_key(|waiting| {
             let received = accounts.team(now, &waiting.team).received;
             let late = waiting.in_time < now;
             (late, received as u64, waiting.priority, waiting.in_time)
-        };
-        let mut order: Vec<_> = self.waiting.iter().map(|w| (key(w), w)).collect();
-        order.sort_by(|a, b| a.0.cmp(&b.0));
-        order.into_iter().map(|(_, waiting)| waiting.clone()).collect()
+        });
+        order
     }
 }
 
--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -49,36 +49,56 @@
     }
 
     /// Takes the content of one key: `None` if it was removed, and an entry without content if it
-    /// names no upstream to use. Changes older than what is known are ignored.
+    /// names no upstream to use. Returns whether it counts.
+    ///
+    /// Changes of an older revision do not count, nor do heartbeats that were delayed on their way
+    /// and written after a later one of the same upstream.
     ///
     /// ```
     /// use tsw_base::time::Tick;
     /// use tsw_flow::{pool::Entry, registry::Registry};
     /// let entry = Entry {
     ///     id: "i-1".into(), service: "desk".into(), address: "10.0.0.9:80".parse().unwrap(),
-    ///     domain: "north".into(), slots: 6, leaving: false, born: 0,
+    ///     domain: "north".into(), slots: 6, leaving: false, born: 0, seq: 0,
     /// };
     /// let mut registry = Registry::default();
     /// registry.set(Tick::ZERO, &"i-1".into(), 5, Some(Some(entry)));
     /// registry.set(Tick::ZERO, &"i-1".into(), 4, None);
     /// assert_eq!(registry.entries(Tick::ZERO).len(), 1);
     /// ```
-    pub fn set(&mut self, now: Tick, key: &Name, revision: u64, content: Option<Option<Entry>>) {
-        let known = self.listed.get(key).map_or(0, |listed| listed.revision);
-        if revision <= known {
-            return;
+    pub fn set(
+        &mut self,
+        now: Tick,
+        key: &Name,
+        revision: u64,
+        content: Option<Option<Entry>>,
+    ) -> bool {
+        let known = self.listed.get_mut(key);
+        if known
+            .as_ref()
+            .is_some_and(|known| revision <= known.revision)
+        {
+            return false;
         }
-        match content {
-            Some(entry) => {
-                let listed = Listed {
-                    entry,
-                    revision,
-                    lapsed: false,
-                };
-                self.listed.insert(key.clone(), listed);
+        let Some(entry) = content else {
+            self.remove(now, key, revision);
+            return true;
+        };
+        if let (Some(known), Some(entry)) = (known, &entry) {
+            let newest = known.entry.as_ref().map(|entry| (entry.born, entry.seq));
+            if newest > Some((entry.born, entry.seq)) {
+                known.revision = revision;
+                known.lapsed = false;
+                return false;
             }
-            None => self.remove(now, key, revision),
         }
+        let listed = Listed {
+            entry,
+            revision,
+            lapsed: false,
+        };
+        self.listed.insert(key.clone(), listed);
+        true
     }
 
     fn remove(&mut self, now: Tick, key: &Name, revision: u64) {
@@ -116,7 +136,10 @@
         if !self.away && now >= self.settled {
             self.listed.retain(|_, listed| !listed.lapsed);
         }
-        let entries = self.listed.values().filter_map(|listed| listed.entry.clone());
+        let entries = self
+            .listed
+            .values()
+            .filter_map(|listed| listed.entry.clone());
         entries.collect()
     }
 }
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -68,7 +68,9 @@
     #[must_use]
     pub fn read_per_s(&self) -> u64 {
         let takers = self.pool.takers().max(1) as u64;
-        let stated = self.tokens_per_s.map(|tokens| tokens * READ_PER_WORK / takers);
+        let stated = self
+            .tokens_per_s
+            .map(|tokens| tokens * READ_PER_WORK / takers);
         stated.unwrap_or(DEFAULT_READ_PER_S).max(1)
     }
 
--- /dev/null
+++ b/crates/flow/tests/registry.rs
@@ -0,0 +1,106 @@
+//! Guards against requests to upstreams that have left, and against the loss of upstreams that are
+//! alive.
+
+use tsw_base::time::{Span, Tick};
+use tsw_flow::{pool::Entry, registry::Registry};
+use tsw_route::Name;
+
+fn entry(id: &str, born: u64, seq: u64, leaving: bool) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "desk".into(),
+        address: "10.0.0.9:80".parse().expect("an address"),
+        domain: "north".into(),
+        slots: 6,
+        leaving,
+        born,
+        seq,
+    }
+}
+
+fn at(millis: u64) -> Tick {
+    Tick::ZERO + Span::from_millis(millis)
+}
+
+fn key() -> Name {
+    "a".into()
+}
+
+#[test]
+fn delayed_heartbeat_does_not_bring_a_leaving_upstream_back() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 4, false))));
+    registry.set(at(10), &key(), 2, Some(Some(entry("a", 7, 5, true))));
+    // The heartbeat before was delayed on its way and was written last.
+    let taken = registry.set(at(20), &key(), 3, Some(Some(entry("a", 7, 4, false))));
+    assert!(!taken);
+    assert!(registry.entries(at(20))[0].leaving);
+}
+
+#[test]
+fn heartbeat_of_a_former_run_does_not_replace_the_present_one() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 1, Some(Some(entry("a", 9, 1, false))));
+    registry.set(at(10), &key(), 2, Some(Some(entry("a", 7, 50, true))));
+    assert!(!registry.entries(at(10))[0].leaving);
+}
+
+#[test]
+fn upstream_that_starts_again_counts_anew() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 50, true))));
+    registry.set(at(10), &key(), 2, Some(Some(entry("a", 9, 1, false))));
+    assert!(!registry.entries(at(10))[0].leaving);
+}
+
+#[test]
+fn malformed_entry_names_no_upstream() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 1, false))));
+    registry.set(at(10), &key(), 2, Some(None));
+    assert!(registry.entries(at(10)).is_empty());
+}
+
+#[test]
+fn entries_that_lapsed_while_the_platform_was_away_are_used_until_they_are_back() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 1, false))));
+    registry.lost();
+    registry.regained(at(5_000));
+    registry.complete(at(5_000), 9, &[]);
+    assert_eq!(
+        registry.entries(at(6_900)).len(),
+        1,
+        "it may still come back"
+    );
+    assert!(
+        registry.entries(at(7_400)).is_empty(),
+        "it has not come back"
+    );
+}
+
+#[test]
+fn entry_that_is_removed_while_the_platform_is_there_is_gone_at_once() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 1, false))));
+    registry.set(at(10), &key(), 2, None);
+    assert!(registry.entries(at(10)).is_empty());
+}
+
+#[test]
+fn leaving_upstream_that_lapsed_while_the_platform_was_away_is_gone() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 1, true))));
+    registry.lost();
+    registry.regained(at(5_000));
+    registry.complete(at(5_000), 9, &[]);
+    assert!(registry.entries(at(5_000)).is_empty());
+}
+
+#[test]
+fn change_older_than_what_is_known_is_ignored() {
+    let mut registry = Registry::default();
+    registry.set(at(0), &key(), 5, Some(Some(entry("a", 7, 1, false))));
+    registry.set(at(10), &key(), 4, None);
+    assert_eq!(registry.entries(at(10)).len(), 1);
+}
--- a/crates/gate/src/accept.rs
+++ b/crates/gate/src/accept.rs
@@ -11,7 +11,10 @@
     answer::{Own, Refusal},
     request::Request,
 };
-use tsw_route::{table::{Route, Table, Team}, Name};
+use tsw_route::{
+    table::{Route, Table, Team},
+    Name,
+};
 
 /// Time after which a client may come back to a router that knows no configuration yet. It learns
 /// one from a peer or the store within a few round trips.
@@ -43,7 +46,11 @@
 /// # Errors
 ///
 /// Returns the answer to a request that is not allowed.
-pub fn check(head: &head::Request, table: Option<&Rc<Table>>, draw: u64) -> Result<Allowed, Denied> {
+pub fn check(
+    head: &head::Request,
+    table: Option<&Rc<Table>>,
+    draw: u64,
+) -> Result<Allowed, Denied> {
     let stated = front::read(head);
     let deny = |own| {
         let id = stated.id.clone();
@@ -86,7 +93,9 @@
         front::strip(&mut fields);
         let wait = match self.deadline_ms {
             Some(ms) => Span::from_millis(ms),
-            None => Span::from_micros(u64::try_from(self.route.timeout.as_micros()).unwrap_or(u64::MAX)),
+            None => {
+                Span::from_micros(u64::try_from(self.route.timeout.as_micros()).unwrap_or(u64::MAX))
+            }
         };
         let rank = self.team.as_ref().and_then(|team| team.priority);
         Request {
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -62,7 +62,10 @@
 pub async fn serve(gate: Rc<Gate>, stream: TcpStream) -> io::Result<()> {
     let mut connection = Connection::new(stream)?;
     loop {
-        let limits = gate.router.table().map_or(Limits::default(), |table| table.limits);
+        let limits = gate
+            .router
+            .table()
+            .map_or(Limits::default(), |table| table.limits);
         let head = match next(&gate, &mut connection, &limits).await? {
             Next::Request(head) => head,
             Next::Fault(own) => return refuse(&gate, connection, own).await,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use tokio::sync::watch;
-use tsw_base::time::{Span, Tick};
 use tsw_config::gateway;
 use tsw_event::{emit, Event};
 use tsw_flow::registry::Registry;
@@ -17,10 +16,6 @@
 use tsw_relay::router::Router;
 use tsw_route::Name;
 
-/// Time without a read of the store, by this router or a peer, after which entries that disappear
-/// are not taken for upstreams that ended. Reads are repeated several times a second.
-const AWAY_AFTER: Span = Span::from_millis(1_200);
-
 /// Phase of the life of a process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -57,10 +52,6 @@
     pub phase: watch::Sender<Phase>,
     /// Requests that were read and not answered.
     pub in_flight: Cell<usize>,
-    /// Last read of the store by this router.
-    pub read: Cell<Tick>,
-    /// Last time at which the store's content was known to be current, also from a peer.
-    pub current: Cell<Tick>,
 }
 
 impl Gate {
@@ -70,25 +61,30 @@
         *self.phase.borrow() == Phase::Serving && self.router.table().is_some()
     }
 
-    /// Notes that what this router knows of the store is current.
-    pub fn set_current(&self) {
+    /// Notes whether the upstreams could be read from the store.
+    ///
+    /// Entries that disappear while neither this router nor a peer reads the store are not taken
+    /// for upstreams that ended.
+    pub fn set_reads_store(&self, reads: bool) {
         let now = self.router.now();
-        self.current.set(now);
-        self.registry.borrow_mut().regained(now);
+        self.roster.borrow_mut().me.reads_store = reads;
+        let peer_reads = self.roster.borrow().live(now).any(|peer| peer.reads_store);
+        let mut registry = self.registry.borrow_mut();
+        if reads {
+            registry.regained(now);
+        } else if !peer_reads {
+            registry.lost();
+        }
     }
 
-    /// Notes how old the knowledge of the store is, and forgets upstreams that have not come back.
+    /// Applies what depends on the time and tells the roster about this router.
     pub fn tick(&self) {
         let now = self.router.now();
-        if now.since(self.current.get()) > AWAY_AFTER {
-            self.registry.borrow_mut().lost();
-        }
         self.apply_entries();
         let mut roster = self.roster.borrow_mut();
         roster.me.ready = self.is_ready();
         roster.me.version = self.router.table().map_or(0, |table| table.version);
         roster.me.revision = self.registry.borrow().revision();
-        roster.me.reads_store = now.since(self.read.get()) <= AWAY_AFTER;
         self.router.set_routers(1 + roster.live(now).count());
     }
 
@@ -126,14 +122,19 @@
                 continue;
             };
             let key: Name = id.into();
-            let content = item.value.as_ref().map(|bytes| match upstream::decode(id, bytes) {
-                Ok(entry) => Some(entry),
-                Err(error) => {
-                    emit(Event::EntryRejected, &[("entry", &id), ("cause", &error)]);
-                    None
-                }
-            });
-            registry.set(now, &key, item.revision, content);
+            let content = item
+                .value
+                .as_ref()
+                .map(|bytes| match upstream::decode(id, bytes) {
+                    Ok(entry) => Some(entry),
+                    Err(error) => {
+                        emit(Event::EntryRejected, &[("entry", &id), ("cause", &error)]);
+                        None
+                    }
+                });
+            if !registry.set(now, &key, item.revision, content) {
+                continue;
+            }
             match &item.value {
                 Some(bytes) => {
                     stored.entries.insert(key, (item.revision, bytes.clone()));
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -47,7 +47,9 @@
         let teams = activity.teams.iter();
         Self {
             service: activity.service.to_string(),
-            uses: uses.map(|(id, used)| (id.to_string(), used.requests, used.unread)).collect(),
+            uses: uses
+                .map(|(id, used)| (id.to_string(), used.requests, used.unread))
+                .collect(),
             teams: teams
                 .map(|(team, work)| (team.to_string(), work.asked as f32, work.received as f32))
                 .collect(),
@@ -89,7 +91,10 @@
     for address in to {
         // A datagram may be lost on its way as well; the next one says the same or more.
         if let Err(error) = socket.send_to(&bytes, address).await {
-            emit(Event::InternalFailed, &[("peer", address), ("cause", &error)]);
+            emit(
+                Event::InternalFailed,
+                &[("peer", address), ("cause", &error)],
+            );
         }
     }
 }
@@ -103,7 +108,12 @@
         let (mut to, members) = gate.roster.borrow_mut().round(now, &mut rand::thread_rng());
         if *phase.borrow_and_update() != Phase::Serving {
             // Clients must not be sent to a router that stops.
-            to = gate.roster.borrow().live(now).map(|peer| peer.gossip).collect();
+            to = gate
+                .roster
+                .borrow()
+                .live(now)
+                .map(|peer| peer.gossip)
+                .collect();
         }
         send(&gate, &socket, &to, Message::Members(members)).await;
         // The end of the phase is told at once.
@@ -124,7 +134,12 @@
             continue;
         }
         since = now;
-        let to: Vec<SocketAddr> = gate.roster.borrow().live(now).map(|peer| peer.gossip).collect();
+        let to: Vec<SocketAddr> = gate
+            .roster
+            .borrow()
+            .live(now)
+            .map(|peer| peer.gossip)
+            .collect();
         let message = Message::Activities(activities.iter().map(Activity::from).collect());
         send(&gate, &socket, &to, message).await;
     }
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -92,17 +92,13 @@
     let now = gate.router.now();
     let roster = gate.roster.borrow();
     let (version, revision) = (roster.me.version, roster.me.revision);
-    if !roster.me.reads_store {
-        let same = roster.live(now).any(|peer| peer.reads_store && peer.revision <= revision);
-        if same && revision > 0 {
-            gate.set_current();
-        }
-    }
     let newer = roster.live(now).filter(|peer| {
         let upstreams = peer.reads_store && !roster.me.reads_store && peer.revision > revision;
         peer.version > version || upstreams
     });
-    newer.max_by_key(|peer| (peer.version, peer.revision)).cloned()
+    newer
+        .max_by_key(|peer| (peer.version, peer.revision))
+        .cloned()
 }
 
 async fn fetch(address: SocketAddr) -> Result<Knowledge, Error> {
@@ -127,10 +123,12 @@
     if !knowledge.configuration.is_empty() {
         gate.offer(&knowledge.configuration.into(), &peer.host);
     }
-    if gate.roster.borrow().me.reads_store || knowledge.revision <= gate.registry.borrow().revision() {
+    if gate.roster.borrow().me.reads_store
+        || knowledge.revision <= gate.registry.borrow().revision()
+    {
         return;
     }
-    gate.set_current();
+    gate.registry.borrow_mut().regained(gate.router.now());
     let items: Vec<Item> = knowledge
         .entries
         .into_iter()
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -16,8 +16,8 @@
 /// Longest wait of one watch. A watch whose connection has gone silent is noticed after this time
 /// and the time for an answer, well within the time in which a configuration has to be in force.
 const WATCH: Duration = Duration::from_millis(900);
-/// Pause after a watch of the upstreams, which change with each of their heartbeats.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a watch of the upstreams, so that many changes in a row are read together.
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -57,6 +57,9 @@
                 _ => emit(Event::PlatformUp, &[("subject", &subject.prefix())]),
             }
         }
+        if subject == Subject::Upstreams && !matches!(result, Err(Error::Compacted)) {
+            gate.set_reads_store(result.is_ok());
+        }
         match result {
             Ok((items, complete)) => {
                 revision = items.revision;
@@ -81,16 +84,17 @@
 }
 
 fn take(gate: &Rc<Gate>, subject: Subject, items: &Items, complete: bool) {
-    gate.read.set(gate.router.now());
     match subject {
         Subject::Configuration => {
-            let newest = items.items.iter().filter(|item| item.key == configuration::KEY);
+            let newest = items
+                .items
+                .iter()
+                .filter(|item| item.key == configuration::KEY);
             for bytes in newest.filter_map(|item| item.value.as_ref()) {
                 gate.offer(bytes, "store");
             }
         }
         Subject::Upstreams => {
-            gate.set_current();
             gate.set_items(&items.items);
             if complete {
                 gate.complete(&items.items, items.revision);
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -16,7 +16,7 @@
     sync::watch,
     time,
 };
-use tsw_base::time::{Span, Tick};
+use tsw_base::time::Span;
 use tsw_config::{gateway, settings};
 use tsw_event::{emit, Event};
 use tsw_flow::registry::Registry;
@@ -127,7 +127,10 @@
     })?);
     emit(
         Event::Started,
-        &[("host", &gate.settings.borrow().host), ("client", &listen.client)],
+        &[
+            ("host", &gate.settings.borrow().host),
+            ("client", &listen.client),
+        ],
     );
     let front = actix_rt::spawn(accept(gate.clone(), clients, client::serve));
     for listener in calls {
@@ -184,8 +187,6 @@
         stored: RefCell::new(Stored::default()),
         phase: watch::Sender::new(Phase::Serving),
         in_flight: Cell::new(0),
-        read: Cell::new(Tick::ZERO),
-        current: Cell::new(Tick::ZERO),
     }))
 }
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -156,7 +156,9 @@
 }
 
 fn data(buffer: &mut BytesMut, most: u64) -> Option<Bytes> {
-    let length = usize::try_from(most).unwrap_or(usize::MAX).min(buffer.len());
+    let length = usize::try_from(most)
+        .unwrap_or(usize::MAX)
+        .min(buffer.len());
     (length > 0).then(|| buffer.split_to(length).freeze())
 }
 
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -154,7 +154,10 @@
     #[must_use]
     pub fn finish(self) -> Option<Reusable> {
         let clean = self.decoder.is_done() && self.whole && self.connection.buffer.is_empty();
-        if !clean || !self.head.keeps_alive() || self.head.length(b"GET") == Ok(body::Length::UntilClose) {
+        if !clean
+            || !self.head.keeps_alive()
+            || self.head.length(b"GET") == Ok(body::Length::UntilClose)
+        {
             return None;
         }
         Some(Reusable {
@@ -167,6 +170,8 @@
 fn keep_alive(fields: &Fields) -> Option<Duration> {
     let text = fields.text("keep-alive")?;
     let parts = text.split(',').map(str::trim);
-    let seconds = parts.filter_map(|part| part.strip_prefix("timeout=")).next();
+    let seconds = parts
+        .filter_map(|part| part.strip_prefix("timeout="))
+        .next();
     Some(Duration::from_secs(seconds?.trim().parse().ok()?))
 }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -127,7 +127,12 @@
         live.shuffle(rng);
         let mut to: Vec<SocketAddr> = live.iter().take(FAN_OUT).map(|m| m.gossip).collect();
         let own = self.me.gossip;
-        let seeds: Vec<SocketAddr> = self.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        let seeds: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| *seed != own)
+            .collect();
         if live.is_empty() {
             to.extend(&seeds);
         } else if self.rounds.is_multiple_of(SEED_ROUNDS) {
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -83,7 +83,10 @@
     /// cannot be understood.
     #[must_use]
     pub const fn closes(self) -> bool {
-        matches!(self, Self::Malformed | Self::Slow | Self::Long | Self::LongHead)
+        matches!(
+            self,
+            Self::Malformed | Self::Slow | Self::Long | Self::LongHead
+        )
     }
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -15,11 +15,7 @@
     exchange::{Error, Exchange},
 };
 
-use crate::{
-    request::Request,
-    router::Router,
-    wait::Place,
-};
+use crate::{request::Request, router::Router, wait::Place};
 
 /// Longest time to make a connection to an upstream. It takes one round trip and about a
 /// millisecond of the upstream.
@@ -127,11 +123,17 @@
         let status = exchange.head().status;
         let report = self.dialect.report(request, exchange.head());
         if report.own == Some(false) {
-            return Err(Failed::new(Fault::Broken, "the response is to another request"));
+            return Err(Failed::new(
+                Fault::Broken,
+                "the response is to another request",
+            ));
         }
         if report.not_run {
             self.keep(address, exchange).await;
-            return Err(Failed::new(Fault::NotRun, format!("not run, status {status}")));
+            return Err(Failed::new(
+                Fault::NotRun,
+                format!("not run, status {status}"),
+            ));
         }
         if report.own.is_none() && (200..300).contains(&status) {
             return Err(Failed::new(Fault::Broken, "the response names no request"));
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    exponential_buckets, Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    exponential_buckets, Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Counters and latency histograms of a router.
@@ -51,7 +52,10 @@
             )?,
             waiting: IntGauge::new("relay_waiting", "Requests that wait for an upstream")?,
             wait: histogram("relay_wait_seconds", "Time until an upstream had room")?,
-            first: histogram("relay_first_seconds", "Time until the first event or answer")?,
+            first: histogram(
+                "relay_first_seconds",
+                "Time until the first event or answer",
+            )?,
             whole: histogram("relay_whole_seconds", "Time until the end of the answer")?,
         };
         let registry = &metrics.registry;
--- a/crates/relay/src/responder.rs
+++ b/crates/relay/src/responder.rs
@@ -67,7 +67,12 @@
             fields.push("Connection", "close");
         }
         let old = false;
-        Response { status, old, fields }.write(&mut self.out);
+        Response {
+            status,
+            old,
+            fields,
+        }
+        .write(&mut self.out);
     }
 
     async fn flush(&mut self) -> io::Result<()> {
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -132,7 +132,11 @@
             // A service that a later version drops may still run requests.
             for (name, stated) in &table.services {
                 let service = services.entry(name.clone()).or_insert_with(|| {
-                    let Retries { window, ratio, slack } = self.retries;
+                    let Retries {
+                        window,
+                        ratio,
+                        slack,
+                    } = self.retries;
                     Service::new(Budget::new(window, ratio, slack))
                 });
                 service.configure(stated, &table.limits);
@@ -140,7 +144,9 @@
             let entries = self.entries.borrow();
             for (name, service) in services.iter_mut() {
                 let own = entries.iter().filter(|entry| entry.service == *name);
-                service.pool.set_entries(own.cloned().collect(), service.engine());
+                service
+                    .pool
+                    .set_entries(own.cloned().collect(), service.engine());
             }
         }
         self.pump_all();
@@ -178,7 +184,11 @@
         let (services, now) = (self.services.borrow(), self.now());
         let activities = services.iter().map(|(name, service)| Activity {
             service: name.clone(),
-            uses: service.pool.own().map(|(id, used)| (id.clone(), used)).collect(),
+            uses: service
+                .pool
+                .own()
+                .map(|(id, used)| (id.clone(), used))
+                .collect(),
             teams: service.accounts.own(now).collect(),
         });
         activities.filter(|activity| !activity.is_empty()).collect()
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -137,7 +137,9 @@
             };
             self.note(&upstream, &failed);
             let attempts = self.request.route.attempts;
-            let next = self.tried.next(self.request.route.kind, attempts, failed.fault);
+            let next = self
+                .tried
+                .next(self.request.route.kind, attempts, failed.fault);
             let answer = match next {
                 Next::Reconnect => None,
                 Next::Retry if self.allow_retry() => None,
@@ -192,7 +194,8 @@
     fn silence_ends(&self, since: Tick) -> Tick {
         let (route, due) = (&self.request.route, self.request.due());
         let more = self.tried.runs < route.attempts;
-        let micros = |time: std::time::Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let micros =
+            |time: std::time::Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         let limit = match route.kind {
             Kind::Idempotent => micros(route.objective) * SILENT_OBJECTIVES,
             Kind::Stream { resumable: true } if self.last.is_some() => {
@@ -216,7 +219,11 @@
             .router
             .send(self.request, place, self.last.as_ref(), until)
             .await;
-        if let Err(Failed { fault: Fault::Unreachable | Fault::NotRun, .. }) = &sent {
+        if let Err(Failed {
+            fault: Fault::Unreachable | Fault::NotRun,
+            ..
+        }) = &sent
+        {
             self.tried.runs -= 1;
         }
         let attempt = sent?;
@@ -241,7 +248,10 @@
     }
 
     async fn plain(&mut self, attempt: Attempt) -> Result<End, Stop> {
-        let Attempt { mut exchange, place } = attempt;
+        let Attempt {
+            mut exchange,
+            place,
+        } = attempt;
         let mut body = BytesMut::new();
         loop {
             match self.data(&mut exchange).await? {
@@ -296,7 +306,10 @@
     }
 
     async fn stream(&mut self, attempt: Attempt) -> Result<End, Stop> {
-        let Attempt { mut exchange, mut place } = attempt;
+        let Attempt {
+            mut exchange,
+            mut place,
+        } = attempt;
         let upstream = place.choice().id.clone();
         if self.responder.progress() == Progress::Unsent {
             let mut fields = exchange.head().fields.clone();
@@ -471,9 +484,8 @@
 /// Returns whether an event comes after the last one that was passed on. A stream that continues
 /// elsewhere may repeat events.
 fn is_after(id: Option<&Bytes>, last: Option<&Bytes>) -> bool {
-    let number = |id: Option<&Bytes>| -> Option<u64> {
-        std::str::from_utf8(id?).ok()?.trim().parse().ok()
-    };
+    let number =
+        |id: Option<&Bytes>| -> Option<u64> { std::str::from_utf8(id?).ok()?.trim().parse().ok() };
     match (number(id), number(last)) {
         (Some(id), Some(last)) => id > last,
         _ => true,
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -120,7 +120,9 @@
             let team = request.team();
             service.accounts.ask(now, &team.into(), work(request));
             if service.queue.is_empty() && service.may_start(now, team, level) {
-                if let Some(choice) = service.choose(now, &self.domain, request.prompt.as_ref(), avoid) {
+                if let Some(choice) =
+                    service.choose(now, &self.domain, request.prompt.as_ref(), avoid)
+                {
                     return Ok(Ok(begin(service, now, request, choice)));
                 }
             }
@@ -278,7 +280,9 @@
 }
 
 fn begin(service: &mut Service, now: Tick, request: &Request, choice: Choice) -> Choice {
-    service.accounts.charge(now, &request.team().into(), work(request));
+    service
+        .accounts
+        .charge(now, &request.team().into(), work(request));
     service.pool.begin(&choice, request.prompt.as_ref());
     choice
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -78,7 +78,11 @@
     /// ```
     #[must_use]
     pub fn service(&self, draw: u64) -> Option<&Name> {
-        let total: u64 = self.services.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
         let mut left = draw % total.max(1);
         let drawn = self.services.iter().find(|(_, weight)| {
             let weight = u64::from(*weight);
