Test a router on the platform as a process against stand-ins

Found while writing: an answer that breaks off looked complete to a client of HTTP/1.0, whose body ends with the connection; it is reset now.

--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`booking`]: a plain service that counts each execution.
 //! - [`history`]: the JSON lines that upstreams record for the checker.
 //! - [`http`]: the listener that they share, which can refuse connections for a time.
+//! - [`store`]: the store of the users' platform, which routers only read.
+//! - [`worker`]: an upstream of the users' platform that answers as a test says.
 //! - [`names`]: names and addresses of several upstreams in one process.
 //!
 //! Everything here runs on one thread, inside an `actix_rt` system. Each stand-in has a control
@@ -16,3 +18,5 @@
 pub mod http;
 pub mod names;
 pub mod platform;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/crates/fake/src/store.rs
@@ -0,0 +1,205 @@
+//! The store of the users' platform, which routers only read.
+//!
+//! Calls: `GET /api/kv-key`, `GET /api/kv-range` and `GET /api/kv-watch`. Tests change the items and
+//! the availability through [`Store`].
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_http::StatusCode;
+use base64::{engine::general_purpose::STANDARD, Engine as _};
+use serde_json::{json, Value};
+use tokio::sync::Notify;
+
+use crate::http::{self, Call, Error, Handler, Reply, Server};
+
+/// Most items in one page.
+const PAGE: usize = 50;
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// As usual.
+    #[default]
+    Up,
+    /// With status 503.
+    Busy,
+    /// Not at all.
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    key: String,
+    revision: u64,
+    value: Option<Vec<u8>>,
+}
+
+impl Change {
+    fn json(&self) -> Value {
+        match &self.value {
+            Some(value) => json!({
+                "key": self.key, "value": STANDARD.encode(value), "revision": self.revision,
+                "createRevision": self.revision, "lease": 0,
+            }),
+            None => json!({"key": self.key, "revision": self.revision, "removed": true}),
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    changes: RefCell<Vec<Change>>,
+    forgotten: Cell<u64>,
+    mode: Cell<Mode>,
+    changed: Notify,
+}
+
+impl State {
+    fn revision(&self) -> u64 {
+        self.changes.borrow().len() as u64
+    }
+
+    /// Returns the last change of each key with a prefix.
+    fn items(&self, prefix: &str) -> Vec<Change> {
+        let changes = self.changes.borrow();
+        let mut items: Vec<Change> = Vec::new();
+        for change in changes
+            .iter()
+            .filter(|change| change.key.starts_with(prefix))
+        {
+            items.retain(|item| item.key != change.key);
+            items.push(change.clone());
+        }
+        items.retain(|item| item.value.is_some());
+        items.sort_by(|a, b| a.key.cmp(&b.key));
+        items
+    }
+
+    fn range(&self, call: &Call) -> Reply {
+        let after = call.param("after").unwrap_or_default();
+        let prefix = call.param("pathPrefix").unwrap_or_default();
+        let mut items = self.items(&prefix);
+        items.retain(|item| item.key > after);
+        let more = items.len() > PAGE;
+        items.truncate(PAGE);
+        let items: Vec<Value> = items.iter().map(Change::json).collect();
+        let body = json!({"items": items, "hasMore": more, "asOf": self.revision()});
+        http::json(StatusCode::OK, &body)
+    }
+
+    fn key(&self, call: &Call) -> Reply {
+        let key = call.param("key").unwrap_or_default();
+        let found = self.items(&key).into_iter().find(|item| item.key == key);
+        match found {
+            Some(item) => http::json(StatusCode::OK, &item.json()),
+            None => http::fault(StatusCode::NOT_FOUND, &"no such key"),
+        }
+    }
+
+    async fn watch(&self, call: &Call) -> Reply {
+        let after = call.number("after").unwrap_or(0);
+        let prefix = call.param("pathPrefix").unwrap_or_default();
+        let wait = Duration::from_millis(call.number("waitMs").unwrap_or(0)).min(MAX_WAIT);
+        let until = actix_rt::time::Instant::now() + wait;
+        loop {
+            if after < self.forgotten.get() {
+                return http::fault(StatusCode::GONE, &"the history is gone");
+            }
+            let changed = self.changed.notified();
+            let events: Vec<Value> = {
+                let changes = self.changes.borrow();
+                let new = changes
+                    .iter()
+                    .filter(|change| change.revision > after && change.key.starts_with(&prefix));
+                new.map(Change::json).collect()
+            };
+            let over = actix_rt::time::Instant::now() >= until;
+            if !events.is_empty() || over {
+                let body = json!({"events": events, "asOf": self.revision()});
+                return http::json(StatusCode::OK, &body);
+            }
+            tokio::select! {
+                () = changed => {}
+                () = actix_rt::time::sleep_until(until) => {}
+            }
+        }
+    }
+}
+
+/// The store of the users' platform.
+pub struct Store {
+    state: Rc<State>,
+    server: Server,
+}
+
+impl Store {
+    /// Listens on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is none.
+    pub async fn bind() -> Result<Self, Error> {
+        let state = Rc::new(State::default());
+        let shared = state.clone();
+        let handler: Handler = Rc::new(move |call| {
+            let state = shared.clone();
+            Box::pin(async move { answer(&state, &call).await })
+        });
+        let server = Server::bind(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+        Ok(Self { state, server })
+    }
+
+    /// Returns the address for routers.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Writes an item, or removes it.
+    pub fn set(&self, key: &str, value: Option<&[u8]>) {
+        let revision = self.state.revision() + 1;
+        self.state.changes.borrow_mut().push(Change {
+            key: key.to_owned(),
+            revision,
+            value: value.map(<[u8]>::to_vec),
+        });
+        self.state.changed.notify_waiters();
+    }
+
+    /// Forgets which changes led to the present items.
+    pub fn compact(&self) {
+        self.state.forgotten.set(self.state.revision());
+        self.state.changed.notify_waiters();
+    }
+
+    /// Changes how the store answers.
+    pub fn set_mode(&self, mode: Mode) {
+        self.state.mode.set(mode);
+        self.state.changed.notify_waiters();
+    }
+}
+
+async fn answer(state: &State, call: &Call) -> Reply {
+    match state.mode.get() {
+        Mode::Up => {}
+        Mode::Busy => return http::fault(StatusCode::SERVICE_UNAVAILABLE, &"busy"),
+        Mode::Silent => std::future::pending().await,
+    }
+    let reply = match call.path.as_str() {
+        "/api/kv-key" => state.key(call),
+        "/api/kv-range" => state.range(call),
+        "/api/kv-watch" => state.watch(call).await,
+        _ => http::missing(call),
+    };
+    if state.mode.get() == Mode::Silent {
+        std::future::pending().await
+    }
+    reply
+}
--- /dev/null
+++ b/crates/fake/src/worker.rs
@@ -0,0 +1,280 @@
+//! An upstream of the users' platform that answers as a test says.
+//!
+//! It writes its answers byte by byte as a faulty upstream would, so that it needs no HTTP server.
+
+use std::{cell::RefCell, collections::VecDeque, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    task,
+};
+use tsw_http::{body, connection::Connection, head};
+
+/// Most bytes of the head of a request.
+const MAX_HEAD: usize = 65_536;
+
+/// How one request is answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Behaviour {
+    /// A plain answer with a length.
+    Plain,
+    /// A plain answer without a length that ends with the connection.
+    Unframed,
+    /// A plain answer without a length whose connection is reset.
+    UnframedReset,
+    /// A plain answer that is shorter than its length says.
+    Truncated,
+    /// A plain answer followed by one to another request.
+    Extra,
+    /// One to another request, then the plain answer.
+    Foreign,
+    /// A statement that the request was not run.
+    NotRun,
+    /// A failure of the upstream itself.
+    Failure,
+    /// The connection is reset after the request was read.
+    Reset,
+    /// Nothing; the connection stays open.
+    Silent,
+    /// A stream of so many events, after the one that the request names.
+    Stream(u64),
+    /// A stream that is reset within the event after so many.
+    Cut(u64),
+    /// A stream of which so many events are sent and no more; the connection stays open.
+    Stall(u64),
+}
+
+/// A request that arrived.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its head.
+    pub head: head::Request,
+    /// Its body.
+    pub body: Bytes,
+}
+
+#[derive(Default)]
+struct State {
+    script: RefCell<VecDeque<Behaviour>>,
+    usual: RefCell<Option<Behaviour>>,
+    arrivals: RefCell<Vec<Arrival>>,
+    left: RefCell<Vec<String>>,
+}
+
+/// An upstream of the users' platform.
+pub struct Worker {
+    state: Rc<State>,
+    address: SocketAddr,
+    task: task::JoinHandle<()>,
+}
+
+impl Worker {
+    /// Listens on a free loopback port; answers every request with `usual` unless
+    /// [`Worker::script`] says otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no free port.
+    pub async fn bind(usual: Behaviour) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Rc::new(State::default());
+        *state.usual.borrow_mut() = Some(usual);
+        let shared = state.clone();
+        let task = task::spawn_local(async move {
+            let mut connections = task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = shared.clone();
+                connections.spawn_local(async move { drop(serve(&state, stream).await) });
+            }
+        });
+        Ok(Self {
+            state,
+            address,
+            task,
+        })
+    }
+
+    /// Returns the address for routers.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Answers the next requests in this way.
+    pub fn script(&self, behaviours: &[Behaviour]) {
+        self.state.script.borrow_mut().extend(behaviours);
+    }
+
+    /// Returns the requests that arrived so far.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.arrivals.borrow().clone()
+    }
+
+    /// Returns the identifiers of the requests whose connection was closed by the router while
+    /// they were unanswered.
+    #[must_use]
+    pub fn left(&self) -> Vec<String> {
+        self.state.left.borrow().clone()
+    }
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn request(connection: &mut Connection) -> io::Result<Option<Arrival>> {
+    let head = loop {
+        if let Some(head) =
+            head::Request::take(&mut connection.buffer, MAX_HEAD).map_err(io::Error::other)?
+        {
+            break head;
+        }
+        if connection.fill().await? == 0 {
+            return Ok(None);
+        }
+    };
+    let mut decoder = body::Decoder::new(head.length().map_err(io::Error::other)?);
+    let mut body = BytesMut::new();
+    while !decoder.is_done() {
+        match decoder
+            .take(&mut connection.buffer)
+            .map_err(io::Error::other)?
+        {
+            Some(data) => body.extend_from_slice(&data),
+            None if decoder.is_done() => {}
+            None if connection.fill().await? == 0 => return Ok(None),
+            None => {}
+        }
+    }
+    let body = body.freeze();
+    Ok(Some(Arrival { head, body }))
+}
+
+/// Returns when the router closes the connection.
+async fn closed(connection: &mut Connection) {
+    while connection.fill().await.is_ok_and(|read| read > 0) {}
+}
+
+fn reset(connection: &Connection) {
+    let socket = tsw_http::connection::reset_on_close(&connection.stream);
+    socket.unwrap_or_else(|error| log::warn!("cannot reset a connection: {error}"));
+}
+
+async fn serve(state: &State, stream: TcpStream) -> io::Result<()> {
+    let mut connection = Connection::new(stream)?;
+    while let Some(arrival) = request(&mut connection).await? {
+        state.arrivals.borrow_mut().push(arrival.clone());
+        let scripted = state.script.borrow_mut().pop_front();
+        let behaviour = scripted
+            .or(*state.usual.borrow())
+            .expect("set at the start");
+        let id = arrival.head.fields.text("Attempt-Id").unwrap_or_default();
+        if !answer(state, &mut connection, &arrival, id, behaviour).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn plain(id: &str, length: Option<usize>, body: &str) -> String {
+    let length = length.map_or(String::new(), |length| {
+        format!("Content-Length: {length}\r\n")
+    });
+    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\n{length}\r\n{body}")
+}
+
+async fn answer(
+    state: &State,
+    connection: &mut Connection,
+    arrival: &Arrival,
+    id: &str,
+    behaviour: Behaviour,
+) -> io::Result<bool> {
+    let body = format!("answer to {id}");
+    let whole = plain(id, Some(body.len()), &body);
+    let (text, keep) = match behaviour {
+        Behaviour::Plain => (whole, true),
+        Behaviour::Unframed => (plain(id, None, &body), false),
+        Behaviour::UnframedReset => (plain(id, None, &body), false),
+        Behaviour::Truncated => (plain(id, Some(body.len() + 9), &body), false),
+        Behaviour::Extra => (format!("{whole}{}", plain("other", Some(5), "wrong")), true),
+        Behaviour::Foreign => (format!("{}{whole}", plain("other", Some(5), "wrong")), true),
+        Behaviour::NotRun => {
+            let text =
+                "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            (text.to_owned(), true)
+        }
+        Behaviour::Failure => {
+            let text = format!(
+                "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\nContent-Length: 4\r\n\r\nfail"
+            );
+            (text, true)
+        }
+        Behaviour::Reset => {
+            reset(connection);
+            return Ok(false);
+        }
+        Behaviour::Silent => {
+            closed(connection).await;
+            state.left.borrow_mut().push(id.to_owned());
+            return Ok(false);
+        }
+        Behaviour::Stream(events) | Behaviour::Cut(events) | Behaviour::Stall(events) => {
+            return stream(state, connection, arrival, id, (behaviour, events)).await;
+        }
+    };
+    connection.stream.write_all(text.as_bytes()).await?;
+    if behaviour == Behaviour::UnframedReset {
+        // The router must have read the body before the reset destroys what is on its way.
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        reset(connection);
+    }
+    Ok(keep)
+}
+
+async fn stream(
+    state: &State,
+    connection: &mut Connection,
+    arrival: &Arrival,
+    id: &str,
+    (behaviour, events): (Behaviour, u64),
+) -> io::Result<bool> {
+    let last = arrival.head.fields.text("Last-Event-Id");
+    let first = last
+        .and_then(|last| last.parse().ok())
+        .map_or(0, |last: u64| last + 1);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    connection.stream.write_all(head.as_bytes()).await?;
+    for number in first..events {
+        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        connection.stream.write_all(chunk.as_bytes()).await?;
+    }
+    match behaviour {
+        Behaviour::Cut(_) => {
+            let part = format!("id: {events}\nda");
+            let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+            connection.stream.write_all(chunk.as_bytes()).await?;
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            reset(connection);
+            Ok(false)
+        }
+        Behaviour::Stall(_) => {
+            closed(connection).await;
+            state.left.borrow_mut().push(id.to_owned());
+            Ok(false)
+        }
+        _ => {
+            connection.stream.write_all(b"0\r\n\r\n").await?;
+            Ok(true)
+        }
+    }
+}
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -9,7 +9,11 @@
     time,
 };
 use tsw_event::{emit, Event};
-use tsw_http::{body, connection::Connection, head};
+use tsw_http::{
+    body,
+    connection::{self, Connection},
+    head,
+};
 use tsw_relay::{
     answer::Own,
     request::Request,
@@ -184,7 +188,13 @@
     };
     match end {
         Ok(End::Answered) => Ok(responder.is_reusable()),
-        Ok(End::Cut) => Ok(false),
+        Ok(End::Cut) => {
+            if head.old {
+                // The end of the connection is the end of the answer for such a client.
+                connection::reset_on_close(&connection.stream)?;
+            }
+            Ok(false)
+        }
         Err(error) => {
             disconnected(gate, &request);
             Err(error)
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -66,3 +66,13 @@
             && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 }
+
+/// Makes the end of a connection a reset, which tells the other side that what it read may be
+/// incomplete.
+///
+/// # Errors
+///
+/// Returns an error if the option of the socket cannot be set.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -14,6 +14,8 @@
     pub retries: IntCounterVec,
     /// Requests that wait for an upstream.
     pub waiting: IntGauge,
+    /// Upstreams that take requests.
+    pub upstreams: IntGauge,
     /// Time until an upstream had room, in seconds.
     pub wait: Histogram,
     /// Time until the first event or the whole plain answer, in seconds.
@@ -51,6 +53,7 @@
                 &["service", "cause"],
             )?,
             waiting: IntGauge::new("relay_waiting", "Requests that wait for an upstream")?,
+            upstreams: IntGauge::new("relay_upstreams", "Upstreams that take requests")?,
             wait: histogram("relay_wait_seconds", "Time until an upstream had room")?,
             first: histogram(
                 "relay_first_seconds",
@@ -62,6 +65,7 @@
         registry.register(Box::new(metrics.ended.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.waiting.clone()))?;
+        registry.register(Box::new(metrics.upstreams.clone()))?;
         registry.register(Box::new(metrics.wait.clone()))?;
         registry.register(Box::new(metrics.first.clone()))?;
         registry.register(Box::new(metrics.whole.clone()))?;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -149,6 +149,10 @@
                     .set_entries(own.cloned().collect(), service.engine());
             }
         }
+        let services = self.services.borrow();
+        let takers: usize = services.values().map(|service| service.pool.takers()).sum();
+        self.metrics.upstreams.set(takers as i64);
+        drop(services);
         self.pump_all();
     }
 
--- /dev/null
+++ b/crates/toucand/tests/platform.rs
@@ -0,0 +1,543 @@
+//! A router on the users' platform, as a process, against stand-ins of the store and of upstreams.
+//! Each test names the failure that it guards against.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::{net::SocketAddr, time::Duration};
+
+use fleet::{configuration, entry, publish, read, until, Call, Router, HOST, PATIENCE};
+use rustix::process::Signal;
+use tsw_fake::{
+    store::{Mode, Store},
+    worker::{Behaviour, Worker},
+};
+use tsw_http::{connection::Connection, exchange::Exchange};
+
+/// A router with one upstream of the service `desk` and two of `model`.
+struct Site {
+    store: Store,
+    desk: Worker,
+    models: [Worker; 2],
+    router: Router,
+}
+
+impl Site {
+    async fn start(desk: Behaviour, model: Behaviour) -> Self {
+        let store = Store::bind().await.expect("a store");
+        let desk = Worker::bind(desk).await.expect("an upstream");
+        let models = [
+            Worker::bind(model).await.expect("an upstream"),
+            Worker::bind(model).await.expect("an upstream"),
+        ];
+        let upstreams = [
+            ("d1", "desk", &desk),
+            ("m1", "model", &models[0]),
+            ("m2", "model", &models[1]),
+        ];
+        publish(&store, &upstreams);
+        let router = Router::start("r1", store.address(), fleet::gossip(), &[]);
+        router.wait_ready().await;
+        let site = Self {
+            store,
+            desk,
+            models,
+            router,
+        };
+        site.wait_upstreams().await;
+        site
+    }
+
+    /// Waits until the router knows its upstreams, which it reads apart from the configuration.
+    async fn wait_upstreams(&self) {
+        let end = std::time::Instant::now() + PATIENCE;
+        loop {
+            let metrics = self.router.get(self.router.metrics, "/metrics").await;
+            let text = metrics.expect("metrics");
+            if text.text().contains("relay_upstreams 3") {
+                return;
+            }
+            assert!(std::time::Instant::now() < end, "upstreams are not known");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn model_arrivals(&self) -> usize {
+        self.models.iter().map(|model| model.arrivals().len()).sum()
+    }
+}
+
+#[actix_rt::test]
+async fn request_reaches_its_upstream_unchanged_but_for_what_the_router_sets() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let mut call = Call::proper("POST", "/book/x%2f..//y?q=1", "a1").body("two trucks");
+    for forged in [
+        "Tenant-Name",
+        "Expect-Instance",
+        "Kv-Hold",
+        "Pin-Ms",
+        "Kv-Backup",
+        "Kv-From",
+    ] {
+        call.head.fields.push(forged, "forged");
+    }
+    call.head.fields.push("X-Other", "kept");
+    let answer = call.send(&site.router).await;
+    assert_eq!((answer.status, answer.text()), (200, "answer to a1"));
+    assert_eq!(answer.fields.text("Server-Stamp"), Some("of-a1"));
+    let arrival = site.desk.arrivals().remove(0);
+    assert_eq!(&arrival.head.target[..], b"/book/x%2f..//y?q=1");
+    assert_eq!(&arrival.body[..], b"two trucks");
+    let fields = &arrival.head.fields;
+    let all = |name| fields.all(name).map(<[u8]>::to_vec).collect::<Vec<_>>();
+    assert_eq!(all("Tenant-Name"), [b"counter".to_vec()]);
+    assert_eq!(all("Expect-Instance"), [b"d1".to_vec()]);
+    assert_eq!(all("Attempt-Id"), [b"a1".to_vec()]);
+    assert_eq!(fields.text("X-Other"), Some("kept"));
+    assert_eq!(fields.text("Host"), Some(HOST));
+    for hidden in ["Authorization", "Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-From"] {
+        assert_eq!(fields.get(hidden), None, "{hidden} reached the upstream");
+    }
+    let left: u64 = fields
+        .text("Deadline-Ms")
+        .expect("a deadline")
+        .parse()
+        .expect("a number");
+    assert!(left <= 15_000, "more time than the client has: {left}");
+}
+
+#[actix_rt::test]
+async fn requests_that_are_not_allowed_reach_no_upstream() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let status = |call: Call| {
+        let router = &site.router;
+        async move { call.send(router).await.status }
+    };
+    assert_eq!(status(Call::proper("GET", "/nowhere/", "a1")).await, 404);
+    assert_eq!(status(Call::proper("GET", "/lookup", "a1")).await, 404);
+    let mut wrong = Call::proper("GET", "/lookup/1", "a2");
+    wrong.head.fields.remove("Authorization");
+    assert_eq!(status(wrong.clone()).await, 401);
+    wrong.head.fields.push("Authorization", "Token wrong");
+    assert_eq!(status(wrong).await, 401);
+    let mut both = Call::proper("POST", "/book/1", "a3").body("body");
+    both.head.fields.push("Transfer-Encoding", "chunked");
+    assert_eq!(
+        status(both).await,
+        400,
+        "a second request could hide in the body"
+    );
+    assert!(site.desk.arrivals().is_empty());
+    let mut public = Call::proper("GET", "/open/1", "a4");
+    public.head.fields.remove("Authorization");
+    assert_eq!(status(public).await, 200);
+}
+
+#[actix_rt::test]
+async fn router_without_a_configuration_answers_that_it_did_not_run_the_request() {
+    let store = Store::bind().await.expect("a store");
+    store.set_mode(Mode::Silent);
+    let router = Router::start("r1", store.address(), fleet::gossip(), &[]);
+    let call = Call::proper("GET", "/lookup/1", "a1");
+    let end = std::time::Instant::now() + PATIENCE;
+    let answer = loop {
+        match call.send_to(router.client).await {
+            Ok(answer) => break answer,
+            Err(_) => assert!(
+                std::time::Instant::now() < end,
+                "the router does not listen"
+            ),
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!(answer.status, 503);
+    assert!(answer.fields.get("Retry-After").is_some());
+    let ready = router
+        .get(router.ready, "/api/ready")
+        .await
+        .expect("an answer");
+    assert_eq!(ready.status, 503);
+}
+
+#[actix_rt::test]
+async fn stream_that_breaks_within_an_event_goes_on_at_another_upstream() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(6)).await;
+    site.models
+        .iter()
+        .for_each(|model| model.script(&[Behaviour::Cut(2)]));
+    // The second upstream cuts the stream as well if it gets the request first.
+    let answer = Call::prompt("/draft/1", "a1").send(&site.router).await;
+    let first = answer.events();
+    assert!(first.starts_with(&[0, 1]), "{first:?}");
+    assert!(!answer.text().contains("da\n") && !answer.text().ends_with("da"));
+    let answer = Call::prompt("/draft/1", "a2").send(&site.router).await;
+    assert!(answer.whole);
+    assert_eq!(answer.events(), [0, 1, 2, 3, 4, 5], "each event once");
+}
+
+#[actix_rt::test]
+async fn stream_that_may_not_be_resumed_does_not_look_complete_when_it_breaks() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Cut(2)).await;
+    let answer = Call::prompt("/note/1", "a1").send(&site.router).await;
+    assert_eq!((answer.status, answer.events()), (200, vec![0, 1]));
+    assert!(!answer.whole, "the client takes a part for the whole");
+    assert_eq!(site.model_arrivals(), 1);
+}
+
+#[actix_rt::test]
+async fn booking_whose_answer_is_lost_is_not_run_again() {
+    let site = Site::start(Behaviour::Reset, Behaviour::Stream(3)).await;
+    let answer = Call::proper("POST", "/book/1", "a1")
+        .body("truck")
+        .send(&site.router)
+        .await;
+    assert_eq!(answer.status, 502, "the booking may have run");
+    assert_eq!(site.desk.arrivals().len(), 1);
+}
+
+#[actix_rt::test]
+async fn booking_that_was_not_run_is_tried_elsewhere() {
+    let site = Site::start(Behaviour::NotRun, Behaviour::Stream(3)).await;
+    let other = Worker::bind(Behaviour::Plain).await.expect("an upstream");
+    site.store
+        .set("servers/d2", Some(&entry("desk", &other, "ready", 1)));
+    let mut number = 0;
+    while other.arrivals().is_empty() {
+        number += 1;
+        assert!(number < 100, "the second upstream gets nothing");
+        let id = format!("a{number}");
+        let answer = Call::proper("POST", "/book/1", &id)
+            .body("truck")
+            .send(&site.router)
+            .await;
+        // Until the second upstream is known, nothing else can run it.
+        let expected = if other.arrivals().is_empty() {
+            503
+        } else {
+            200
+        };
+        assert_eq!(answer.status, expected);
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn lookup_that_fails_is_tried_again_and_the_last_failure_is_passed_on() {
+    let site = Site::start(Behaviour::Failure, Behaviour::Stream(3)).await;
+    let other = Worker::bind(Behaviour::Failure).await.expect("an upstream");
+    site.store
+        .set("servers/d2", Some(&entry("desk", &other, "ready", 1)));
+    let end = std::time::Instant::now() + PATIENCE;
+    let mut number = 0;
+    while other.arrivals().is_empty() || site.desk.arrivals().is_empty() {
+        assert!(
+            std::time::Instant::now() < end,
+            "only one upstream is tried"
+        );
+        number += 1;
+        let id = format!("a{number}");
+        let answer = Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        assert_eq!((answer.status, answer.text()), (500, "fail"));
+        assert_eq!(
+            answer.fields.text("Server-Stamp"),
+            Some(&*format!("of-{id}"))
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn answer_without_a_length_is_complete_unless_it_is_reset() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    site.desk.script(&[
+        Behaviour::Unframed,
+        Behaviour::UnframedReset,
+        Behaviour::Truncated,
+    ]);
+    let answer = Call::proper("POST", "/book/1", "a1")
+        .body("x")
+        .send(&site.router)
+        .await;
+    assert_eq!((answer.status, answer.text()), (200, "answer to a1"));
+    for id in ["a2", "a3"] {
+        let answer = Call::proper("POST", "/book/1", id)
+            .body("x")
+            .send(&site.router)
+            .await;
+        assert_eq!(answer.status, 502, "a part was taken for the whole");
+    }
+}
+
+#[actix_rt::test]
+async fn answers_to_other_requests_are_never_passed_on() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    site.desk
+        .script(&[Behaviour::Extra, Behaviour::Plain, Behaviour::Foreign]);
+    for id in ["a1", "a2", "a3", "a4"] {
+        let answer = Call::proper("POST", "/book/1", id)
+            .body("x")
+            .send(&site.router)
+            .await;
+        assert_eq!(
+            (answer.status, answer.text()),
+            (200, &*format!("answer to {id}"))
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn upstream_is_freed_when_its_client_leaves() {
+    let site = Site::start(Behaviour::Silent, Behaviour::Stall(1)).await;
+    for (target, service) in [("/lookup/1", "desk"), ("/note/1", "model")] {
+        let call = Call::prompt(target, service);
+        let connection = Connection::open(site.router.client, PATIENCE)
+            .await
+            .expect("a connection");
+        let arrived = || site.desk.arrivals().len() + site.model_arrivals();
+        let before = arrived();
+        {
+            let sent = Exchange::open(connection, &call.head, call.body.clone());
+            let mut sent = std::pin::pin!(sent);
+            let end = std::time::Instant::now() + PATIENCE;
+            while arrived() == before {
+                assert!(
+                    std::time::Instant::now() < end,
+                    "nothing reaches the upstream"
+                );
+                let _ = actix_rt::time::timeout(Duration::from_millis(20), &mut sent).await;
+                if service == "model" && arrived() > before {
+                    break;
+                }
+            }
+        }
+        let left = || {
+            let models = site.models.iter().flat_map(Worker::left);
+            models.chain(site.desk.left()).any(|id| id == service)
+        };
+        until("the end of the request at the upstream", left).await;
+    }
+}
+
+#[actix_rt::test]
+async fn leaving_upstream_gets_no_further_request() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let other = Worker::bind(Behaviour::Plain).await.expect("an upstream");
+    site.store
+        .set("servers/d2", Some(&entry("desk", &other, "ready", 1)));
+    site.store.set(
+        "servers/d1",
+        Some(&entry("desk", &site.desk, "draining", 2)),
+    );
+    // A heartbeat from before was delayed.
+    site.store
+        .set("servers/d1", Some(&entry("desk", &site.desk, "ready", 1)));
+    let mut number = 0;
+    while other.arrivals().is_empty() {
+        number += 1;
+        assert!(number < 500, "the change is not taken");
+        let id = format!("a{number}");
+        Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    let before = site.desk.arrivals().len();
+    for number in 0..20 {
+        let id = format!("b{number}");
+        let answer = Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(site.desk.arrivals().len(), before);
+}
+
+#[actix_rt::test]
+async fn malformed_entries_and_configurations_change_nothing() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    site.store.set("servers/x1", Some(b"\xff\xfe not JSON"));
+    site.store
+        .set("servers/x2", Some(br#"{"service":"desk","state":"ready"}"#));
+    site.store.set(
+        "servers/x3",
+        Some(br#"{"service":"desk","address":7,"zone":"n","slots":"6","state":"odd"}"#),
+    );
+    site.store
+        .set("op/config", Some(br#"{"version":5,"routes":"none"}"#));
+    site.store.set("op/other", Some(b"anything"));
+    let mut next = configuration(6);
+    next["routes"][0]["pathPrefix"] = "/found/".into();
+    site.store
+        .set("op/config", Some(next.to_string().as_bytes()));
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        let answer = Call::proper("GET", "/found/1", "a1")
+            .send(&site.router)
+            .await;
+        if answer.status == 200 {
+            break;
+        }
+        assert_eq!(answer.status, 404);
+        assert!(
+            std::time::Instant::now() < end,
+            "the valid configuration is not in force"
+        );
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    // An older version must not come back.
+    site.store
+        .set("op/config", Some(configuration(4).to_string().as_bytes()));
+    for _ in 0..30 {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(
+            Call::proper("GET", "/found/1", "a2")
+                .send(&site.router)
+                .await
+                .status,
+            200
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn router_takes_changes_after_the_store_has_lost_its_history() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let other = Worker::bind(Behaviour::Plain).await.expect("an upstream");
+    site.store.set_mode(Mode::Busy);
+    site.store.set("servers/d1", None);
+    site.store
+        .set("servers/d2", Some(&entry("desk", &other, "ready", 1)));
+    site.store.compact();
+    site.store.set_mode(Mode::Up);
+    let mut number = 0;
+    while other.arrivals().is_empty() {
+        number += 1;
+        assert!(number < 1_000, "the new upstream is not used");
+        let id = format!("a{number}");
+        Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn router_that_the_store_does_not_answer_learns_from_a_peer() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let silent = Store::bind().await.expect("a store");
+    silent.set_mode(Mode::Silent);
+    let gossip = SocketAddr::new([127, 0, 0, 2].into(), site.router.gossip.port());
+    let seeds = [site.router.control];
+    let second = Router::start("r2", silent.address(), gossip, &seeds);
+    second.wait_ready().await;
+    let mut number = 0;
+    loop {
+        number += 1;
+        let id = format!("a{number}");
+        let answer = Call::proper("GET", "/lookup/1", &id).send(&second).await;
+        if answer.status == 200 {
+            break;
+        }
+        assert!(number < 500, "the upstreams are not known");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Clients hear of both routers.
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        let target = "/api/resolution?name=desk.example&region=r&zone=north";
+        let answer = second.get(second.locate, target).await.expect("an answer");
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+        if body["addresses"].as_array().map(Vec::len) == Some(2) {
+            break;
+        }
+        assert!(
+            std::time::Instant::now() < end,
+            "the fleet does not find itself: {body}"
+        );
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn planned_stop_finishes_what_runs_and_serves_clients_that_still_come() {
+    let mut site = Site::start(Behaviour::Plain, Behaviour::Stall(2)).await;
+    let call = Call::prompt("/draft/1", "a1");
+    let connection = Connection::open(site.router.client, PATIENCE)
+        .await
+        .expect("a connection");
+    let exchange = Exchange::open(connection, &call.head, call.body.clone()).await;
+    let exchange = exchange.expect("a stream");
+    let idle = Connection::open(site.router.client, PATIENCE)
+        .await
+        .expect("a connection");
+    site.models
+        .iter()
+        .for_each(|model| model.script(&[Behaviour::Stream(5)]));
+    site.router.signal(Signal::TERM);
+    let end = std::time::Instant::now() + PATIENCE;
+    while site
+        .router
+        .get(site.router.ready, "/api/ready")
+        .await
+        .map(|a| a.status)
+        != Some(503)
+    {
+        assert!(
+            std::time::Instant::now() < end,
+            "the router still says that it is ready"
+        );
+    }
+    let late = Call::proper("GET", "/lookup/1", "a2");
+    let late = Exchange::open(idle, &late.head, late.body.clone())
+        .await
+        .expect("an answer");
+    let late = read(late).await.expect("an answer");
+    assert_eq!(late.status, 200);
+    assert!(late.fields.lists("connection", "close"));
+    // The first upstream stalls; the stream goes on at the other one although the router stops.
+    let answer = read(exchange).await.expect("a stream");
+    assert!(answer.whole);
+    assert_eq!(answer.events(), [0, 1, 2, 3, 4]);
+    let end = std::time::Instant::now() + PATIENCE;
+    let status = loop {
+        match site.router.process.try_wait().expect("a child") {
+            Some(status) => break status,
+            None => assert!(std::time::Instant::now() < end, "the process does not end"),
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(status.success());
+}
+
+#[actix_rt::test]
+async fn hangup_and_broken_settings_stop_nothing() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    std::fs::write(&site.router.settings, "interface: platform\nhost: [").expect("written");
+    site.router.signal(Signal::HUP);
+    for number in 0..10 {
+        let id = format!("a{number}");
+        let answer = Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        assert_eq!(answer.status, 200);
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn body_in_chunks_and_a_long_head_are_handled() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let mut chunked = Call::proper("POST", "/book/1", "a1");
+    chunked.head.fields.push("Transfer-Encoding", "chunked");
+    chunked.body = "5\r\ntruck\r\n0\r\n\r\n".into();
+    assert_eq!(chunked.send(&site.router).await.status, 200);
+    assert_eq!(&site.desk.arrivals()[0].body[..], b"truck");
+    let mut long = Call::proper("GET", "/lookup/1", "a2");
+    long.head.fields.push("X-Long", "x".repeat(20_000));
+    assert_eq!(long.send(&site.router).await.status, 431);
+    let mut big = Call::proper("POST", "/book/1", "a3");
+    big.head.fields.push("Content-Length", "200000");
+    assert_eq!(big.send(&site.router).await.status, 413);
+    assert_eq!(site.desk.arrivals().len(), 1);
+}
--- /dev/null
+++ b/crates/toucand/tests/support/fleet.rs
@@ -0,0 +1,279 @@
+//! Routers on the users' platform as processes, with stand-ins for the platform.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::PathBuf,
+    process::{Child, Command},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use serde_json::{json, Value};
+use tsw_fake::{store::Store, worker::Worker};
+use tsw_http::{body, connection::Connection, exchange::Exchange, field::Fields, head};
+
+/// Longest time for something that a test waits for; a busy machine may need seconds.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const HOST: &str = "desk.example";
+pub const KEY: &str = "counter-key";
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = std::time::Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(std::time::Instant::now() < end, "{what} did not happen");
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Returns an address for gossip with a free port.
+pub fn gossip() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("bound")
+}
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+/// A configuration with a route of each kind below its own path.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, more: Value| {
+        let mut route = json!({
+            "name": name, "hostname": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 15_000, "targetLatencyMs": 800, "priority": 1, "service": service,
+            "maxAttempts": 2, "public": false,
+        });
+        for (key, value) in more.as_object().expect("fields") {
+            route[key] = value.clone();
+        }
+        route
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("lookup", "idempotent", "desk", json!({})),
+            route("book", "non_idempotent", "desk", json!({"maxAttempts": 1})),
+            route("open", "idempotent", "desk", json!({"public": true})),
+            route("draft", "streaming", "model", json!({"resumable": true, "gapAimMs": 300})),
+            route("note", "streaming", "model", json!({"resumable": false, "gapAimMs": 300})),
+        ],
+        "services": [
+            {"name": "desk", "healthPath": "/health", "maxConnections": 100},
+            {"name": "model", "healthPath": "/health", "maxConnections": 100,
+             "engine": {"slots": 8, "kvCapacityTokens": 100_000}},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
+                   "idleTimeoutMs": 15_000, "tokensPerS": 300_000},
+        "tenants": [{"name": "counter", "apiKeys": [KEY], "priority": 1}],
+    })
+}
+
+pub fn entry(service: &str, worker: &Worker, state: &str, seq: u64) -> Vec<u8> {
+    let entry = json!({
+        "service": service, "address": worker.address().to_string(), "zone": "north",
+        "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0, "born": 1_000,
+        "seqNo": seq,
+    });
+    entry.to_string().into_bytes()
+}
+
+/// A router process. Dropping it kills the process.
+pub struct Router {
+    pub client: SocketAddr,
+    pub ready: SocketAddr,
+    pub locate: SocketAddr,
+    pub control: SocketAddr,
+    pub metrics: SocketAddr,
+    pub gossip: SocketAddr,
+    pub process: Child,
+    pub settings: PathBuf,
+    _directory: tempfile::TempDir,
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl Router {
+    /// Starts a router that reads the store at an address and knows some seeds.
+    ///
+    /// All routers use one gossip port, each on a loopback address of its own.
+    pub fn start(host: &str, store: SocketAddr, address: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let directory = tempfile::tempdir().expect("a directory");
+        let (client, ready, locate, control, metrics) = (free(), free(), free(), free(), free());
+        let settings = directory.path().join("router.yaml");
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        let text = format!(
+            "interface: platform\nhost: {host}\ndomain: north\n\
+             listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
+             control: \"{control}\", gossip: \"{address}\", metrics: \"{metrics}\"}}\n\
+             seeds: {}\nstore: \"{store}\"\n\
+             bounds: {{retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: 8}}\n",
+            json!(seeds)
+        );
+        fs::write(&settings, text).expect("written");
+        let process = Command::new(env!("CARGO_BIN_EXE_toucand"))
+            .arg("--config")
+            .arg(&settings)
+            .spawn()
+            .expect("a process");
+        Self {
+            client,
+            ready,
+            locate,
+            control,
+            metrics,
+            gossip: address,
+            process,
+            settings,
+            _directory: directory,
+        }
+    }
+
+    /// Waits until the router says that it is ready.
+    pub async fn wait_ready(&self) {
+        let end = std::time::Instant::now() + PATIENCE;
+        while self
+            .get(self.ready, "/api/ready")
+            .await
+            .map(|answer| answer.status)
+            != Some(200)
+        {
+            assert!(std::time::Instant::now() < end, "the router is not ready");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Reads a page of one of the router's own listeners.
+    pub async fn get(&self, address: SocketAddr, target: &str) -> Option<Answer> {
+        let mut call = Call::new("GET", target);
+        call.head.fields.push("Connection", "close");
+        call.send_to(address).await.ok()
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let id = i32::try_from(self.process.id()).expect("an id");
+        let id = rustix::process::Pid::from_raw(id).expect("an id");
+        rustix::process::kill_process(id, signal).expect("sent");
+    }
+}
+
+/// An answer as a client sees it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub fields: Fields,
+    pub body: Bytes,
+    /// Whether the end of the body arrived.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).expect("UTF-8")
+    }
+
+    /// Returns the identifiers of the events of a stream.
+    pub fn events(&self) -> Vec<u64> {
+        let lines = self.text().lines();
+        let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+        ids.map(|id| id.parse().expect("a number")).collect()
+    }
+}
+
+/// A request of a client.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub head: head::Request,
+    pub body: Bytes,
+}
+
+impl Call {
+    pub fn new(method: &'static str, target: &str) -> Self {
+        let mut fields = Fields::default();
+        fields.push("Host", HOST);
+        Self {
+            head: head::Request {
+                method: Bytes::from_static(method.as_bytes()),
+                target: Bytes::copy_from_slice(target.as_bytes()),
+                old: false,
+                fields,
+            },
+            body: Bytes::new(),
+        }
+    }
+
+    /// Makes a proper request of the team `counter`.
+    pub fn proper(method: &'static str, target: &str, id: &str) -> Self {
+        let mut call = Self::new(method, target);
+        let fields = &mut call.head.fields;
+        fields.push("Attempt-Id", id.to_owned());
+        fields.push("Deadline-Ms", "15000");
+        fields.push("Authorization", format!("Token {KEY}"));
+        call
+    }
+
+    /// Makes a request for a model engine.
+    pub fn prompt(target: &str, id: &str) -> Self {
+        let mut call = Self::proper("POST", target, id);
+        let fields = &mut call.head.fields;
+        fields.push("Model-Name", "m");
+        fields.push("Token-Count", "1000,50");
+        fields.push("Prompt-Prefix", "aa:400,bb:500,cc:100");
+        call.body("{\"prompt\":\"...\"}")
+    }
+
+    pub fn body(mut self, body: &'static str) -> Self {
+        self.head
+            .fields
+            .push("Content-Length", body.len().to_string());
+        self.body = Bytes::from_static(body.as_bytes());
+        self
+    }
+
+    pub async fn send_to(&self, address: SocketAddr) -> Result<Answer, tsw_http::exchange::Error> {
+        let connection = Connection::open(address, PATIENCE).await?;
+        read(Exchange::open(connection, &self.head, self.body.clone()).await?).await
+    }
+
+    /// Sends the request to a router and reads the answer, as far as it arrives.
+    pub async fn send(&self, router: &Router) -> Answer {
+        let sent = actix_rt::time::timeout(PATIENCE, self.send_to(router.client)).await;
+        sent.expect("an answer in time").expect("an answer")
+    }
+}
+
+/// Reads an answer as far as it arrives.
+pub async fn read(mut exchange: Exchange) -> Result<Answer, tsw_http::exchange::Error> {
+    let mut body = BytesMut::new();
+    let whole = loop {
+        match exchange.data().await {
+            Ok(Some(data)) => body.extend_from_slice(&data),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    let framed = exchange.head().length(b"GET") != Ok(body::Length::UntilClose);
+    Ok(Answer {
+        status: exchange.head().status,
+        fields: exchange.head().fields.clone(),
+        body: body.freeze(),
+        whole: whole && framed,
+    })
+}
+
+/// Writes the configuration and the entries of upstreams into a store.
+pub fn publish(store: &Store, upstreams: &[(&str, &str, &Worker)]) {
+    store.set("op/config", Some(configuration(1).to_string().as_bytes()));
+    for (id, service, worker) in upstreams {
+        let key = format!("servers/{id}");
+        store.set(&key, Some(&entry(service, worker, "ready", 1)));
+    }
+}
