--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,7 +7,8 @@
 //! 2. [`wait`]: waits until an upstream has room, and holds the place.
 //! 3. [`attempt`]: sends the request to an upstream and reads the head of the response.
 //! 4. [`event`]: finds the events of a stream.
-//! 5. [`responder`]: writes the answer to the client.
+//! 5. [`pace`]: when the events were passed on.
+//! 6. [`responder`]: writes the answer to the client.
 //!
 //! [`router`] is the state that all requests share; [`answer`] lists the answers that the router
 //! gives itself; [`metrics`] counts.
@@ -17,6 +18,7 @@
 pub mod dialect;
 pub mod event;
 pub mod metrics;
+pub mod pace;
 pub mod request;
 pub mod responder;
 pub mod router;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -17,6 +17,7 @@
     answer::{Own, Refusal},
     attempt::{Attempt, Failed},
     event::Splitter,
+    pace::Pace,
     request::Request,
     responder::{Progress, Responder},
     router::Router,
@@ -53,6 +54,7 @@
     tried: Tried,
     avoid: Vec<Name>,
     last: Option<Bytes>,
+    pace: Pace,
     /// The response of an upstream that stated its failure.
     failure: Option<(head::Response, Bytes)>,
 }
@@ -98,6 +100,7 @@
         tried: Tried::default(),
         avoid: Vec::new(),
         last: None,
+        pace: Pace::default(),
         failure: None,
     };
     let left = request.due().since(router.now()).as_duration();
@@ -242,9 +245,14 @@
         });
     }
 
-    fn first(&self) {
-        let since = self.router.now().since(self.request.arrived);
-        self.router.metrics.first.observe(since.as_secs_f64());
+    /// Notes that events, or the whole of a plain answer, are passed on.
+    fn passed_on(&mut self, events: u64) {
+        let now = self.router.now();
+        if self.pace.first.is_none() {
+            let since = now.since(self.request.arrived);
+            self.router.metrics.first.observe(since.as_secs_f64());
+        }
+        self.pace.note(self.request.arrived, now, events);
     }
 
     async fn plain(&mut self, attempt: Attempt) -> Result<End, Stop> {
@@ -280,7 +288,7 @@
             let cause = format!("status {} instead of the rest of a stream", head.status);
             return Err(Failed::new(Fault::Broken, cause).into());
         }
-        self.first();
+        self.passed_on(1);
         self.whole(head, &body).await?;
         self.completed("answered");
         Ok(End::Answered)
@@ -335,6 +343,7 @@
             }
             if !events.is_empty() {
                 place.read();
+                self.passed_on(events.len() as u64);
                 self.responder.data(&events).await?;
                 events.clear();
             }
@@ -451,6 +460,9 @@
                 ("request", &self.request.id),
                 ("outcome", &outcome),
                 ("took_us", &since.as_micros()),
+                ("first_us", &self.pace.first.unwrap_or(Span::ZERO).as_micros()),
+                ("gap_us", &self.pace.gap.as_micros()),
+                ("events", &self.pace.events),
             ],
         );
         self.count(outcome);
