Fetch shared parts of a prompt from the engine that holds them

Cause: a prompt whose engine is busy went to another one, which read up to 14,600 shared tokens again.

--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -1,18 +1,15 @@
 //! The upstreams of a service, and which of them serves a request best.
 
+mod engine;
+
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
 use tsw_base::time::{Span, Tick};
-use tsw_member::rendezvous;
 use tsw_route::{table::Engine, Name};
 
 use crate::{directory::Directory, prompt::Prompt};
 
-/// Prompt tokens that delay an engine about as much as one more running request does. A running
-/// request lengthens each step by about 0.1 ms, in which an engine reads 5 to 6 tokens; a prompt
-/// lasts for some ten steps.
-const RUNNING_TOKENS: u64 = 60;
 /// Added to the cost of a plain upstream in another failure domain, in requests.
 const FAR: f64 = 0.3;
 /// Part by which each result moves the failure rate of an upstream.
@@ -92,6 +89,15 @@
         }
     }
 
+    fn choice(&self, unread: u64, fetch: Option<SocketAddr>) -> Choice {
+        Choice {
+            id: self.entry.id.clone(),
+            address: self.entry.address,
+            unread,
+            fetch,
+        }
+    }
+
     fn requests(&self) -> u32 {
         self.own.requests + self.others.requests
     }
@@ -122,6 +128,8 @@
     pub address: SocketAddr,
     /// Tokens of the prompt that it probably has to read.
     pub unread: u64,
+    /// Engine from which it can fetch a part of the prompt that it does not hold.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// What a choice must respect.
@@ -136,6 +144,8 @@
     /// Most unread tokens that may wait at an engine, this request included. An engine on which
     /// nothing waits takes any request.
     pub most_unread: u64,
+    /// Whether engines can fetch parts of prompts from each other.
+    pub fetches: bool,
     /// Requests that may wait at a plain upstream beyond its slots.
     pub spare: u32,
 }
@@ -230,7 +240,7 @@
         let sound: Vec<&Upstream> = usable.iter().copied().filter(sound).collect();
         let candidates = if sound.is_empty() { usable } else { sound };
         match ask.prompt {
-            Some(prompt) => choose_engine(now, &candidates, ask, prompt),
+            Some(prompt) => engine::choose(now, &candidates, ask, prompt),
             None => choose_plain(now, &candidates, ask),
         }
     }
@@ -291,52 +301,6 @@
     }
 }
 
-fn choose_engine(
-    now: Tick,
-    candidates: &[&Upstream],
-    ask: &Ask<'_>,
-    prompt: &Prompt,
-) -> Option<Choice> {
-    let key = prompt.shared().map_or(0, |part| part.id);
-    let mut ranks: Vec<(u64, &str)> = candidates
-        .iter()
-        .map(|upstream| {
-            let id = &*upstream.entry.id;
-            (rendezvous::weight(key, id), id)
-        })
-        .collect();
-    ranks.sort_unstable_by(|a, b| b.cmp(a));
-    let shared: u64 = prompt.tokens
-        - prompt
-            .parts
-            .last()
-            .map_or(0, |part| part.tokens)
-            .min(prompt.tokens);
-    let fits = candidates.iter().filter_map(|upstream| {
-        let mut held = upstream.held.prefix(&prompt.parts);
-        // All routers send prompts with the same parts to the engine with the highest rank, so
-        // that it holds them even if this router has sent none there.
-        if ranks
-            .first()
-            .is_some_and(|(_, id)| **id == *upstream.entry.id)
-        {
-            held = held.max(shared);
-        }
-        let unread = prompt.tokens.saturating_sub(held);
-        let waiting = upstream.unread();
-        let room = waiting == 0 || waiting + unread <= ask.most_unread;
-        if !room || upstream.requests() >= upstream.entry.slots {
-            return None;
-        }
-        let running = u64::from(upstream.requests()) * RUNNING_TOKENS;
-        let cost = (waiting + unread + running) as f64;
-        let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
-        Some((cost, *upstream, unread))
-    });
-    let best = fits.min_by(|a, b| a.0.total_cmp(&b.0));
-    best.map(|(_, upstream, unread)| choice(upstream, unread))
-}
-
 fn choose_plain(now: Tick, candidates: &[&Upstream], ask: &Ask<'_>) -> Option<Choice> {
     let fits = candidates.iter().filter_map(|upstream| {
         if upstream.requests() >= upstream.entry.slots + ask.spare {
@@ -352,13 +316,5 @@
         Some((cost + 4.0 * upstream.failure_rate(now), *upstream))
     });
     let best = fits.min_by(|a, b| a.0.total_cmp(&b.0));
-    best.map(|(_, upstream)| choice(upstream, 0))
-}
-
-fn choice(upstream: &Upstream, unread: u64) -> Choice {
-    Choice {
-        id: upstream.entry.id.clone(),
-        address: upstream.entry.address,
-        unread,
-    }
+    best.map(|(_, upstream)| upstream.choice(0, None))
 }
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -89,6 +89,7 @@
             prompt: prompt.filter(|_| self.engine.is_some()),
             avoid,
             most_unread,
+            fetches: self.engine.is_some_and(|engine| engine.fetches),
             spare: SPARE,
         };
         self.pool.choose(now, &ask)
--- /dev/null
+++ b/crates/flow/tests/pool.rs
@@ -0,0 +1,252 @@
+//! Guards against prompts that are read again, engines that are flooded, and upstreams that fail
+//! and get work all the same.
+
+use tsw_base::time::{Span, Tick};
+use tsw_flow::{
+    pool::{Ask, Entry, Pool, Use},
+    prompt::{Part, Prompt},
+};
+use tsw_route::{table::Engine, Name};
+
+const ENGINE: Engine = Engine {
+    slots: 8,
+    memory_tokens: 100_000,
+    fetches: true,
+};
+
+fn entry(number: u64) -> Entry {
+    Entry {
+        id: format!("e{number}").into(),
+        service: "model".into(),
+        address: format!("10.0.0.{}:80", number + 1)
+            .parse()
+            .expect("an address"),
+        domain: "north".into(),
+        slots: 8,
+        leaving: false,
+        born: 1,
+        seq: 1,
+    }
+}
+
+fn pool(engines: u64) -> Pool {
+    let mut pool = Pool::default();
+    pool.set_entries((0..engines).map(entry).collect(), Some(ENGINE));
+    pool
+}
+
+fn prompt(session: u64, own: u64) -> Prompt {
+    let parts = vec![
+        Part {
+            id: session,
+            tokens: 4_000,
+        },
+        Part {
+            id: own,
+            tokens: 1_000,
+        },
+    ];
+    Prompt {
+        tokens: 5_000,
+        expected: 100,
+        parts,
+    }
+}
+
+fn ask(prompt: &Prompt) -> Ask<'_> {
+    Ask {
+        domain: "north",
+        prompt: Some(prompt),
+        avoid: &[],
+        most_unread: 12_000,
+        fetches: true,
+        spare: 1,
+    }
+}
+
+fn at(millis: u64) -> Tick {
+    Tick::ZERO + Span::from_millis(1_000 + millis)
+}
+
+#[test]
+fn routers_that_do_not_talk_send_the_same_session_to_the_same_engine() {
+    for session in 0..50 {
+        let first = pool(12).choose(at(0), &ask(&prompt(session, 1_000)));
+        let second = pool(12).choose(at(0), &ask(&prompt(session, 2_000)));
+        assert_eq!(
+            first.map(|choice| choice.id),
+            second.map(|choice| choice.id)
+        );
+    }
+}
+
+#[test]
+fn sessions_are_spread_over_the_engines() {
+    let pool = pool(12);
+    let mut counts = std::collections::BTreeMap::new();
+    for session in 0..600 {
+        let choice = pool
+            .choose(at(0), &ask(&prompt(session, 1)))
+            .expect("an engine");
+        *counts.entry(choice.id).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 12);
+    assert!(
+        counts.values().all(|count| (20..=90).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn prompt_that_goes_elsewhere_fetches_its_shared_parts() {
+    let mut pool = pool(3);
+    let prompt = prompt(7, 1);
+    let home = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    assert_eq!((home.unread, home.fetch), (1_000, None));
+    // The home is busy with long prompts of another router.
+    let used = Use {
+        requests: 2,
+        unread: 40_000,
+    };
+    pool.set_others(&"r2".into(), vec![(home.id.clone(), used)]);
+    let other = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    assert_ne!(other.id, home.id);
+    assert_eq!((other.unread, other.fetch), (1_000, Some(home.address)));
+    // Once fetched, it is held there as well.
+    pool.begin(&other, Some(&prompt));
+    pool.read(&other);
+    pool.end(&other);
+    let again = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    assert_eq!(again.fetch, None);
+}
+
+#[test]
+fn engine_with_waiting_prompts_gets_no_more_than_the_limit() {
+    let mut pool = pool(1);
+    let prompt = prompt(7, 1);
+    let used = Use {
+        requests: 1,
+        unread: 11_500,
+    };
+    pool.set_others(&"r2".into(), vec![("e0".into(), used)]);
+    assert_eq!(pool.choose(at(0), &ask(&prompt)), None);
+    let used = Use {
+        requests: 1,
+        unread: 0,
+    };
+    pool.set_others(&"r2".into(), vec![("e0".into(), used)]);
+    assert!(
+        pool.choose(at(0), &ask(&prompt)).is_some(),
+        "a long prompt starts on an idle engine"
+    );
+}
+
+#[test]
+fn engine_whose_slots_are_taken_gets_no_request() {
+    let mut pool = pool(1);
+    let used = Use {
+        requests: 8,
+        unread: 0,
+    };
+    pool.set_others(&"r2".into(), vec![("e0".into(), used)]);
+    assert_eq!(pool.choose(at(0), &ask(&prompt(7, 1))), None);
+    pool.set_others(&"r2".into(), Vec::new());
+    assert!(
+        pool.choose(at(0), &ask(&prompt(7, 1))).is_some(),
+        "the other router ended"
+    );
+}
+
+#[test]
+fn upstream_that_fails_while_its_health_check_passes_is_avoided() {
+    let mut pool = pool(3);
+    let bad: Name = "e0".into();
+    for _ in 0..4 {
+        pool.failed(at(0), &bad);
+    }
+    for session in 0..60 {
+        let choice = pool
+            .choose(at(10), &ask(&prompt(session, 1)))
+            .expect("an engine");
+        assert_ne!(choice.id, bad);
+    }
+    let tried = |millis| {
+        (0..60).any(|session| {
+            let choice = pool.choose(at(millis), &ask(&prompt(session, 1)));
+            choice.is_some_and(|choice| choice.id == bad)
+        })
+    };
+    assert!(tried(10_000), "it is tried again later");
+}
+
+#[test]
+fn unreachable_upstream_is_left_alone_for_longer_each_time() {
+    let mut pool = pool(2);
+    let down: Name = "e0".into();
+    let chosen = |pool: &Pool, millis| {
+        (0..60).any(|session| {
+            let choice = pool.choose(at(millis), &ask(&prompt(session, 1)));
+            choice.is_some_and(|choice| choice.id == down)
+        })
+    };
+    pool.unreachable(at(0), &down);
+    // Requests that failed at the same time do not add up.
+    pool.unreachable(at(1), &down);
+    assert!(!chosen(&pool, 200));
+    assert!(chosen(&pool, 300));
+    pool.unreachable(at(300), &down);
+    assert!(!chosen(&pool, 700));
+    pool.answered(at(900), &down);
+    assert!(chosen(&pool, 901));
+}
+
+#[test]
+fn request_is_tried_on_a_failing_upstream_rather_than_nowhere() {
+    let mut pool = pool(1);
+    pool.unreachable(at(0), "e0");
+    assert!(pool.choose(at(1), &ask(&prompt(7, 1))).is_some());
+}
+
+#[test]
+fn restarted_engine_holds_nothing() {
+    let mut pool = pool(2);
+    let prompt = prompt(7, 1);
+    let home = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    let other = if &*home.id == "e0" { "e1" } else { "e0" };
+    let used = Use {
+        requests: 1,
+        unread: 40_000,
+    };
+    pool.set_others(&"r2".into(), vec![(home.id.clone(), used)]);
+    let fetched = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    assert_eq!(&*fetched.id, other);
+    pool.begin(&fetched, Some(&prompt));
+    pool.read(&fetched);
+    let entries = (0..2).map(|number| Entry {
+        born: if format!("e{number}") == other { 2 } else { 1 },
+        ..entry(number)
+    });
+    pool.set_entries(entries.collect(), Some(ENGINE));
+    let choice = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    assert_eq!(
+        choice.fetch,
+        Some(home.address),
+        "what it held before is gone"
+    );
+}
+
+#[test]
+fn leaving_upstream_gets_no_request() {
+    let mut pool = pool(2);
+    let entries = (0..2).map(|number| Entry {
+        leaving: number == 0,
+        ..entry(number)
+    });
+    pool.set_entries(entries.collect(), Some(ENGINE));
+    for session in 0..60 {
+        let choice = pool
+            .choose(at(0), &ask(&prompt(session, 1)))
+            .expect("an engine");
+        assert_eq!(&*choice.id, "e1");
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -92,7 +92,7 @@
         }
         let head = self
             .dialect
-            .request(request, &place.choice().id, left_ms, after);
+            .request(request, place.choice(), left_ms, after);
         emit(
             Event::Dispatched,
             &[
@@ -101,6 +101,7 @@
                 ("upstream", &place.choice().id),
                 ("waited_us", &now.since(request.arrived).as_micros()),
                 ("unread", &place.choice().unread),
+                ("fetch", &place.choice().fetch.is_some()),
                 ("reused", &reused),
             ],
         );
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,7 +1,7 @@
 //! How upstreams are spoken to.
 
 use bytes::Bytes;
-use tsw_flow::pool::Load;
+use tsw_flow::pool::{Choice, Load};
 use tsw_http::{field::Fields, head};
 
 use crate::request::Request;
@@ -19,12 +19,12 @@
 
 /// The headers that a kind of upstream and client uses.
 pub trait Dialect {
-    /// Makes the head of the request to an upstream that stops its work after `left_ms`
+    /// Makes the head of the request to a chosen upstream that stops its work after `left_ms`
     /// milliseconds. `after` names the event after which a stream continues.
     fn request(
         &self,
         request: &Request,
-        upstream: &str,
+        choice: &Choice,
         left_ms: u64,
         after: Option<&Bytes>,
     ) -> head::Request;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -460,7 +460,10 @@
                 ("request", &self.request.id),
                 ("outcome", &outcome),
                 ("took_us", &since.as_micros()),
-                ("first_us", &self.pace.first.unwrap_or(Span::ZERO).as_micros()),
+                (
+                    "first_us",
+                    &self.pace.first.unwrap_or(Span::ZERO).as_micros(),
+                ),
                 ("gap_us", &self.pace.gap.as_micros()),
                 ("events", &self.pace.events),
             ],
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -119,6 +119,8 @@
     pub slots: u32,
     /// Tokens that running requests and cached parts may occupy together.
     pub memory_tokens: u64,
+    /// Whether one engine can fetch parts of prompts from another.
+    pub fetches: bool,
 }
 
 /// What clients may send, and how long they may take.
