--- a/crates/flow/tests/pool.rs
+++ b/crates/flow/tests/pool.rs
@@ -182,21 +182,23 @@
 #[test]
 fn unreachable_upstream_is_left_alone_for_longer_each_time() {
     let mut pool = pool(2);
-    let down: Name = "e0".into();
-    let chosen = |pool: &Pool, millis| {
-        (0..60).any(|session| {
-            let choice = pool.choose(at(millis), &ask(&prompt(session, 1)));
-            choice.is_some_and(|choice| choice.id == down)
-        })
+    let prompt = prompt(7, 1);
+    // The other engine has no room, so that only `e0` can be chosen.
+    let busy = Use {
+        requests: 8,
+        unread: 40_000,
     };
-    pool.unreachable(at(0), &down);
+    pool.set_others(&"r2".into(), vec![("e1".into(), busy)]);
+    let chosen = |pool: &Pool, millis| pool.choose(at(millis), &ask(&prompt)).is_some();
+    assert!(chosen(&pool, 0));
+    pool.unreachable(at(0), "e0");
     // Requests that failed at the same time do not add up.
-    pool.unreachable(at(1), &down);
+    pool.unreachable(at(1), "e0");
     assert!(!chosen(&pool, 200));
     assert!(chosen(&pool, 300));
-    pool.unreachable(at(300), &down);
+    pool.unreachable(at(300), "e0");
     assert!(!chosen(&pool, 700));
-    pool.answered(at(900), &down);
+    pool.answered(at(900), "e0");
     assert!(chosen(&pool, 901));
 }
 
