Tell other routers which engine reads which shared parts

Cause: a router took the engine of the highest rank for the holder of shared parts even if these were read elsewhere because it was busy, and read them again there or fetched nothing. Ruled out: eviction, since the engines were told to keep fewer tokens than their memory holds.

Each statement to the other routers names the shared parts that engines were told to read since the last one; the rank decides only while no holder is known.

--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -8,7 +8,10 @@
 use tsw_base::time::{Span, Tick};
 use tsw_route::{table::Engine, Name};
 
-use crate::{directory::Directory, prompt::Prompt};
+use crate::{
+    directory::Directory,
+    prompt::{Part, Prompt},
+};
 
 /// Added to the cost of a plain upstream in another failure domain, in requests.
 const FAR: f64 = 0.3;
@@ -22,6 +25,9 @@
 const DOWN_LEAST: Span = Span::from_millis(250);
 const DOWN_MOST: Span = Span::from_millis(4_000);
 
+/// Most reads that are kept for the other routers between two messages to them.
+const MAX_READ: usize = 64;
+
 /// What the platform says of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Entry {
@@ -154,6 +160,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     upstreams: IndexMap<Name, Upstream>,
+    read: Vec<(Name, Vec<Part>)>,
     others: IndexMap<Name, Vec<(Name, Use)>>,
 }
 
@@ -252,6 +259,24 @@
             upstream.own.unread += choice.unread;
             if let Some(prompt) = prompt {
                 upstream.held.add(&prompt.parts);
+                let shared = prompt.shared_parts();
+                if !shared.is_empty() && self.read.len() < MAX_READ {
+                    self.read.push((choice.id.clone(), shared.to_vec()));
+                }
+            }
+        }
+    }
+
+    /// Returns which shared parts engines were told to read since the last call.
+    pub fn take_read(&mut self) -> Vec<(Name, Vec<Part>)> {
+        std::mem::take(&mut self.read)
+    }
+
+    /// Notes which shared parts another router told engines to read.
+    pub fn add_read(&mut self, read: &[(Name, Vec<Part>)]) {
+        for (id, parts) in read {
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                upstream.held.add(parts);
             }
         }
     }
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -21,31 +21,34 @@
 struct Held<'a> {
     upstream: &'a Upstream,
     tokens: u64,
+    /// Tokens that it should read because the shared parts belong there.
+    belongs: u64,
 }
 
 /// Returns what each engine holds of a prompt.
 ///
-/// All routers send prompts with the same parts to the engine with the highest rank for them, so
-/// that it holds the shared parts even if this router has sent none there.
+/// Shared parts that no engine is known to hold belong to the engine with the highest rank for
+/// them, so that routers that do not know of each other yet send them to the same engine.
 fn held<'a>(candidates: &[&'a Upstream], prompt: &Prompt) -> Vec<Held<'a>> {
-    let key = prompt.shared().map_or(0, |part| part.id);
-    let rank = |upstream: &Upstream| {
-        let id = &*upstream.entry.id;
-        (rendezvous::weight(key, id), id.to_owned())
-    };
-    let first = candidates.iter().max_by_key(|upstream| rank(upstream));
-    let first = first.map(|upstream| upstream.entry.id.clone());
-    let last = prompt.parts.last().map_or(0, |part| part.tokens);
-    let shared = prompt.tokens.saturating_sub(last);
-    let each = candidates.iter().map(|upstream| {
-        let known = upstream.held.prefix(&prompt.parts);
-        let home = first.as_ref() == Some(&upstream.entry.id);
-        Held {
-            upstream,
-            tokens: if home { known.max(shared) } else { known },
-        }
+    let parts = prompt.shared_parts();
+    let shared: u64 = parts.iter().map(|part| part.tokens).sum();
+    let each = candidates.iter().map(|upstream| Held {
+        upstream,
+        tokens: upstream.held.prefix(&prompt.parts),
+        belongs: 0,
     });
-    each.collect()
+    let mut each: Vec<Held<'_>> = each.collect();
+    if each.iter().all(|held| held.tokens < shared) {
+        let key = parts.last().map_or(0, |part| part.id);
+        let rank = |held: &&mut Held<'_>| {
+            let id = &*held.upstream.entry.id;
+            (rendezvous::weight(key, id), id.to_owned())
+        };
+        if let Some(home) = each.iter_mut().max_by_key(rank) {
+            home.belongs = shared - home.tokens;
+        }
+    }
+    each
 }
 
 /// Chooses the engine that reads the prompt with the least delay for it and for what runs there.
@@ -68,7 +71,7 @@
         }
         let running = u64::from(upstream.requests()) * RUNNING_TOKENS;
         let fetching = fetch.map_or(0, |_| FETCH_LEAST + moved / MOVED_PER_READ);
-        let cost = (waiting + unread + running + fetching) as f64;
+        let cost = (waiting + unread + running + fetching).saturating_sub(held.belongs) as f64;
         let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, upstream, unread, fetch))
     });
--- a/crates/flow/src/prompt.rs
+++ b/crates/flow/src/prompt.rs
@@ -21,18 +21,17 @@
 }
 
 impl Prompt {
-    /// Returns the last part that other requests may share.
+    /// Returns the parts that other requests may share.
     ///
     /// ```
     /// use tsw_flow::prompt::{Part, Prompt};
     /// let parts = vec![Part { id: 1, tokens: 500 }, Part { id: 9, tokens: 20 }];
     /// let prompt = Prompt { tokens: 520, expected: 10, parts };
-    /// assert_eq!(prompt.shared().map(|part| part.id), Some(1));
+    /// assert_eq!(prompt.shared_parts().len(), 1);
     /// ```
     #[must_use]
-    pub fn shared(&self) -> Option<Part> {
-        let before_last = self.parts.len().checked_sub(2)?;
-        self.parts.get(before_last).copied()
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
     /// Returns the work of a request in tokens: each token read once and each generated token
--- a/crates/flow/tests/pool.rs
+++ b/crates/flow/tests/pool.rs
@@ -99,27 +99,48 @@
 
 #[test]
 fn prompt_that_goes_elsewhere_fetches_its_shared_parts() {
-    let mut pool = pool(3);
     let prompt = prompt(7, 1);
-    let home = pool.choose(at(0), &ask(&prompt)).expect("an engine");
-    assert_eq!((home.unread, home.fetch), (1_000, None));
-    // The home is busy with long prompts of another router.
+    let mut first = pool(3);
+    let home = first.choose(at(0), &ask(&prompt)).expect("an engine");
+    assert_eq!(
+        (home.unread, home.fetch),
+        (5_000, None),
+        "no engine holds it yet"
+    );
+    first.begin(&home, Some(&prompt));
+    // Another router hears of the read, and that the engine is busy.
+    let mut second = pool(3);
+    second.add_read(&first.take_read());
     let used = Use {
         requests: 2,
         unread: 40_000,
     };
-    pool.set_others(&"r2".into(), vec![(home.id.clone(), used)]);
-    let other = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    second.set_others(&"r1".into(), vec![(home.id.clone(), used)]);
+    let other = second.choose(at(0), &ask(&prompt)).expect("an engine");
     assert_ne!(other.id, home.id);
     assert_eq!((other.unread, other.fetch), (1_000, Some(home.address)));
     // Once fetched, it is held there as well.
-    pool.begin(&other, Some(&prompt));
-    pool.read(&other);
-    pool.end(&other);
-    let again = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    second.begin(&other, Some(&prompt));
+    second.read(&other);
+    second.end(&other);
+    let again = second.choose(at(0), &ask(&prompt)).expect("an engine");
     assert_eq!(again.fetch, None);
 }
 
+#[test]
+fn only_shared_parts_are_told_to_other_routers() {
+    let prompt = prompt(7, 1);
+    let mut pool = pool(3);
+    let home = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    pool.begin(&home, Some(&prompt));
+    let part = Part {
+        id: 7,
+        tokens: 4_000,
+    };
+    assert_eq!(pool.take_read(), [(home.id, vec![part])]);
+    assert!(pool.take_read().is_empty(), "each read is told once");
+}
+
 #[test]
 fn engine_with_waiting_prompts_gets_no_more_than_the_limit() {
     let mut pool = pool(1);
@@ -214,26 +235,20 @@
     let mut pool = pool(2);
     let prompt = prompt(7, 1);
     let home = pool.choose(at(0), &ask(&prompt)).expect("an engine");
-    let other = if &*home.id == "e0" { "e1" } else { "e0" };
-    let used = Use {
-        requests: 1,
-        unread: 40_000,
-    };
-    pool.set_others(&"r2".into(), vec![(home.id.clone(), used)]);
-    let fetched = pool.choose(at(0), &ask(&prompt)).expect("an engine");
-    assert_eq!(&*fetched.id, other);
-    pool.begin(&fetched, Some(&prompt));
-    pool.read(&fetched);
-    let entries = (0..2).map(|number| Entry {
-        born: if format!("e{number}") == other { 2 } else { 1 },
-        ..entry(number)
+    pool.begin(&home, Some(&prompt));
+    pool.read(&home);
+    let again = pool.choose(at(0), &ask(&prompt)).expect("an engine");
+    assert_eq!((&again.id, again.unread), (&home.id, 0));
+    let entries = (0..2).map(entry).map(|entry| Entry {
+        born: if entry.id == home.id { 2 } else { 1 },
+        ..entry
     });
     pool.set_entries(entries.collect(), Some(ENGINE));
     let choice = pool.choose(at(0), &ask(&prompt)).expect("an engine");
     assert_eq!(
-        choice.fetch,
-        Some(home.address),
-        "what it held before is gone"
+        (choice.unread, choice.fetch),
+        (5_000, None),
+        "what it held is gone"
     );
 }
 
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -7,7 +7,7 @@
 use tokio::{net::UdpSocket, time};
 use tsw_base::time::Tick;
 use tsw_event::{emit, Event};
-use tsw_flow::{account::Work, pool::Use};
+use tsw_flow::{account::Work, pool::Use, prompt::Part};
 use tsw_member::roster::{Member, LIVE_FOR};
 use tsw_relay::router;
 use tsw_route::Name;
@@ -37,6 +37,8 @@
     service: String,
     /// Upstream, requests and tokens of prompts that are not read yet.
     uses: Vec<(String, u32, u64)>,
+    /// Upstream, and parts of prompts that it was told to read: identifier and tokens.
+    read: Vec<(String, Vec<(u64, u64)>)>,
     /// Team, and work that it asked for and received lately.
     teams: Vec<(String, f32, f32)>,
 }
@@ -45,11 +47,16 @@
     fn from(activity: &router::Activity) -> Self {
         let uses = activity.uses.iter();
         let teams = activity.teams.iter();
+        let read = activity.read.iter().map(|(id, parts)| {
+            let parts = parts.iter().map(|part| (part.id, part.tokens));
+            (id.to_string(), parts.collect())
+        });
         Self {
             service: activity.service.to_string(),
             uses: uses
                 .map(|(id, used)| (id.to_string(), used.requests, used.unread))
                 .collect(),
+            read: read.collect(),
             teams: teams
                 .map(|(team, work)| (team.to_string(), work.asked as f32, work.received as f32))
                 .collect(),
@@ -61,11 +68,16 @@
     fn from(activity: Activity) -> Self {
         let uses = activity.uses.into_iter();
         let teams = activity.teams.into_iter();
+        let read = activity.read.into_iter().map(|(id, parts)| {
+            let parts = parts.into_iter().map(|(id, tokens)| Part { id, tokens });
+            (id.into(), parts.collect())
+        });
         Self {
             service: activity.service.into(),
             uses: uses
                 .map(|(id, requests, unread)| (id.into(), Use { requests, unread }))
                 .collect(),
+            read: read.collect(),
             teams: teams
                 .map(|(team, asked, received)| {
                     let (asked, received) = (f64::from(asked), f64::from(received));
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -12,6 +12,7 @@
     account::Work,
     budget::Budget,
     pool::{Entry, Use},
+    prompt::Part,
     service::Service,
 };
 use tsw_http::pool;
@@ -52,6 +53,8 @@
     pub service: Name,
     /// Use of upstreams.
     pub uses: Vec<(Name, Use)>,
+    /// Shared parts that upstreams were told to read since the last statement.
+    pub read: Vec<(Name, Vec<Part>)>,
     /// Work of teams lately.
     pub teams: Vec<(Name, Work)>,
 }
@@ -172,6 +175,9 @@
         let now = self.now();
         for (name, service) in self.services.borrow_mut().iter_mut() {
             let found = activities.iter().find(|activity| activity.service == *name);
+            if let Some(found) = found {
+                service.pool.add_read(&found.read);
+            }
             let (uses, teams) = match found {
                 Some(found) => (found.uses.clone(), found.teams.clone()),
                 None => Default::default(),
@@ -182,17 +188,18 @@
         self.pump_all();
     }
 
-    /// Returns what this router does for each service.
-    #[must_use]
+    /// Returns what this router does for each service, for the other routers.
     pub fn activities(&self) -> Vec<Activity> {
-        let (services, now) = (self.services.borrow(), self.now());
-        let activities = services.iter().map(|(name, service)| Activity {
+        let now = self.now();
+        let mut services = self.services.borrow_mut();
+        let activities = services.iter_mut().map(|(name, service)| Activity {
             service: name.clone(),
             uses: service
                 .pool
                 .own()
                 .map(|(id, used)| (id.clone(), used))
                 .collect(),
+            read: service.pool.take_read(),
             teams: service.accounts.own(now).collect(),
         });
         activities.filter(|activity| !activity.is_empty()).collect()
