--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -33,6 +33,10 @@
 /// Longest pauses between events after which a stream is continued elsewhere, if that is allowed.
 /// A client leaves after eight.
 const SILENT_GAPS: u64 = 3;
+/// Shortest silence before the first event after which a stream is started elsewhere. An engine
+/// that has many prompts to read is not to be given more of them; a client waits for three
+/// seconds or longer.
+const SILENT_FIRST: Span = Span::from_millis(2_000);
 /// Shortest silence after which an upstream is given up. Engines pause for this long while they
 /// read the prompts of others.
 const SILENT_LEAST: Span = Span::from_millis(1_000);
@@ -204,7 +208,9 @@
             Kind::Stream { resumable: true } if self.last.is_some() => {
                 micros(route.gap.unwrap_or(route.objective)) * SILENT_GAPS
             }
-            Kind::Stream { resumable: true } => micros(route.objective) * 2,
+            Kind::Stream { resumable: true } => {
+                (micros(route.objective) * 2).max(SILENT_FIRST.as_micros())
+            }
             _ => return due,
         };
         if more {
