Let requests wait for engines for a tenth of their objective only

Cause: the wait at the router used up half of the objective; the engine then read the prompt for the other half, so that what waited was late and delayed the next. Plain upstreams, which need a fifth of their objective, keep 0.5: a short wait serves them better than a refusal.

--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -95,14 +95,30 @@
     }
 }
 
-/// Part of the objective for which a request waits for its start. The rest is for the run.
-const WAIT_PART: f64 = 0.5;
+/// Part of the objective for which a request for an engine waits at the router. The rest is for
+/// reading the prompt, which takes longer the more requests were let in before.
+const ENGINE_WAIT_PART: f64 = 0.1;
+/// Part of the objective for which a request for a plain upstream waits at the router. One takes
+/// about a fifth of its objective.
+const PLAIN_WAIT_PART: f64 = 0.5;
 
 /// Returns when a request is refused that arrived at `arrived` and cannot start yet.
 ///
 /// A request that starts later is late, and takes the capacity from one that could be in time.
+///
+/// ```
+/// use tsw_base::time::{Span, Tick};
+/// let (arrived, objective) = (Tick::from_micros(1), Span::from_millis(800));
+/// let until = tsw_flow::queue::patience(arrived, objective, arrived + Span::from_secs(15), true);
+/// assert_eq!(until.since(arrived), Span::from_millis(80));
+/// ```
 #[must_use]
-pub fn patience(arrived: Tick, objective: Span, deadline: Tick) -> Tick {
-    let wait = Span::from_micros((objective.as_micros() as f64 * WAIT_PART) as u64);
+pub fn patience(arrived: Tick, objective: Span, deadline: Tick, engine: bool) -> Tick {
+    let part = if engine {
+        ENGINE_WAIT_PART
+    } else {
+        PLAIN_WAIT_PART
+    };
+    let wait = Span::from_micros((objective.as_micros() as f64 * part) as u64);
     (arrived + wait).min(deadline)
 }
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -129,7 +129,7 @@
             if service.pool.takers() == 0 {
                 return Err(Refusal::NoUpstream);
             }
-            let until = patience(request, due);
+            let until = patience(request, due, service.engine().is_some());
             let ahead = service.backlog(now, team, level);
             if now + ahead >= until {
                 return Err(Refusal::Late);
@@ -287,7 +287,8 @@
     choice
 }
 
-fn patience(request: &Request, due: Tick) -> Tick {
+fn patience(request: &Request, due: Tick, engine: bool) -> Tick {
     let objective = u64::try_from(request.route.objective.as_micros()).unwrap_or(u64::MAX);
-    queue::patience(request.arrived, Span::from_micros(objective), due)
+    let objective = Span::from_micros(objective);
+    queue::patience(request.arrived, objective, due, engine)
 }
