Write the log without waiting for its reader

A thread writes the lines in batches; their number a second is bounded, and lines that are dropped are counted and reported. toucan check reads the settings of the platform as well.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`Event`]: every event with its number, level and name. `docs/events.md` is the catalogue.
 //! - [`emit`]: writes an event with its fields.
+//! - [`bounded`]: a log that never waits for whoever reads it.
 //! - [`setup`]: text or JSON lines, to standard output or to a file.
 //!
 //! # Example
@@ -24,6 +25,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+pub mod bounded;
 mod catalogue;
 mod emit;
 pub mod setup;
--- a/crates/event/src/setup.rs
+++ b/crates/event/src/setup.rs
@@ -14,7 +14,7 @@
 };
 use tsw_config::settings;
 
-use crate::catalogue;
+use crate::{bounded::Bounded, catalogue};
 
 static JSON: AtomicBool = AtomicBool::new(false);
 
@@ -32,6 +32,9 @@
     /// The appenders do not form a valid log.
     #[error("cannot set up the log: {0}")]
     Config(#[from] log4rs::config::runtime::ConfigErrors),
+    /// The thread that writes cannot be started.
+    #[error("cannot start the thread that writes the log: {0}")]
+    Thread(io::Error),
     /// Another log is set up already.
     #[error("cannot set up the log: {0}")]
     Taken(#[from] log::SetLoggerError),
@@ -50,6 +53,15 @@
     }
 }
 
+const fn level(level: settings::Level) -> LevelFilter {
+    match level {
+        settings::Level::Error => LevelFilter::Error,
+        settings::Level::Warn => LevelFilter::Warn,
+        settings::Level::Info => LevelFilter::Info,
+        settings::Level::Debug => LevelFilter::Debug,
+    }
+}
+
 /// Sets up the log of this process as the settings say.
 ///
 /// Libraries are logged from level `Warn`, so that their details do not hide the events. Lines of
@@ -59,12 +71,7 @@
 ///
 /// Returns an error if the file cannot be opened or a log is set up already.
 pub fn init(log: &settings::Log) -> Result<(), Error> {
-    let level = match log.level {
-        settings::Level::Error => LevelFilter::Error,
-        settings::Level::Warn => LevelFilter::Warn,
-        settings::Level::Info => LevelFilter::Info,
-        settings::Level::Debug => LevelFilter::Debug,
-    };
+    let level = level(log.level);
     let encoder = encoder(log.format);
     let appender: Box<dyn Append> = match &log.file {
         Some(path) => Box::new(
@@ -78,6 +85,25 @@
         ),
         None => Box::new(ConsoleAppender::builder().encoder(encoder).build()),
     };
+    install(log, level, appender)
+}
+
+/// Sets up the log of a router whose log may not be read for a time: lines go to standard output
+/// on a thread of their own, their number is bounded, and those dropped are counted.
+///
+/// # Errors
+///
+/// Returns an error if the thread cannot be started or a log is set up already.
+pub fn init_bounded(log: &settings::Log) -> Result<(), Error> {
+    let appender = Bounded::new(encoder(log.format)).map_err(Error::Thread)?;
+    install(log, level(log.level), Box::new(appender))
+}
+
+fn install(
+    log: &settings::Log,
+    level: LevelFilter,
+    appender: Box<dyn Append>,
+) -> Result<(), Error> {
     let config = Config::builder()
         .appender(Appender::builder().build("out", appender))
         .logger(Logger::builder().build(catalogue::TARGET, level))
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -105,7 +105,7 @@
 pub async fn run(path: PathBuf) -> Result<(), Error> {
     let mut signals = Signals::new()?;
     let settings = gateway::Settings::load(&path)?;
-    tsw_event::setup::init(&settings.log)?;
+    tsw_event::setup::init_bounded(&settings.log)?;
     let listen = settings.listen.clone();
     let grace = Duration::from_secs_f64(settings.bounds.grace_s);
     let gate = gate(settings)?;
@@ -151,6 +151,7 @@
     }
     drain(&gate, grace, &front).await;
     emit(Event::Stopped, &[]);
+    tsw_event::bounded::flush();
     Ok(())
 }
 
--- a/crates/toucan/src/check.rs
+++ b/crates/toucan/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use tsw_config::{check, collect, settings};
+use tsw_config::{check, collect, gateway, settings};
 
 use crate::Outcome;
 
@@ -46,9 +46,15 @@
 
 /// Checks a settings file; returns the number of faults.
 fn file(path: &Path) -> usize {
-    match settings::Settings::load(path) {
-        Ok(settings) => {
-            crate::say!("{}: settings of {}", path.display(), settings.host);
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let host = if gateway::Settings::is_meant(&text) {
+        gateway::Settings::load(path).map(|settings| settings.host)
+    } else {
+        settings::Settings::load(path).map(|settings| settings.host.to_string())
+    };
+    match host {
+        Ok(host) => {
+            crate::say!("{}: settings of {host}", path.display());
             0
         }
         Err(fault) => {
--- a/crates/toucand/src/main.rs
+++ b/crates/toucand/src/main.rs
@@ -16,6 +16,7 @@
     panic::set_hook(Box::new(move |info| {
         print(info);
         tsw_event::emit(tsw_event::Event::Panicked, &[("cause", info)]);
+        tsw_event::bounded::flush();
         process::exit(PANIC_STATUS);
     }));
 }
