Start a request if most of its work is below the level

Cause: a team below its level started a request of any size, so that the seven routers exceeded the level by one large request each, and all of them used the same free capacity between two statements.

--- a/crates/flow/src/account.rs
+++ b/crates/flow/src/account.rs
@@ -56,6 +56,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
     own: IndexMap<Name, Recent>,
+    /// Work of teams at this router since it last told the others.
+    untold: IndexMap<Name, Work>,
     told: IndexMap<Name, (Tick, Vec<(Name, Work)>)>,
     others: IndexMap<Name, Recent>,
 }
@@ -65,8 +67,7 @@
     pub fn ask(&mut self, now: Tick, team: &Name, work: u64) {
         let asked = work as f64;
         let received = 0.0;
-        let recent = self.own.entry(team.clone()).or_default();
-        recent.add(now, Work { asked, received });
+        self.add(now, team, Work { asked, received });
     }
 
     /// Notes that a team receives work from this router.
@@ -84,8 +85,13 @@
     pub fn charge(&mut self, now: Tick, team: &Name, work: u64) {
         let asked = 0.0;
         let received = work as f64;
-        let recent = self.own.entry(team.clone()).or_default();
-        recent.add(now, Work { asked, received });
+        self.add(now, team, Work { asked, received });
+    }
+
+    fn add(&mut self, now: Tick, team: &Name, work: Work) {
+        self.own.entry(team.clone()).or_default().add(now, work);
+        let untold = self.untold.entry(team.clone()).or_default();
+        *untold = untold.plus(work);
     }
 
     /// Takes what another router did; nothing when it ended.
@@ -109,14 +115,29 @@
     }
 
     /// Returns the work of a team.
+    ///
+    /// Since their last statement, the others are taken to have been asked for, and to have started,
+    /// the same part of the team's work as this router. Otherwise all routers would use the same free
+    /// capacity when the load rises.
     #[must_use]
     pub fn team(&self, now: Tick, team: &str) -> Work {
         let at = |recent: Option<&Recent>| recent.map_or(Work::default(), |recent| recent.at(now));
-        at(self.own.get(team)).plus(at(self.others.get(team)))
+        let (own, others) = (at(self.own.get(team)), at(self.others.get(team)));
+        let untold = self.untold.get(team).copied().unwrap_or_default();
+        let ratio = if own.asked > 0.0 {
+            others.asked / own.asked
+        } else {
+            0.0
+        };
+        let mut sum = own.plus(others);
+        sum.asked += untold.asked * ratio;
+        sum.received += untold.received * ratio;
+        sum
     }
 
-    /// Returns the work that teams had from this router.
-    pub fn own(&self, now: Tick) -> impl Iterator<Item = (Name, Work)> + '_ {
+    /// Returns the work that teams had from this router, to be told to the others now.
+    pub fn tell(&mut self, now: Tick) -> impl Iterator<Item = (Name, Work)> + '_ {
+        self.untold.clear();
         let own = self.own.iter();
         let own = own.map(move |(team, recent)| (team.clone(), recent.at(now)));
         own.filter(|(_, work)| work.asked + work.received >= NEGLIGIBLE)
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -123,10 +123,13 @@
         }
     }
 
-    /// Returns whether a request of a team may be started, given the level.
+    /// Returns whether a request of a team may be started, given the level: if most of its work is
+    /// still below the level, or if the team received so little that it is due however large its
+    /// request is.
     #[must_use]
-    pub fn may_start(&self, now: Tick, team: &str, level: f64) -> bool {
-        self.accounts.team(now, team).received < level
+    pub fn may_start(&self, now: Tick, team: &str, work: u64, level: f64) -> bool {
+        let received = self.accounts.team(now, team).received;
+        received + work as f64 / 2.0 < level || received < level * DUE_PART
     }
 
     /// Returns how long a further request of a team would probably wait, given the level: until
@@ -145,5 +148,7 @@
 
 /// Requests that one slot of a plain upstream answers in a second: one takes about 30 ms.
 const PLAIN_PER_SLOT_S: f64 = 30.0;
+/// Part of the level below which a team's request may be started whatever its work.
+const DUE_PART: f64 = 0.25;
 /// Part of the work that the operators state as possible up to which requests are started.
 const LOAD_PART: f64 = 1.1;
--- /dev/null
+++ b/crates/flow/tests/share.rs
@@ -0,0 +1,246 @@
+//! Fair shares of the work of a fleet of routers under patterns of load, without a network.
+//!
+//! Guards against a team that gets less than its share because of where its clients connect, of the
+//! size of its requests, or of a flood of another team.
+
+use tsw_base::time::{Span, Tick};
+use tsw_flow::{
+    budget::Budget,
+    queue::{patience, Waiting},
+    service::Service,
+};
+use tsw_route::{
+    table::{self, Limits},
+    Name,
+};
+
+const ROUTERS: usize = 7;
+/// Work that the operators state as possible, in tokens a second.
+const CAPACITY: u64 = 300_000;
+/// Period of the statements between routers.
+const TELL_MS: u64 = 100;
+const STEP_MS: u64 = 5;
+const OBJECTIVE: Span = Span::from_millis(800);
+
+/// The requests of a team.
+struct Load {
+    team: &'static str,
+    /// Routers at which its clients connect.
+    routers: &'static [usize],
+    /// Work of one request.
+    work: u64,
+    /// Work asked for in a second.
+    asked: u64,
+    /// Seconds in which it asks.
+    from_s: f64,
+    to_s: f64,
+}
+
+/// Routers of which each starts what its level allows.
+struct Fleet {
+    services: Vec<Service>,
+    started: Vec<(u64, Name, u64)>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let service = || {
+            let mut service = Service::new(Budget::new(Span::from_secs(10), 0.2, 54.0));
+            let engine = table::Engine {
+                slots: 64,
+                memory_tokens: 600_000,
+                fetches: true,
+            };
+            let stated = table::Service {
+                connections: 360,
+                engine: Some(engine),
+            };
+            let limits = Limits {
+                tokens_per_s: Some(CAPACITY),
+                ..Limits::default()
+            };
+            service.configure(&stated, &limits);
+            service
+        };
+        Self {
+            services: (0..ROUTERS).map(|_| service()).collect(),
+            started: Vec::new(),
+        }
+    }
+
+    fn tell(&mut self, now: Tick) {
+        let told: Vec<Vec<_>> = self
+            .services
+            .iter_mut()
+            .map(|service| service.accounts.tell(now).collect())
+            .collect();
+        for (to, service) in self.services.iter_mut().enumerate() {
+            for (from, work) in told.iter().enumerate().filter(|(from, _)| *from != to) {
+                service
+                    .accounts
+                    .set_others(now, &format!("r{from}").into(), work.clone());
+            }
+        }
+    }
+
+    fn arrive(&mut self, router: usize, load: &Load, now: Tick) {
+        let service = &mut self.services[router];
+        let team: Name = load.team.into();
+        service.accounts.ask(now, &team, load.work);
+        let until = patience(now, OBJECTIVE, now + Span::from_secs(15), true);
+        if now + service.backlog(now, load.team, service.level(now)) >= until {
+            return;
+        }
+        service.queue.push(Waiting {
+            number: 0,
+            team,
+            work: load.work,
+            priority: 1,
+            in_time: now + OBJECTIVE,
+            until,
+        });
+    }
+
+    fn start(&mut self, now: Tick, millis: u64) {
+        for service in &mut self.services {
+            service.queue.expire(now);
+            let level = service.level(now);
+            for waiting in service.queue.order(now, &service.accounts) {
+                if service.may_start(now, &waiting.team, waiting.work, level) {
+                    service.queue.remove(waiting.number);
+                    service.accounts.charge(now, &waiting.team, waiting.work);
+                    self.started.push((millis, waiting.team, waiting.work));
+                }
+            }
+        }
+    }
+
+    /// Plays the loads and returns the fleet.
+    fn play(loads: &[Load], seconds: u64) -> Self {
+        let mut fleet = Self::new();
+        let mut due = vec![0.0; loads.len()];
+        let mut turn = vec![0; loads.len()];
+        for millis in (0..seconds * 1_000).step_by(STEP_MS as usize) {
+            let now = Tick::ZERO + Span::from_millis(1_000 + millis);
+            if millis % TELL_MS == 0 {
+                fleet.tell(now);
+            }
+            for (index, load) in loads.iter().enumerate() {
+                let second = millis as f64 / 1_000.0;
+                if second < load.from_s || second >= load.to_s {
+                    continue;
+                }
+                due[index] += (load.asked * STEP_MS) as f64 / 1_000.0;
+                while due[index] >= load.work as f64 {
+                    due[index] -= load.work as f64;
+                    turn[index] += 1;
+                    let router = load.routers[turn[index] % load.routers.len()];
+                    fleet.arrive(router, load, now);
+                }
+            }
+            fleet.start(now, millis);
+        }
+        fleet
+    }
+
+    /// Returns the work that a team received in a second, on average between two seconds.
+    fn rate(&self, team: &str, from_s: u64, to_s: u64) -> f64 {
+        let within = |millis: u64| (from_s * 1_000..to_s * 1_000).contains(&millis);
+        let own = self
+            .started
+            .iter()
+            .filter(|(at, name, _)| within(*at) && **name == *team);
+        let work: u64 = own.map(|(_, _, work)| work).sum();
+        work as f64 / (to_s - from_s) as f64
+    }
+}
+
+const ALL: &[usize] = &[0, 1, 2, 3, 4, 5, 6];
+
+const fn steady(team: &'static str, routers: &'static [usize], work: u64, asked: u64) -> Load {
+    Load {
+        team,
+        routers,
+        work,
+        asked,
+        from_s: 0.0,
+        to_s: 1_000.0,
+    }
+}
+
+#[test]
+fn team_at_one_router_gets_as_much_as_a_team_at_all_of_them() {
+    let loads = [
+        steady("everywhere", ALL, 5_000, 900_000),
+        steady("one", &[3], 5_000, 900_000),
+    ];
+    let fleet = Fleet::play(&loads, 20);
+    let (everywhere, one) = (fleet.rate("everywhere", 5, 20), fleet.rate("one", 5, 20));
+    assert!(
+        one >= 0.8 * everywhere,
+        "one {one}, everywhere {everywhere}"
+    );
+}
+
+#[test]
+fn flood_of_one_team_leaves_the_others_what_they_ask_for() {
+    let loads = [
+        steady("flood", ALL, 2_000, 3_000_000),
+        steady("small", &[0, 5], 2_000, 40_000),
+        steady("middle", ALL, 2_000, 90_000),
+    ];
+    let fleet = Fleet::play(&loads, 20);
+    for (team, asked) in [("small", 40_000.0), ("middle", 90_000.0)] {
+        let rate = fleet.rate(team, 5, 20);
+        assert!(
+            rate >= 0.95 * asked,
+            "{team} asked for {asked} and got {rate}"
+        );
+    }
+}
+
+#[test]
+fn rise_of_the_load_starts_no_more_than_the_engines_do() {
+    let mut loads: Vec<Load> = Vec::new();
+    for team in ["a", "b", "c", "d"] {
+        loads.push(steady(team, ALL, 3_000, 60_000));
+        loads.push(Load {
+            from_s: 8.0,
+            to_s: 12.0,
+            ..steady(team, ALL, 3_000, 240_000)
+        });
+    }
+    let fleet = Fleet::play(&loads, 20);
+    let rate = |from, to| {
+        ["a", "b", "c", "d"]
+            .iter()
+            .map(|t| fleet.rate(t, from, to))
+            .sum::<f64>()
+    };
+    let rise = rate(8, 12);
+    assert!(rise <= 1.3 * CAPACITY as f64, "started {rise} a second");
+    let before = rate(4, 8);
+    assert!(
+        before >= 0.95 * 240_000.0,
+        "{before} of 240000 were started before"
+    );
+    assert!(rate(14, 20) >= 0.95 * 240_000.0, "the rise is over");
+}
+
+#[test]
+fn large_requests_are_not_pushed_aside_by_small_ones_of_another_team() {
+    let loads = [
+        steady("large", ALL, 50_000, 600_000),
+        steady("small", ALL, 1_000, 600_000),
+    ];
+    let fleet = Fleet::play(&loads, 30);
+    let (large, small) = (fleet.rate("large", 5, 30), fleet.rate("small", 5, 30));
+    assert!(large >= 0.8 * small, "large {large}, small {small}");
+}
+
+#[test]
+fn one_team_alone_gets_all_that_the_engines_do() {
+    let fleet = Fleet::play(&[steady("alone", &[2], 4_000, 900_000)], 20);
+    let rate = fleet.rate("alone", 5, 20);
+    assert!(rate >= 0.95 * CAPACITY as f64, "{rate}");
+}
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -171,9 +171,15 @@
         Ok(allowed) => allowed,
         Err(denied) => {
             let id = denied.id.as_deref();
-            let fields: &[(&'static str, &dyn std::fmt::Display)] =
-                &[("request", &id.unwrap_or("-")), ("cause", &denied.own)];
-            emit(Event::Refused, fields);
+            let version = table.as_ref().map_or(0, |table| table.version);
+            emit(
+                Event::Refused,
+                &[
+                    ("request", &id.unwrap_or("-")),
+                    ("cause", &denied.own),
+                    ("version", &version),
+                ],
+            );
             run::give(&gate.router, &mut responder, id, denied.own).await?;
             return Ok(responder.is_reusable());
         }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -200,7 +200,7 @@
                 .map(|(id, used)| (id.clone(), used))
                 .collect(),
             read: service.pool.take_read(),
-            teams: service.accounts.own(now).collect(),
+            teams: service.accounts.tell(now).collect(),
         });
         activities.filter(|activity| !activity.is_empty()).collect()
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -41,6 +41,10 @@
 /// read the prompts of others.
 const SILENT_LEAST: Span = Span::from_millis(1_000);
 
+/// Time after which a client may come back whose request no upstream accepted. An upstream that
+/// refuses is avoided for about as long.
+const AGAIN: Span = Span::from_millis(200);
+
 /// How the life of a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
@@ -399,7 +403,7 @@
             verdict::Answer::NotRun => {
                 let refused = Refused {
                     refusal: Refusal::NoUpstream,
-                    after: Span::from_millis(200),
+                    after: AGAIN,
                 };
                 self.refuse(refused).await
             }
@@ -408,12 +412,23 @@
     }
 
     async fn refuse(&mut self, refused: Refused) -> io::Result<End> {
+        let (router, team, now) = (self.router, self.request.team(), self.router.now());
+        let (received, level, waiting) = router
+            .with_service(&self.request.service, |service| {
+                let received = service.accounts.team(now, team).received;
+                (received, service.level(now), service.queue.len())
+            })
+            .unwrap_or_default();
         emit(
             Event::Refused,
             &[
                 ("request", &self.request.id),
-                ("team", &self.request.team()),
+                ("team", &team),
+                ("service", &self.request.service),
                 ("cause", &refused.refusal.name()),
+                ("received", &received.round()),
+                ("level", &level.round()),
+                ("waiting", &waiting),
                 ("retry_after_us", &refused.after.as_micros()),
             ],
         );
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -119,7 +119,7 @@
             let level = service.level(now);
             let team = request.team();
             service.accounts.ask(now, &team.into(), work(request));
-            if service.queue.is_empty() && service.may_start(now, team, level) {
+            if service.queue.is_empty() && service.may_start(now, team, work(request), level) {
                 if let Some(choice) =
                     service.choose(now, &self.domain, request.prompt.as_ref(), avoid)
                 {
@@ -243,7 +243,7 @@
             let mut blocked = 0;
             let level = service.level(now);
             for waiting in service.queue.order(now, &service.accounts) {
-                if !service.may_start(now, &waiting.team, level) {
+                if !service.may_start(now, &waiting.team, waiting.work, level) {
                     continue;
                 }
                 let key = (name.clone(), waiting.number);
--- a/crates/toucan/tests/operations.rs
+++ b/crates/toucan/tests/operations.rs
@@ -6,7 +6,7 @@
 use tsw_event::Event;
 
 fn page() -> String {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operations.md");
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
     fs::read_to_string(path).expect("readable")
 }
 
