Let six routers watch the store for a large fleet

In fleets of more than 8 routers the six of the highest rank among those that read the store watch it; the others read them, and the store every 6 s. Small fleets do as before.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -16,6 +16,12 @@
 use tsw_relay::router::Router;
 use tsw_route::Name;
 
+/// Routers up to which each one watches the store.
+const SMALL_FLEET: usize = 8;
+/// Routers that watch the store in a larger fleet. The loss of several at once leaves some that
+/// have seen the last change.
+const READERS: usize = 6;
+
 /// Phase of the life of a process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -77,6 +83,16 @@
         }
     }
 
+    /// Returns whether this router watches the store all the time.
+    ///
+    /// In small fleets all routers do. In larger ones some do for all, so that the calls do not grow
+    /// with the fleet; the others read them, and the store now and then.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.router.routers() <= SMALL_FLEET
+            || self.roster.borrow().is_reader(self.router.now(), READERS)
+    }
+
     /// Applies what depends on the time and tells the roster about this router.
     pub fn tick(&self) {
         let now = self.router.now();
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -87,13 +87,15 @@
 }
 
 /// Returns a peer that knows a newer configuration, or newer upstreams while this router does not
-/// read the store itself.
+/// watch the store itself.
 fn ahead(gate: &Gate) -> Option<Member> {
     let now = gate.router.now();
+    let reader = gate.is_reader();
     let roster = gate.roster.borrow();
     let (version, revision) = (roster.me.version, roster.me.revision);
     let newer = roster.live(now).filter(|peer| {
-        let upstreams = peer.reads_store && !roster.me.reads_store && peer.revision > revision;
+        let watches = reader && roster.me.reads_store;
+        let upstreams = peer.reads_store && !watches && peer.revision > revision;
         peer.version > version || upstreams
     });
     newer
@@ -123,9 +125,7 @@
     if !knowledge.configuration.is_empty() {
         gate.offer(&knowledge.configuration.into(), &peer.host);
     }
-    if gate.roster.borrow().me.reads_store
-        || knowledge.revision <= gate.registry.borrow().revision()
-    {
+    if knowledge.revision <= gate.registry.borrow().revision() {
         return;
     }
     gate.registry.borrow_mut().regained(gate.router.now());
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -1,6 +1,9 @@
 //! Reads the platform's store.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use rand::Rng;
 use tokio::time;
@@ -18,6 +21,8 @@
 const WATCH: Duration = Duration::from_millis(900);
 /// Pause after a watch of the upstreams, so that many changes in a row are read together.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(100);
+/// Period of the reads of a router that learns changes from its peers.
+const SELDOM: Duration = Duration::from_secs(6);
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -44,7 +49,12 @@
     let mut store = Store::new(gate.settings.borrow().store);
     let mut revision = 0;
     let mut reachable = true;
+    let mut last = Instant::now();
     loop {
+        while revision > 0 && !gate.is_reader() && last.elapsed() < SELDOM {
+            time::sleep(jitter(RETRY)).await;
+        }
+        last = Instant::now();
         let result = step(&mut store, subject, revision).await;
         let lost = !matches!(result, Ok(_) | Err(Error::Compacted));
         if lost == reachable {
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use tsw_base::time::{Span, Tick};
 
+use crate::rendezvous;
+
 /// Time without a new beat after which a router is no longer listed.
 pub const LIVE_FOR: Span = Span::from_millis(1_800);
 /// Time without a new beat after which a router is forgotten.
@@ -22,6 +24,9 @@
 /// fleet that found no seed at first find each other.
 const SEED_ROUNDS: u64 = 8;
 
+/// Purpose of the hash that chooses the readers of the store, the same at all routers.
+const READERS: u64 = 0x7265_6164;
+
 /// A router as it describes itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -144,6 +149,39 @@
         (to, members)
     }
 
+    /// Returns whether this router has one of the `count` highest ranks for a duty among itself and
+    /// the running routers that read the store.
+    ///
+    /// ```
+    /// use tsw_base::time::Tick;
+    /// use tsw_member::roster::{Member, Roster};
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let member = |number: u8| Member {
+    ///     host: format!("r{number}"), domain: "north".to_owned(), run: 1, beat: 1, client: address,
+    ///     gossip: address, control: address, ready: true, reads_store: true, version: 0, revision: 0,
+    /// };
+    /// let now = Tick::from_micros(1);
+    /// let all: Vec<Member> = (0..9).map(member).collect();
+    /// let readers = (0..9).filter(|number| {
+    ///     let mut roster = Roster::new(member(*number), Vec::new());
+    ///     roster.hear(now, "r0", &all);
+    ///     roster.is_reader(now, 3)
+    /// });
+    /// assert_eq!(readers.count(), 3);
+    /// ```
+    #[must_use]
+    pub fn is_reader(&self, now: Tick, count: usize) -> bool {
+        let rank = |member: &Member| {
+            (
+                rendezvous::weight(READERS, &member.host),
+                member.host.clone(),
+            )
+        };
+        let own = rank(&self.me);
+        let readers = self.live(now).filter(|peer| peer.reads_store);
+        readers.filter(|peer| rank(peer) > own).count() < count
+    }
+
     /// Returns the other routers that run.
     pub fn live(&self, now: Tick) -> impl Iterator<Item = &Member> {
         let live = self.peers.values().filter(move |peer| is_live(peer, now));
