Close connections of clients that take the descriptors of others

Ruled out: processor time, at most 0.074 of 0.12 of a core.

Beyond 0.4 of the descriptors the answer asks the client to connect anew.

The tests that start routers found ports twice: two listeners of one router got the same free port (seen 3 times in 14 runs).

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -26,11 +26,19 @@
     pub store: SocketAddr,
     /// What the operators promise.
     pub bounds: Bounds,
+    /// Most descriptors that the process may have open.
+    #[serde(default = "usual_descriptors")]
+    pub descriptors: usize,
     /// How to log.
     #[serde(default)]
     pub log: Log,
 }
 
+/// Descriptors of a process if the settings state none: the usual limit of a login.
+const fn usual_descriptors() -> usize {
+    1_024
+}
+
 /// The interface towards clients and the platform.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -35,17 +35,17 @@
 /// was read. Closing it at once could destroy the answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// Counts a request while it is in flight.
-struct Flight<'a>(&'a Cell<usize>);
+/// Counts a request or a connection while it lives.
+struct Counted<'a>(&'a Cell<usize>);
 
-impl<'a> Flight<'a> {
+impl<'a> Counted<'a> {
     fn new(count: &'a Cell<usize>) -> Self {
         count.set(count.get() + 1);
         Self(count)
     }
 }
 
-impl Drop for Flight<'_> {
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -64,6 +64,7 @@
 ///
 /// Returns an error if the connection broke.
 pub async fn serve(gate: Rc<Gate>, stream: TcpStream) -> io::Result<()> {
+    let _open = Counted::new(&gate.clients);
     let mut connection = Connection::new(stream)?;
     loop {
         let limits = gate
@@ -149,7 +150,7 @@
     head: head::Request,
     limits: &Limits,
 ) -> io::Result<bool> {
-    let _flight = Flight::new(&gate.in_flight);
+    let _flight = Counted::new(&gate.in_flight);
     let table = gate.router.table();
     let checked = accept::check(&head, table.as_ref(), rand::random());
     let body = match read_body(connection, &head, limits).await? {
@@ -164,7 +165,7 @@
         }
     };
     let arrived = gate.router.now();
-    let closing = *gate.phase.borrow() != Phase::Serving;
+    let closing = gate.closes_after_answer();
     let (mut reader, writer) = connection.stream.split();
     let mut responder = Responder::new(writer, &head, closing);
     let allowed = match checked {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -22,6 +22,10 @@
 /// have seen the last change.
 const READERS: usize = 6;
 
+/// Part of the descriptors that connections of clients may take before they are closed after each
+/// answer. Upstreams and idle connections to them need about as many.
+const CLIENT_PART: f64 = 0.4;
+
 /// Phase of the life of a process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -58,6 +62,8 @@
     pub phase: watch::Sender<Phase>,
     /// Requests that were read and not answered.
     pub in_flight: Cell<usize>,
+    /// Open connections of clients.
+    pub clients: Cell<usize>,
 }
 
 impl Gate {
@@ -83,6 +89,14 @@
         }
     }
 
+    /// Returns whether clients are to connect anew for their next request: because the router stops,
+    /// or because idle connections take the descriptors that others need.
+    #[must_use]
+    pub fn closes_after_answer(&self) -> bool {
+        let most = self.settings.borrow().descriptors as f64 * CLIENT_PART;
+        *self.phase.borrow() != Phase::Serving || self.clients.get() as f64 > most
+    }
+
     /// Returns whether this router watches the store all the time.
     ///
     /// In small fleets all routers do. In larger ones some do for all, so that the calls do not grow
--- a/crates/gate/src/own.rs
+++ b/crates/gate/src/own.rs
@@ -66,7 +66,7 @@
             Ok(body) => (200, "application/octet-stream", body),
             Err(error) => (500, JSON, error.to_string().into_bytes()),
         },
-        None if target == METRICS => match gate.router.metrics.text() {
+        None if target == METRICS => match metrics(gate) {
             Ok(body) => (200, "text/plain; version=0.0.4", body),
             Err(error) => (500, "text/plain", error.to_string().into_bytes()),
         },
@@ -74,6 +74,14 @@
     }
 }
 
+fn metrics(gate: &Gate) -> prometheus::Result<Vec<u8>> {
+    let metrics = &gate.router.metrics;
+    metrics
+        .clients
+        .set(i64::try_from(gate.clients.get()).unwrap_or(i64::MAX));
+    metrics.text()
+}
+
 /// Returns the addresses that clients may use.
 fn addresses(gate: &Gate) -> Vec<SocketAddr> {
     let roster = gate.roster.borrow();
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -188,6 +188,7 @@
         stored: RefCell::new(Stored::default()),
         phase: watch::Sender::new(Phase::Serving),
         in_flight: Cell::new(0),
+        clients: Cell::new(0),
     }))
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -16,6 +16,8 @@
     pub waiting: IntGauge,
     /// Upstreams that take requests.
     pub upstreams: IntGauge,
+    /// Open connections of clients.
+    pub clients: IntGauge,
     /// Time until an upstream had room, in seconds.
     pub wait: Histogram,
     /// Time until the first event or the whole plain answer, in seconds.
@@ -54,6 +56,7 @@
             )?,
             waiting: IntGauge::new("relay_waiting", "Requests that wait for an upstream")?,
             upstreams: IntGauge::new("relay_upstreams", "Upstreams that take requests")?,
+            clients: IntGauge::new("relay_clients", "Open connections of clients")?,
             wait: histogram("relay_wait_seconds", "Time until an upstream had room")?,
             first: histogram(
                 "relay_first_seconds",
@@ -66,6 +69,7 @@
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.waiting.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
+        registry.register(Box::new(metrics.clients.clone()))?;
         registry.register(Box::new(metrics.wait.clone()))?;
         registry.register(Box::new(metrics.first.clone()))?;
         registry.register(Box::new(metrics.whole.clone()))?;
--- a/crates/toucand/tests/platform.rs
+++ b/crates/toucand/tests/platform.rs
@@ -4,7 +4,7 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use fleet::{configuration, entry, publish, read, until, Call, Router, HOST, PATIENCE};
 use rustix::process::Signal;
@@ -36,7 +36,7 @@
             ("m2", "model", &models[1]),
         ];
         publish(&store, &upstreams);
-        let router = Router::start("r1", store.address(), fleet::gossip(), &[]);
+        let router = Router::start("r1", store.address(), &[]);
         router.wait_ready().await;
         let site = Self {
             store,
@@ -50,14 +50,19 @@
 
     /// Waits until the router knows its upstreams, which it reads apart from the configuration.
     async fn wait_upstreams(&self) {
+        self.wait_metric("relay_upstreams 3").await;
+    }
+
+    /// Waits until the metrics of the router have a line.
+    async fn wait_metric(&self, line: &str) {
         let end = std::time::Instant::now() + PATIENCE;
         loop {
             let metrics = self.router.get(self.router.metrics, "/metrics").await;
             let text = metrics.expect("metrics");
-            if text.text().contains("relay_upstreams 3") {
+            if text.text().lines().any(|found| found == line) {
                 return;
             }
-            assert!(std::time::Instant::now() < end, "upstreams are not known");
+            assert!(std::time::Instant::now() < end, "there is no {line}");
             actix_rt::time::sleep(Duration::from_millis(20)).await;
         }
     }
@@ -137,7 +142,7 @@
 async fn router_without_a_configuration_answers_that_it_did_not_run_the_request() {
     let store = Store::bind().await.expect("a store");
     store.set_mode(Mode::Silent);
-    let router = Router::start("r1", store.address(), fleet::gossip(), &[]);
+    let router = Router::start("r1", store.address(), &[]);
     let call = Call::proper("GET", "/lookup/1", "a1");
     let end = std::time::Instant::now() + PATIENCE;
     let answer = loop {
@@ -430,9 +435,8 @@
     let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
     let silent = Store::bind().await.expect("a store");
     silent.set_mode(Mode::Silent);
-    let gossip = SocketAddr::new([127, 0, 0, 2].into(), site.router.gossip.port());
     let seeds = [site.router.control];
-    let second = Router::start("r2", silent.address(), gossip, &seeds);
+    let second = Router::start("r2", silent.address(), &seeds);
     second.wait_ready().await;
     let mut number = 0;
     loop {
@@ -544,3 +548,27 @@
     assert_eq!(big.send(&site.router).await.status, 413);
     assert_eq!(site.desk.arrivals().len(), 1);
 }
+
+#[actix_rt::test]
+async fn idle_connections_do_not_take_the_descriptors_that_other_clients_need() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let mut open = Vec::new();
+    // The settings of these tests allow 20 descriptors, of which clients may keep 8.
+    for _ in 0..12 {
+        let connection = Connection::open(site.router.client, PATIENCE).await;
+        open.push(connection.expect("a connection"));
+    }
+    site.wait_metric("relay_clients 12").await;
+    let mut closed = 0;
+    for (number, connection) in open.into_iter().enumerate() {
+        let call = Call::proper("GET", "/lookup/1", &format!("a{number}"));
+        let exchange = Exchange::open(connection, &call.head, call.body.clone()).await;
+        let answer = read(exchange.expect("an answer")).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+        closed += usize::from(answer.fields.lists("connection", "close"));
+    }
+    assert!(
+        closed >= 4,
+        "{closed} of 12 connections were closed after their answer"
+    );
+}
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -2,9 +2,10 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command},
+    sync::atomic::{AtomicU8, Ordering},
     time::Duration,
 };
 
@@ -16,6 +17,8 @@
 /// Longest time for something that a test waits for; a busy machine may need seconds.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 pub const HOST: &str = "desk.example";
+/// Port for gossip; each router has a loopback address of its own.
+const GOSSIP_PORT: u16 = 7_400;
 pub const KEY: &str = "counter-key";
 
 /// Waits until a condition holds.
@@ -27,15 +30,20 @@
     }
 }
 
-/// Returns an address for gossip with a free port.
-pub fn gossip() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("bound")
+/// Returns a loopback address that no other router of any test uses, so that a port that is found
+/// free stays free until the router listens on it.
+fn own_address() -> Ipv4Addr {
+    static ROUTERS: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let router = ROUTERS.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, high | 0x80, low, router)
 }
 
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+/// Returns free ports of an address. They are open at once, so that no two are the same.
+fn free<const N: usize>(address: Ipv4Addr) -> [SocketAddr; N] {
+    let bind = |()| TcpListener::bind((address, 0)).expect("a free port");
+    let listeners = [(); N].map(bind);
+    listeners.map(|listener| listener.local_addr().expect("bound"))
 }
 
 /// A configuration with a route of each kind below its own path.
@@ -87,7 +95,6 @@
     pub locate: SocketAddr,
     pub control: SocketAddr,
     pub metrics: SocketAddr,
-    pub gossip: SocketAddr,
     pub process: Child,
     pub settings: PathBuf,
     _directory: tempfile::TempDir,
@@ -103,17 +110,19 @@
 impl Router {
     /// Starts a router that reads the store at an address and knows some seeds.
     ///
-    /// All routers use one gossip port, each on a loopback address of its own.
-    pub fn start(host: &str, store: SocketAddr, address: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    /// All routers use one gossip port.
+    pub fn start(host: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let address = own_address();
+        let gossip = SocketAddr::from((address, GOSSIP_PORT));
         let directory = tempfile::tempdir().expect("a directory");
-        let (client, ready, locate, control, metrics) = (free(), free(), free(), free(), free());
+        let [client, ready, locate, control, metrics] = free(address);
         let settings = directory.path().join("router.yaml");
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
         let text = format!(
             "interface: platform\nhost: {host}\ndomain: north\n\
              listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
-             control: \"{control}\", gossip: \"{address}\", metrics: \"{metrics}\"}}\n\
-             seeds: {}\nstore: \"{store}\"\n\
+             control: \"{control}\", gossip: \"{gossip}\", metrics: \"{metrics}\"}}\n\
+             descriptors: 20\nseeds: {}\nstore: \"{store}\"\n\
              bounds: {{retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: 8}}\n",
             json!(seeds)
         );
@@ -129,7 +138,6 @@
             locate,
             control,
             metrics,
-            gossip: address,
             process,
             settings,
             _directory: directory,
