End the session to a killed run that never connected

Cause: a link reset its session to a host when another run of that host connected, and told "another" by the incarnation it had seen before. If the first run was killed before its own session arrived, or that session arrived after the next run's, there was no earlier incarnation, and the old session went on until its idle time-out of 10 s. Messages sent in that time were lost.

Ruled out: slow start of the next run. The failing run's notices show the next run accepted within the 3 s and the first run's session refused as older after it.

Change: connection ids and stateless reset tokens derive from the private key, so the next run answers packets of the old session with a reset that the peer recognizes. If the key was renewed with the restart, the certificates of both sessions differ, and the old one is reset.

--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -74,9 +74,12 @@
         .runs
         .borrow_mut()
         .insert(id.host.clone(), id.incarnation);
-    if before.is_some_and(|before| before != id.incarnation) {
-        // The session to the earlier run gets no answer and would time out much later.
-        if let Some(peer) = shared.peers.borrow().get(&id.host) {
+    let restarted = before.is_some_and(|before| before != id.incarnation);
+    if let Some(peer) = shared.peers.borrow().get(&id.host) {
+        // The session to the earlier run gets no answer and would time out much later. The earlier
+        // run may never have connected; a certificate renewed with the restart still shows it, and
+        // with the same one the later run ends the session (see tls::Identity::endpoint).
+        if restarted || peer.has_other_certificate(connection) {
             peer.reset();
         }
     }
--- a/crates/link/src/outbound.rs
+++ b/crates/link/src/outbound.rs
@@ -12,7 +12,10 @@
 use tsw_base::name;
 use tsw_wire::{frame, message};
 
-use crate::session::{Notice, Shared};
+use crate::{
+    session::{Notice, Shared},
+    tls,
+};
 
 #[derive(Default)]
 pub(crate) struct Peer {
@@ -33,6 +36,15 @@
         }
     }
 
+    /// Returns whether the session to the peer was opened to a holder of another certificate than
+    /// `connection` was.
+    pub(crate) fn has_other_certificate(&self, connection: &quinn::Connection) -> bool {
+        let current = self.connection.borrow();
+        current
+            .as_ref()
+            .is_some_and(|current| tls::certificate(current) != tls::certificate(connection))
+    }
+
     pub(crate) fn remove(&self) {
         self.removed.set(true);
         self.reset();
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -1,8 +1,9 @@
 use std::{
     cell::{Cell, RefCell},
     io,
-    net::SocketAddr,
+    net::{SocketAddr, UdpSocket},
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -188,8 +189,15 @@
         greet: Box<Greet>,
         handle: Box<Handle>,
     ) -> Result<Self, Error> {
-        let endpoint = quinn::Endpoint::server(identity.server()?, address)
-            .map_err(|source| Error::Bind { address, source })?;
+        let bound = |source| Error::Bind { address, source };
+        let socket = UdpSocket::bind(address).map_err(bound)?;
+        let endpoint = quinn::Endpoint::new(
+            identity.endpoint(),
+            Some(identity.server()?),
+            socket,
+            Arc::new(quinn::TokioRuntime),
+        )
+        .map_err(bound)?;
         let shared = Rc::new(Shared {
             endpoint,
             client: identity.client()?,
--- a/crates/link/src/tls.rs
+++ b/crates/link/src/tls.rs
@@ -3,6 +3,8 @@
 use std::{path::Path, path::PathBuf, sync::Arc, time::Duration};
 
 use quinn::crypto::rustls::{NoInitialCipherSuite, QuicClientConfig, QuicServerConfig};
+use quinn_proto::HashedConnectionIdGenerator;
+use ring::hmac;
 use rustls::{
     client::verify_server_name,
     pki_types::{pem, pem::PemObject, CertificateDer, PrivateKeyDer, ServerName},
@@ -21,6 +23,10 @@
 /// Longest time before an acknowledgement, the default of the protocol. It adds to the time after
 /// which a lost packet is sent again.
 const ACK_DELAY: Duration = Duration::from_millis(25);
+/// Label of the key for the tokens of stateless resets (RFC 9000, section 10.3.2).
+const RESET_LABEL: &[u8] = b"toucanswitch stateless reset";
+/// Label of the key that marks connection ids as those of this host.
+const CONNECTION_ID_LABEL: &[u8] = b"toucanswitch connection id";
 
 /// Why the certificates cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -113,6 +119,21 @@
         Ok(roots)
     }
 
+    /// Returns the settings of the endpoint. Connection ids and the tokens that end a connection
+    /// derive from the private key, so a later run of the same host recognizes packets that were
+    /// meant for an earlier run, and its answer ends the peer's session at once.
+    pub(crate) fn endpoint(&self) -> quinn::EndpointConfig {
+        let secret = hmac::Key::new(hmac::HMAC_SHA256, self.key.secret_der());
+        let reset = hmac::sign(&secret, RESET_LABEL);
+        let mut id_key = [0; 8];
+        id_key.copy_from_slice(&hmac::sign(&secret, CONNECTION_ID_LABEL).as_ref()[..8]);
+        let id_key = u64::from_be_bytes(id_key);
+        let reset = hmac::Key::new(hmac::HMAC_SHA256, reset.as_ref());
+        let mut config = quinn::EndpointConfig::new(Arc::new(reset));
+        config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(id_key)));
+        config
+    }
+
     pub(crate) fn server(&self) -> Result<quinn::ServerConfig, Error> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let verifier =
@@ -156,19 +177,20 @@
     Ok(transport)
 }
 
+/// Returns the certificate that the peer presented, or none while the handshake lasts.
+pub(crate) fn certificate(connection: &quinn::Connection) -> Option<CertificateDer<'static>> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    chain.into_iter().next()
+}
+
 /// Checks that the certificate a peer presented names the host.
 pub(crate) fn names(connection: &quinn::Connection, host: &name::Host) -> bool {
-    let Some(identity) = connection.peer_identity() else {
-        return false;
-    };
-    let Ok(chain) = identity.downcast::<Vec<CertificateDer<'static>>>() else {
-        return false;
-    };
     let Ok(server) = ServerName::try_from(host.as_str()) else {
         return false;
     };
-    chain
-        .first()
+    certificate(connection)
+        .as_ref()
         .and_then(|certificate| ParsedCertificate::try_from(certificate).ok())
         .is_some_and(|parsed| verify_server_name(&parsed, &server).is_ok())
 }
--- a/crates/link/tests/session.rs
+++ b/crates/link/tests/session.rs
@@ -220,7 +220,7 @@
 async fn session_to_a_killed_run_is_replaced_when_the_next_run_connects() {
     // A killed process says nothing, and the old session would go on until it times out.
     let fleet = Authority::new();
-    let (a, a_address, _) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (a, a_address, a_log) = bind(&fleet.identity("a", &fleet), hello("a", 1));
     let (b, address, log) = bind(&fleet.identity("b", &fleet), hello("b", 1));
     let target = Rc::new(Cell::new(address));
     let name = "b".parse().expect("a valid name");
@@ -243,7 +243,31 @@
             return;
         }
     }
-    panic!("nothing arrived at the next run within 3 s");
+    panic!(
+        "nothing arrived at the next run within 3 s: {:?}",
+        a_log.borrow()
+    );
+}
+
+#[actix_rt::test]
+async fn session_to_a_killed_run_ends_though_that_run_never_connected() {
+    // Without a session from the killed run, nothing tells its peer that the next run is another.
+    let fleet = Authority::new();
+    let b_identity = fleet.identity("b", &fleet);
+    let (a, _, a_log) = bind(&fleet.identity("a", &fleet), hello("a", 1));
+    let (_b, address, log) = bind(&b_identity, hello("b", 1));
+    let target = Rc::new(Cell::new(address));
+    let name = "b".parse().expect("a valid name");
+    a.set_address(&name, Some(relay(target.clone())));
+    a.send(&name, fetch(1));
+    until(&log, |_| received(&log) == [0, 1]).await;
+
+    let (_next, address, log) = bind(&b_identity, hello("b", 2));
+    target.set(address);
+    a.send(&name, fetch(2));
+    until(&a_log, |notice| matches!(notice, Notice::Closed { .. })).await;
+    a.send(&name, fetch(3));
+    until(&log, |_| received(&log) == [0, 3]).await;
 }
 
 #[actix_rt::test]
