Break the circle of imports between the daemon's files

Cause: router.rs imported the tasks that it starts (booking, load, placement), its error from start.rs and Plan, which state.rs took back from it; scheduling and tables took types from slot and plain; requests and engine, caller and booking imported each other. 18 files could only be read together.

Change: the router is given a function that starts tasks; Plan and its error are plan.rs; what a grant holds is scheduling's; the run at an upstream (running.rs), delivery of orders (order.rs), what a plain worker is sent (forward.rs) and addresses for callers (locate.rs) are files of their own. No decision changes.

Ruled out: a channel for tasks, which would delay the start of a call by a turn of the executor.

Conclusion: the daemon's files are layered. The product's own interface still has its own life of a request beside relay.

--- a/crates/toucand/src/booking.rs
+++ b/crates/toucand/src/booking.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     call::Call,
-    caller, plain,
+    plain,
     refusal::Refusal,
     reply::{self, Outcome, Reply},
     router::{Flight, Phase, Router},
@@ -42,7 +42,7 @@
             router.refused(&call, &refusal);
             let permit = router.permit(&call.team, &call.service);
             let mut answer = reply::refused(&refusal, &call.request_id, permit.as_deref());
-            caller::sign(router, &mut answer, &call.request_id);
+            router.sign(&mut answer, &call.request_id);
             return Ok(answer);
         }
     };
@@ -57,7 +57,7 @@
         Ok(Ok(Answer::Conflict)) => {
             router.refused(&call, &Refusal::KeyConflict);
             let mut answer = reply::refused(&Refusal::KeyConflict, &call.request_id, None);
-            caller::sign(router, &mut answer, &call.request_id);
+            router.sign(&mut answer, &call.request_id);
             Ok(answer)
         }
         _ => Ok(unknown(router, &call, "deadline")),
@@ -96,7 +96,7 @@
     router.ended(call, Outcome::Unknown, Event::Unknown, code, "");
     let message = "the call may have been run; ask again with the same key";
     let mut answer = reply::broken(Outcome::Unknown, code, message, &call.request_id);
-    caller::sign(router, &mut answer, &call.request_id);
+    router.sign(&mut answer, &call.request_id);
     answer
 }
 
@@ -111,7 +111,7 @@
                 .then(|| router.permit(&call.team, &call.service))
                 .flatten();
             let mut answer = reply::refused(&refusal, &call.request_id, permit.as_deref());
-            caller::sign(router, &mut answer, &call.request_id);
+            router.sign(&mut answer, &call.request_id);
             return answer;
         }
         End::Complete => {}
@@ -124,7 +124,7 @@
     }
     reply::set(&mut answer, "toucan-outcome", Outcome::Complete.as_str());
     reply::set(&mut answer, "toucan-request-id", &call.request_id);
-    caller::sign(router, &mut answer, &call.request_id);
+    router.sign(&mut answer, &call.request_id);
     answer
 }
 
--- a/crates/toucand/src/caller.rs
+++ b/crates/toucand/src/caller.rs
@@ -5,46 +5,23 @@
 use actix_http::{
     body::{BodyStream, MessageBody},
     header::{HeaderValue, CACHE_CONTROL, CONTENT_TYPE},
-    HttpMessage as _, Method, Request, Response, StatusCode,
+    HttpMessage as _, Request, Response, StatusCode,
 };
 use bytes::Bytes;
 use futures_util::stream;
-use serde::Serialize;
-use tsw_base::name;
 use tsw_config::service::Kind;
 use tsw_event::Event;
 
 use crate::{
     booking,
     call::{self, Call},
-    engine, plain,
+    engine, forward, locate, plain,
     refusal::Refusal,
     reply::{self, Outcome, Reply},
     router::{Flight, Router},
     stream::{Failure, Output, Relay},
 };
 
-/// Longest time for which an answer with a permit is kept: its witnesses may be gone later.
-const MAX_PERMIT_KEEP_MS: u64 = 5_000;
-
-#[derive(Serialize)]
-struct Located {
-    addresses: Vec<Place>,
-    keep_ms: u64,
-    permit: Option<String>,
-}
-
-/// An address for callers.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct Place {
-    /// Host name.
-    pub host: name::Host,
-    /// Failure domain.
-    pub domain: name::Domain,
-    /// Address.
-    pub address: String,
-}
-
 /// Answers a request of a caller.
 ///
 /// # Errors
@@ -81,7 +58,7 @@
 
 fn refused(router: &Router, refusal: &Refusal, request_id: &str) -> Reply {
     let mut answer = reply::refused(refusal, request_id, None);
-    sign(router, &mut answer, request_id);
+    router.sign(&mut answer, request_id);
     answer
 }
 
@@ -97,24 +74,17 @@
     let fields = [("request", &**request_id), ("code", code)];
     router.audit(Outcome::Unknown.as_str(), request_id, &fields);
     let mut answer = reply::broken(Outcome::Unknown, code, &message, request_id);
-    sign(router, &mut answer, request_id);
+    router.sign(&mut answer, request_id);
     answer
 }
 
-/// Adds a signed receipt to an answer.
-pub fn sign(router: &Router, answer: &mut Reply, request_id: &str) {
-    if let Some(receipt) = router.receipt(request_id) {
-        reply::set(answer, "toucan-receipt", &receipt);
-    }
-}
-
 async fn route(
     router: &Rc<Router>,
     request: &mut Request,
     request_id: &Arc<str>,
 ) -> Result<Reply, Refusal> {
     if request.path() == "/v1/locate" {
-        return locate(router, request);
+        return locate::handle(router, request);
     }
     if !request.path().starts_with("/v1/call/") {
         return Err(Refusal::Path);
@@ -135,41 +105,6 @@
     }
 }
 
-fn locate(router: &Rc<Router>, request: &Request) -> Result<Reply, Refusal> {
-    if *request.method() != Method::GET {
-        return Err(Refusal::Method);
-    }
-    // An answer without a permit would be kept for a while, so there is none before or after work.
-    router.check_open()?;
-    let query = request.uri().query().unwrap_or_default();
-    let service = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("service="))
-        .ok_or(Refusal::Service)?;
-    let rules = router.rules().ok_or(Refusal::Starting)?;
-    let service = rules.bundle.services.get(service).ok_or(Refusal::Service)?;
-    // A caller without a credential learns the addresses but gets no permit.
-    let permit = if request.headers().contains_key("authorization") {
-        let team = call::team(request.headers(), &rules)?;
-        (!service.repeatable)
-            .then(|| router.permit(&team, &service.service))
-            .flatten()
-    } else {
-        None
-    };
-    let keep_ms = router.settings().tuning.keep_ms;
-    let located = Located {
-        addresses: router.places(),
-        keep_ms: if service.repeatable {
-            keep_ms
-        } else {
-            keep_ms.min(MAX_PERMIT_KEEP_MS)
-        },
-        permit,
-    };
-    Ok(reply::json(StatusCode::OK, &located))
-}
-
 async fn generate(router: &Rc<Router>, call: Call) -> Result<Reply, Refusal> {
     let body = engine::body(&call).map_err(Refusal::Body)?;
     let call = Rc::new(call);
@@ -184,7 +119,7 @@
         }
         Err(Failure::Cut { code, message }) => {
             let mut answer = reply::broken(Outcome::Cut, code, &message, &call.request_id);
-            sign(router, &mut answer, &call.request_id);
+            router.sign(&mut answer, &call.request_id);
             return Ok(answer);
         }
     };
@@ -211,7 +146,7 @@
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
     reply::set(&mut answer, "toucan-outcome", "stream");
     reply::set(&mut answer, "toucan-request-id", &call.request_id);
-    sign(router, &mut answer, &call.request_id);
+    router.sign(&mut answer, &call.request_id);
     answer
 }
 
@@ -226,7 +161,7 @@
 
 async fn plain_call(router: &Rc<Router>, call: &Rc<Call>) -> Result<Reply, Refusal> {
     const MAX_ATTEMPTS: u32 = 3;
-    let request = plain::Request {
+    let request = forward::Request {
         method: call.method.clone(),
         path: call.path.clone(),
         content_type: call.content_type.clone(),
@@ -278,6 +213,6 @@
 fn cut(router: &Router, call: &Call, code: &'static str, message: &str) -> Reply {
     router.ended(call, Outcome::Cut, Event::Cut, code, message);
     let mut answer = reply::broken(Outcome::Cut, code, message, &call.request_id);
-    sign(router, &mut answer, &call.request_id);
+    router.sign(&mut answer, &call.request_id);
     answer
 }
--- a/crates/toucand/src/engine.rs
+++ b/crates/toucand/src/engine.rs
@@ -12,7 +12,7 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 
-use crate::{call::Call, request::Running, router::Router, slot::Slot};
+use crate::{call::Call, router::Router, running::Running, slot::Slot};
 
 /// Longest time for a connection and the head of a response. Tokens come later.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -4,13 +4,17 @@
 //! link to peers and the timers. [`router::Router::act`] makes a decision; the controllers below
 //! read the whole blackboard and write their own sections.
 //!
-//! - Start and end: [`keys`], [`start`], [`serve`], [`clock`].
+//! The imports of these files have no circle: [`router`] knows what is decided, not the tasks that
+//! follow, which [`start`] gives it.
+//!
+//! - Start and end: [`keys`], [`plan`], [`start`], [`serve`], [`clock`].
 //! - State: [`router`], [`state`], [`out`], [`task`], [`turn`].
 //! - Controllers: [`membership`], [`configuration`], [`scheduling`], [`tables`], [`poison`],
 //!   [`placement`], [`audit`], [`health`].
-//! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`stream`], [`engine`], [`plain`],
-//!   [`booking`], [`refusal`], [`reply`].
-//! - Others: [`peers`], [`platform`], [`hosts`], [`load`], [`operator`], [`metrics`], [`recent`].
+//! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`running`], [`stream`],
+//!   [`engine`], [`plain`], [`forward`], [`booking`], [`refusal`], [`reply`].
+//! - Others: [`locate`], [`peers`], [`platform`], [`hosts`], [`load`], [`order`], [`operator`],
+//!   [`metrics`], [`recent`].
 
 pub mod accept;
 pub mod audit;
@@ -21,17 +25,21 @@
 pub mod configuration;
 pub mod engine;
 pub mod exchange;
+pub mod forward;
 pub mod health;
 pub mod hosts;
 pub mod keys;
 pub mod load;
+pub mod locate;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
+pub mod order;
 pub mod out;
 pub mod peers;
 pub mod placement;
 pub mod plain;
+pub mod plan;
 pub mod platform;
 pub mod poison;
 pub mod recent;
@@ -39,6 +47,7 @@
 pub mod reply;
 pub mod request;
 pub mod router;
+pub mod running;
 pub mod scheduling;
 pub mod serve;
 pub mod slot;
--- a/crates/toucand/src/plain.rs
+++ b/crates/toucand/src/plain.rs
@@ -8,10 +8,10 @@
 };
 use actix_rt::time;
 use bytes::Bytes;
-use tsw_base::{name, time::Tick};
+use tsw_base::time::Tick;
 use tsw_once::{End, Response};
 
-use crate::{exchange, router::Router, slot::Slot};
+use crate::{exchange, forward::Request, router::Router, slot::Slot};
 
 /// Longest time to open a connection to a worker.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -19,25 +19,6 @@
 /// Longest body of a response.
 const MAX_RESPONSE_BYTES: usize = 1_000_000;
 
-/// A request to a plain service.
-#[derive(Clone, Debug)]
-pub struct Request {
-    /// HTTP method.
-    pub method: Method,
-    /// Path below the service's base, with the query.
-    pub path: Arc<str>,
-    /// Content type of the body.
-    pub content_type: Arc<str>,
-    /// Identifier of the request.
-    pub request_id: Arc<str>,
-    /// Idempotency key.
-    pub key: Option<Arc<str>>,
-    /// The team.
-    pub team: name::Team,
-    /// Body.
-    pub body: Bytes,
-}
-
 /// Why an attempt gave no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -13,18 +13,17 @@
 use tsw_event::Event;
 use tsw_grant::message::{Class, Request, State};
 use tsw_health::pace::Stream;
-use tsw_poison::{Fingerprint, Treatment};
+use tsw_poison::Treatment;
 
 use crate::{
     call::Call,
-    caller::Place,
-    engine::{Attempt, Broken},
+    engine::Broken,
     health, plain, poison,
     refusal::Refusal,
-    reply::Outcome,
+    reply::{self, Outcome, Reply},
     router::Router,
-    scheduling::Ask,
-    slot::{Granted, Slot, Wait},
+    scheduling::{Ask, Granted},
+    slot::{Slot, Wait},
 };
 
 impl Router {
@@ -188,65 +187,6 @@
         });
     }
 
-    /// Notes that a call is sent to an upstream. It runs there until the result is dropped.
-    #[must_use]
-    pub fn dispatched(
-        self: &Rc<Self>,
-        call: &Call,
-        upstream: &name::Upstream,
-        resume_from: u64,
-    ) -> Running {
-        let waited = self.age(call);
-        if resume_from == 0 {
-            self.metrics
-                .wait
-                .with_label_values(&[call.service.as_str()])
-                .observe(waited.as_secs_f64());
-        }
-        self.note(
-            Event::Dispatched,
-            &call.request_id,
-            &[
-                ("upstream", upstream),
-                ("team", &call.team),
-                ("waited_us", &waited.as_micros()),
-                ("from", &resume_from),
-            ],
-        );
-        let fields = [
-            ("request", &*call.request_id),
-            ("team", call.team.as_str()),
-            ("service", call.service.as_str()),
-            ("upstream", upstream.as_str()),
-        ];
-        self.audit("dispatched", &call.request_id, &fields);
-        let fingerprint = poison::fingerprint(call);
-        self.watch_poison(tsw_poison::Event::Started {
-            fingerprint,
-            upstream: upstream.clone(),
-        });
-        Running {
-            router: self.clone(),
-            fingerprint,
-            upstream: upstream.clone(),
-            completed: false,
-        }
-    }
-
-    fn watch_poison(&self, event: tsw_poison::Event) {
-        self.act(|state, now| {
-            let (mut turn, control) = state.split(now);
-            control.poison.handle(&mut turn, event);
-        });
-    }
-
-    /// Notes that an upstream may have crashed.
-    pub fn crashed(&self, upstream: &name::Upstream) {
-        self.watch_poison(tsw_poison::Event::Crashed {
-            upstream: upstream.clone(),
-        });
-    }
-
     /// Notes that an attempt at an engine failed.
     pub fn attempt_failed(&self, call: &Call, slot: Option<&Slot>, broken: &Broken) {
         let upstream = slot.map_or_else(|| "-".to_owned(), |slot| slot.upstream().to_string());
@@ -273,9 +213,9 @@
     }
 
     /// Notes that a stream continues on another engine.
-    pub fn resumed(&self, call: &Call, attempt: &Attempt, next: u64) {
+    pub fn resumed(&self, call: &Call, upstream: Option<&name::Upstream>, next: u64) {
         self.metrics.resumes.inc();
-        let upstream = attempt.slot().map(|slot| slot.upstream().to_string());
+        let upstream = upstream.map(ToString::to_string);
         self.note(
             Event::Resumed,
             &call.request_id,
@@ -366,77 +306,17 @@
         }
     }
 
+    /// Adds a signed receipt to an answer.
+    pub fn sign(&self, answer: &mut Reply, request_id: &str) {
+        if let Some(receipt) = self.receipt(request_id) {
+            reply::set(answer, "toucan-receipt", &receipt);
+        }
+    }
+
     /// Returns a signed receipt for the last audit line about a request.
     #[must_use]
     pub fn receipt(&self, request_id: &str) -> Option<String> {
         let line: Line = self.lines.borrow_mut().remove(request_id)?;
         Some(self.look(|state| state.board.audit.receipt(&line).to_string()))
     }
-
-    /// Returns the addresses for callers: one of each failure domain first, this router's own
-    /// domain in front.
-    #[must_use]
-    pub fn places(&self) -> Vec<Place> {
-        /// Most addresses in an answer.
-        const PLACES: usize = 6;
-        self.look(|state| {
-            let hosts = &state.board.hosts;
-            let takers = state.board.fleet.takers();
-            let mut places: Vec<Place> = takers
-                .filter_map(|(host, domain)| {
-                    let listed = hosts.routers.get(host).filter(|listed| !listed.leaving)?;
-                    Some(Place {
-                        host: host.clone(),
-                        domain: domain.clone(),
-                        address: listed.address.to_string(),
-                    })
-                })
-                .collect();
-            let me = &self.id().host;
-            let own = &self.settings().domain;
-            let salt = self.id().incarnation.get();
-            places.sort_by_key(|place| {
-                let weight = tsw_member::rendezvous::weight(salt, place.host.as_str());
-                (place.host != *me, place.domain != *own, weight)
-            });
-            spread(places, PLACES)
-        })
-    }
-}
-
-/// A request that runs at an upstream. Dropping it notes the end of the run.
-pub struct Running {
-    router: Rc<Router>,
-    fingerprint: Fingerprint,
-    upstream: name::Upstream,
-    completed: bool,
-}
-
-impl Running {
-    /// Notes that the upstream answered in full.
-    pub fn complete(mut self) {
-        self.completed = true;
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.router.watch_poison(tsw_poison::Event::Ended {
-            fingerprint: self.fingerprint,
-            upstream: self.upstream.clone(),
-            completed: self.completed,
-        });
-    }
-}
-
-/// Orders places so that each round holds one of each failure domain, and keeps the first `most`.
-fn spread(places: Vec<Place>, most: usize) -> Vec<Place> {
-    let mut rounds: Vec<(usize, usize, Place)> = Vec::new();
-    for (index, place) in places.into_iter().enumerate() {
-        let same = rounds.iter().filter(|(_, _, p)| p.domain == place.domain);
-        rounds.push((same.count(), index, place));
-    }
-    rounds.sort_by_key(|(round, index, _)| (*round, *index));
-    let places = rounds.into_iter().map(|(_, _, place)| place);
-    places.take(most).collect()
 }
--- a/crates/toucand/src/router.rs
+++ b/crates/toucand/src/router.rs
@@ -3,13 +3,12 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::TcpListener,
     rc::{Rc, Weak},
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::Duration,
 };
 
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::Notify;
 use tsw_base::{
     host,
     time::{Span, Tick},
@@ -21,30 +20,15 @@
 use crate::{
     call::{Call, Rules},
     clock::{self, Clock},
-    keys::Keys,
-    metrics::Metrics,
+    metrics::{self, Metrics},
+    plan::Plan,
     recent,
     refusal::Refusal,
     reply::Outcome,
-    start,
     state::State,
     task,
 };
 
-/// What the process needs to start, shared between its threads.
-pub struct Plan {
-    /// Settings.
-    pub settings: settings::Settings,
-    /// Keys.
-    pub keys: Keys,
-    /// Listener for callers, until the router takes it.
-    pub callers: Mutex<Option<TcpListener>>,
-    /// Asks the router to finish its work and stop.
-    pub stop: Notify,
-    /// Tells the main thread that the router has ended.
-    pub end: mpsc::UnboundedSender<Result<(), start::Error>>,
-}
-
 /// Whether the router takes work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -75,9 +59,13 @@
 /// next one, so that two controllers that keep answering each other do not stop the process.
 const LOCAL_MESSAGES: usize = 1_024;
 
+/// Starts a task on the router's thread. The tasks call the router, so it does not know them.
+pub type Starter = fn(Rc<Router>, task::Task);
+
 /// The router process. All its tasks run on one thread.
 pub struct Router {
     plan: Arc<Plan>,
+    starter: Starter,
     id: host::Id,
     clock: Clock,
     /// Client for upstreams and platform.
@@ -103,12 +91,12 @@
 }
 
 impl Router {
-    /// Makes the router of this thread.
+    /// Makes the router of this thread. `starter` starts the tasks that follow from decisions.
     ///
     /// # Errors
     ///
     /// Returns an error if the metrics cannot be registered.
-    pub fn new(plan: Arc<Plan>) -> Result<Rc<Self>, start::Error> {
+    pub fn new(plan: Arc<Plan>, starter: Starter) -> Result<Rc<Self>, metrics::Error> {
         let settings = &plan.settings;
         let id = host::Id {
             host: settings.host.clone(),
@@ -135,6 +123,7 @@
             ticks_wanted: Notify::new(),
             lines: RefCell::default(),
             this: this.clone(),
+            starter,
             plan,
         }))
     }
@@ -179,7 +168,9 @@
         let tasks = state.out.take_tasks();
         drop(state);
         for task in tasks {
-            self.start(task);
+            if let Some(router) = self.this.upgrade() {
+                (self.starter)(router, task);
+            }
         }
         result
     }
@@ -189,25 +180,6 @@
         read(&self.state.borrow())
     }
 
-    fn start(&self, task: task::Task) {
-        let Some(router) = self.this.upgrade() else {
-            return;
-        };
-        match task {
-            task::Task::Run(run) => {
-                actix_rt::spawn(crate::booking::run(router, run));
-            }
-            task::Task::Order { upstream, order } => {
-                actix_rt::spawn(crate::placement::send(router, upstream, order));
-            }
-            task::Task::ReadHosts => router.hosts_wanted.notify_one(),
-            task::Task::ReadLoads => {
-                actix_rt::spawn(crate::load::read(router));
-            }
-            task::Task::Stop => router.plan.stop.notify_one(),
-        }
-    }
-
     /// Takes a message of a peer.
     pub fn receive(&self, from: &host::Id, message: Message) {
         self.act(|state, now| state.receive(now, from, message));
--- a/crates/toucand/src/scheduling.rs
+++ b/crates/toucand/src/scheduling.rs
@@ -1,6 +1,6 @@
 //! Controller of homes and queues: which router schedules which upstream, demand and grants.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::oneshot;
@@ -10,13 +10,13 @@
 use tsw_event::{emit, Event};
 use tsw_grant::{
     entry, home,
-    message::{Class, Request},
+    message::{Class, Id, Request},
 };
 use tsw_member::{rendezvous, State as Member};
 use tsw_share::message::Served;
 use tsw_wire::message::Message;
 
-use crate::{health, membership, out::Out, slot, turn::Turn};
+use crate::{health, membership, out::Out, refusal::Refusal, turn::Turn};
 
 mod queue;
 
@@ -28,9 +28,25 @@
     service: name::Service,
     team: name::Team,
     admitted: Option<u64>,
-    answer: oneshot::Sender<slot::Answer>,
+    answer: oneshot::Sender<Answer>,
 }
 
+/// A grant as it reaches the request that uses it.
+#[derive(Debug)]
+pub struct Granted {
+    /// The service.
+    pub service: name::Service,
+    /// The grant.
+    pub id: Id,
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// What a waiting request gets.
+pub type Answer = Result<Granted, Refusal>;
+
 /// A request that asks for a slot.
 pub struct Ask {
     /// The service.
--- a/crates/toucand/src/scheduling/queue.rs
+++ b/crates/toucand/src/scheduling/queue.rs
@@ -10,8 +10,8 @@
 };
 use tsw_wire::message::Message;
 
-use super::{Ask, Controller, Waiter};
-use crate::{refusal::Refusal, slot, turn::Turn};
+use super::{Answer, Ask, Controller, Granted, Waiter};
+use crate::{refusal::Refusal, turn::Turn};
 
 impl Controller {
     /// Gives an event to the queue of a service and carries out what follows.
@@ -74,7 +74,7 @@
             self.gate(turn.board, service)
                 .grant(turn.now, &waiter.team, bytes);
         }
-        let granted = slot::Granted {
+        let granted = Granted {
             service: service.clone(),
             id,
             upstream,
@@ -86,11 +86,7 @@
     }
 
     /// Puts a request into the queue of its service.
-    pub fn push(
-        &mut self,
-        turn: &mut Turn<'_>,
-        ask: Ask,
-    ) -> (Request, oneshot::Receiver<slot::Answer>) {
+    pub fn push(&mut self, turn: &mut Turn<'_>, ask: Ask) -> (Request, oneshot::Receiver<Answer>) {
         self.last_request += 1;
         let request = Request(self.last_request);
         let (answer, receiver) = oneshot::channel();
--- a/crates/toucand/src/serve.rs
+++ b/crates/toucand/src/serve.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     keys, operator,
-    router::{Plan, Router},
+    plan::{self, Plan},
+    router::Router,
     start,
 };
 
@@ -52,7 +53,7 @@
     Signal(io::Error),
     /// The router cannot start.
     #[error(transparent)]
-    Start(#[from] start::Error),
+    Start(#[from] plan::Error),
     /// The server ended by itself.
     #[error("the HTTP server ended: {0}")]
     Server(io::Error),
--- a/crates/toucand/src/slot.rs
+++ b/crates/toucand/src/slot.rs
@@ -4,25 +4,13 @@
 
 use tokio::sync::oneshot;
 use tsw_base::{name, time::Span};
-use tsw_grant::message::{Id, Request, State};
+use tsw_grant::message::{Request, State};
 
-use crate::{refusal::Refusal, router::Router};
-
-/// A grant as it reaches the request that uses it.
-#[derive(Debug)]
-pub struct Granted {
-    /// The service.
-    pub service: name::Service,
-    /// The grant.
-    pub id: Id,
-    /// The upstream.
-    pub upstream: name::Upstream,
-    /// Its address.
-    pub address: SocketAddr,
-}
-
-/// What a waiting request gets.
-pub type Answer = Result<Granted, Refusal>;
+use crate::{
+    refusal::Refusal,
+    router::Router,
+    scheduling::{Answer, Granted},
+};
 
 /// A waiting request. Dropping it withdraws the request.
 pub struct Wait {
--- a/crates/toucand/src/start.rs
+++ b/crates/toucand/src/start.rs
@@ -13,8 +13,11 @@
 use tsw_wire::message::{Fetch, Message};
 
 use crate::{
-    accept, metrics, peers, platform,
-    router::{Phase, Plan, Router},
+    accept, booking, load, order, peers,
+    plan::{Error, Plan},
+    platform,
+    router::{Phase, Router},
+    state, task,
 };
 
 /// Period of the reads of the host list.
@@ -41,20 +44,6 @@
 /// until then is answered, and asked to close its connection.
 const QUIET: Duration = Duration::from_millis(1_500);
 
-/// Why the router cannot start.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The host list cannot be read, and without it no peer is known.
-    #[error("cannot start without the host list: {0}")]
-    Hosts(#[from] platform::Error),
-    /// The link to peers cannot be opened.
-    #[error(transparent)]
-    Link(#[from] tsw_link::Error),
-    /// The metrics cannot be registered.
-    #[error(transparent)]
-    Metrics(#[from] metrics::Error),
-}
-
 thread_local! {
     static ROUTER: OnceCell<Rc<Router>> = const { OnceCell::new() };
 }
@@ -69,12 +58,28 @@
         if let Some(router) = cell.get() {
             return Ok(router.clone());
         }
-        let router = Router::new(plan.clone())?;
+        let router = Router::new(plan.clone(), start_task)?;
         actix_rt::spawn(run(router.clone()));
         Ok(cell.get_or_init(|| router).clone())
     })
 }
 
+fn start_task(router: Rc<Router>, task: task::Task) {
+    match task {
+        task::Task::Run(run) => {
+            actix_rt::spawn(booking::run(router, run));
+        }
+        task::Task::Order { upstream, order } => {
+            actix_rt::spawn(order::send(router, upstream, order));
+        }
+        task::Task::ReadHosts => router.hosts_wanted.notify_one(),
+        task::Task::ReadLoads => {
+            actix_rt::spawn(load::read(router));
+        }
+        task::Task::Stop => router.plan().stop.notify_one(),
+    }
+}
+
 async fn run(router: Rc<Router>) {
     let result = begin(&router).await;
     let result = match result {
@@ -276,7 +281,7 @@
 /// Ticks the scheduling at a short period while it is in use, and not at all otherwise.
 async fn tick_busy(router: Rc<Router>) {
     loop {
-        if router.look(crate::state::State::is_busy) {
+        if router.look(state::State::is_busy) {
             time::sleep(BUSY_TICK).await;
             router.act(|state, now| state.tick_fast(now));
         } else {
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -14,8 +14,8 @@
 use tsw_wire::message::Message;
 
 use crate::{
-    audit, configuration, health, membership, out::Out, placement, poison, router::Plan,
-    scheduling, tables, task, turn::Turn,
+    audit, configuration, health, membership, out::Out, placement, plan::Plan, poison, scheduling,
+    tables, task, turn::Turn,
 };
 
 /// The controllers.
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -22,7 +22,7 @@
     engine::{self, Attempt, Broken, Line},
     refusal::Refusal,
     router::{Flight, Router},
-    slot::Wait,
+    slot::{Slot, Wait},
 };
 
 mod end;
@@ -56,7 +56,7 @@
 
 enum Step {
     Active(Result<Vec<Line>, Broken>),
-    Slot(Result<crate::slot::Slot, Refusal>),
+    Slot(Result<Slot, Refusal>),
     Opened(Result<Attempt, Broken>),
     Spare(Result<Vec<Line>, Broken>),
     Stall,
@@ -205,7 +205,7 @@
         }
     }
 
-    fn granted(&mut self, slot: crate::slot::Slot) {
+    fn granted(&mut self, slot: Slot) {
         self.router.granted(&self.call, &slot);
         // A later attempt avoids this upstream unless this one succeeds.
         self.avoid = Some(slot.upstream().clone());
@@ -227,7 +227,8 @@
             return;
         }
         if self.next > 0 {
-            self.router.resumed(&self.call, &attempt, self.next);
+            self.router
+                .resumed(&self.call, attempt.slot().map(Slot::upstream), self.next);
         }
         self.active = Some(attempt);
         self.spare = None;
@@ -297,7 +298,8 @@
         let stalled = self.router.stall(&self.call, self.sent, &self.pace) <= self.router.now();
         if from_spare {
             if let Some(Spare::Open(attempt)) = self.spare.take() {
-                self.router.resumed(&self.call, &attempt, before);
+                self.router
+                    .resumed(&self.call, attempt.slot().map(Slot::upstream), before);
                 self.active = Some(attempt);
                 self.restart();
             }
--- a/crates/toucand/src/tables.rs
+++ b/crates/toucand/src/tables.rs
@@ -15,7 +15,7 @@
 };
 use tsw_wire::message::Message;
 
-use crate::{call::Call, clock, out::Out, plain, task, turn::Turn};
+use crate::{call::Call, clock, forward, out::Out, task, turn::Turn};
 
 /// Witnesses of a permit.
 const WITNESSES: usize = permit::MAX_WITNESSES;
@@ -29,7 +29,7 @@
     /// The service.
     pub service: name::Service,
     /// The request.
-    pub request: plain::Request,
+    pub request: forward::Request,
     /// Cost hint.
     pub cost_hint: u32,
     /// When the call is given up.
@@ -138,7 +138,7 @@
             &call.body,
         );
         if key.permit.owner == *turn.out.me() {
-            let request = plain::Request {
+            let request = forward::Request {
                 method: call.method.clone(),
                 path: call.path.clone(),
                 content_type: call.content_type.clone(),
@@ -233,7 +233,7 @@
         );
         let owned = Owned {
             service: permit.service.clone(),
-            request: plain::Request {
+            request: forward::Request {
                 method,
                 path: forward.path,
                 content_type: forward.content_type,
