Refuse requests that crash three upstreams, at all routers

Cause: on the platform's path nothing recognized a request that crashes each upstream that begins to run it. Attempts of one client attempt were bounded, but its client may send it again at any router without end.

Ruled out: the product's rule of two crashes. It relies on suspects that run alone; the platform's path does not do that, and a connection may be reset for other reasons.

Change: tsw-poison's watch takes a mode without solitary runs in which only a third crash confirms. relay notes connections that broke before an answer began, tells findings to all routers with the statements of load, and refuses confirmed requests with the time for which they are refused.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -36,6 +36,9 @@
     Failure,
     /// The connection is reset after the request was read.
     Reset,
+    /// The connection is reset after a request with this body was read; other requests get a stream
+    /// of so many events.
+    ResetOn(&'static str, u64),
     /// Nothing; the connection stays open.
     Silent,
     /// A stream of so many events, after the one that the request names.
@@ -216,7 +219,11 @@
             );
             (text, true)
         }
-        Behaviour::Reset => {
+        Behaviour::ResetOn(body, events) if arrival.body != body.as_bytes() => {
+            let behaviour = Behaviour::Stream(events);
+            return stream(state, connection, arrival, id, (behaviour, events)).await;
+        }
+        Behaviour::Reset | Behaviour::ResetOn(..) => {
             reset(connection);
             return Ok(false);
         }
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -9,6 +9,7 @@
 use tsw_event::{emit, Event};
 use tsw_flow::{account::Work, pool::Use, prompt::Part};
 use tsw_member::roster::{Member, LIVE_FOR};
+use tsw_poison::Suspect;
 use tsw_relay::router;
 use tsw_route::Name;
 
@@ -29,6 +30,7 @@
 enum Message {
     Members(Vec<Member>),
     Activities(Vec<Activity>),
+    Findings(Suspect),
 }
 
 /// What one router does for a service, as it is sent.
@@ -94,6 +96,13 @@
     message: Message,
 }
 
+/// Returns where the live routers hear gossip.
+fn live(gate: &Gate) -> Vec<SocketAddr> {
+    let roster = gate.roster.borrow();
+    let peers = roster.live(gate.router.now());
+    peers.map(|peer| peer.gossip).collect()
+}
+
 async fn send(gate: &Gate, socket: &UdpSocket, to: &[SocketAddr], message: Message) {
     let from = gate.settings.borrow().host.clone();
     let bytes = match postcard::to_allocvec(&Datagram { from, message }) {
@@ -120,12 +129,7 @@
         let (mut to, members) = gate.roster.borrow_mut().round(now, &mut rand::thread_rng());
         if *phase.borrow_and_update() != Phase::Serving {
             // Clients must not be sent to a router that stops.
-            to = gate
-                .roster
-                .borrow()
-                .live(now)
-                .map(|peer| peer.gossip)
-                .collect();
+            to = live(&gate);
         }
         send(&gate, &socket, &to, Message::Members(members)).await;
         // The end of the phase is told at once.
@@ -139,6 +143,10 @@
     loop {
         let crowd = gate.router.routers().div_ceil(SMALL) as u32;
         time::sleep(ACTIVITIES * crowd).await;
+        let findings = gate.router.take_findings();
+        if !findings.findings.is_empty() {
+            send(&gate, &socket, &live(&gate), Message::Findings(findings)).await;
+        }
         let activities = gate.router.activities();
         let now = gate.router.now();
         let repeat = now.since(since).as_duration() > LIVE_FOR.as_duration() / 3;
@@ -146,14 +154,8 @@
             continue;
         }
         since = now;
-        let to: Vec<SocketAddr> = gate
-            .roster
-            .borrow()
-            .live(now)
-            .map(|peer| peer.gossip)
-            .collect();
         let message = Message::Activities(activities.iter().map(Activity::from).collect());
-        send(&gate, &socket, &to, message).await;
+        send(&gate, &socket, &live(&gate), message).await;
     }
 }
 
@@ -191,6 +193,7 @@
             Message::Members(members) => {
                 gate.roster.borrow_mut().hear(now, &datagram.from, &members);
             }
+            Message::Findings(suspect) => gate.router.set_findings(suspect),
             Message::Activities(activities) => {
                 let from: Name = datagram.from.as_str().into();
                 let activities: Vec<router::Activity> =
--- a/crates/poison/src/watch.rs
+++ b/crates/poison/src/watch.rs
@@ -114,11 +114,22 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
+    beside_others: bool,
     running: IndexMap<name::Upstream, Vec<Fingerprint>>,
     records: IndexMap<Fingerprint, Record>,
 }
 
 impl Watch {
+    /// Makes a watch for a router that runs suspects beside other requests. That a request is the
+    /// only suspect of two crashes proves little there, so only [`MAX_CRASHES`] confirm it.
+    #[must_use]
+    pub fn beside_others() -> Self {
+        Self {
+            beside_others: true,
+            ..Self::default()
+        }
+    }
+
     /// Returns how a request is to be treated.
     #[must_use]
     pub fn treatment(&self, now: Tick, fingerprint: Fingerprint) -> Treatment {
@@ -127,7 +138,8 @@
             Some(Record::Confirmed { until }) => Treatment::Refused {
                 remaining: until.since(now),
             },
-            Some(Record::Suspect { .. }) => Treatment::Solo,
+            Some(Record::Suspect { .. }) if !self.beside_others => Treatment::Solo,
+            Some(Record::Suspect { .. }) => Treatment::Normal,
             None => Treatment::Normal,
         }
     }
@@ -214,7 +226,7 @@
         let mut findings = Vec::new();
         for fingerprint in hit {
             let crashes = self.crashes(*fingerprint) + u32::from(again.contains(fingerprint));
-            let sole = again.len() == 1 && again.contains(fingerprint);
+            let sole = !self.beside_others && again.len() == 1 && again.contains(fingerprint);
             let reported = mine || self.is_mine(*fingerprint);
             let verdict = if sole || crashes >= MAX_CRASHES {
                 self.confirm(now, *fingerprint, REFUSAL, commands);
--- a/crates/poison/tests/watch.rs
+++ b/crates/poison/tests/watch.rs
@@ -198,3 +198,38 @@
     let answers = tell(&by_b, at(1), &mut [&mut c]);
     assert_eq!(answers, vec![Command::Confirmed(Fingerprint(1))]);
 }
+
+/// Guards against refusing a request because its connections broke twice for other reasons, by a
+/// router that does not run suspects alone.
+#[test]
+fn request_beside_others_is_confirmed_by_its_third_crash_only() {
+    let mut here = Watch::beside_others();
+    let mut there = Watch::beside_others();
+    for (crash, expected) in [(1, false), (2, false), (3, true)] {
+        let now = at(10 * crash);
+        let commands = run_and_crash(&mut here, now, &[7], crash as usize);
+        tell(&commands, now, &mut [&mut there]);
+        for watch in [&here, &there] {
+            assert_eq!(is_refused(watch, now, 7), expected, "after crash {crash}");
+            if !expected {
+                assert_eq!(treatment(watch, now, 7), Treatment::Normal);
+            }
+        }
+    }
+}
+
+/// Guards against a suspicion that outlives the proof of the contrary.
+#[test]
+fn request_beside_others_that_was_answered_is_no_suspect() {
+    let mut watch = Watch::beside_others();
+    run_and_crash(&mut watch, at(1), &[7], 1);
+    run_and_crash(&mut watch, at(2), &[7], 2);
+    let event = Event::Ended {
+        fingerprint: Fingerprint(7),
+        upstream: upstream(3),
+        completed: true,
+    };
+    watch.handle(at(3), event);
+    run_and_crash(&mut watch, at(4), &[7], 1);
+    assert!(!is_refused(&watch, at(4), 7));
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -13,8 +13,8 @@
     Late,
     /// No upstream accepted it.
     NoUpstream,
-    /// The retry budget is used up.
-    Budget,
+    /// Equal requests crashed several upstreams.
+    Poison,
 }
 
 impl Refusal {
@@ -25,7 +25,7 @@
             Self::Starting => "starting",
             Self::Late => "late",
             Self::NoUpstream => "no-upstream",
-            Self::Budget => "budget",
+            Self::Poison => "crashed-upstreams",
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,8 +7,9 @@
 //! 2. [`wait`]: waits until an upstream has room, and holds the place.
 //! 3. [`attempt`]: sends the request to an upstream and reads the head of the response.
 //! 4. [`event`]: finds the events of a stream.
-//! 5. [`pace`]: when the events were passed on.
-//! 6. [`responder`]: writes the answer to the client.
+//! 5. [`suspect`]: finds requests that crash upstreams.
+//! 6. [`pace`]: when the events were passed on.
+//! 7. [`responder`]: writes the answer to the client.
 //!
 //! [`router`] is the state that all requests share; [`answer`] lists the answers that the router
 //! gives itself; [`metrics`] counts.
@@ -23,4 +24,5 @@
 pub mod responder;
 pub mod router;
 pub mod run;
+pub mod suspect;
 pub mod wait;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -16,6 +16,7 @@
     service::Service,
 };
 use tsw_http::pool;
+use tsw_poison::{Finding, Watch};
 use tsw_route::{adopt, table::Table, Name};
 
 use crate::{dialect::Dialect, metrics::Metrics, wait::Waiters};
@@ -76,6 +77,8 @@
     pub(crate) waiters: RefCell<Waiters>,
     current: RefCell<adopt::Current>,
     entries: RefCell<Vec<Entry>>,
+    pub(crate) watch: RefCell<Watch>,
+    pub(crate) findings: RefCell<Vec<Finding>>,
     retries: Retries,
     routers: Cell<usize>,
     start: Instant,
@@ -94,6 +97,8 @@
             waiters: RefCell::default(),
             current: RefCell::default(),
             entries: RefCell::default(),
+            watch: RefCell::new(Watch::beside_others()),
+            findings: RefCell::default(),
             retries: options.retries,
             routers: Cell::new(1),
             start: Instant::now(),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -133,6 +133,10 @@
 impl Life<'_, '_> {
     async fn go(&mut self) -> io::Result<End> {
         loop {
+            if let Some(after) = self.router.poison(self.request) {
+                let refusal = Refusal::Poison;
+                return self.without_place(Refused { refusal, after }).await;
+            }
             let place = match self.router.place(self.request, &self.avoid).await {
                 Ok(place) => place,
                 Err(refused) => return self.without_place(refused).await,
@@ -176,6 +180,9 @@
             Fault::Broken | Fault::Failed => service.pool.failed(now, upstream),
             Fault::NotRun => {}
         });
+        if fault == Fault::Broken && !failed.silent && self.pace.first.is_none() {
+            router.broke(self.request, upstream);
+        }
         emit(
             Event::UpstreamFailed,
             &[
@@ -256,9 +263,10 @@
     }
 
     /// Notes that events, or the whole of a plain answer, are passed on.
-    fn passed_on(&mut self, events: u64) {
+    fn passed_on(&mut self, upstream: &Name, events: u64) {
         let now = self.router.now();
         if self.pace.first.is_none() {
+            self.router.began(self.request, upstream);
             let since = now.since(self.request.arrived);
             self.router.metrics.first.observe(since.as_secs_f64());
         }
@@ -298,7 +306,7 @@
             let cause = format!("status {} instead of the rest of a stream", head.status);
             return Err(Failed::new(Fault::Broken, cause).into());
         }
-        self.passed_on(1);
+        self.passed_on(&upstream, 1);
         self.whole(head, &body).await?;
         self.completed("answered");
         Ok(End::Answered)
@@ -353,7 +361,7 @@
             }
             if !events.is_empty() {
                 place.read();
-                self.passed_on(events.len() as u64);
+                self.passed_on(&upstream, events.len() as u64);
                 self.responder.data(&events).await?;
                 events.clear();
             }
--- a/crates/toucand/tests/platform.rs
+++ b/crates/toucand/tests/platform.rs
@@ -466,6 +466,64 @@
     }
 }
 
+/// Guards against a request that crashes one upstream after the other as its client sends it again,
+/// at any router.
+#[actix_rt::test]
+async fn request_that_crashed_three_upstreams_is_refused_by_all_routers() {
+    const CRASHING: &str = "{\"prompt\":\"crash\"}";
+    let site = Site::start(Behaviour::Plain, Behaviour::ResetOn(CRASHING, 3)).await;
+    let second = Router::start("r2", site.store.address(), &[site.router.control]);
+    second.wait_ready().await;
+    let call = |id: &str, body| {
+        let mut call = Call::proper("POST", "/draft/1", id);
+        call.head.fields.push("Model-Name", "m");
+        call.head.fields.push("Token-Count", "1000,50");
+        call.head
+            .fields
+            .push("Prompt-Prefix", "aa:400,bb:500,cc:100");
+        call.body(body)
+    };
+    let crashes = |site: &Site| {
+        let arrivals = site.models.iter().flat_map(Worker::arrivals);
+        arrivals.filter(|found| found.body == CRASHING).count()
+    };
+    let mut number = 0;
+    while crashes(&site) < 3 {
+        number += 1;
+        assert!(number < 10, "the request reaches no upstream");
+        let id = format!("a{number}");
+        let answer = call(&id, CRASHING).send(&site.router).await;
+        assert_eq!(answer.status, 502, "{}", answer.text());
+    }
+    for router in [&site.router, &second] {
+        let end = std::time::Instant::now() + PATIENCE;
+        loop {
+            number += 1;
+            let id = format!("a{number}");
+            let answer = call(&id, CRASHING).send(router).await;
+            if answer.status == 503 && answer.text().contains("crashed") {
+                break;
+            }
+            assert!(std::time::Instant::now() < end, "not refused");
+        }
+    }
+    // The news travels within the three further attempts that the operators allow.
+    assert!(crashes(&site) <= 6, "{} upstreams crashed", crashes(&site));
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        number += 1;
+        let id = format!("a{number}");
+        let answer = call(&id, "{\"prompt\":\"fine\"}").send(&second).await;
+        if answer.status == 200 {
+            break;
+        }
+        assert!(
+            std::time::Instant::now() < end,
+            "another request is refused"
+        );
+    }
+}
+
 #[actix_rt::test]
 async fn planned_stop_finishes_what_runs_and_serves_clients_that_still_come() {
     let mut site = Site::start(Behaviour::Plain, Behaviour::Stall(2)).await;
