Count the whole window in the retry budget

Cause: the budget divides its window of 10 s into 20 parts and counted the last 20 of them. A window that ends within a part begins within a 21st, whose extra attempts were forgotten: all of the slack could be granted at the end of one part and again 9.5 s later, twice within one window.

Ruled out: the margin of 0.8. It covers windows that begin apart, not a part that is left out.

Change: 21 parts are remembered. Extra attempts of the oldest count, as if all were in the window, and its requests do not, so that the bound holds for each window.

--- a/crates/flow/src/budget.rs
+++ b/crates/flow/src/budget.rs
@@ -4,6 +4,8 @@
 
 /// Parts into which the window is divided.
 const PARTS: usize = 20;
+/// Parts that are remembered: a window that ends within a part begins within another one.
+const REMEMBERED: usize = PARTS + 1;
 /// Part of the allowance that is used. The rest covers that the fleet's windows do not begin
 /// together and that a router may count a peer that has just ended.
 const SAFETY: f64 = 0.8;
@@ -17,7 +19,8 @@
     window: Span,
     ratio: f64,
     slack: f64,
-    slots: [(u64, u32, u32); PARTS],
+    /// By part: its number, requests, extra attempts.
+    slots: [(u64, u32, u32); REMEMBERED],
 }
 
 impl Budget {
@@ -37,13 +40,13 @@
             window,
             ratio,
             slack,
-            slots: [(0, 0, 0); PARTS],
+            slots: [(0, 0, 0); REMEMBERED],
         }
     }
 
     fn slot(&mut self, now: Tick) -> &mut (u64, u32, u32) {
         let epoch = self.epoch(now);
-        let slot = &mut self.slots[(epoch % PARTS as u64) as usize];
+        let slot = &mut self.slots[(epoch % REMEMBERED as u64) as usize];
         if slot.0 != epoch {
             *slot = (epoch, 0, 0);
         }
@@ -62,9 +65,18 @@
     /// Takes one extra attempt out of the budget, if it holds one, in a fleet of `routers`.
     pub fn spend(&mut self, now: Tick, routers: usize) -> bool {
         self.slot(now);
-        let oldest = (self.epoch(now) + 1).saturating_sub(PARTS as u64);
-        let recent = self.slots.iter().filter(|slot| slot.0 >= oldest);
-        let (requests, extra) = recent.fold((0, 0), |sum, slot| (sum.0 + slot.1, sum.1 + slot.2));
+        // The window that ends now begins within the oldest part. Its extra attempts count, as if
+        // all were in the window, and its requests do not.
+        let oldest = (self.epoch(now) + 1).saturating_sub(REMEMBERED as u64);
+        let (mut requests, mut extra) = (0, 0);
+        for (epoch, earned, spent) in self.slots {
+            if epoch >= oldest {
+                extra += spent;
+            }
+            if epoch > oldest {
+                requests += earned;
+            }
+        }
         let part = self.slack / routers.max(1) as f64;
         let allowed = SAFETY * (self.ratio * f64::from(requests) + part);
         let allow = f64::from(extra + 1) <= allowed;
--- a/crates/flow/tests/budget.rs
+++ b/crates/flow/tests/budget.rs
@@ -46,6 +46,17 @@
     }
 }
 
+/// Guards against a window that begins within a part of which the budget forgets the repeats.
+#[test]
+fn budget_is_not_granted_twice_within_one_window() {
+    let mut budget = Budget::new(Span::from_millis(WINDOW_MS), RATIO, SLACK);
+    let at = |millis| Tick::ZERO + Span::from_millis(millis);
+    let early = (0..100).filter(|_| budget.spend(at(499), 1)).count();
+    let late = (0..100).filter(|_| budget.spend(at(10_000), 1)).count();
+    assert!(early > 0);
+    assert_eq!(late, 0, "after {early} repeats 9.5 s before");
+}
+
 #[test]
 fn budget_comes_back_after_the_window() {
     let mut budget = Budget::new(Span::from_millis(WINDOW_MS), RATIO, SLACK);
