Keep idle connections within this router's part of the limit

Cause: an upstream resets connections beyond maxConnections, which all routers share. The limit was decoded and not used; a router kept up to 64 idle connections to each upstream. 69 routers could keep 4,416 to an upstream that takes 540.

Ruled out: a limit on connections in use. Requests at an upstream are bounded by its slots over the whole fleet, which is far less.

Change: a router keeps half of the limit, divided by the number of routers, and at least one idle connection.

Before: the new test of the pool does not compile; the pool has no bound to set. After: it passes.

It matters on sites with many routers.

--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -19,6 +19,9 @@
 /// Prompt tokens that an engine reads in the time in which it does one token of the limit that
 /// the operators state, which counts generated tokens as well.
 const READ_PER_WORK: u64 = 2;
+/// Part of the connections to an upstream that routers keep while they are idle. The rest is for
+/// requests in progress.
+const IDLE_PART: f64 = 0.5;
 /// Requests that may wait at a plain upstream beyond its slots, so that it is not idle between
 /// two requests.
 const SPARE: u32 = 1;
@@ -36,6 +39,7 @@
     pub retries: Budget,
     engine: Option<table::Engine>,
     tokens_per_s: Option<u64>,
+    connections: u32,
 }
 
 impl Service {
@@ -49,6 +53,7 @@
             retries,
             engine: None,
             tokens_per_s: None,
+            connections: u32::MAX,
         }
     }
 
@@ -56,6 +61,24 @@
     pub fn configure(&mut self, service: &table::Service, limits: &table::Limits) {
         self.engine = service.engine;
         self.tokens_per_s = limits.tokens_per_s;
+        self.connections = service.connections;
+    }
+
+    /// Returns the most idle connections that each of so many routers keeps to one upstream.
+    ///
+    /// ```
+    /// use tsw_base::time::Span;
+    /// use tsw_flow::{budget::Budget, service::Service};
+    /// use tsw_route::table;
+    /// let mut service = Service::new(Budget::new(Span::from_secs(10), 0.2, 50.0));
+    /// let stated = table::Service { connections: 540, engine: None };
+    /// service.configure(&stated, &table::Limits::default());
+    /// assert_eq!(service.idle_connections(9), 30);
+    /// ```
+    #[must_use]
+    pub fn idle_connections(&self, routers: usize) -> usize {
+        let kept = f64::from(self.connections) * IDLE_PART / routers.max(1) as f64;
+        (kept as usize).max(1)
     }
 
     /// Returns the limits of the engines; `None` for plain services.
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -14,7 +14,8 @@
 /// Part of a stated idle time for which a connection is kept, so that the upstream does not close
 /// it while a request is on its way.
 const IDLE_PART: f64 = 0.6;
-/// Most idle connections kept for one upstream.
+/// Most idle connections kept for one upstream, whatever its limit: more requests than that are
+/// rarely in progress at one upstream.
 const MAX_IDLE: usize = 64;
 
 struct Idle {
@@ -38,11 +39,12 @@
         None
     }
 
-    /// Keeps a connection for later requests.
-    pub fn put(&mut self, address: SocketAddr, reusable: Reusable, now: Instant) {
+    /// Keeps a connection for later requests unless `most` idle ones are kept already. The upstream
+    /// resets connections beyond its limit, which all routers share.
+    pub fn put(&mut self, address: SocketAddr, reusable: Reusable, now: Instant, most: usize) {
         let stated = reusable.idle.map(|idle| idle.mul_f64(IDLE_PART));
         let idle = self.0.entry(address).or_default();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < most.min(MAX_IDLE) {
             idle.push(Idle {
                 connection: reusable.connection,
                 until: now + stated.unwrap_or(DEFAULT_IDLE),
--- /dev/null
+++ b/crates/http/tests/pool.rs
@@ -0,0 +1,26 @@
+//! Guards against idle connections that take an upstream beyond its limit, which then resets those
+//! of others.
+
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpListener;
+use tsw_http::{connection::Connection, exchange::Reusable, pool::Pool};
+
+#[actix_rt::test]
+async fn no_more_idle_connections_are_kept_than_allowed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (mut pool, mut accepted) = (Pool::default(), Vec::new());
+    let now = Instant::now();
+    for _ in 0..5 {
+        let connection = Connection::open(address, Duration::from_secs(5)).await;
+        accepted.push(listener.accept().await.expect("accepted"));
+        let reusable = Reusable {
+            connection: connection.expect("open"),
+            idle: None,
+        };
+        pool.put(address, reusable, now, 3);
+    }
+    let kept = std::iter::from_fn(|| pool.take(address, now)).count();
+    assert_eq!(kept, 3);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -130,7 +130,7 @@
             ));
         }
         if report.not_run {
-            self.keep(address, exchange).await;
+            self.keep(&place, exchange).await;
             return Err(Failed::new(
                 Fault::NotRun,
                 format!("not run, status {status}"),
@@ -143,21 +143,29 @@
     }
 
     /// Reads the rest of a short response and keeps its connection.
-    async fn keep(&self, address: std::net::SocketAddr, mut exchange: Exchange) {
+    async fn keep(&self, place: &Place, mut exchange: Exchange) {
         let rest = async {
             while exchange.data().await?.is_some() {}
             Ok::<_, Error>(())
         };
         if matches!(time::timeout(CONNECT_LIMIT, rest).await, Ok(Ok(()))) {
-            self.reuse(address, exchange);
+            self.reuse(place, exchange);
         }
     }
 
     /// Keeps the connection of a complete exchange for later requests.
-    pub(crate) fn reuse(&self, address: std::net::SocketAddr, exchange: Exchange) {
+    pub(crate) fn reuse(&self, place: &Place, exchange: Exchange) {
         if let Some(reusable) = exchange.finish() {
+            let routers = self.routers();
+            let most =
+                self.with_service(place.service(), |service| service.idle_connections(routers));
             let mut connections = self.connections.borrow_mut();
-            connections.put(address, reusable, Instant::now());
+            connections.put(
+                place.choice().address,
+                reusable,
+                Instant::now(),
+                most.unwrap_or_default(),
+            );
         }
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -290,10 +290,9 @@
             }
         }
         let upstream = place.choice().id.clone();
-        let address = place.choice().address;
         let head = exchange.head().clone();
+        self.router.reuse(&place, exchange);
         drop(place);
-        self.router.reuse(address, exchange);
         let body = body.freeze();
         if head.status >= 500 {
             let cause = format!("status {}", head.status);
@@ -371,7 +370,7 @@
             return Err(Failed::new(Fault::Broken, "the stream ends within an event").into());
         }
         self.answered(&upstream);
-        self.router.reuse(place.choice().address, exchange);
+        self.router.reuse(&place, exchange);
         drop(place);
         self.responder.end().await?;
         self.completed("streamed");
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -39,6 +39,12 @@
         &self.choice
     }
 
+    /// Returns the service of the upstream.
+    #[must_use]
+    pub const fn service(&self) -> &Name {
+        &self.service
+    }
+
     /// Notes that the upstream has read the prompt.
     pub fn read(&mut self) {
         if std::mem::take(&mut self.unread) {
