--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,7 +3,8 @@
 //! This crate knows no interface towards clients and no dialect of upstreams: a front door makes a
 //! [`request::Request`], and a [`dialect::Dialect`] writes and reads the headers.
 //!
-//! 1. [`run`]: one request from its admission to its final answer.
+//! 1. [`run`]: one request from its admission to its final answer; its parts pass a response on and
+//!    write the final answer when no upstream has answered.
 //! 2. [`wait`]: waits until an upstream has room, and holds the place.
 //! 3. [`attempt`]: sends the request to an upstream and reads the head of the response.
 //! 4. [`event`]: finds the events of a stream.
