Call the store less often in large fleets

Cause: six routers of 69 watched the upstreams with a pause of 100 ms while one of 90 upstreams changes its entry every 13 ms, so that each watch returned at once; the other 63 read the store every 6 s.

Ruled out: fewer readers. The loss of several at once must leave some that have seen the last change.

Change: the pause is 300 ms in large fleets, and the others read every 15 s, within the 20 s for which the store keeps its history.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -97,14 +97,19 @@
         *self.phase.borrow() != Phase::Serving || self.clients.get() as f64 > most
     }
 
+    /// Returns whether some routers watch the store for all.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.router.routers() > SMALL_FLEET
+    }
+
     /// Returns whether this router watches the store all the time.
     ///
     /// In small fleets all routers do. In larger ones some do for all, so that the calls do not grow
     /// with the fleet; the others read them, and the store now and then.
     #[must_use]
     pub fn is_reader(&self) -> bool {
-        self.router.routers() <= SMALL_FLEET
-            || self.roster.borrow().is_reader(self.router.now(), READERS)
+        !self.is_large() || self.roster.borrow().is_reader(self.router.now(), READERS)
     }
 
     /// Applies what depends on the time and tells the roster about this router.
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -21,8 +21,12 @@
 const WATCH: Duration = Duration::from_millis(900);
 /// Pause after a watch of the upstreams, so that many changes in a row are read together.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(100);
-/// Period of the reads of a router that learns changes from its peers.
-const SELDOM: Duration = Duration::from_secs(6);
+/// The same pause in a large fleet, where an upstream changes its entry every few milliseconds. A
+/// leaving upstream serves for two seconds or longer; gossip takes half of that.
+const LARGE_PAUSE: Duration = Duration::from_millis(300);
+/// Period of the reads of a router that learns changes from its peers. It is shorter than the 20 s
+/// after which the store forgets its history, so that such a read needs no whole list.
+const SELDOM: Duration = Duration::from_secs(15);
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -79,7 +83,12 @@
             Err(_) => time::sleep(jitter(RETRY)).await,
         }
         if subject == Subject::Upstreams {
-            time::sleep(jitter(UPSTREAM_PAUSE)).await;
+            let pause = if gate.is_large() {
+                LARGE_PAUSE
+            } else {
+                UPSTREAM_PAUSE
+            };
+            time::sleep(jitter(pause)).await;
         }
     }
 }
