Tell the beats of all routers in each message of gossip

Cause: a message of gossip held 12 members of 69. A beat reached each router about twice a second, and one that was late for 1.8 s dropped the router from the list: clients were told 54 to 64 addresses, changing from answer to answer (trial with logged answers), and leave their connections to an address that is missing.

Change: a message holds the beats of all live routers (some 18 bytes each) and four members in full; who sees the beat of an unknown router asks for its name and addresses.

Ruled out: a longer time until a router is dropped, which would keep clients at ended routers; telling 12 members more often, which costs more bytes than all beats.

Before: the new test finds 27 of 29 peers listed at 30 routers.

--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -8,7 +8,7 @@
 use tsw_base::time::Tick;
 use tsw_event::{emit, Event};
 use tsw_flow::{account::Work, pool::Use, prompt::Part};
-use tsw_member::roster::{Member, LIVE_FOR};
+use tsw_member::roster::{News, LIVE_FOR};
 use tsw_poison::Suspect;
 use tsw_relay::router;
 use tsw_route::Name;
@@ -28,7 +28,7 @@
 
 #[derive(Debug, Deserialize, Serialize)]
 enum Message {
-    Members(Vec<Member>),
+    Members(News),
     Activities(Vec<Activity>),
     Findings(Suspect),
 }
@@ -126,12 +126,12 @@
     loop {
         gate.tick();
         let now = gate.router.now();
-        let (mut to, members) = gate.roster.borrow_mut().round(now, &mut rand::thread_rng());
+        let (mut to, news) = gate.roster.borrow_mut().round(now, &mut rand::thread_rng());
         if *phase.borrow_and_update() != Phase::Serving {
             // Clients must not be sent to a router that stops.
             to = live(&gate);
         }
-        send(&gate, &socket, &to, Message::Members(members)).await;
+        send(&gate, &socket, &to, Message::Members(news)).await;
         // The end of the phase is told at once.
         let _ = time::timeout(MEMBERS, phase.changed()).await;
     }
@@ -173,9 +173,9 @@
             }
             live
         });
-        let length = match received {
+        let (length, source) = match received {
             Err(_) => continue,
-            Ok(Ok((length, _))) => length,
+            Ok(Ok(received)) => received,
             Ok(Err(error)) => {
                 emit(Event::InternalFailed, &[("cause", &error)]);
                 time::sleep(MEMBERS).await;
@@ -190,8 +190,11 @@
             }
         };
         match datagram.message {
-            Message::Members(members) => {
-                gate.roster.borrow_mut().hear(now, &datagram.from, &members);
+            Message::Members(news) => {
+                let answer = gate.roster.borrow_mut().hear(now, &datagram.from, &news);
+                if let Some(answer) = answer {
+                    send(&gate, &socket, &[source], Message::Members(answer)).await;
+                }
             }
             Message::Findings(suspect) => gate.router.set_findings(suspect),
             Message::Activities(activities) => {
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -1,11 +1,12 @@
 //! Membership by gossip alone, where no host list exists.
 //!
 //! A router knows the addresses of a few seeds. Each router counts a beat and tells some others
-//! the newest beats that it knows; a router whose beat stands still is no longer listed.
+//! the newest beats of all that it knows; a router whose beat stands still is no longer listed. Names
+//! and addresses, which do not change, are told of a few in each message and to those who ask.
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::{seq::SliceRandom, Rng};
 use serde::{Deserialize, Serialize};
 use tsw_base::time::{Span, Tick};
@@ -18,8 +19,14 @@
 const KNOWN_FOR: Span = Span::from_secs(30);
 /// Routers to which each round of gossip goes.
 const FAN_OUT: usize = 3;
-/// Most members in one message, so that it fits into one datagram.
-const MOST_TOLD: usize = 12;
+/// Members in one message that are told with name and addresses, so that the news of one that
+/// starts spreads without being asked for.
+const MOST_TOLD: usize = 4;
+/// Most members that are asked for in one message, and told in the answer, so that it fits into one
+/// datagram.
+const MOST_WANTED: usize = 64;
+/// Most beats in one message, so that it fits into one datagram. Larger fleets tell the latest.
+const MOST_BEATS: usize = 256;
 /// Rounds after which a seed is asked again even though peers are known, so that two parts of a
 /// fleet that found no seed at first find each other.
 const SEED_ROUNDS: u64 = 8;
@@ -54,9 +61,51 @@
     pub revision: u64,
 }
 
+impl Member {
+    fn key(&self) -> u64 {
+        rendezvous::weight(self.run, &self.host)
+    }
+
+    fn beat(&self) -> Beat {
+        Beat {
+            key: self.key(),
+            beat: self.beat,
+            ready: self.ready,
+            reads_store: self.reads_store,
+            version: self.version,
+            revision: self.revision,
+        }
+    }
+}
+
+/// What changes of a router that is known already.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// Hash of host and run.
+    key: u64,
+    /// See [`Member::beat`]; the other fields likewise.
+    beat: u64,
+    ready: bool,
+    reads_store: bool,
+    version: u64,
+    revision: u64,
+}
+
+/// What a router tells others about the fleet.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// Some members in full, the sender first.
+    pub members: Vec<Member>,
+    /// The latest beats.
+    pub beats: Vec<Beat>,
+    /// Keys of members whose name and addresses the sender does not know.
+    pub wanted: Vec<u64>,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     member: Member,
+    key: u64,
     heard: Tick,
 }
 
@@ -67,6 +116,7 @@
     pub me: Member,
     seeds: Vec<SocketAddr>,
     peers: IndexMap<String, Peer>,
+    wanted: IndexSet<u64>,
     rounds: u64,
 }
 
@@ -75,7 +125,7 @@
     ///
     /// ```
     /// use tsw_base::time::{Span, Tick};
-    /// use tsw_member::roster::{Member, Roster, LIVE_FOR};
+    /// use tsw_member::roster::{Member, News, Roster, LIVE_FOR};
     /// let address = "127.0.0.1:1".parse().unwrap();
     /// let member = |host: &str| Member {
     ///     host: host.to_owned(), domain: "north".to_owned(), run: 1, beat: 1, client: address,
@@ -83,7 +133,8 @@
     /// };
     /// let mut roster = Roster::new(member("r1"), Vec::new());
     /// let now = Tick::from_micros(1);
-    /// roster.hear(now, "r2", &[member("r2")]);
+    /// let news = News { members: vec![member("r2")], ..News::default() };
+    /// roster.hear(now, "r2", &news);
     /// assert_eq!(roster.live(now).count(), 1);
     /// assert_eq!(roster.live(now + LIVE_FOR + Span::from_millis(1)).count(), 0);
     /// ```
@@ -93,6 +144,7 @@
             me,
             seeds,
             peers: IndexMap::new(),
+            wanted: IndexSet::new(),
             rounds: 0,
         }
     }
@@ -104,8 +156,11 @@
 
     /// Takes what `from` tells. A router is believed about itself; about others only a later beat
     /// of a known run counts, or a host that is not known.
-    pub fn hear(&mut self, now: Tick, from: &str, members: &[Member]) {
-        for member in members.iter().filter(|member| member.host != self.me.host) {
+    ///
+    /// Returns an answer to the sender if it asks for members that this router knows.
+    pub fn hear(&mut self, now: Tick, from: &str, news: &News) -> Option<News> {
+        let members = news.members.iter();
+        for member in members.filter(|member| member.host != self.me.host) {
             let known = self.peers.get(&member.host);
             let news = match known {
                 None => true,
@@ -115,15 +170,41 @@
             if news {
                 let peer = Peer {
                     member: member.clone(),
+                    key: member.key(),
                     heard: now,
                 };
                 self.peers.insert(member.host.clone(), peer);
             }
         }
+        let mut beats: IndexMap<u64, &Beat> = news.beats.iter().map(|b| (b.key, b)).collect();
+        beats.swap_remove(&self.me.key());
+        for peer in self.peers.values_mut() {
+            if let Some(beat) = beats.swap_remove(&peer.key) {
+                peer.take(now, beat);
+            }
+            self.wanted.swap_remove(&peer.key);
+        }
+        let room = MOST_WANTED.saturating_sub(self.wanted.len());
+        self.wanted.extend(beats.into_keys().take(room));
+        self.answer(now, &news.wanted)
+    }
+
+    fn answer(&self, now: Tick, wanted: &[u64]) -> Option<News> {
+        let known = self
+            .live_peers(now)
+            .filter(|peer| wanted.contains(&peer.key));
+        let members: Vec<Member> = known
+            .map(|peer| peer.member.clone())
+            .take(MOST_WANTED)
+            .collect();
+        (!members.is_empty()).then(|| News {
+            members,
+            ..News::default()
+        })
     }
 
     /// Counts a beat and returns the routers to tell and what to tell them.
-    pub fn round(&mut self, now: Tick, rng: &mut impl Rng) -> (Vec<SocketAddr>, Vec<Member>) {
+    pub fn round(&mut self, now: Tick, rng: &mut impl Rng) -> (Vec<SocketAddr>, News) {
         self.me.beat += 1;
         self.rounds += 1;
         self.peers
@@ -146,7 +227,17 @@
         live.shuffle(rng);
         let told = live.into_iter().take(MOST_TOLD - 1).cloned();
         let members = std::iter::once(self.me.clone()).chain(told).collect();
-        (to, members)
+        let mut latest: Vec<&Peer> = self.live_peers(now).collect();
+        latest.sort_unstable_by_key(|peer| std::cmp::Reverse(peer.heard));
+        let beats = latest.into_iter().take(MOST_BEATS);
+        let beats = beats.map(|peer| peer.member.beat()).collect();
+        let wanted = std::mem::take(&mut self.wanted).into_iter().collect();
+        let news = News {
+            members,
+            beats,
+            wanted,
+        };
+        (to, news)
     }
 
     /// Returns whether this router has one of the `count` highest ranks for a duty among itself and
@@ -154,7 +245,7 @@
     ///
     /// ```
     /// use tsw_base::time::Tick;
-    /// use tsw_member::roster::{Member, Roster};
+    /// use tsw_member::roster::{Member, News, Roster};
     /// let address = "127.0.0.1:1".parse().unwrap();
     /// let member = |number: u8| Member {
     ///     host: format!("r{number}"), domain: "north".to_owned(), run: 1, beat: 1, client: address,
@@ -164,7 +255,8 @@
     /// let all: Vec<Member> = (0..9).map(member).collect();
     /// let readers = (0..9).filter(|number| {
     ///     let mut roster = Roster::new(member(*number), Vec::new());
-    ///     roster.hear(now, "r0", &all);
+    ///     let news = News { members: all.clone(), ..News::default() };
+    ///     roster.hear(now, "r0", &news);
     ///     roster.is_reader(now, 3)
     /// });
     /// assert_eq!(readers.count(), 3);
@@ -184,8 +276,27 @@
 
     /// Returns the other routers that run.
     pub fn live(&self, now: Tick) -> impl Iterator<Item = &Member> {
-        let live = self.peers.values().filter(move |peer| is_live(peer, now));
-        live.map(|peer| &peer.member)
+        self.live_peers(now).map(|peer| &peer.member)
+    }
+
+    fn live_peers(&self, now: Tick) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(move |peer| is_live(peer, now))
+    }
+}
+
+impl Peer {
+    fn take(&mut self, now: Tick, beat: &Beat) {
+        if beat.beat <= self.member.beat {
+            return;
+        }
+        self.heard = now;
+        let member = &mut self.member;
+        member.beat = beat.beat;
+        member.ready = beat.ready;
+        member.reads_store = beat.reads_store;
+        member.version = beat.version;
+        member.revision = beat.revision;
     }
 }
 
--- /dev/null
+++ b/crates/member/tests/roster.rs
@@ -0,0 +1,89 @@
+//! Guards against running routers that drop out of the lists of others, so that clients are sent to
+//! the few that are left, and against routers of a large fleet that never find each other.
+
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use tsw_base::time::{Span, Tick};
+use tsw_member::roster::{Member, Roster, LIVE_FOR};
+
+/// Period of gossip, as the gate sends it.
+const PERIOD: Span = Span::from_millis(250);
+
+fn member(number: usize) -> Member {
+    let address = |port| ([10, 0, 0, u8::try_from(number).expect("small")], port).into();
+    Member {
+        host: format!("r{number}"),
+        domain: format!("d{}", number % 3),
+        run: 1,
+        beat: 1,
+        client: address(1),
+        gossip: address(2),
+        control: address(3),
+        ready: true,
+        reads_store: true,
+        version: 0,
+        revision: 0,
+    }
+}
+
+/// Lets a fleet gossip and returns, for each round after the first ten seconds, the fewest peers
+/// that any router lists. All of them know three seeds, and a part of the datagrams is lost.
+fn fewest_listed(routers: usize, rounds: usize, loss: f64) -> Vec<usize> {
+    let mut rng = StdRng::seed_from_u64(7);
+    let seeds: Vec<_> = (0..3).map(|number| member(number).gossip).collect();
+    let mut fleet: Vec<Roster> = (0..routers)
+        .map(|number| Roster::new(member(number), seeds.clone()))
+        .collect();
+    let mut now = Tick::from_micros(1);
+    let mut fewest = Vec::new();
+    for round in 0..rounds {
+        now = now + PERIOD;
+        for number in 0..routers {
+            let from = fleet[number].me.host.clone();
+            let (to, news) = fleet[number].round(now, &mut rng);
+            for address in to {
+                if rng.gen_bool(loss) {
+                    continue;
+                }
+                let target = fleet.iter_mut().find(|other| other.me.gossip == address);
+                let target = target.expect("a router");
+                let answer = target.hear(now, &from, &news);
+                let host = target.me.host.clone();
+                if let Some(answer) = answer {
+                    fleet[number].hear(now, &host, &answer);
+                }
+            }
+        }
+        if round >= 40 {
+            let listed = fleet.iter().map(|roster| roster.live(now).count());
+            fewest.push(listed.min().expect("routers"));
+        }
+    }
+    fewest
+}
+
+#[test]
+fn all_running_routers_stay_listed_in_small_and_large_fleets() {
+    for routers in [3, 7, 30, 73, 100] {
+        let fewest = fewest_listed(routers, 80, 0.02);
+        let worst = fewest.iter().min().copied();
+        assert_eq!(worst, Some(routers - 1), "{routers} routers: {fewest:?}");
+    }
+}
+
+/// Guards against a router that ended and is listed again because others ask for it.
+#[test]
+fn router_that_ended_is_not_told_to_others() {
+    let mut known = Roster::new(member(0), Vec::new());
+    let mut asks = Roster::new(member(2), Vec::new());
+    let now = Tick::from_micros(1);
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut ended = Roster::new(member(1), vec![known.me.gossip]);
+    known.hear(now, "r1", &ended.round(now, &mut rng).1);
+    let news = known.round(now, &mut rng).1;
+    asks.hear(now, "r0", &news);
+    assert_eq!(asks.live(now).count(), 2);
+    let later = now + LIVE_FOR + PERIOD;
+    asks.hear(later, "r0", &known.round(later, &mut rng).1);
+    let live: Vec<_> = asks.live(later).map(|peer| peer.host.clone()).collect();
+    assert_eq!(live, ["r0"]);
+}
