Sum what other routers tell by the difference to their last statement

Cause: each statement of another router summed up the statements of all again. With 68 others that tell of 30 teams and 20 upstreams one statement cost 148 us for the accounts and 60 us for the uses (release build), and 75 of them arrive in a second, at a router that has an eighth of a core.

Ruled out: fewer statements; what they tell would be older.

Change: the new statement is added and the former one, forgotten since at the same pace, taken out: 3.3 us and 1.4 us.

The router that most of a large team's clients use still lacks processor time at times.

--- a/crates/flow/src/account.rs
+++ b/crates/flow/src/account.rs
@@ -50,6 +50,18 @@
             at: now,
         };
     }
+
+    /// Takes work out that was added before and forgotten since at the same pace.
+    fn subtract(&mut self, now: Tick, work: Work) {
+        let left = self.at(now);
+        *self = Self {
+            work: Work {
+                asked: (left.asked - work.asked).max(0.0),
+                received: (left.received - work.received).max(0.0),
+            },
+            at: now,
+        };
+    }
 }
 
 /// The work of each team: that at this router, and what other routers tell.
@@ -96,20 +108,19 @@
 
     /// Takes what another router did; nothing when it ended.
     pub fn set_others(&mut self, now: Tick, router: &Name, work: Vec<(Name, Work)>) {
-        if work.is_empty() {
-            self.told.swap_remove(router);
-        } else {
-            self.told.insert(router.clone(), (now, work));
+        for (team, work) in &work {
+            let sum = self.others.entry(team.clone()).or_default();
+            sum.add(now, *work);
         }
-        self.others.clear();
-        for (at, teams) in self.told.values() {
-            for (team, work) in teams {
-                let told = Recent {
-                    work: *work,
-                    at: *at,
-                };
-                let sum = self.others.entry(team.clone()).or_default();
-                sum.add(now, told.at(now));
+        let former = if work.is_empty() {
+            self.told.swap_remove(router)
+        } else {
+            self.told.insert(router.clone(), (now, work))
+        };
+        let (at, former) = former.unwrap_or_default();
+        for (team, work) in former {
+            if let Some(sum) = self.others.get_mut(&team) {
+                sum.subtract(now, Recent { work, at }.at(now));
             }
         }
     }
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -173,12 +173,23 @@
 
     /// Takes what another router uses; an empty list when it ended.
     pub fn set_others(&mut self, router: &Name, uses: Vec<(Name, Use)>) {
-        if uses.is_empty() {
-            self.others.swap_remove(router);
+        for (id, used) in &uses {
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                upstream.others.requests += used.requests;
+                upstream.others.unread += used.unread;
+            }
+        }
+        let former = if uses.is_empty() {
+            self.others.swap_remove(router)
         } else {
-            self.others.insert(router.clone(), uses);
+            self.others.insert(router.clone(), uses)
+        };
+        for (id, used) in former.unwrap_or_default() {
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.others.requests -= used.requests;
+                upstream.others.unread -= used.unread;
+            }
         }
-        self.sum_others();
     }
 
     fn sum_others(&mut self) {
