--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -56,6 +56,8 @@
     pub head: head::Request,
     /// Its body.
     pub body: Bytes,
+    /// How it is answered.
+    pub behaviour: Behaviour,
 }
 
 #[derive(Default)]
@@ -106,6 +108,11 @@
         self.address
     }
 
+    /// Answers all further requests that are not scripted in this way.
+    pub fn set_usual(&self, behaviour: Behaviour) {
+        *self.state.usual.borrow_mut() = Some(behaviour);
+    }
+
     /// Answers the next requests in this way.
     pub fn script(&self, behaviours: &[Behaviour]) {
         self.state.script.borrow_mut().extend(behaviours);
@@ -131,7 +138,7 @@
     }
 }
 
-async fn request(connection: &mut Connection) -> io::Result<Option<Arrival>> {
+async fn request(connection: &mut Connection) -> io::Result<Option<(head::Request, Bytes)>> {
     let head = loop {
         if let Some(head) =
             head::Request::take(&mut connection.buffer, MAX_HEAD).map_err(io::Error::other)?
@@ -155,8 +162,7 @@
             None => {}
         }
     }
-    let body = body.freeze();
-    Ok(Some(Arrival { head, body }))
+    Ok(Some((head, body.freeze())))
 }
 
 /// Returns when the router closes the connection.
@@ -171,12 +177,17 @@
 
 async fn serve(state: &State, stream: TcpStream) -> io::Result<()> {
     let mut connection = Connection::new(stream)?;
-    while let Some(arrival) = request(&mut connection).await? {
-        state.arrivals.borrow_mut().push(arrival.clone());
+    while let Some((head, body)) = request(&mut connection).await? {
         let scripted = state.script.borrow_mut().pop_front();
         let behaviour = scripted
             .or(*state.usual.borrow())
             .expect("set at the start");
+        let arrival = Arrival {
+            head,
+            body,
+            behaviour,
+        };
+        state.arrivals.borrow_mut().push(arrival.clone());
         let id = arrival.head.fields.text("Attempt-Id").unwrap_or_default();
         if !answer(state, &mut connection, &arrival, id, behaviour).await? {
             return Ok(());
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -128,7 +128,12 @@
         lines[lines.len().saturating_sub(12)..].join("\n")
     }
 
-    fn signal(&self, signal: Signal) -> Result<(), Error> {
+    /// Sends a signal to the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the call.
+    pub fn signal(&self, signal: Signal) -> Result<(), Error> {
         let pid = self.child.id().and_then(|id| Pid::from_raw(id as i32));
         let Some(pid) = pid else { return Ok(()) };
         kill_process(pid, signal).map_err(|source| self.io(source.into()))
--- a/crates/load/src/relay.rs
+++ b/crates/load/src/relay.rs
@@ -18,11 +18,12 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{tcp, TcpListener, TcpStream, UdpSocket},
     runtime,
-    sync::mpsc,
+    sync::{mpsc, Notify},
 };
 
 use crate::delay;
@@ -37,6 +38,7 @@
     delay_us: AtomicU64,
     drop_ppm: AtomicU32,
     cut: AtomicBool,
+    reset: Notify,
 }
 
 impl Path {
@@ -44,11 +46,21 @@
     #[must_use]
     pub fn new(delay: Duration) -> Arc<Self> {
         let path = Self::default();
-        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
-        path.delay_us.store(micros, Ordering::Relaxed);
+        path.set_delay(delay);
         Arc::new(path)
     }
 
+    /// Sets the one-way delay of what arrives from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        self.delay_us.store(micros, Ordering::Relaxed);
+    }
+
+    /// Resets the open streams on both sides.
+    pub fn reset(&self) {
+        self.reset.notify_waiters();
+    }
+
     /// Cuts the path or restores it. Datagrams are dropped while it is cut; streams stall.
     pub fn set_cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::Relaxed);
@@ -246,6 +258,8 @@
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
+    let sockets = [&near, &far].map(|stream| SockRef::from(stream).try_clone());
+    let resets = Arc::clone(&forward);
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
@@ -256,6 +270,13 @@
     let failed = tokio::select! {
         up = &mut up => !matches!(up, Ok(Ok(()))),
         down = &mut down => !matches!(down, Ok(Ok(()))),
+        () = resets.reset.notified() => {
+            for socket in sockets.iter().flatten() {
+                // A socket that lingers for no time is reset when it is closed.
+                let _ = socket.set_linger(Some(Duration::ZERO));
+            }
+            true
+        }
     };
     if failed {
         up.abort();
