Drop entries that disappear if another router read the store meanwhile

Cause: a router that was cut off from the store and from all routers for 4 s took the store for away. For 2.3 s after its return it kept entries that disappeared, in case their upstreams come back.

Ruled out: a shorter time for entries to come back, which are due within two seconds after the store was really away; a slow read, since the watch went on from 12.28 s.

Change: routers that watch the store tell for how long they have read it without a break. If one has read it all the time, the store was only out of this router's reach, and entries that disappear belong to upstreams that left.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -26,6 +26,7 @@
     listed: IndexMap<Name, Listed>,
     revision: u64,
     away: bool,
+    away_since: Tick,
     settled: Tick,
 }
 
@@ -37,8 +38,19 @@
     }
 
     /// Notes that the platform cannot be read.
-    pub fn lost(&mut self) {
-        self.away = true;
+    pub fn lost(&mut self, now: Tick) {
+        if !std::mem::replace(&mut self.away, true) {
+            self.away_since = now;
+        }
+    }
+
+    /// Notes that another router has read the platform without a break since `since`. If the
+    /// platform was not away but only out of this router's reach, no entry lapsed for that: one
+    /// that disappears belongs to an upstream that left.
+    pub fn was_read(&mut self, since: Tick) {
+        if !self.away && since <= self.away_since {
+            self.settled = Tick::ZERO;
+        }
     }
 
     /// Notes that the platform was read.
--- a/crates/flow/tests/registry.rs
+++ b/crates/flow/tests/registry.rs
@@ -65,7 +65,7 @@
 fn entries_that_lapsed_while_the_platform_was_away_are_used_until_they_are_back() {
     let mut registry = Registry::default();
     registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 1, false))));
-    registry.lost();
+    registry.lost(at(0));
     registry.regained(at(5_000));
     registry.complete(at(5_000), 9, &[]);
     assert_eq!(
@@ -91,7 +91,7 @@
 fn leaving_upstream_that_lapsed_while_the_platform_was_away_is_gone() {
     let mut registry = Registry::default();
     registry.set(at(0), &key(), 1, Some(Some(entry("a", 7, 1, true))));
-    registry.lost();
+    registry.lost(at(0));
     registry.regained(at(5_000));
     registry.complete(at(5_000), 9, &[]);
     assert!(registry.entries(at(5_000)).is_empty());
@@ -104,3 +104,18 @@
     registry.set(at(10), &key(), 4, None);
     assert_eq!(registry.entries(at(10)).len(), 1);
 }
+
+/// Guards against requests to an upstream that left after the return of the platform, when only this
+/// router had been away (a day with links cut: 2.1 s after its entry was removed).
+#[test]
+fn entry_that_disappears_is_not_kept_if_another_router_read_the_platform_all_the_time() {
+    for (read_since, kept) in [(900, 0), (1_500, 1)] {
+        let mut registry = Registry::default();
+        registry.set(at(0), &key(), 5, Some(Some(entry("a", 1, 1, false))));
+        registry.lost(at(1_000));
+        registry.regained(at(5_000));
+        registry.was_read(at(read_since));
+        registry.set(at(5_100), &key(), 6, None);
+        assert_eq!(registry.entries(at(5_200)).len(), kept, "{read_since}");
+    }
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use tokio::sync::watch;
+use tsw_base::time::Tick;
 use tsw_config::gateway;
 use tsw_event::{emit, Event};
 use tsw_flow::registry::Registry;
@@ -58,6 +59,8 @@
     pub registry: RefCell<Registry>,
     /// What the store holds.
     pub stored: RefCell<Stored>,
+    /// Time since when the store was read without a break.
+    pub read_since: Cell<Option<Tick>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Requests that were read and not answered.
@@ -80,12 +83,14 @@
     pub fn set_reads_store(&self, reads: bool) {
         let now = self.router.now();
         self.roster.borrow_mut().me.reads_store = reads;
+        let since = self.read_since.get().filter(|_| reads);
+        self.read_since.set(reads.then(|| since.unwrap_or(now)));
         let peer_reads = self.roster.borrow().live(now).any(|peer| peer.reads_store);
         let mut registry = self.registry.borrow_mut();
         if reads {
             registry.regained(now);
         } else if !peer_reads {
-            registry.lost();
+            registry.lost(now);
         }
     }
 
@@ -115,14 +120,34 @@
     /// Applies what depends on the time and tells the roster about this router.
     pub fn tick(&self) {
         let now = self.router.now();
+        self.compare_reads();
+        if !self.is_reader() {
+            // A router that reads now and then cannot tell what happened in between.
+            self.read_since.set(None);
+        }
         self.apply_entries();
         let mut roster = self.roster.borrow_mut();
+        let read_since = self.read_since.get();
+        roster.me.read_for_ms = read_since.map_or(0, |since| now.since(since).as_millis());
         roster.me.ready = self.is_ready();
         roster.me.version = self.router.table().map_or(0, |table| table.version);
         roster.me.revision = self.registry.borrow().revision();
         self.router.set_routers(1 + roster.live(now).count());
     }
 
+    /// Learns from the other routers whether the store was away, or only out of reach.
+    fn compare_reads(&self) {
+        let now = self.router.now();
+        let roster = self.roster.borrow();
+        let longest = roster.live(now).map(|peer| peer.read_for_ms).max();
+        if let Some(read_for_ms) = longest.filter(|read_for_ms| *read_for_ms > 0) {
+            let since = now.as_micros().saturating_sub(read_for_ms * 1_000);
+            self.registry
+                .borrow_mut()
+                .was_read(Tick::from_micros(since));
+        }
+    }
+
     /// Offers a configuration and returns whether it is in force now.
     pub fn offer(&self, bytes: &Bytes, source: &str) -> bool {
         let table = match configuration::decode(bytes) {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -178,6 +178,7 @@
         processor: (settings.processor * 1_000.0) as u32,
         ready: false,
         reads_store: false,
+        read_for_ms: 0,
         version: 0,
         revision: 0,
     };
@@ -187,6 +188,7 @@
         router,
         registry: RefCell::new(Registry::default()),
         stored: RefCell::new(Stored::default()),
+        read_since: Cell::default(),
         phase: watch::Sender::new(Phase::Serving),
         in_flight: Cell::new(0),
         clients: Cell::new(0),
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -63,6 +63,8 @@
     pub ready: bool,
     /// Whether it read the platform's store lately.
     pub reads_store: bool,
+    /// Time for which it has read the store without a break, in milliseconds.
+    pub read_for_ms: u64,
     /// Version of the configuration in force there.
     pub version: u64,
     /// Revision up to which it knows the upstreams.
@@ -80,6 +82,7 @@
             beat: self.beat,
             ready: self.ready,
             reads_store: self.reads_store,
+            read_for_ms: self.read_for_ms,
             version: self.version,
             revision: self.revision,
         }
@@ -95,6 +98,7 @@
     beat: u64,
     ready: bool,
     reads_store: bool,
+    read_for_ms: u64,
     version: u64,
     revision: u64,
 }
@@ -137,7 +141,7 @@
     /// let address = "127.0.0.1:1".parse().unwrap();
     /// let member = |host: &str| Member {
     ///     host: host.to_owned(), domain: "north".to_owned(), run: 1, beat: 1, client: address,
-    ///     gossip: address, control: address, processor: 250, ready: true, reads_store: true, version: 0, revision: 0,
+    ///     gossip: address, control: address, processor: 250, ready: true, reads_store: true, read_for_ms: 0, version: 0, revision: 0,
     /// };
     /// let mut roster = Roster::new(member("r1"), Vec::new());
     /// let now = Tick::from_micros(1);
@@ -257,7 +261,7 @@
     /// let address = "127.0.0.1:1".parse().unwrap();
     /// let member = |number: u8| Member {
     ///     host: format!("r{number}"), domain: "north".to_owned(), run: 1, beat: 1, client: address,
-    ///     gossip: address, control: address, processor: 250, ready: true, reads_store: true, version: 0, revision: 0,
+    ///     gossip: address, control: address, processor: 250, ready: true, reads_store: true, read_for_ms: 0, version: 0, revision: 0,
     /// };
     /// let now = Tick::from_micros(1);
     /// let all: Vec<Member> = (0..9).map(member).collect();
@@ -331,6 +335,7 @@
         member.beat = beat.beat;
         member.ready = beat.ready;
         member.reads_store = beat.reads_store;
+        member.read_for_ms = beat.read_for_ms;
         member.version = beat.version;
         member.revision = beat.revision;
     }
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -21,6 +21,7 @@
         processor: 250,
         ready: true,
         reads_store: true,
+        read_for_ms: 0,
         version: 0,
         revision: 0,
     }
