Tell peers only what they lack of the store

Cause: routers that do not watch the store read a peer every 200 ms and were sent the whole configuration and every entry each time.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -6,7 +6,6 @@
 };
 
 use bytes::Bytes;
-use indexmap::IndexMap;
 use tokio::sync::watch;
 use tsw_base::time::Tick;
 use tsw_config::gateway;
@@ -17,6 +16,8 @@
 use tsw_relay::router::Router;
 use tsw_route::Name;
 
+use crate::stored::Stored;
+
 /// Routers up to which each one watches the store.
 const SMALL_FLEET: usize = 8;
 /// Routers that watch the store in a larger fleet. The loss of several at once leaves some that
@@ -38,15 +39,6 @@
     Closing,
 }
 
-/// The newest configuration as the store holds it, for peers.
-#[derive(Clone, Debug, Default)]
-pub struct Stored {
-    /// Bytes of the configuration in force.
-    pub configuration: Bytes,
-    /// Entries of upstreams by key.
-    pub entries: IndexMap<Name, (u64, Bytes)>,
-}
-
 /// The shared state of a router on the users' platform.
 pub struct Gate {
     /// Settings in use.
@@ -57,7 +49,7 @@
     pub roster: RefCell<Roster>,
     /// The upstreams that the platform lists.
     pub registry: RefCell<Registry>,
-    /// What the store holds.
+    /// What the store holds, for peers.
     pub stored: RefCell<Stored>,
     /// Time since when the store was read without a break.
     pub read_since: Cell<Option<Tick>>,
@@ -163,7 +155,8 @@
         let version = table.version;
         let adopted = self.router.offer(table);
         if adopted {
-            self.stored.borrow_mut().configuration = bytes.clone();
+            let mut stored = self.stored.borrow_mut();
+            stored.set_configuration(version, bytes.clone());
             emit(
                 Event::ConfigurationAdopted,
                 &[("version", &version), ("source", &source)],
@@ -195,14 +188,7 @@
             if !registry.set(now, &key, item.revision, content) {
                 continue;
             }
-            match &item.value {
-                Some(bytes) => {
-                    stored.entries.insert(key, (item.revision, bytes.clone()));
-                }
-                None => {
-                    stored.entries.swap_remove(&key);
-                }
-            }
+            stored.set_entry(key, item.revision, item.value.clone());
         }
     }
 
@@ -213,10 +199,7 @@
             .filter_map(|item| item.key.strip_prefix(upstream::PREFIX))
             .map(Name::from)
             .collect();
-        let mut stored = self.stored.borrow_mut();
-        stored
-            .entries
-            .retain(|key, (known, _)| *known > revision || keys.contains(key));
+        self.stored.borrow_mut().complete(revision, &keys);
         let now = self.router.now();
         self.registry.borrow_mut().complete(now, revision, &keys);
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -4,7 +4,8 @@
 //! - [`gate`]: the shared state.
 //! - [`client`]: connections of clients; [`accept`]: from the head of a request to its life.
 //! - [`own`]: calls to the router itself: readiness, addresses, metrics, reads by peers.
-//! - [`read`]: reads the platform's store; [`peer`]: reads peers that know more.
+//! - [`read`]: reads the platform's store; [`peer`]: reads peers that know more; [`stored`]: what
+//!   the store holds, and what a peer lacks of it.
 //! - [`gossip`]: membership and load between routers.
 //!
 //! What happens to a request after its admission is in `tsw-relay`, the decisions are in
@@ -18,3 +19,4 @@
 pub mod peer;
 pub mod read;
 pub mod serve;
+pub mod stored;
--- a/crates/gate/src/own.rs
+++ b/crates/gate/src/own.rs
@@ -7,7 +7,7 @@
 use tsw_platform::call::{self, Call};
 use tsw_relay::responder::Responder;
 
-use crate::{gate::Gate, peer};
+use crate::{gate::Gate, peer, stored::Known};
 
 /// Time after which an idle connection is closed. Callers come once a second or connect anew.
 const IDLE: Duration = Duration::from_secs(20);
@@ -51,6 +51,7 @@
 
 fn answer(gate: &Gate, target: &str) -> (u16, &'static str, Vec<u8>) {
     const JSON: &str = "application/json";
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
     match Call::read(target) {
         Some(Call::Ready) => {
             let status = if gate.is_ready() { 200 } else { 503 };
@@ -62,10 +63,13 @@
             let keep_s = gate.settings.borrow().bounds.keep_s;
             (status, JSON, call::located(&addresses, keep_s))
         }
-        None if target == peer::TARGET => match postcard::to_allocvec(&peer::knowledge(gate)) {
-            Ok(body) => (200, "application/octet-stream", body),
-            Err(error) => (500, JSON, error.to_string().into_bytes()),
-        },
+        None if path == peer::PATH => {
+            let knowledge = peer::knowledge(gate, &Known::from_query(query));
+            match postcard::to_allocvec(&knowledge) {
+                Ok(body) => (200, "application/octet-stream", body),
+                Err(error) => (500, JSON, error.to_string().into_bytes()),
+            }
+        }
         None if target == METRICS => match metrics(gate) {
             Ok(body) => (200, "text/plain; version=0.0.4", body),
             Err(error) => (500, "text/plain", error.to_string().into_bytes()),
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -3,7 +3,6 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use serde::{Deserialize, Serialize};
 use tokio::time;
 use tsw_event::{emit, Event};
 use tsw_http::{
@@ -15,26 +14,18 @@
 use tsw_member::roster::Member;
 use tsw_platform::{store::Item, upstream};
 
-use crate::gate::Gate;
+use crate::{
+    gate::Gate,
+    stored::{Known, Knowledge},
+};
 
-/// Target of the read.
-pub const TARGET: &str = "/v1/stored";
+/// Path of the read; its query is [`Known::query`].
+pub const PATH: &str = "/v1/stored";
 /// Period of the comparison with peers.
 const PERIOD: Duration = Duration::from_millis(200);
 /// Longest time for a read.
 const LIMIT: Duration = Duration::from_millis(500);
 
-/// What a router knows of the store.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Knowledge {
-    /// Bytes of the configuration in force; empty if none is known.
-    pub configuration: Vec<u8>,
-    /// Revision up to which the upstreams are known.
-    pub revision: u64,
-    /// Entries of upstreams: name, revision and content.
-    pub entries: Vec<(String, u64, Vec<u8>)>,
-}
-
 /// Why a peer could not be read.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -52,18 +43,11 @@
     Timeout,
 }
 
-/// Returns what this router tells a peer.
+/// Returns what this router tells a peer that knows this much.
 #[must_use]
-pub fn knowledge(gate: &Gate) -> Knowledge {
-    let stored = gate.stored.borrow();
-    let entries = stored.entries.iter();
-    Knowledge {
-        configuration: stored.configuration.to_vec(),
-        revision: gate.registry.borrow().revision(),
-        entries: entries
-            .map(|(id, (revision, bytes))| (id.to_string(), *revision, bytes.to_vec()))
-            .collect(),
-    }
+pub fn knowledge(gate: &Gate, known: &Known) -> Knowledge {
+    let revision = gate.registry.borrow().revision();
+    gate.stored.borrow().since(known, revision)
 }
 
 /// Compares this router with its peers until the process ends, and reads one that knows more.
@@ -72,7 +56,14 @@
         time::sleep(PERIOD).await;
         gate.tick();
         let Some(peer) = ahead(&gate) else { continue };
-        match time::timeout(LIMIT, fetch(peer.control)).await {
+        let known = {
+            let roster = gate.roster.borrow();
+            Known {
+                version: roster.me.version,
+                revision: roster.me.revision,
+            }
+        };
+        match time::timeout(LIMIT, fetch(peer.control, &known)).await {
             Ok(Ok(knowledge)) => take(&gate, &peer, knowledge),
             Ok(Err(error)) => failed(&peer, &error),
             Err(_) => failed(&peer, &Error::Timeout),
@@ -88,6 +79,9 @@
 
 /// Returns a peer that knows a newer configuration, or newer upstreams while this router does not
 /// watch the store itself.
+///
+/// Of several that know the newest configuration, one in this router's failure domain that reads
+/// the store goes first, since traffic between failure domains is dear.
 fn ahead(gate: &Gate) -> Option<Member> {
     let now = gate.router.now();
     let reader = gate.is_reader();
@@ -99,17 +93,20 @@
         peer.version > version || upstreams
     });
     newer
-        .max_by_key(|peer| (peer.version, peer.revision))
+        .max_by_key(|peer| {
+            let near = peer.reads_store && peer.domain == roster.me.domain;
+            (peer.version, near, peer.revision)
+        })
         .cloned()
 }
 
-async fn fetch(address: SocketAddr) -> Result<Knowledge, Error> {
+async fn fetch(address: SocketAddr, known: &Known) -> Result<Knowledge, Error> {
     let connection = Connection::open(address, LIMIT).await?;
     let mut fields = Fields::default();
     fields.push("Host", address.to_string());
     let request = head::Request {
         method: Bytes::from_static(b"GET"),
-        target: Bytes::from_static(TARGET.as_bytes()),
+        target: format!("{PATH}?{}", known.query()).into(),
         old: false,
         fields,
     };
@@ -134,11 +131,14 @@
         .into_iter()
         .map(|(id, revision, bytes)| Item {
             key: format!("{}{id}", upstream::PREFIX),
-            value: Some(bytes.into()),
+            value: bytes.map(Into::into),
             revision,
         })
         .collect();
     gate.set_items(&items);
-    gate.complete(&items, knowledge.revision);
+    if knowledge.complete {
+        gate.complete(&items, knowledge.revision);
+    }
+    gate.registry.borrow_mut().advance(knowledge.revision);
     gate.apply_entries();
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -29,9 +29,10 @@
 
 use crate::{
     client,
-    gate::{Gate, Phase, Stored},
+    gate::{Gate, Phase},
     gossip, own, peer,
     read::{self, Subject},
+    stored::Stored,
 };
 
 /// Period at which waiting requests are tried again and settings are compared.
