Answer requests in the queues of the system at a planned stop

Cause: the listener was dropped with the connections in its queue, and idle connections were closed without a look at what had arrived on them.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -109,7 +109,10 @@
                 return Ok(if idle { Next::End } else { Next::Fault(Own::Slow) });
             }
             _ = phase.wait_for(|phase| *phase == Phase::Closing), if idle => {
-                return Ok(Next::End);
+                // A request that has arrived is answered; closing would destroy it.
+                if !connection.has_arrived() || connection.fill().await? == 0 {
+                    return Ok(Next::End);
+                }
             }
         }
     }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -133,9 +133,10 @@
             ("client", &listen.client),
         ],
     );
-    let front = actix_rt::spawn(accept(gate.clone(), clients, client::serve));
+    let front = actix_rt::spawn(accept_clients(gate.clone(), clients));
     for listener in calls {
-        actix_rt::spawn(accept(gate.clone(), listener, own::serve));
+        let gate = gate.clone();
+        actix_rt::spawn(async move { accept(gate, &listener, own::serve).await });
     }
     actix_rt::spawn(gossip::hear(gate.clone(), socket.clone()));
     actix_rt::spawn(gossip::tell_members(gate.clone(), socket.clone()));
@@ -150,7 +151,7 @@
             _ = signals.reload.recv() => reload(&gate, &path),
         }
     }
-    drain(&gate, grace, &front).await;
+    drain(&gate, grace, front).await;
     emit(Event::Stopped, &[]);
     tsw_event::bounded::flush();
     Ok(())
@@ -205,17 +206,54 @@
     })
 }
 
-async fn accept<F>(gate: Rc<Gate>, listener: TcpListener, serve: fn(Rc<Gate>, TcpStream) -> F)
+fn spawn<F>(gate: &Rc<Gate>, stream: TcpStream, serve: fn(Rc<Gate>, TcpStream) -> F)
+where
+    F: Future<Output = io::Result<()>> + 'static,
+{
+    let served = serve(gate.clone(), stream);
+    // A connection that breaks is reported with the request that it carried.
+    actix_rt::spawn(async move { drop(served.await) });
+}
+
+/// Accepts connections of clients until the router closes. Those that are in the queue of the
+/// listener then are accepted as well: closing it would reset them, with the requests on them.
+async fn accept_clients(gate: Rc<Gate>, listener: TcpListener) {
+    let mut phase = gate.phase.subscribe();
+    let accepts = accept(gate.clone(), &listener, client::serve);
+    tokio::select! {
+        () = accepts => {}
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+    }
+    match queued(listener) {
+        Ok(streams) => streams
+            .into_iter()
+            .for_each(|stream| spawn(&gate, stream, client::serve)),
+        Err(error) => emit(Event::AcceptFailed, &[("cause", &error)]),
+    }
+}
+
+/// Returns the connections in the queue of a listener and closes it.
+///
+/// # Errors
+///
+/// Returns an error if the listener cannot be used without the runtime.
+pub fn queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        streams.push(TcpStream::from_std(stream)?);
+    }
+    Ok(streams)
+}
+
+async fn accept<F>(gate: Rc<Gate>, listener: &TcpListener, serve: fn(Rc<Gate>, TcpStream) -> F)
 where
     F: Future<Output = io::Result<()>> + 'static,
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let served = serve(gate.clone(), stream);
-                // A connection that breaks is reported with the request that it carried.
-                actix_rt::spawn(async move { drop(served.await) });
-            }
+            Ok((stream, _)) => spawn(&gate, stream, serve),
             Err(error) => {
                 emit(Event::AcceptFailed, &[("cause", &error)]);
                 time::sleep(ACCEPT_PAUSE).await;
@@ -256,14 +294,18 @@
 }
 
 /// Answers what is in flight and what clients send that still hold the address.
-async fn drain(gate: &Gate, grace: Duration, front: &actix_rt::task::JoinHandle<()>) {
+async fn drain(gate: &Gate, grace: Duration, front: actix_rt::task::JoinHandle<()>) {
     let began = Instant::now();
     gate.phase.send_replace(Phase::Draining);
     emit(Event::Draining, &[("in_flight", &gate.in_flight.get())]);
     let linger = LINGER_LEAST.min(grace.mul_f64(LINGER_PART));
     time::sleep(linger).await;
-    front.abort();
     gate.phase.send_replace(Phase::Closing);
+    if let Err(error) = front.await {
+        emit(Event::AcceptFailed, &[("cause", &error)]);
+    }
+    // Connections whose request has arrived take it up before the requests are counted.
+    time::sleep(TICK).await;
     let end = grace.saturating_sub(MARGIN);
     while gate.in_flight.get() > 0 && began.elapsed() < end {
         time::sleep(TICK).await;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -57,6 +57,15 @@
         self.stream.read_buf(&mut self.buffer).await
     }
 
+    /// Returns whether bytes have arrived that were not read yet. The operating system is asked,
+    /// since the runtime learns it later.
+    #[must_use]
+    pub fn has_arrived(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        peeked.is_ok_and(|bytes| bytes > 0)
+    }
+
     /// Returns whether nothing arrived since the last use and the other side did not close.
     #[must_use]
     pub fn is_idle(&self) -> bool {
