Give up upstreams that send bytes without progress

Also: a failure without an identifier on a connection that was used before counts as broken, since it may be a copy of an earlier answer (no test shows it yet). Found on the way: a test router could not listen because another test started a process while its ports were being chosen (seen once); starts are taken one at a time.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -12,6 +12,8 @@
 };
 use tsw_http::{body, connection::Connection, head};
 
+/// Pause between two bytes of a stream that does not go on.
+const TRICKLE: Duration = Duration::from_millis(100);
 /// Most bytes of the head of a request.
 const MAX_HEAD: usize = 65_536;
 
@@ -47,6 +49,84 @@
     Cut(u64),
     /// A stream of which so many events are sent and no more; the connection stays open.
     Stall(u64),
+    /// A stream of which so many events are sent, and then bytes of the next one now and then.
+    Trickle(u64),
+    /// The same with comments, which are no events.
+    Comments(u64),
+    /// A sound stream of so many events with a pause before each.
+    Slow(u64, Duration),
+    /// Bytes that are no answer, without end.
+    Endless(Endless),
+}
+
+/// Where in an answer bytes come without end, until the router closes the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Endless {
+    /// Instead of a status line.
+    Status,
+    /// Interim responses before the answer.
+    Interim,
+    /// In a header field.
+    Field,
+    /// Further header fields.
+    Fields,
+    /// In the extension of a chunk.
+    Extension,
+    /// In the trailer.
+    Trailer,
+    /// In a body whose length is not stated.
+    Body,
+    /// In an answer to another request.
+    Foreign,
+    /// In an event of a stream.
+    Event,
+    /// After the complete answer.
+    Rest,
+}
+
+impl Endless {
+    /// All of them.
+    pub const ALL: [Self; 10] = [
+        Self::Status,
+        Self::Interim,
+        Self::Field,
+        Self::Fields,
+        Self::Extension,
+        Self::Trailer,
+        Self::Body,
+        Self::Foreign,
+        Self::Event,
+        Self::Rest,
+    ];
+
+    /// Returns how the answer to a request begins, and what is repeated after it.
+    fn bytes(self, id: &str) -> (String, String) {
+        let named = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\n");
+        let chunked = format!("{named}Transfer-Encoding: chunked\r\n\r\n");
+        let stream = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let filler = "x".repeat(4_096);
+        match self {
+            Self::Status => (String::new(), filler),
+            Self::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(64)),
+            Self::Field => (format!("{named}X-Long: "), filler),
+            Self::Fields => (named, "X-Field: value\r\n".repeat(64)),
+            Self::Extension => (format!("{chunked}5;"), filler),
+            Self::Trailer => (
+                format!("{chunked}5\r\nwhole\r\n0\r\n"),
+                "X-Field: value\r\n".repeat(64),
+            ),
+            Self::Body => (format!("{named}\r\n"), filler),
+            Self::Foreign => (
+                "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Stamp: of-other\r\n\r\n".to_owned(),
+                filler,
+            ),
+            Self::Event => (format!("{named}{stream}"), format!("1000\r\n{filler}\r\n")),
+            Self::Rest => (
+                format!("{named}Content-Length: 15\r\n\r\nid: 0\ndata: x\n\n"),
+                filler,
+            ),
+        }
+    }
 }
 
 /// A request that arrived.
@@ -118,6 +198,11 @@
         self.state.script.borrow_mut().extend(behaviours);
     }
 
+    /// Forgets what [`Worker::script`] said and was not used.
+    pub fn clear_script(&self) {
+        self.state.script.borrow_mut().clear();
+    }
+
     /// Returns the requests that arrived so far.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Arrival> {
@@ -243,7 +328,19 @@
             state.left.borrow_mut().push(id.to_owned());
             return Ok(false);
         }
-        Behaviour::Stream(events) | Behaviour::Cut(events) | Behaviour::Stall(events) => {
+        Behaviour::Endless(endless) => {
+            let (begin, repeated) = endless.bytes(id);
+            connection.stream.write_all(begin.as_bytes()).await?;
+            loop {
+                connection.stream.write_all(repeated.as_bytes()).await?;
+            }
+        }
+        Behaviour::Stream(events)
+        | Behaviour::Cut(events)
+        | Behaviour::Stall(events)
+        | Behaviour::Trickle(events)
+        | Behaviour::Comments(events)
+        | Behaviour::Slow(events, _) => {
             return stream(state, connection, arrival, id, (behaviour, events)).await;
         }
     };
@@ -273,6 +370,9 @@
     connection.stream.write_all(head.as_bytes()).await?;
     for number in first..events {
         let event = format!("id: {number}\ndata: piece {number}\n\n");
+        if let Behaviour::Slow(_, pause) = behaviour {
+            actix_rt::time::sleep(pause).await;
+        }
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         connection.stream.write_all(chunk.as_bytes()).await?;
     }
@@ -285,6 +385,18 @@
             reset(connection);
             Ok(false)
         }
+        Behaviour::Trickle(_) | Behaviour::Comments(_) => {
+            let chunk = if matches!(behaviour, Behaviour::Trickle(_)) {
+                "1\r\nx\r\n"
+            } else {
+                "4\r\n: \n\n\r\n"
+            };
+            while connection.stream.write_all(chunk.as_bytes()).await.is_ok() {
+                actix_rt::time::sleep(TRICKLE).await;
+            }
+            state.left.borrow_mut().push(id.to_owned());
+            Ok(false)
+        }
         Behaviour::Stall(_) => {
             closed(connection).await;
             state.left.borrow_mut().push(id.to_owned());
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -16,13 +16,15 @@
 
 use crate::{
     gate::Gate,
-    stored::{Known, Knowledge},
+    stored::{Knowledge, Known},
 };
 
 /// Path of the read; its query is [`Known::query`].
 pub const PATH: &str = "/v1/stored";
 /// Period of the comparison with peers.
 const PERIOD: Duration = Duration::from_millis(200);
+/// Most bytes of an answer. A configuration has at most 1 MB, an entry some 300 bytes.
+const MAX_ANSWER: usize = 8 << 20;
 /// Longest time for a read.
 const LIMIT: Duration = Duration::from_millis(500);
 
@@ -38,6 +40,9 @@
     /// The answer is malformed.
     #[error("malformed answer: {0}")]
     Form(#[from] postcard::Error),
+    /// The answer is longer than any.
+    #[error("the answer exceeds {MAX_ANSWER} bytes")]
+    Long,
     /// No answer in time.
     #[error("no answer in time")]
     Timeout,
@@ -114,6 +119,9 @@
     let mut body = BytesMut::new();
     while let Some(data) = exchange.data().await? {
         body.extend_from_slice(&data);
+        if body.len() > MAX_ANSWER {
+            return Err(Error::Long);
+        }
     }
     Ok(postcard::from_bytes(&body)?)
 }
--- a/crates/gate/tests/stored.rs
+++ b/crates/gate/tests/stored.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use tsw_gate::stored::{Known, Knowledge, Stored};
+use tsw_gate::stored::{Knowledge, Known, Stored};
 
 /// Applies what a peer told to a copy of the store.
 fn apply(copy: &mut BTreeMap<String, Vec<u8>>, told: &Knowledge) {
@@ -49,7 +49,11 @@
     let mut stored = Stored::default();
     stored.set_entry("stays".into(), 1, Some("x".into()));
     for number in 0..1_000u64 {
-        stored.set_entry(format!("i-{number}").into(), 2 + 2 * number, Some("x".into()));
+        stored.set_entry(
+            format!("i-{number}").into(),
+            2 + 2 * number,
+            Some("x".into()),
+        );
         stored.set_entry(format!("i-{number}").into(), 3 + 2 * number, None);
     }
     let told = stored.since(
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -9,6 +9,11 @@
 
 /// Most bytes in the head of a response.
 const MAX_HEAD: usize = 32_768;
+/// Most interim responses before a response. One says that a body may be sent; more are no use.
+const MAX_INTERIM: usize = 8;
+/// Most bytes of the body of a response that is skipped. A second copy of an answer has some
+/// kilobytes.
+const MAX_SKIPPED: usize = 1 << 20;
 /// Bytes of room kept free in a read buffer.
 const READ_BYTES: usize = 4_096;
 
@@ -21,6 +26,10 @@
     /// The connection ended before the head of the response.
     #[error("the connection ended without a response")]
     Closed,
+    /// An upstream sent more interim responses, or more of a response to another request, than any
+    /// that works.
+    #[error("the upstream sends bytes that are no answer, without end")]
+    Endless,
     /// The head of the response is malformed.
     #[error(transparent)]
     Head(#[from] head::Error),
@@ -66,10 +75,10 @@
         request.write(&mut out);
         let mut rest = out.freeze().chain(body);
         let mut refused = None;
+        let mut interim = Interim::default();
         let head = loop {
             if let Some(head) = head::Response::take(&mut connection.buffer, MAX_HEAD)? {
-                // Interim responses announce nothing that a router passes on.
-                if !(100..200).contains(&head.status) {
+                if interim.is_final(&head)? {
                     break head;
                 }
                 continue;
@@ -109,11 +118,18 @@
     ///
     /// Returns why there is no further response.
     pub async fn skip(mut self, request: &head::Request) -> Result<Self, Error> {
-        while self.data().await?.is_some() {}
+        let mut skipped = 0;
+        while let Some(data) = self.data().await? {
+            skipped += data.len();
+            if skipped > MAX_SKIPPED {
+                return Err(Error::Endless);
+            }
+        }
         let mut connection = self.connection;
+        let mut interim = Interim::default();
         loop {
             match head::Response::take(&mut connection.buffer, MAX_HEAD)? {
-                Some(head) if !(100..200).contains(&head.status) => {
+                Some(head) if interim.is_final(&head)? => {
                     let decoder = body::Decoder::new(head.length(&request.method)?);
                     return Ok(Self {
                         connection,
@@ -167,6 +183,21 @@
     }
 }
 
+/// Counts interim responses, which announce nothing that a router passes on.
+#[derive(Default)]
+struct Interim(usize);
+
+impl Interim {
+    fn is_final(&mut self, head: &head::Response) -> Result<bool, Error> {
+        let is_final = !(100..200).contains(&head.status);
+        self.0 += usize::from(!is_final);
+        if self.0 > MAX_INTERIM {
+            return Err(Error::Endless);
+        }
+        Ok(is_final)
+    }
+}
+
 fn keep_alive(fields: &Fields) -> Option<Duration> {
     let text = fields.text("keep-alive")?;
     let parts = text.split(',').map(str::trim);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -136,7 +136,8 @@
                 format!("not run, status {status}"),
             ));
         }
-        if report.own.is_none() && (200..300).contains(&status) {
+        // On a connection that was used before, it may be a late copy of an earlier failure.
+        if report.own.is_none() && (reused || (200..300).contains(&status)) {
             return Err(Failed::new(Fault::Broken, "the response names no request"));
         }
         Ok(Attempt { exchange, place })
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -14,6 +14,23 @@
     pub id: Option<Bytes>,
 }
 
+impl Event {
+    /// Returns whether it says nothing but that the connection is open.
+    ///
+    /// ```
+    /// let mut splitter = tsw_relay::event::Splitter::default();
+    /// splitter.add(b": still here\n\nid: 3\ndata: a\n\n").unwrap();
+    /// let comment = |event: Option<tsw_relay::event::Event>| event.map(|event| event.is_comment());
+    /// assert_eq!(comment(splitter.take()), Some(true));
+    /// assert_eq!(comment(splitter.take()), Some(false));
+    /// ```
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.trim_ascii().is_empty() || line.starts_with(b":"))
+    }
+}
+
 /// The stream holds something longer than any event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("an event exceeds {MAX_EVENT} bytes")]
--- a/crates/relay/src/run/pass.rs
+++ b/crates/relay/src/run/pass.rs
@@ -2,9 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::time;
+use tsw_base::time::Tick;
 use tsw_event::{emit, Event};
 use tsw_flow::verdict::Fault;
-use tsw_http::exchange::{Error, Exchange};
+use tsw_http::exchange::Exchange;
 use tsw_route::Name;
 
 use super::{End, Life, Stop};
@@ -17,6 +18,7 @@
 /// Most bytes of a plain response that are held back until it is complete, so that a response
 /// that breaks off can be replaced.
 const MAX_HELD: usize = 1 << 20;
+
 impl Life<'_, '_> {
     fn answered(&self, upstream: &Name) {
         let (router, now) = (self.router, self.router.now());
@@ -43,7 +45,8 @@
         } = attempt;
         let mut body = BytesMut::new();
         loop {
-            match self.data(&mut exchange).await? {
+            let now = self.router.now();
+            match self.data(&mut exchange, now).await? {
                 None => break,
                 Some(data) if body.len() + data.len() > MAX_HELD => {
                     body.extend_from_slice(&data);
@@ -82,7 +85,8 @@
         self.responder.begin(head.status, fields);
         self.responder.data(&[held]).await?;
         loop {
-            match self.data(&mut exchange).await {
+            let now = self.router.now();
+            match self.data(&mut exchange, now).await {
                 Ok(Some(data)) => self.responder.data(&[data]).await?,
                 Ok(None) => break,
                 Err(_) => return Ok(self.cut()),
@@ -99,11 +103,7 @@
             mut place,
         } = attempt;
         let upstream = place.choice().id.clone();
-        if self.responder.progress() == Progress::Unsent {
-            let mut fields = exchange.head().fields.clone();
-            fields.strip_hop_by_hop();
-            self.responder.begin(exchange.head().status, fields);
-        } else {
+        if self.responder.progress() != Progress::Unsent {
             emit(
                 Event::Resumed,
                 &[("request", &self.request.id), ("upstream", &upstream)],
@@ -111,19 +111,26 @@
         }
         let mut splitter = Splitter::default();
         let mut events = Vec::new();
-        while let Some(data) = self.data(&mut exchange).await? {
+        let mut since = self.router.now();
+        while let Some(data) = self.data(&mut exchange, since).await? {
             splitter
                 .add(&data)
                 .map_err(|long| Failed::new(Fault::Broken, long))?;
+            let mut count = 0;
             while let Some(event) = splitter.take() {
                 if is_after(event.id.as_ref(), self.last.as_ref()) {
+                    count += u64::from(!event.is_comment());
                     self.last = event.id.or(self.last.take());
                     events.push(event.bytes);
                 }
             }
-            if !events.is_empty() {
+            if count > 0 {
+                since = self.router.now();
                 place.read();
-                self.passed_on(&upstream, events.len() as u64);
+                self.passed_on(&upstream, count);
+            }
+            if !events.is_empty() {
+                self.begin(&exchange);
                 self.responder.data(&events).await?;
                 events.clear();
             }
@@ -133,6 +140,7 @@
             return Err(Failed::new(Fault::Broken, "the stream ends within an event").into());
         }
         self.answered(&upstream);
+        self.begin(&exchange);
         self.router.reuse(&place, exchange);
         drop(place);
         self.responder.end().await?;
@@ -140,15 +148,29 @@
         Ok(End::Answered)
     }
 
-    /// Waits for data of a response, for as long as its upstream may be silent.
-    async fn data(&mut self, exchange: &mut Exchange) -> Result<Option<Bytes>, Failed> {
+    /// Starts the answer with the head of a stream unless it was started before. Until the first
+    /// event is there, a stream that breaks is still answered with a status of its own.
+    fn begin(&mut self, exchange: &Exchange) {
+        if self.responder.progress() == Progress::Unsent {
+            let mut fields = exchange.head().fields.clone();
+            fields.strip_hop_by_hop();
+            self.responder.begin(exchange.head().status, fields);
+        }
+    }
+
+    /// Waits for data of a response, for as long as its upstream may be without progress, which it
+    /// made last at `since`. Bytes alone are no progress of a stream: one that stalls may still
+    /// send some now and then.
+    async fn data(
+        &mut self,
+        exchange: &mut Exchange,
+        since: Tick,
+    ) -> Result<Option<Bytes>, Failed> {
         let now = self.router.now();
-        let limit = self.silence_ends(now).since(now).as_duration();
+        let limit = self.silence_ends(since).since(now).as_duration();
         match time::timeout(limit, exchange.data()).await {
             Ok(Ok(data)) => Ok(data),
-            Ok(Err(error @ (Error::Io(_) | Error::Closed | Error::Head(_) | Error::Body(_)))) => {
-                Err(Failed::new(Fault::Broken, error))
-            }
+            Ok(Err(error)) => Err(Failed::new(Fault::Broken, error)),
             Err(_) => Err(Failed::silent()),
         }
     }
--- a/crates/toucand/tests/platform.rs
+++ b/crates/toucand/tests/platform.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use fleet::{configuration, entry, publish, read, until, Call, Router, HOST, PATIENCE};
+use fleet::{configuration, entry, publish, read, until, Call, Router, Site, HOST, PATIENCE};
 use rustix::process::Signal;
 use tsw_fake::{
     store::{Mode, Store},
@@ -14,64 +14,6 @@
 };
 use tsw_http::{connection::Connection, exchange::Exchange};
 
-/// A router with one upstream of the service `desk` and two of `model`.
-struct Site {
-    store: Store,
-    desk: Worker,
-    models: [Worker; 2],
-    router: Router,
-}
-
-impl Site {
-    async fn start(desk: Behaviour, model: Behaviour) -> Self {
-        let store = Store::bind().await.expect("a store");
-        let desk = Worker::bind(desk).await.expect("an upstream");
-        let models = [
-            Worker::bind(model).await.expect("an upstream"),
-            Worker::bind(model).await.expect("an upstream"),
-        ];
-        let upstreams = [
-            ("d1", "desk", &desk),
-            ("m1", "model", &models[0]),
-            ("m2", "model", &models[1]),
-        ];
-        publish(&store, &upstreams);
-        let router = Router::start("r1", store.address(), &[]);
-        router.wait_ready().await;
-        let site = Self {
-            store,
-            desk,
-            models,
-            router,
-        };
-        site.wait_upstreams().await;
-        site
-    }
-
-    /// Waits until the router knows its upstreams, which it reads apart from the configuration.
-    async fn wait_upstreams(&self) {
-        self.wait_metric("relay_upstreams 3").await;
-    }
-
-    /// Waits until the metrics of the router have a line.
-    async fn wait_metric(&self, line: &str) {
-        let end = std::time::Instant::now() + PATIENCE;
-        loop {
-            let metrics = self.router.get(self.router.metrics, "/metrics").await;
-            let text = metrics.expect("metrics");
-            if text.text().lines().any(|found| found == line) {
-                return;
-            }
-            assert!(std::time::Instant::now() < end, "there is no {line}");
-            actix_rt::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-
-    fn model_arrivals(&self) -> usize {
-        self.models.iter().map(|model| model.arrivals().len()).sum()
-    }
-}
-
 #[actix_rt::test]
 async fn request_reaches_its_upstream_unchanged_but_for_what_the_router_sets() {
     let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -1,17 +1,25 @@
 //! Routers on the users' platform as processes, with stand-ins for the platform.
 
+#![allow(dead_code)] // Each test file uses a part of it.
+
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command},
-    sync::atomic::{AtomicU8, Ordering},
+    sync::{
+        atomic::{AtomicU8, Ordering},
+        Mutex, PoisonError,
+    },
     time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
 use serde_json::{json, Value};
-use tsw_fake::{store::Store, worker::Worker};
+use tsw_fake::{
+    store::Store,
+    worker::{Behaviour, Worker},
+};
 use tsw_http::{body, connection::Connection, exchange::Exchange, field::Fields, head};
 
 /// Longest time for something that a test waits for; a busy machine may need seconds.
@@ -112,6 +120,9 @@
     ///
     /// All routers use one gossip port.
     pub fn start(host: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        // A process that is started meanwhile would inherit the open ports until it runs.
+        static STARTS: Mutex<()> = Mutex::new(());
+        let _alone = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
         let address = own_address();
         let gossip = SocketAddr::from((address, GOSSIP_PORT));
         let directory = tempfile::tempdir().expect("a directory");
@@ -285,3 +296,62 @@
         store.set(&key, Some(&entry(service, worker, "ready", 1)));
     }
 }
+
+/// A router with one upstream of the service `desk` and two of `model`.
+pub struct Site {
+    pub store: Store,
+    pub desk: Worker,
+    pub models: [Worker; 2],
+    pub router: Router,
+}
+
+impl Site {
+    /// Starts it; the upstreams answer in these ways.
+    pub async fn start(desk: Behaviour, model: Behaviour) -> Self {
+        let store = Store::bind().await.expect("a store");
+        let desk = Worker::bind(desk).await.expect("an upstream");
+        let models = [
+            Worker::bind(model).await.expect("an upstream"),
+            Worker::bind(model).await.expect("an upstream"),
+        ];
+        let upstreams = [
+            ("d1", "desk", &desk),
+            ("m1", "model", &models[0]),
+            ("m2", "model", &models[1]),
+        ];
+        publish(&store, &upstreams);
+        let router = Router::start("r1", store.address(), &[]);
+        router.wait_ready().await;
+        let site = Self {
+            store,
+            desk,
+            models,
+            router,
+        };
+        site.wait_upstreams().await;
+        site
+    }
+
+    /// Waits until the router knows its upstreams, which it reads apart from the configuration.
+    pub async fn wait_upstreams(&self) {
+        self.wait_metric("relay_upstreams 3").await;
+    }
+
+    /// Waits until the metrics of the router have a line.
+    pub async fn wait_metric(&self, line: &str) {
+        let end = std::time::Instant::now() + PATIENCE;
+        loop {
+            let metrics = self.router.get(self.router.metrics, "/metrics").await;
+            let text = metrics.expect("metrics");
+            if text.text().lines().any(|found| found == line) {
+                return;
+            }
+            assert!(std::time::Instant::now() < end, "there is no {line}");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn model_arrivals(&self) -> usize {
+        self.models.iter().map(|model| model.arrivals().len()).sum()
+    }
+}
