Keep gossip and requests in their failure domain where that costs nothing

Two thirds of the gossip crossed them (23 MB in 25 s almost without traffic), and engines were chosen without regard to the failure domain. Tests: roster (most_gossip_stays_in_the_failure_domain), pool (requests_stay_in_their_failure_domain_while_its_engines_are_as_free).

--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -17,6 +17,10 @@
 /// Tokens moved between engines that cost as much as reading one.
 const MOVED_PER_READ: u64 = 15;
 
+/// Prompt tokens that an engine reads in the time that an engine in another failure domain costs more:
+/// two round trips, of 2 to 3 ms each, one of them to connect.
+const FAR_TOKENS: u64 = 300;
+
 /// An engine and the tokens at the start of the prompt that it holds.
 struct Held<'a> {
     upstream: &'a Upstream,
@@ -71,7 +75,13 @@
         }
         let running = u64::from(upstream.requests()) * RUNNING_TOKENS;
         let fetching = fetch.map_or(0, |_| FETCH_LEAST + moved / MOVED_PER_READ);
-        let cost = (waiting + unread + running + fetching).saturating_sub(held.belongs) as f64;
+        let far = if &*upstream.entry.domain == ask.domain {
+            0
+        } else {
+            FAR_TOKENS
+        };
+        let cost = waiting + unread + running + fetching + far;
+        let cost = cost.saturating_sub(held.belongs) as f64;
         let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, upstream, unread, fetch))
     });
--- a/crates/flow/tests/pool.rs
+++ b/crates/flow/tests/pool.rs
@@ -267,3 +267,36 @@
         assert_eq!(&*choice.id, "e1");
     }
 }
+
+/// Guards against requests that cross failure domains for nothing, and against engines of a failure
+/// domain that are flooded while those of others are idle.
+#[test]
+fn requests_stay_in_their_failure_domain_while_its_engines_are_as_free() {
+    let mut pool = Pool::default();
+    let entries = (0..8).map(|number| Entry {
+        domain: if number < 4 { "north" } else { "south" }.into(),
+        ..entry(number)
+    });
+    pool.set_entries(entries.collect(), Some(ENGINE));
+    let mut far = Vec::new();
+    for number in 0..16 {
+        // Each prompt has parts of its own, so that no engine holds any of them.
+        let prompt = Prompt {
+            tokens: 1_000,
+            expected: 50,
+            parts: vec![Part {
+                id: 1_000 + number,
+                tokens: 1_000,
+            }],
+        };
+        let choice = pool.choose(at(0), &ask(&prompt)).expect("room");
+        let engine: u64 = choice.id[1..].parse().expect("a number");
+        far.push(engine >= 4);
+        pool.begin(&choice, Some(&prompt));
+    }
+    assert!(far[..4].iter().all(|far| !far), "{far:?}");
+    assert!(
+        far[4..].iter().any(|far| *far),
+        "the near engines are flooded"
+    );
+}
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -17,8 +17,10 @@
 pub const LIVE_FOR: Span = Span::from_millis(1_800);
 /// Time without a new beat after which a router is forgotten.
 const KNOWN_FOR: Span = Span::from_secs(30);
-/// Routers to which each round of gossip goes.
-const FAN_OUT: usize = 3;
+/// Routers of its own failure domain, and of others, to which a router gossips in each round. Most of
+/// the messages stay within the failure domain, since traffic between them is dear.
+const FAN_OUT_NEAR: usize = 2;
+const FAN_OUT_FAR: usize = 1;
 /// Members in one message that are told with name and addresses, so that the news of one that
 /// starts spreads without being asked for.
 const MOST_TOLD: usize = 4;
@@ -223,7 +225,7 @@
             .retain(|_, peer| now.since(peer.heard) < KNOWN_FOR);
         let mut live: Vec<&Member> = self.live(now).collect();
         live.shuffle(rng);
-        let mut to: Vec<SocketAddr> = live.iter().take(FAN_OUT).map(|m| m.gossip).collect();
+        let mut to = self.fan_out(&live);
         let own = self.me.gossip;
         let seeds: Vec<SocketAddr> = self
             .seeds
@@ -252,6 +254,19 @@
         (to, news)
     }
 
+    /// Returns the routers that are told in a round, given all in a random order. Where a failure
+    /// domain has too few of them, others take their place.
+    fn fan_out(&self, live: &[&Member]) -> Vec<SocketAddr> {
+        let is_near = |member: &&&Member| member.domain == self.me.domain;
+        let (near, far): (Vec<&Member>, Vec<&Member>) = live.iter().partition(is_near);
+        let spare = FAN_OUT_FAR.saturating_sub(far.len());
+        let near = near.into_iter().take(FAN_OUT_NEAR + spare);
+        let mut chosen: Vec<SocketAddr> = near.map(|member| member.gossip).collect();
+        let room = FAN_OUT_NEAR + FAN_OUT_FAR - chosen.len();
+        chosen.extend(far.into_iter().take(room).map(|member| member.gossip));
+        chosen
+    }
+
     /// Returns whether this router has one of the `count` highest ranks for a duty among itself and
     /// the running routers that read the store.
     ///
