Deal the engines to the routers that clients use

Cause: in a large fleet a router learns after 1.2 s what others sent to an engine; all of them chose the engine that was idle then, so that prompts waited behind each other while half of the engines' time was free (mean 6.5 of 24 places used).

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`prompt`]: what is known of the prompt of a request before it runs.
 //! - [`directory`]: which parts of prompts an engine holds.
 //! - [`pool`]: the upstreams of a service, and which of them serves a request best.
+//! - [`owner`]: which upstreams a router sends to first.
 //! - [`registry`]: which upstreams the platform lists, also after it was away.
 //! - [`queue`]: who waits, in which order, and who is refused.
 //! - [`budget`]: bounds the attempts beyond the first.
@@ -15,6 +16,7 @@
 pub mod account;
 pub mod budget;
 pub mod directory;
+pub mod owner;
 pub mod pool;
 pub mod prompt;
 pub mod queue;
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tsw_base::time::{Span, Tick};
 use tsw_route::{table::Engine, Name};
 
@@ -149,6 +149,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     upstreams: IndexMap<Name, Upstream>,
+    /// Upstreams that this router owns, see [`crate::owner`].
+    owned: IndexSet<Name>,
     read: Vec<(Name, Vec<Part>)>,
     others: IndexMap<Name, Vec<(Name, Use)>>,
 }
@@ -171,6 +173,15 @@
         self.sum_others();
     }
 
+    /// Takes the upstreams that this router owns; those of other services are ignored.
+    pub fn set_owned(&mut self, owned: &IndexSet<Name>) {
+        let names = self.upstreams.keys();
+        self.owned = names
+            .filter(|name| owned.contains(*name))
+            .cloned()
+            .collect();
+    }
+
     /// Takes what another router uses; an empty list when it ended.
     pub fn set_others(&mut self, router: &Name, uses: Vec<(Name, Use)>) {
         for (id, used) in &uses {
@@ -241,7 +252,7 @@
         let sound: Vec<&Upstream> = usable.iter().copied().filter(sound).collect();
         let candidates = if sound.is_empty() { usable } else { sound };
         match ask.prompt {
-            Some(prompt) => engine::choose(now, &candidates, ask, prompt),
+            Some(prompt) => engine::choose(now, &candidates, &self.owned, ask, prompt),
             None => choose_plain(now, &candidates, ask),
         }
     }
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexSet;
 use tsw_base::time::Tick;
 use tsw_member::rendezvous;
+use tsw_route::Name;
 
 use super::{Ask, Choice, Upstream};
 use crate::prompt::Prompt;
@@ -21,6 +23,10 @@
 /// two round trips, of 2 to 3 ms each, one of them to connect.
 const FAR_TOKENS: u64 = 300;
 
+/// Prompt tokens that wait at an engine of another router without this router's knowledge: a long
+/// prompt that its owner has sent there since its last statement.
+const UNSEEN_TOKENS: u64 = 4_000;
+
 /// An engine and the tokens at the start of the prompt that it holds.
 struct Held<'a> {
     upstream: &'a Upstream,
@@ -59,6 +65,7 @@
 pub(super) fn choose(
     now: Tick,
     candidates: &[&Upstream],
+    owned: &IndexSet<Name>,
     ask: &Ask<'_>,
     prompt: &Prompt,
 ) -> Option<Choice> {
@@ -80,7 +87,12 @@
         } else {
             FAR_TOKENS
         };
-        let cost = waiting + unread + running + fetching + far;
+        let unseen = if owned.is_empty() || owned.contains(&upstream.entry.id) {
+            0
+        } else {
+            UNSEEN_TOKENS
+        };
+        let cost = waiting + unread + running + fetching + far + unseen;
         let cost = cost.saturating_sub(held.belongs) as f64;
         let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, upstream, unread, fetch))
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -10,7 +10,10 @@
 use tsw_base::time::Tick;
 use tsw_config::gateway;
 use tsw_event::{emit, Event};
-use tsw_flow::registry::Registry;
+use tsw_flow::{
+    owner::{self, Place},
+    registry::Registry,
+};
 use tsw_member::roster::Roster;
 use tsw_platform::{configuration, store::Item, upstream};
 use tsw_relay::router::Router;
@@ -206,7 +209,22 @@
 
     /// Gives the upstreams that are listed now to the services.
     pub fn apply_entries(&self) {
-        let entries = self.registry.borrow_mut().entries(self.router.now());
-        self.router.set_entries(entries);
+        let now = self.router.now();
+        let entries = self.registry.borrow_mut().entries(now);
+        let mut roster = self.roster.borrow_mut();
+        roster.me.ready = self.is_ready();
+        let routers = roster.listed(now).into_iter().map(|member| Place {
+            domain: member.domain.as_str().into(),
+            name: member.host.as_str().into(),
+        });
+        let upstreams = entries.iter().map(|entry| Place {
+            domain: entry.domain.clone(),
+            name: entry.id.clone(),
+        });
+        let routers: Vec<Place> = routers.collect();
+        let upstreams: Vec<Place> = upstreams.collect();
+        let owned = owner::owned(&roster.me.host, &routers, &upstreams);
+        drop(roster);
+        self.router.set_entries(entries, owned);
     }
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -6,7 +6,7 @@
     time::Instant,
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tsw_base::time::{Span, Tick};
 use tsw_flow::{
     account::Work,
@@ -82,6 +82,7 @@
     pub(crate) pumped: RefCell<IndexMap<Name, Pumped>>,
     current: RefCell<adopt::Current>,
     entries: RefCell<Vec<Entry>>,
+    owned: RefCell<IndexSet<Name>>,
     pub(crate) watch: RefCell<Watch>,
     pub(crate) findings: RefCell<Vec<Finding>>,
     retries: Retries,
@@ -103,6 +104,7 @@
             pumped: RefCell::default(),
             current: RefCell::default(),
             entries: RefCell::default(),
+            owned: RefCell::default(),
             watch: RefCell::new(Watch::beside_others()),
             findings: RefCell::default(),
             retries: options.retries,
@@ -133,9 +135,10 @@
         adopted
     }
 
-    /// Takes the upstreams that the platform states now.
-    pub fn set_entries(self: &Rc<Self>, entries: Vec<Entry>) {
+    /// Takes the upstreams that the platform states now, and those of them that this router owns.
+    pub fn set_entries(self: &Rc<Self>, entries: Vec<Entry>, owned: IndexSet<Name>) {
         *self.entries.borrow_mut() = entries;
+        *self.owned.borrow_mut() = owned;
         self.configure();
     }
 
@@ -161,6 +164,7 @@
                 service
                     .pool
                     .set_entries(own.cloned().collect(), service.engine());
+                service.pool.set_owned(&self.owned.borrow());
             }
         }
         let services = self.services.borrow();
