Keep long prompts from being read beside each other

Cause: an engine that reads two prompts at once takes a piece of both in each step, so that its running streams pause. Test: pool (long_prompts_are_not_read_at_the_same_engine_while_others_are_idle); it fails without the weight.

--- a/crates/event/src/bounded.rs
+++ b/crates/event/src/bounded.rs
@@ -20,11 +20,12 @@
 
 /// Lines that wait to be written. A line has some 300 bytes, so these take less than 1 MB.
 const QUEUE: usize = 2_048;
-/// Lines of level info and below that are written in a second on average, and at once after a
-/// silence. A router with 40 requests a second writes about 150; each line costs some 10
-/// microseconds.
-const LINES_PER_S: f64 = 1_000.0;
-const BURST: f64 = 2_000.0;
+/// Lines of level info and below that are written on average for each second of processor time that
+/// the process may use. Each line costs some 20 microseconds, so that these take a 25th of it; a
+/// router with 40 requests a second writes about 150.
+const LINES_PER_CORE_S: f64 = 2_000.0;
+/// Time without a line after which the lines of that time are written at once.
+const BURST_S: f64 = 2.0;
 /// Pause of the writer after each write, so that many lines are written with one call.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Most bytes of one write.
@@ -53,6 +54,7 @@
 /// The allowance of lines, which fills up with time.
 #[derive(Debug)]
 struct Allowance {
+    per_s: f64,
     lines: f64,
     at: Instant,
 }
@@ -71,17 +73,21 @@
 
 impl Bounded {
     /// Starts the thread that writes.
-    pub(crate) fn new(encoder: Box<dyn Encode>) -> io::Result<Self> {
+    ///
+    /// `processor` is the part of a core that the process may use.
+    pub(crate) fn new(encoder: Box<dyn Encode>, processor: f64) -> io::Result<Self> {
         let (sender, receiver) = mpsc::sync_channel(QUEUE);
         if QUEUED.set(sender).is_ok() {
             thread::Builder::new()
                 .name("log".to_owned())
                 .spawn(move || write(&receiver))?;
         }
+        let per_s = processor * LINES_PER_CORE_S;
         Ok(Self {
             encoder,
             allowance: Mutex::new(Allowance {
-                lines: BURST,
+                per_s,
+                lines: per_s * BURST_S,
                 at: Instant::now(),
             }),
         })
@@ -95,8 +101,8 @@
             return false;
         };
         let now = Instant::now();
-        let gained = (now - allowance.at).as_secs_f64() * LINES_PER_S;
-        allowance.lines = (allowance.lines + gained).min(BURST);
+        let gained = (now - allowance.at).as_secs_f64() * allowance.per_s;
+        allowance.lines = (allowance.lines + gained).min(allowance.per_s * BURST_S);
         allowance.at = now;
         let allowed = allowance.lines >= 1.0;
         if allowed {
--- a/crates/event/src/setup.rs
+++ b/crates/event/src/setup.rs
@@ -89,13 +89,14 @@
 }
 
 /// Sets up the log of a router whose log may not be read for a time: lines go to standard output
-/// on a thread of their own, their number is bounded, and those dropped are counted.
+/// on a thread of their own, their number is bounded by the part of a core that the process may use,
+/// and those dropped are counted.
 ///
 /// # Errors
 ///
 /// Returns an error if the thread cannot be started or a log is set up already.
-pub fn init_bounded(log: &settings::Log) -> Result<(), Error> {
-    let appender = Bounded::new(encoder(log.format)).map_err(Error::Thread)?;
+pub fn init_bounded(log: &settings::Log, processor: f64) -> Result<(), Error> {
+    let appender = Bounded::new(encoder(log.format), processor).map_err(Error::Thread)?;
     install(log, level(log.level), Box::new(appender))
 }
 
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -143,6 +143,8 @@
     pub fetches: bool,
     /// Requests that may wait at a plain upstream beyond its slots.
     pub spare: u32,
+    /// Longest age of what other routers told.
+    pub statement_age: Span,
 }
 
 /// The upstreams of a service.
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -23,9 +23,12 @@
 /// two round trips, of 2 to 3 ms each, one of them to connect.
 const FAR_TOKENS: u64 = 300;
 
-/// Prompt tokens that wait at an engine of another router without this router's knowledge: a long
-/// prompt that its owner has sent there since its last statement.
-const UNSEEN_TOKENS: u64 = 4_000;
+/// Prompt tokens that others send, in a millisecond, to an engine that this router does not own.
+/// Engines read some 50 in that time, and most of their prompts come from their owner.
+const UNSEEN_PER_MS: u64 = 4;
+/// Weight of prompts that are read at the same time: each step then reads a piece of both, which
+/// lengthens the pauses of all streams there.
+const BESIDE: u64 = 2;
 
 /// An engine and the tokens at the start of the prompt that it holds.
 struct Held<'a> {
@@ -90,9 +93,10 @@
         let unseen = if owned.is_empty() || owned.contains(&upstream.entry.id) {
             0
         } else {
-            UNSEEN_TOKENS
+            UNSEEN_PER_MS * ask.statement_age.as_millis()
         };
-        let cost = waiting + unread + running + fetching + far + unseen;
+        let beside = BESIDE * waiting.min(unread);
+        let cost = waiting + unread + beside + running + fetching + far + unseen;
         let cost = cost.saturating_sub(held.belongs) as f64;
         let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, upstream, unread, fetch))
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -97,7 +97,8 @@
         stated.unwrap_or(DEFAULT_READ_PER_S).max(1)
     }
 
-    /// Chooses an upstream with room for a request now.
+    /// Chooses an upstream with room for a request now. What other routers told is up to
+    /// `statement_age` old.
     #[must_use]
     pub fn choose(
         &self,
@@ -105,6 +106,7 @@
         domain: &str,
         prompt: Option<&Prompt>,
         avoid: &[Name],
+        statement_age: Span,
     ) -> Option<Choice> {
         let most_unread = self.read_per_s() * READ_AHEAD.as_millis() / 1_000;
         let ask = Ask {
@@ -114,6 +116,7 @@
             most_unread,
             fetches: self.engine.is_some_and(|engine| engine.fetches),
             spare: SPARE,
+            statement_age,
         };
         self.pool.choose(now, &ask)
     }
--- a/crates/flow/tests/pool.rs
+++ b/crates/flow/tests/pool.rs
@@ -3,7 +3,7 @@
 
 use tsw_base::time::{Span, Tick};
 use tsw_flow::{
-    pool::{Ask, Entry, Pool, Use},
+    pool::{Ask, Choice, Entry, Pool, Use},
     prompt::{Part, Prompt},
 };
 use tsw_route::{table::Engine, Name};
@@ -61,6 +61,7 @@
         most_unread: 12_000,
         fetches: true,
         spare: 1,
+        statement_age: Span::from_millis(100),
     }
 }
 
@@ -300,3 +301,42 @@
         "the near engines are flooded"
     );
 }
+
+/// Guards against streams that pause because two long prompts are read beside them at once.
+#[test]
+fn long_prompts_are_not_read_at_the_same_engine_while_others_are_idle() {
+    let mut pool = pool(4);
+    let ask = |prompt| Ask {
+        fetches: false,
+        ..ask(prompt)
+    };
+    let first = prompt(1, 10);
+    let holder = pool.choose(at(0), &ask(&first)).expect("room");
+    pool.begin(&holder, Some(&first));
+    pool.read(&holder);
+    // Another prompt is read by the engine that holds the shared parts of the session.
+    let other = Choice {
+        unread: 3_000,
+        ..holder.clone()
+    };
+    pool.begin(&other, None);
+    let second = Prompt {
+        tokens: 6_000,
+        expected: 100,
+        parts: vec![
+            Part {
+                id: 1,
+                tokens: 4_000,
+            },
+            Part {
+                id: 11,
+                tokens: 2_000,
+            },
+        ],
+    };
+    let choice = pool.choose(at(10), &ask(&second)).expect("room");
+    assert_ne!(choice.id, holder.id);
+    pool.read(&other);
+    let choice = pool.choose(at(200), &ask(&second)).expect("room");
+    assert_eq!(choice.id, holder.id, "nothing is read there any more");
+}
--- a/crates/flow/tests/stale.rs
+++ b/crates/flow/tests/stale.rs
@@ -112,6 +112,7 @@
             most_unread: 12_000,
             fetches: true,
             spare: 1,
+            statement_age: Span::from_millis(period_ms),
         };
         asked += 1;
         let Some(choice) = pools[router].choose(now, &ask) else {
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -252,14 +252,19 @@
     }
     let mut decoder = body::Decoder::new(length);
     let mut body = BytesMut::new();
+    let stated = match length {
+        body::Length::Exact(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
+        _ => 0,
+    };
     loop {
+        let expected = stated.saturating_sub(body.len());
         match decoder.take(&mut connection.buffer) {
             Ok(Some(data)) if body.len() + data.len() > limits.body_bytes => {
                 return Ok(Err(Own::Long));
             }
             Ok(Some(data)) => body.extend_from_slice(&data),
             Ok(None) if decoder.is_done() => return Ok(Ok(body.freeze())),
-            Ok(None) => match time::timeout(BODY_PAUSE, connection.fill()).await {
+            Ok(None) => match time::timeout(BODY_PAUSE, connection.fill_up_to(expected)).await {
                 Ok(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(read) => {
                     read?;
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -17,12 +17,6 @@
 
 /// Period of gossip about members.
 const MEMBERS: Duration = Duration::from_millis(250);
-/// Period of the statements about what a router does in a fleet of up to [`SMALL`] routers. An engine
-/// reads about two long prompts in this time.
-const ACTIVITIES: Duration = Duration::from_millis(100);
-/// Routers up to which each one tells all others at the full pace. In larger fleets the period
-/// grows with the number of routers, so that each one receives about the same number of messages.
-const SMALL: usize = 8;
 /// Longest datagram that is read.
 const MAX_DATAGRAM: usize = 16_384;
 
@@ -141,8 +135,7 @@
 pub async fn tell_activities(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
     let mut since = Tick::ZERO;
     loop {
-        let crowd = gate.router.routers().div_ceil(SMALL) as u32;
-        time::sleep(ACTIVITIES * crowd).await;
+        time::sleep(gate.router.statement_period().as_duration()).await;
         let findings = gate.router.take_findings();
         if !findings.findings.is_empty() {
             send(&gate, &socket, &live(&gate), Message::Findings(findings)).await;
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -106,7 +106,7 @@
 pub async fn run(path: PathBuf) -> Result<(), Error> {
     let mut signals = Signals::new()?;
     let settings = gateway::Settings::load(&path)?;
-    tsw_event::setup::init_bounded(&settings.log)?;
+    tsw_event::setup::init_bounded(&settings.log, settings.processor)?;
     let listen = settings.listen.clone();
     let grace = Duration::from_secs_f64(settings.bounds.grace_s);
     let gate = gate(settings)?;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -7,6 +7,8 @@
 
 /// Bytes of room kept free in a read buffer. Events of a stream have some hundred bytes.
 const READ_BYTES: usize = 4_096;
+/// Most bytes of room for one read.
+const MAX_READ_BYTES: usize = 65_536;
 /// Time without an acknowledgement after which the operating system gives a connection up. A peer
 /// behind a partition sends no reset.
 const ACK_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -53,7 +55,17 @@
     ///
     /// Returns an error if the connection broke.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
+        self.fill_up_to(READ_BYTES).await
+    }
+
+    /// Like [`Connection::fill`], with room for so many bytes, if more of them are expected than
+    /// usual. Each read costs a call of the operating system.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke.
+    pub async fn fill_up_to(&mut self, bytes: usize) -> io::Result<usize> {
+        self.buffer.reserve(bytes.clamp(READ_BYTES, MAX_READ_BYTES));
         self.stream.read_buf(&mut self.buffer).await
     }
 
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -28,6 +28,12 @@
 /// Value of the clock at the start, so that all events are later than [`Tick::ZERO`].
 const CLOCK_START: Span = Span::from_secs(1);
 
+/// Period of the statements of a router in a fleet of up to [`SMALL_FLEET`] routers. An engine reads
+/// about two long prompts in this time.
+const STATEMENTS: Span = Span::from_millis(100);
+/// Routers up to which each one tells all others at the full pace.
+const SMALL_FLEET: usize = 8;
+
 /// What the operators of the fleet promise about attempts beyond the first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Retries {
@@ -185,6 +191,14 @@
         self.routers.get()
     }
 
+    /// Returns the period at which routers tell each other what they do. In larger fleets it grows
+    /// with the number of routers, so that each one receives about the same number of messages.
+    #[must_use]
+    pub fn statement_period(&self) -> Span {
+        let crowd = self.routers().div_ceil(SMALL_FLEET) as u64;
+        Span::from_micros(STATEMENTS.as_micros() * crowd)
+    }
+
     /// Takes what another router did for each service; nothing when it ended.
     pub fn set_others(self: &Rc<Self>, router: &Name, activities: &[Activity]) {
         let now = self.now();
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -133,14 +133,14 @@
     ) -> Result<Place, Refused> {
         let now = self.now();
         let due = request.due();
+        let age = self.statement_period();
         let wait = self.with_service(&request.service, |service| {
             let level = service.level(now);
             let team = request.team();
             service.accounts.ask(now, &team.into(), work(request));
             if service.queue.is_empty() && service.may_start(now, team, work(request), level) {
-                if let Some(choice) =
-                    service.choose(now, &self.domain, request.prompt.as_ref(), avoid)
-                {
+                let prompt = request.prompt.as_ref();
+                if let Some(choice) = service.choose(now, &self.domain, prompt, avoid, age) {
                     return Ok(Ok(begin(service, now, request, choice)));
                 }
             }
@@ -278,7 +278,7 @@
     }
 
     fn pump_now(self: &Rc<Self>, name: &Name) {
-        let now = self.now();
+        let (now, age) = (self.now(), self.statement_period());
         let mut given = Vec::new();
         {
             let mut services = self.services.borrow_mut();
@@ -300,7 +300,7 @@
                     continue;
                 };
                 let prompt = waiter.request.prompt.as_ref();
-                let choice = service.choose(now, &self.domain, prompt, &waiter.avoid);
+                let choice = service.choose(now, &self.domain, prompt, &waiter.avoid, age);
                 let Some(choice) = choice else {
                     blocked += 1;
                     if blocked >= LOOK_AHEAD {
