--- a/crates/toucand/tests/platform.rs
+++ b/crates/toucand/tests/platform.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use fleet::{configuration, entry, publish, read, until, Call, Router, Site, HOST, PATIENCE};
+use fleet::{configuration, entry, read, until, Call, Router, Site, HOST, PATIENCE};
 use rustix::process::Signal;
 use tsw_fake::{
     store::{Mode, Store},
