--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -87,6 +87,13 @@
         self.engine
     }
 
+    /// Returns whether a prompt is longer than the memory of an engine, so that none can run it.
+    #[must_use]
+    pub fn is_too_long(&self, prompt: &Prompt) -> bool {
+        self.engine
+            .is_some_and(|engine| prompt.tokens > engine.memory_tokens)
+    }
+
     /// Returns the prompt tokens that one engine reads in a second.
     #[must_use]
     pub fn read_per_s(&self) -> u64 {
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -135,11 +135,14 @@
         let due = request.due();
         let age = self.statement_period();
         let wait = self.with_service(&request.service, |service| {
+            let prompt = request.prompt.as_ref();
+            if prompt.is_some_and(|prompt| service.is_too_long(prompt)) {
+                return Err(Refusal::NoUpstream);
+            }
             let level = service.level(now);
             let team = request.team();
             service.accounts.ask(now, &team.into(), work(request));
             if service.queue.is_empty() && service.may_start(now, team, work(request), level) {
-                let prompt = request.prompt.as_ref();
                 if let Some(choice) = service.choose(now, &self.domain, prompt, avoid, age) {
                     return Ok(Ok(begin(service, now, request, choice)));
                 }
--- a/crates/toucand/tests/trouble.rs
+++ b/crates/toucand/tests/trouble.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fleet::{read, until, Call, Router, Site, PATIENCE};
+use rand::{rngs::StdRng, Rng, SeedableRng};
 use rustix::process::Signal;
 use tsw_fake::worker::{Behaviour, Endless, Worker};
 use tsw_http::{connection::Connection, exchange::Exchange};
@@ -190,3 +191,43 @@
     let status = site.router.process.wait().expect("an end");
     assert!(status.success());
 }
+
+/// Guards against a request whose stated size takes an engine from all others, or makes sums
+/// overflow, although no engine can run it.
+#[actix_rt::test]
+async fn request_that_no_engine_can_hold_is_refused_at_once_and_costs_nobody_anything() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    for tokens in ["100001,50", "18446744073709551615,18446744073709551615"] {
+        let mut call = Call::prompt("/note/1", "a1");
+        call.head.fields.remove("Token-Count");
+        call.head.fields.push("Token-Count", tokens);
+        let answer = call.send(&site.router).await;
+        assert_eq!(answer.status, 503, "{tokens}");
+    }
+    assert_eq!(site.model_arrivals(), 0);
+    for number in 0..10 {
+        let answer = Call::prompt("/note/1", &format!("b{number}"))
+            .send(&site.router)
+            .await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+    }
+}
+
+/// Guards against datagrams of strangers that end the process or stop its gossip.
+#[actix_rt::test]
+async fn datagrams_that_are_no_gossip_change_nothing() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let mut rng = StdRng::seed_from_u64(7);
+    for _ in 0..2_000 {
+        let mut bytes = vec![0; rng.gen_range(0..400)];
+        rng.fill(&mut bytes[..]);
+        // Small numbers are lengths and variants of messages.
+        bytes.iter_mut().for_each(|byte| *byte %= 8);
+        socket.send_to(&bytes, site.router.gossip).expect("sent");
+    }
+    let answer = Call::proper("GET", "/lookup/1", "a1")
+        .send(&site.router)
+        .await;
+    assert_eq!(answer.status, 200);
+}
