--- a/crates/toucand/tests/trouble.rs
+++ b/crates/toucand/tests/trouble.rs
@@ -6,10 +6,13 @@
 
 use std::time::Duration;
 
-use fleet::{read, until, Call, Router, Site, PATIENCE};
+use fleet::{configuration, entry, read, until, Call, Router, Site, PATIENCE};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 use rustix::process::Signal;
-use tsw_fake::worker::{Behaviour, Endless, Worker};
+use tsw_fake::{
+    store::{Mode, Store},
+    worker::{Behaviour, Endless, Worker},
+};
 use tsw_http::{connection::Connection, exchange::Exchange};
 
 /// Memory that a router may use more while upstreams send bytes without end: buffers of some
@@ -231,3 +234,58 @@
         .await;
     assert_eq!(answer.status, 200);
 }
+
+/// Guards against an upstream that left, or a key that was withdrawn, that is in use again after a
+/// restart, because the router takes what it finds first while the store is away.
+#[actix_rt::test]
+async fn router_that_restarts_without_the_store_uses_nothing_that_is_gone() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let other = Worker::bind(Behaviour::Plain).await.expect("an upstream");
+    let key = "servers/d2";
+    site.store
+        .set(key, Some(&entry("desk", &other, "ready", 1)));
+    site.store.set("servers/d1", None);
+    let mut stated = configuration(2);
+    stated["tenants"] = serde_json::json!([
+        {"name": "counter", "apiKeys": ["new-key"], "priority": 1},
+    ]);
+    let text = stated.to_string();
+    site.store.set("op/config", Some(text.as_bytes()));
+    let end = std::time::Instant::now() + PATIENCE;
+    while Call::proper("GET", "/lookup/1", "a0")
+        .send(&site.router)
+        .await
+        .status
+        != 401
+    {
+        assert!(std::time::Instant::now() < end, "the key is still in use");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    let before = site.desk.arrivals().len();
+    let silent = Store::bind().await.expect("a store");
+    silent.set_mode(Mode::Silent);
+    let restarted = Router::start("r2", silent.address(), &[site.router.control]);
+    let (mut served, mut number) = (0, 0);
+    while served < 10 {
+        assert!(std::time::Instant::now() < end, "nothing is served");
+        number += 1;
+        let old = Call::proper("GET", "/lookup/1", &format!("o{number}"));
+        if let Ok(answer) = old.send_to(restarted.client).await {
+            assert!([401, 503].contains(&answer.status), "{}", answer.status);
+        }
+        let mut new = Call::proper("GET", "/lookup/1", &format!("n{number}"));
+        new.head.fields.remove("Authorization");
+        new.head.fields.push("Authorization", "Token new-key");
+        if let Ok(answer) = new.send_to(restarted.client).await {
+            assert!([200, 503].contains(&answer.status), "{}", answer.status);
+            served += usize::from(answer.status == 200);
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(
+        site.desk.arrivals().len(),
+        before,
+        "the upstream that left is in use"
+    );
+    assert_eq!(other.arrivals().len(), served);
+}
