--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -237,7 +237,7 @@
 /// # Errors
 ///
 /// Returns an error if the listener cannot be used without the runtime.
-pub fn queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+fn queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
     let listener = listener.into_std()?;
     let mut streams = Vec::new();
     while let Ok((stream, _)) = listener.accept() {
