Start a request at once if nobody who waits may start

Cause, from the log of a run of the checks beside load (load average 16, debug build), in which flood_of_one_team_at_one_router_costs_other_teams_nothing failed once: a request did not start at once while others waited, even if these were above their share. It waited for the next round over the queue, which comes late at a router short of processor time (72, 107, 103 and 127 ms for the requests before), and was refused after 80 ms although its team was within its share. Ruled out: the share of the team (4 earlier requests started) and places (one was free in each round). Test without processes: share (flooding_team_that_waits_holds_up_nobody).

--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -61,6 +61,11 @@
         counted.map(|waiting| waiting.work).sum()
     }
 
+    /// Returns the waiting requests in the order of their arrival.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.iter()
+    }
+
     /// Returns the teams of the waiting requests, each as often as it waits.
     pub fn teams(&self) -> impl Iterator<Item = &Name> {
         self.waiting.iter().map(|waiting| &waiting.team)
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -165,6 +165,14 @@
         received + work as f64 / 2.0 < level || received < level * DUE_PART
     }
 
+    /// Returns whether a waiting request may be started, given the level. Others need not wait behind
+    /// requests that may not.
+    #[must_use]
+    pub fn has_startable(&self, now: Tick, level: f64) -> bool {
+        let mut waiting = self.queue.iter();
+        waiting.any(|waiting| self.may_start(now, &waiting.team, waiting.work, level))
+    }
+
     /// Returns how long a further request of a team would probably wait, given the level: until
     /// what the team received is forgotten down to the level.
     #[must_use]
--- a/crates/flow/tests/share.rs
+++ b/crates/flow/tests/share.rs
@@ -244,3 +244,38 @@
     let rate = fleet.rate("alone", 5, 20);
     assert!(rate >= 0.95 * CAPACITY as f64, "{rate}");
 }
+
+/// Pattern: a flood of one team at one router. Guards against a request within its team's share that
+/// waits behind requests that may not start.
+#[test]
+fn flooding_team_that_waits_holds_up_nobody() {
+    let loads = [steady("flood", &[0], 3_000, 900_000)];
+    let mut fleet = Fleet::play(&loads, 4);
+    let now = Tick::ZERO + Span::from_millis(5_000);
+    // More of the flood than the router starts, so that some of it waits.
+    for _ in 0..200 {
+        fleet.services[0].accounts.ask(now, &"flood".into(), 3_000);
+    }
+    fleet.services[0].queue.push(Waiting {
+        number: 0,
+        team: "flood".into(),
+        work: 3_000,
+        priority: 1,
+        in_time: now + OBJECTIVE,
+        until: now + OBJECTIVE,
+    });
+    let service = &mut fleet.services[0];
+    service.accounts.ask(now, &"quiet".into(), 1_000);
+    let level = service.level(now);
+    assert!(service.may_start(now, "quiet", 1_000, level));
+    assert!(!service.has_startable(now, level), "it would wait");
+    service.queue.push(Waiting {
+        number: 0,
+        team: "quiet".into(),
+        work: 1_000,
+        priority: 1,
+        in_time: now + OBJECTIVE,
+        until: now + OBJECTIVE,
+    });
+    assert!(service.has_startable(now, level), "its turn comes first");
+}
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -142,7 +142,8 @@
             let level = service.level(now);
             let team = request.team();
             service.accounts.ask(now, &team.into(), work(request));
-            if service.queue.is_empty() && service.may_start(now, team, work(request), level) {
+            let may_start = service.may_start(now, team, work(request), level);
+            if may_start && !service.has_startable(now, level) {
                 if let Some(choice) = service.choose(now, &self.domain, prompt, avoid, age) {
                     return Ok(Ok(begin(service, now, request, choice)));
                 }
