Let the crash test wait for the first token

Cause: the test waited until the victim ran, not until it had a token. When the test's only thread is late by a few ms, the engine ends the first step and begins the killer without a pause between, so that the connection is closed before its task writes the token. A crash may do that.

Ruled out: a token lost after it was written (the response of the failed run ends with the head in full).

Now the test reads the victim's first token before it sends the killer; all else that it checked is still checked.

--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -7,7 +7,7 @@
 use actix_http::Method;
 use awc::http::StatusCode;
 use serde_json::{json, Value};
-use support::{any, get, is_complete, lines, pause, post, post_raw, read, run, send, until};
+use support::{any, get, is_complete, lines, pause, post, post_raw, read, run, send, until, Raw};
 use tsw_fake::{engine, history, names, platform};
 
 struct Fleet {
@@ -313,14 +313,14 @@
         let fleet = Fleet::start(2, fast()).await;
         let (first, second) = (fleet.address(0), fleet.address(1));
         let request = body("victim", "hello", 100_000, 0);
-        let victim =
-            actix_rt::spawn(async move { post_raw(first, "/v1/generate", &request).await });
-        until(|| async { fleet.stats(0).running == 1 }).await;
+        let mut victim = Raw::post(first, "/v1/generate", &request).await;
+        // A running request may still have no token that a crash could break off after.
+        victim.read_until("{\"i\":0,").await;
         let request = body("killer", "x #crash", 5, 0);
         let killer = post_raw(first, "/v1/generate", &request).await;
         assert!(!is_complete(&killer), "{killer}");
-        let victim = victim.await.expect("ended");
-        assert!(victim.contains("{\"i\":0,") && !is_complete(&victim));
+        let victim = victim.read_to_end().await;
+        assert!(!is_complete(&victim), "{victim}");
         assert!(send(Method::GET, first, "/v1/load", &[], "").await.is_err());
         assert_eq!(lines(&generate(second, "r", "hello", 2).await).len(), 3);
         until(|| async { send(Method::GET, first, "/v1/load", &[], "").await.is_ok() }).await;
--- a/crates/fake/tests/support/mod.rs
+++ b/crates/fake/tests/support/mod.rs
@@ -81,22 +81,48 @@
     serde_json::from_str(&text).expect("JSON of the expected form")
 }
 
-/// Sends a `POST` on a connection of its own and returns everything that arrives until it closes.
+/// A response that is read from a connection of its own.
 ///
 /// The HTTP client takes a response that breaks off for a complete one; this shows the difference:
 /// only a complete chunked response ends with an empty chunk.
+pub struct Raw {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Raw {
+    /// Sends a `POST`.
+    pub async fn post(address: SocketAddr, path: &str, body: &str) -> Self {
+        let mut stream = TcpStream::connect(address).await.expect("it listens");
+        let length = body.len();
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n\
+             {body}"
+        );
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let bytes = Vec::new();
+        Self { stream, bytes }
+    }
+
+    /// Reads until `text` has arrived.
+    pub async fn read_until(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.bytes).contains(text) {
+            let read = self.stream.read_buf(&mut self.bytes).await.expect("bytes");
+            assert!(read > 0, "closed before {text}");
+        }
+    }
+
+    /// Returns everything that arrives until the connection closes.
+    pub async fn read_to_end(mut self) -> String {
+        // A reset connection counts as closed.
+        let _ = self.stream.read_to_end(&mut self.bytes).await;
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+}
+
+/// Sends a `POST` on a connection of its own and returns everything that arrives until it closes.
 pub async fn post_raw(address: SocketAddr, path: &str, body: &str) -> String {
-    let mut stream = TcpStream::connect(address).await.expect("it listens");
-    let length = body.len();
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n\
-         {body}"
-    );
-    stream.write_all(request.as_bytes()).await.expect("sent");
-    let mut bytes = Vec::new();
-    // A reset connection counts as closed.
-    let _ = stream.read_to_end(&mut bytes).await;
-    String::from_utf8_lossy(&bytes).into_owned()
+    Raw::post(address, path, body).await.read_to_end().await
 }
 
 /// Whether a raw response is a complete chunked response.
