State work only to routers that clients use

Cause: in a fleet of 58 routers, of which clients use about nine, each router that works told all others what it does every 0.7 s, routers without work repeated an empty statement every 0.6 s, and each router told one of another failure domain what it knows of all members every 0.25 s. None of that is needed where no client comes.

Now routers that are listed for clients or state work hear every statement, the others one in four; routers without work stop stating after 1.8 s; the routers of a failure domain together send 6 messages a round to other domains. Statements count until two to all would have been missed, or until their router ends.

The test of gossip across failure domains asked for three messages a round from each router; it now asks for two near ones a round and for far ones that do not grow with the routers, at 9, 30 and 150.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -14,7 +14,7 @@
     owner::{self, Place},
     registry::Registry,
 };
-use tsw_member::roster::Roster;
+use tsw_member::{audience::Audience, roster::Roster};
 use tsw_platform::{configuration, store::Item, upstream};
 use tsw_relay::router::Router;
 use tsw_route::Name;
@@ -50,6 +50,8 @@
     pub router: Rc<Router>,
     /// The other routers.
     pub roster: RefCell<Roster>,
+    /// Those that hear what this one does.
+    pub audience: RefCell<Audience>,
     /// The upstreams that the platform lists.
     pub registry: RefCell<Registry>,
     /// What the store holds, for peers.
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -2,13 +2,16 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time};
 use tsw_base::time::Tick;
 use tsw_event::{emit, Event};
 use tsw_flow::{account::Work, pool::Use, prompt::Part};
-use tsw_member::roster::{News, LIVE_FOR};
+use tsw_member::{
+    audience,
+    roster::{Member, News, LIVE_FOR},
+};
 use tsw_poison::Suspect;
 use tsw_relay::router;
 use tsw_route::Name;
@@ -133,7 +136,7 @@
 
 /// Tells other routers what this router does, until the process ends.
 pub async fn tell_activities(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
-    let mut since = Tick::ZERO;
+    let mut worked = Tick::ZERO;
     loop {
         time::sleep(gate.router.statement_period().as_duration()).await;
         let findings = gate.router.take_findings();
@@ -142,30 +145,53 @@
         }
         let activities = gate.router.activities();
         let now = gate.router.now();
-        let repeat = now.since(since).as_duration() > LIVE_FOR.as_duration() / 3;
-        if activities.is_empty() && !repeat {
+        if !activities.is_empty() {
+            worked = now;
+        } else if now.since(worked) > LIVE_FOR {
+            // That the work has ended was stated several times.
             continue;
         }
-        since = now;
+        let to = audience(&gate, now);
         let message = Message::Activities(activities.iter().map(Activity::from).collect());
-        send(&gate, &socket, &live(&gate), message).await;
+        send(&gate, &socket, &to, message).await;
     }
 }
 
+/// Returns where the routers that need the next statement hear gossip.
+fn audience(gate: &Gate, now: Tick) -> Vec<SocketAddr> {
+    let roster = gate.roster.borrow();
+    let live: Vec<&Member> = roster.live(now).collect();
+    let mut audience = gate.audience.borrow_mut();
+    audience.next(now, &live, &roster.listed(now))
+}
+
+/// Forgets what routers stated that ended or have nothing to state.
+fn forget(gate: &Gate, heard: &mut IndexMap<Name, Tick>) {
+    let now = gate.router.now();
+    let stated_for = audience::stated_for(gate.router.statement_period());
+    let roster = gate.roster.borrow();
+    let live: IndexSet<&str> = roster.live(now).map(|peer| &*peer.host).collect();
+    heard.retain(|router, at| {
+        let counts = now.since(*at) <= stated_for && live.contains(&**router);
+        if !counts {
+            gate.router.set_others(router, &[]);
+        }
+        counts
+    });
+}
+
 /// Hears other routers until the process ends.
 pub async fn hear(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
     let mut heard: IndexMap<Name, Tick> = IndexMap::new();
+    let mut forgot = Tick::ZERO;
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         let received = time::timeout(MEMBERS, socket.recv_from(&mut buffer)).await;
         let now = gate.router.now();
-        heard.retain(|router, at| {
-            let live = now.since(*at) <= LIVE_FOR;
-            if !live {
-                gate.router.set_others(router, &[]);
-            }
-            live
-        });
+        if now.since(forgot).as_duration() >= MEMBERS {
+            forgot = now;
+            forget(&gate, &mut heard);
+        }
         let (length, source) = match received {
             Err(_) => continue,
             Ok(Ok(received)) => received,
@@ -194,6 +220,9 @@
                 let from: Name = datagram.from.as_str().into();
                 let activities: Vec<router::Activity> =
                     activities.into_iter().map(Into::into).collect();
+                if !activities.is_empty() {
+                    gate.audience.borrow_mut().worked(now, &from);
+                }
                 gate.router.set_others(&from, &activities);
                 heard.insert(from, now);
             }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -186,6 +186,7 @@
     };
     Ok(Rc::new(Gate {
         roster: RefCell::new(Roster::new(me, settings.gossip_seeds())),
+        audience: RefCell::default(),
         settings: RefCell::new(settings),
         router,
         registry: RefCell::new(Registry::default()),
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`rendezvous`]: the hash that makes these choices.
 //! - [`message`]: payloads of [`Ping`], [`Ack`] and [`Update`].
 //! - [`roster`]: membership by gossip alone, where no host list exists.
+//! - [`audience`]: which routers hear what a router does.
 //! - [`timing`]: periods and limits.
 //!
 //! # Example
@@ -66,6 +67,7 @@
 //! # Ok::<(), name::Error>(())
 //! ```
 
+pub mod audience;
 pub mod choice;
 pub mod event;
 mod gossip;
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -21,6 +21,9 @@
 /// the messages stay within the failure domain, since traffic between them is dear.
 const FAN_OUT_NEAR: usize = 2;
 const FAN_OUT_FAR: usize = 1;
+/// Messages to other failure domains that the routers of one domain send together in each round, on
+/// average. They carry the news of all, so that they need not grow with the routers.
+const FAR_OF_DOMAIN: f64 = 6.0;
 /// Members in one message that are told with name and addresses, so that the news of one that
 /// starts spreads without being asked for.
 const MOST_TOLD: usize = 4;
@@ -225,7 +228,7 @@
             .retain(|_, peer| now.since(peer.heard) < KNOWN_FOR);
         let mut live: Vec<&Member> = self.live(now).collect();
         live.shuffle(rng);
-        let mut to = self.fan_out(&live);
+        let mut to = self.fan_out(&live, rng);
         let own = self.me.gossip;
         let seeds: Vec<SocketAddr> = self
             .seeds
@@ -256,15 +259,17 @@
 
     /// Returns the routers that are told in a round, given all in a random order. Where a failure
     /// domain has too few of them, others take their place.
-    fn fan_out(&self, live: &[&Member]) -> Vec<SocketAddr> {
+    fn fan_out(&self, live: &[&Member], rng: &mut impl Rng) -> Vec<SocketAddr> {
         let is_near = |member: &&&Member| member.domain == self.me.domain;
         let (near, far): (Vec<&Member>, Vec<&Member>) = live.iter().partition(is_near);
+        let in_domain = (near.len() + 1) as f64;
+        let tells_far = rng.gen_bool((FAR_OF_DOMAIN / in_domain).min(1.0));
+        let most_far = if tells_far { FAN_OUT_FAR } else { 0 };
+        let instead = FAN_OUT_NEAR.saturating_sub(near.len());
         let spare = FAN_OUT_FAR.saturating_sub(far.len());
         let near = near.into_iter().take(FAN_OUT_NEAR + spare);
-        let mut chosen: Vec<SocketAddr> = near.map(|member| member.gossip).collect();
-        let room = FAN_OUT_NEAR + FAN_OUT_FAR - chosen.len();
-        chosen.extend(far.into_iter().take(room).map(|member| member.gossip));
-        chosen
+        let far = far.into_iter().take(most_far + instead);
+        near.chain(far).map(|member| member.gossip).collect()
     }
 
     /// Returns whether this router has one of the `count` highest ranks for a duty among itself and
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -133,33 +133,42 @@
     assert_eq!(listed(&apart).len(), 69, "one failure domain has none");
 }
 
-/// Guards against gossip that mostly crosses failure domains, and against a router that is alone in
-/// its own and tells nobody.
+/// Guards against gossip that mostly crosses failure domains or whose part that does grows with the
+/// routers, and against a router that is alone in its own and tells nobody.
 #[test]
 fn most_gossip_stays_in_the_failure_domain() {
+    const ROUNDS: usize = 400;
     let now = Tick::from_micros(1);
     let mut rng = StdRng::seed_from_u64(7);
-    let members: Vec<Member> = (0..30).map(member).collect();
-    let mut roster = Roster::new(members[0].clone(), Vec::new());
-    let alone = Member {
-        domain: "alone".to_owned(),
-        ..members[0].clone()
-    };
-    let mut apart = Roster::new(alone, Vec::new());
-    let news = News {
-        members: members[1..].to_vec(),
-        ..News::default()
-    };
-    roster.hear(now, "r1", &news);
-    apart.hear(now, "r1", &news);
-    let near = |address: &std::net::SocketAddr| {
-        let found = members.iter().find(|member| member.gossip == *address);
-        found.is_some_and(|member| member.domain == "d0")
-    };
-    for _ in 0..7 {
-        let (to, _) = roster.round(now, &mut rng);
-        assert_eq!(to.iter().filter(|address| near(address)).count(), 2);
-        assert_eq!(to.len(), 3);
-        assert_eq!(apart.round(now, &mut rng).0.len(), 3);
+    for (routers, far_of_domain) in [(9, 3), (30, 6), (150, 6)] {
+        let members: Vec<Member> = (0..routers).map(member).collect();
+        let mut roster = Roster::new(members[0].clone(), Vec::new());
+        let alone = Member {
+            domain: "alone".to_owned(),
+            ..members[0].clone()
+        };
+        let mut apart = Roster::new(alone, Vec::new());
+        let news = News {
+            members: members[1..].to_vec(),
+            ..News::default()
+        };
+        roster.hear(now, "r1", &news);
+        apart.hear(now, "r1", &news);
+        let near = |address: &std::net::SocketAddr| {
+            let found = members.iter().find(|member| member.gossip == *address);
+            found.is_some_and(|member| member.domain == "d0")
+        };
+        let mut far = 0;
+        for _ in 0..ROUNDS {
+            let (to, _) = roster.round(now, &mut rng);
+            assert_eq!(to.iter().filter(|address| near(address)).count(), 2);
+            far += to.len() - 2;
+            assert_eq!(apart.round(now, &mut rng).0.len(), 3);
+        }
+        let usual = ROUNDS * far_of_domain / (routers / 3);
+        assert!(
+            (usual * 3 / 4..=usual * 5 / 4).contains(&far),
+            "{far} of {usual}"
+        );
     }
 }
