Refuse with fewer system calls and copies

Each accepted connection set two options of its socket, the body of each request was copied whole, its fields were copied one by one, and the level of the teams' work was computed three times a refusal. Options are now those of the listener, which Linux hands on; bodies in one piece and fields are moved; the level is computed once.

--- a/crates/gate/src/accept.rs
+++ b/crates/gate/src/accept.rs
@@ -88,8 +88,8 @@
 impl Allowed {
     /// Makes the request, once its body has arrived.
     #[must_use]
-    pub fn request(self, head: &head::Request, body: Bytes, arrived: Tick) -> Request {
-        let mut fields = head.fields.clone();
+    pub fn request(self, head: head::Request, body: Bytes, arrived: Tick) -> Request {
+        let mut fields = head.fields;
         front::strip(&mut fields);
         let wait = match self.deadline_ms {
             Some(ms) => Span::from_millis(ms),
@@ -100,8 +100,8 @@
         let rank = self.team.as_ref().and_then(|team| team.priority);
         Request {
             id: self.id,
-            method: head.method.clone(),
-            target: head.target.clone(),
+            method: head.method,
+            target: head.target,
             fields,
             body,
             priority: rank.unwrap_or(self.route.priority),
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -65,7 +65,7 @@
 /// Returns an error if the connection broke.
 pub async fn serve(gate: Rc<Gate>, stream: TcpStream) -> io::Result<()> {
     let _open = Counted::new(&gate.clients);
-    let mut connection = Connection::new(stream)?;
+    let mut connection = Connection::accepted(stream);
     loop {
         let limits = gate
             .router
@@ -188,7 +188,8 @@
             return Ok(responder.is_reusable());
         }
     };
-    let request = Rc::new(allowed.request(&head, body, arrived));
+    let old = head.old;
+    let request = Rc::new(allowed.request(head, body, arrived));
     let end = tokio::select! {
         end = run::run(&gate.router, &request, &mut responder) => end,
         () = left(&mut reader, &mut connection.buffer) => {
@@ -199,7 +200,7 @@
     match end {
         Ok(End::Answered) => Ok(responder.is_reusable()),
         Ok(End::Cut) => {
-            if head.old {
+            if old {
                 // The end of the connection is the end of the answer for such a client.
                 connection::reset_on_close(&connection.stream)?;
             }
@@ -233,6 +234,34 @@
     std::future::pending().await
 }
 
+/// A body that is read. One that arrives in one piece is not copied.
+#[derive(Default)]
+struct Body {
+    first: Bytes,
+    rest: BytesMut,
+}
+
+impl Body {
+    fn len(&self) -> usize {
+        self.first.len() + self.rest.len()
+    }
+
+    fn push(&mut self, data: Bytes) {
+        if self.first.is_empty() {
+            self.first = data;
+        } else {
+            self.rest.extend_from_slice(&data);
+        }
+    }
+
+    fn into_bytes(self) -> Bytes {
+        if self.rest.is_empty() {
+            return self.first;
+        }
+        [self.first, self.rest.freeze()].concat().into()
+    }
+}
+
 /// Reads the body of a request; the inner error is the answer to a body that is refused.
 async fn read_body(
     connection: &mut Connection,
@@ -251,7 +280,7 @@
         connection.stream.write_all(interim).await?;
     }
     let mut decoder = body::Decoder::new(length);
-    let mut body = BytesMut::new();
+    let mut body = Body::default();
     let stated = match length {
         body::Length::Exact(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
         _ => 0,
@@ -262,8 +291,8 @@
             Ok(Some(data)) if body.len() + data.len() > limits.body_bytes => {
                 return Ok(Err(Own::Long));
             }
-            Ok(Some(data)) => body.extend_from_slice(&data),
-            Ok(None) if decoder.is_done() => return Ok(Ok(body.freeze())),
+            Ok(Some(data)) => body.push(data),
+            Ok(None) if decoder.is_done() => return Ok(Ok(body.into_bytes())),
             Ok(None) => match time::timeout(BODY_PAUSE, connection.fill_up_to(expected)).await {
                 Ok(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(read) => {
--- a/crates/gate/src/own.rs
+++ b/crates/gate/src/own.rs
@@ -24,7 +24,7 @@
 ///
 /// Returns an error if the connection broke.
 pub async fn serve(gate: Rc<Gate>, stream: TcpStream) -> io::Result<()> {
-    let mut connection = Connection::new(stream)?;
+    let mut connection = Connection::accepted(stream);
     loop {
         let request = loop {
             match head::Request::take(&mut connection.buffer, MAX_HEAD) {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -20,6 +20,7 @@
 use tsw_config::{gateway, settings};
 use tsw_event::{emit, Event};
 use tsw_flow::registry::Registry;
+use tsw_http::connection;
 use tsw_member::roster::{Member, Roster};
 use tsw_platform::dialect::Dialect;
 use tsw_relay::{
@@ -199,7 +200,7 @@
 }
 
 async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
-    let bound = TcpListener::bind(address).await;
+    let bound = connection::listen(address).await;
     bound.map_err(|source| Error::Bind {
         key,
         address,
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -3,7 +3,11 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::BytesMut;
-use tokio::{io::AsyncReadExt, net::TcpStream, time};
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
+    time,
+};
 
 /// Bytes of room kept free in a read buffer. Events of a stream have some hundred bytes.
 const READ_BYTES: usize = 4_096;
@@ -22,6 +26,23 @@
     pub buffer: BytesMut,
 }
 
+/// Listens on an address. The connections that are accepted there take over the options of the
+/// listener, so that none of them costs a call of the operating system for it.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be listened on or the options cannot be set.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    set_options(&socket2::SockRef::from(&listener))?;
+    Ok(listener)
+}
+
+fn set_options(socket: &socket2::SockRef<'_>) -> io::Result<()> {
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
+}
+
 impl Connection {
     /// Takes over an open connection.
     ///
@@ -29,12 +50,17 @@
     ///
     /// Returns an error if the options of the socket cannot be set.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
-        stream.set_nodelay(true)?;
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
-        Ok(Self {
+        set_options(&socket2::SockRef::from(&stream))?;
+        Ok(Self::accepted(stream))
+    }
+
+    /// Takes over a connection that was accepted at a listener of [`listen`].
+    #[must_use]
+    pub fn accepted(stream: TcpStream) -> Self {
+        Self {
             stream,
             buffer: BytesMut::new(),
-        })
+        }
     }
 
     /// Connects to an address.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -109,10 +109,7 @@
     let end = match time::timeout(left, life.go()).await {
         Ok(end) => end?,
         Err(_) => {
-            let refused = Refused {
-                refusal: Refusal::Late,
-                after: Span::ZERO,
-            };
+            let refused = Refused::new(Refusal::Late, Span::ZERO);
             match life.tried.answer() {
                 verdict::Answer::NotRun => life.refuse(refused).await?,
                 _ => life.give(Own::Overdue).await?,
@@ -129,7 +126,7 @@
         loop {
             if let Some(after) = self.router.poison(self.request) {
                 let refusal = Refusal::Poison;
-                return self.without_place(Refused { refusal, after }).await;
+                return self.without_place(Refused::new(refusal, after)).await;
             }
             let place = match self.router.place(self.request, &self.avoid).await {
                 Ok(place) => place,
--- a/crates/relay/src/run/end.rs
+++ b/crates/relay/src/run/end.rs
@@ -38,10 +38,7 @@
         }
         match answer {
             verdict::Answer::NotRun => {
-                let refused = Refused {
-                    refusal: Refusal::NoUpstream,
-                    after: AGAIN,
-                };
+                let refused = Refused::new(Refusal::NoUpstream, AGAIN);
                 self.refuse(refused).await
             }
             _ => self.give(Own::Unknown).await,
@@ -50,12 +47,13 @@
 
     pub(super) async fn refuse(&mut self, refused: Refused) -> io::Result<End> {
         let (router, team, now) = (self.router, self.request.team(), self.router.now());
-        let (received, level, waiting) = router
+        let (received, waiting) = router
             .with_service(&self.request.service, |service| {
                 let received = service.accounts.team(now, team).received;
-                (received, service.level(now), service.queue.len())
+                (received, service.queue.len())
             })
             .unwrap_or_default();
+        let level = refused.level.unwrap_or(f64::INFINITY);
         emit(
             Event::Refused,
             &[
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -108,12 +108,26 @@
 }
 
 /// A request was not given a place.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refused {
     /// Why.
     pub refusal: Refusal,
     /// When the client may come back.
     pub after: Span,
+    /// Work up to which each team was served then, if the refusal depends on it.
+    pub level: Option<f64>,
+}
+
+impl Refused {
+    /// Makes a refusal that depends on no team's work.
+    #[must_use]
+    pub const fn new(refusal: Refusal, after: Span) -> Self {
+        Self {
+            refusal,
+            after,
+            level: None,
+        }
+    }
 }
 
 fn work(request: &Request) -> u64 {
@@ -136,10 +150,10 @@
         let age = self.statement_period();
         let wait = self.with_service(&request.service, |service| {
             let prompt = request.prompt.as_ref();
+            let level = service.level(now);
             if prompt.is_some_and(|prompt| service.is_too_long(prompt)) {
-                return Err(Refusal::NoUpstream);
+                return Err((Refusal::NoUpstream, level));
             }
-            let level = service.level(now);
             let team = request.team();
             service.accounts.ask(now, &team.into(), work(request));
             let may_start = service.may_start(now, team, work(request), level);
@@ -149,12 +163,12 @@
                 }
             }
             if service.pool.takers() == 0 {
-                return Err(Refusal::NoUpstream);
+                return Err((Refusal::NoUpstream, level));
             }
             let until = patience(request, due, service.engine().is_some());
             let ahead = service.backlog(now, team, level);
             if now + ahead >= until {
-                return Err(Refusal::Late);
+                return Err((Refusal::Late, level));
             }
             let objective = request.route.objective.as_micros();
             let objective = Span::from_micros(u64::try_from(objective).unwrap_or(u64::MAX));
@@ -170,13 +184,9 @@
                 until,
             )))
         });
-        let refuse = |refusal| {
-            let after = self.come_back(request);
-            Err(Refused { refusal, after })
-        };
         let (number, until) = match wait {
-            None => return refuse(Refusal::NoUpstream),
-            Some(Err(refusal)) => return refuse(refusal),
+            None => return Err(Refused::new(Refusal::NoUpstream, RETURN_LEAST)),
+            Some(Err((refusal, level))) => return Err(self.refused(request, refusal, level)),
             Some(Ok(Ok(choice))) => return Ok(self.hold(request, choice)),
             Some(Ok(Err(ticket))) => ticket,
         };
@@ -218,10 +228,12 @@
         self.metrics.waiting.dec();
         match granted {
             Ok(Ok(place)) => Ok(place),
-            _ => Err(Refused {
-                refusal: Refusal::Late,
-                after: self.come_back(request),
-            }),
+            _ => {
+                let now = self.now();
+                let level = self.with_service(&request.service, |service| service.level(now));
+                let level = level.unwrap_or(f64::INFINITY);
+                Err(self.refused(request, Refusal::Late, level))
+            }
         }
     }
 
@@ -234,19 +246,24 @@
         }
     }
 
-    /// Returns when a refused client is asked to come back: when what waits now has started, at a
-    /// time drawn at random so that clients that were refused together do not return together.
-    fn come_back(&self, request: &Request) -> Span {
+    /// Refuses a request, given the level. The client is asked to come back when what waits now has
+    /// started, at a time drawn at random so that clients that were refused together do not return
+    /// together.
+    fn refused(&self, request: &Request, refusal: Refusal, level: f64) -> Refused {
         let now = self.now();
         let backlog = self.with_service(&request.service, |service| {
-            service.backlog(now, request.team(), service.level(now))
+            service.backlog(now, request.team(), level)
         });
         let left = request.deadline.since(now).as_micros() / RETURN_PART;
         let least = RETURN_LEAST.as_micros();
         let wait = backlog.unwrap_or(RETURN_LEAST).as_micros().max(least);
         let spread = 1.0 + rand::random::<f64>();
         let after = (wait as f64 * spread) as u64;
-        Span::from_micros(after.min(left).max(least.min(left)))
+        Refused {
+            refusal,
+            after: Span::from_micros(after.min(left).max(least.min(left))),
+            level: Some(level),
+        }
     }
 
     /// Gives free places of a service to the requests that wait for them, at once or after a pause
