End connections with a refusal where clients use them once

Cause: clients come back on a new connection after a refusal and leave the old one open. The end of such a connection costs the router a wake-up and a read more than ending it itself.

Now a router whose latest hundred or so requests were mostly the first on their connection ends a connection with the refusal; elsewhere connections are kept.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -66,6 +66,7 @@
 pub async fn serve(gate: Rc<Gate>, stream: TcpStream) -> io::Result<()> {
     let _open = Counted::new(&gate.clients);
     let mut connection = Connection::accepted(stream);
+    let mut first = true;
     loop {
         let limits = gate
             .router
@@ -76,6 +77,7 @@
             Next::Fault(own) => return refuse(&gate, connection, own).await,
             Next::End => return Ok(()),
         };
+        gate.reuse.note(std::mem::take(&mut first));
         if !answer(&gate, &mut connection, head, &limits).await? {
             return Ok(());
         }
@@ -171,6 +173,9 @@
     let closing = gate.closes_after_answer();
     let (mut reader, writer) = connection.stream.split();
     let mut responder = Responder::new(writer, &head, closing);
+    if gate.reuse.is_rare() {
+        responder.close_if_refused();
+    }
     let allowed = match checked {
         Ok(allowed) => allowed,
         Err(denied) => {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -19,7 +19,7 @@
 use tsw_relay::router::Router;
 use tsw_route::Name;
 
-use crate::stored::Stored;
+use crate::{reuse::Reuse, stored::Stored};
 
 /// Routers up to which each one watches the store.
 const SMALL_FLEET: usize = 8;
@@ -64,6 +64,8 @@
     pub in_flight: Cell<usize>,
     /// Open connections of clients.
     pub clients: Cell<usize>,
+    /// Whether clients use them again.
+    pub reuse: Reuse,
 }
 
 impl Gate {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`serve`]: start, signals and the end of the process.
 //! - [`gate`]: the shared state.
-//! - [`client`]: connections of clients; [`accept`]: from the head of a request to its life.
+//! - [`client`]: connections of clients; [`accept`]: from the head of a request to its life;
+//!   [`reuse`]: whether clients use connections again.
 //! - [`own`]: calls to the router itself: readiness, addresses, metrics, reads by peers.
 //! - [`read`]: reads the platform's store; [`peer`]: reads peers that know more; [`stored`]: what
 //!   the store holds, and what a peer lacks of it.
@@ -18,5 +19,6 @@
 pub mod own;
 pub mod peer;
 pub mod read;
+pub mod reuse;
 pub mod serve;
 pub mod stored;
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -33,6 +33,7 @@
     gate::{Gate, Phase},
     gossip, own, peer,
     read::{self, Subject},
+    reuse::Reuse,
     stored::Stored,
 };
 
@@ -196,6 +197,7 @@
         phase: watch::Sender::new(Phase::Serving),
         in_flight: Cell::new(0),
         clients: Cell::new(0),
+        reuse: Reuse::default(),
     }))
 }
 
--- a/crates/relay/src/responder.rs
+++ b/crates/relay/src/responder.rs
@@ -29,6 +29,7 @@
     /// of the connection.
     old: bool,
     close: bool,
+    close_if_refused: bool,
     out: BytesMut,
 }
 
@@ -41,6 +42,7 @@
             progress: Progress::Unsent,
             old: request.old,
             close: close || !request.keeps_alive(),
+            close_if_refused: false,
             out: BytesMut::new(),
         }
     }
@@ -50,6 +52,16 @@
         self.close = true;
     }
 
+    /// Closes the connection after the answer if that says that the request has not run.
+    pub fn close_if_refused(&mut self) {
+        self.close_if_refused = true;
+    }
+
+    /// Notes that the answer says that the request has not run.
+    pub fn refuse(&mut self) {
+        self.close |= self.close_if_refused;
+    }
+
     /// Returns what was written.
     #[must_use]
     pub const fn progress(&self) -> Progress {
--- a/crates/relay/src/run/end.rs
+++ b/crates/relay/src/run/end.rs
@@ -147,6 +147,9 @@
     if own.closes() {
         responder.close();
     }
+    if matches!(own, Own::NotRun(..)) {
+        responder.refuse();
+    }
     let fields = router.dialect.answer(id, own.retry_after_s());
     let body = format!("{{\"error\":\"{own}\"}}\n");
     responder.whole(own.status(), fields, body.as_bytes()).await
