Read bodies of known length without copies

Cause: a body that came in more than one read was copied into a buffer of its own piece by piece and then once more. Such a body now stays in the buffer of its connection until it is whole.

The test of bodies in pieces held before as well; it guards the new code.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -239,34 +239,6 @@
     std::future::pending().await
 }
 
-/// A body that is read. One that arrives in one piece is not copied.
-#[derive(Default)]
-struct Body {
-    first: Bytes,
-    rest: BytesMut,
-}
-
-impl Body {
-    fn len(&self) -> usize {
-        self.first.len() + self.rest.len()
-    }
-
-    fn push(&mut self, data: Bytes) {
-        if self.first.is_empty() {
-            self.first = data;
-        } else {
-            self.rest.extend_from_slice(&data);
-        }
-    }
-
-    fn into_bytes(self) -> Bytes {
-        if self.rest.is_empty() {
-            return self.first;
-        }
-        [self.first, self.rest.freeze()].concat().into()
-    }
-}
-
 /// Reads the body of a request; the inner error is the answer to a body that is refused.
 async fn read_body(
     connection: &mut Connection,
@@ -284,28 +256,56 @@
         let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
         connection.stream.write_all(interim).await?;
     }
-    let mut decoder = body::Decoder::new(length);
-    let mut body = Body::default();
-    let stated = match length {
-        body::Length::Exact(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
-        _ => 0,
-    };
+    match length {
+        body::Length::Exact(bytes) => {
+            let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+            read_exact(connection, bytes).await
+        }
+        _ => read_framed(connection, body::Decoder::new(length), limits).await,
+    }
+}
+
+/// Reads a body of known length, without a copy of its bytes.
+async fn read_exact(connection: &mut Connection, bytes: usize) -> io::Result<Result<Bytes, Own>> {
+    while connection.buffer.len() < bytes {
+        let missing = bytes - connection.buffer.len();
+        if let Err(own) = more(connection, missing).await? {
+            return Ok(Err(own));
+        }
+    }
+    Ok(Ok(connection.buffer.split_to(bytes).freeze()))
+}
+
+/// Reads a body in chunks.
+async fn read_framed(
+    connection: &mut Connection,
+    mut decoder: body::Decoder,
+    limits: &Limits,
+) -> io::Result<Result<Bytes, Own>> {
+    let mut body = BytesMut::new();
     loop {
-        let expected = stated.saturating_sub(body.len());
         match decoder.take(&mut connection.buffer) {
             Ok(Some(data)) if body.len() + data.len() > limits.body_bytes => {
                 return Ok(Err(Own::Long));
             }
-            Ok(Some(data)) => body.push(data),
-            Ok(None) if decoder.is_done() => return Ok(Ok(body.into_bytes())),
-            Ok(None) => match time::timeout(BODY_PAUSE, connection.fill_up_to(expected)).await {
-                Ok(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(read) => {
-                    read?;
+            Ok(Some(data)) => body.extend_from_slice(&data),
+            Ok(None) if decoder.is_done() => return Ok(Ok(body.freeze())),
+            Ok(None) => {
+                if let Err(own) = more(connection, 0).await? {
+                    return Ok(Err(own));
                 }
-                Err(_) => return Ok(Err(Own::Slow)),
-            },
+            }
             Err(_) => return Ok(Err(Own::Malformed)),
         }
     }
 }
+
+/// Reads more of a body, of which so many bytes are known to come; the inner error is the answer
+/// to a client that sends nothing for too long.
+async fn more(connection: &mut Connection, expected: usize) -> io::Result<Result<(), Own>> {
+    match time::timeout(BODY_PAUSE, connection.fill_up_to(expected)).await {
+        Ok(Ok(0)) => Err(io::ErrorKind::UnexpectedEof.into()),
+        Ok(read) => read.map(|_| Ok(())),
+        Err(_) => Ok(Err(Own::Slow)),
+    }
+}
--- a/crates/toucand/tests/platform.rs
+++ b/crates/toucand/tests/platform.rs
@@ -6,8 +6,10 @@
 
 use std::time::Duration;
 
+use bytes::BytesMut;
 use fleet::{configuration, entry, read, until, Call, Router, Site, HOST, PATIENCE};
 use rustix::process::Signal;
+use tokio::{io::AsyncWriteExt as _, net::TcpStream};
 use tsw_fake::{
     store::{Mode, Store},
     worker::{Behaviour, Worker},
@@ -53,6 +55,35 @@
     assert!(left <= 15_000, "more time than the client has: {left}");
 }
 
+/// Guards against a body that is cut or mixed up where it arrives in pieces, or that takes up a part of
+/// the next request.
+#[actix_rt::test]
+async fn bodies_that_arrive_in_pieces_are_passed_on_whole() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let stream = TcpStream::connect(site.router.client).await;
+    let mut stream = stream.expect("a connection");
+    let body: Vec<u8> = (0..90_000u32).map(|at| (at % 251) as u8).collect();
+    let mut sent = Vec::new();
+    for id in ["a1", "a2"] {
+        let mut call = Call::proper("POST", "/book/1", id);
+        call.head
+            .fields
+            .push("Content-Length", body.len().to_string());
+        let mut head = BytesMut::new();
+        call.head.write(&mut head);
+        sent.extend_from_slice(&head);
+        sent.extend_from_slice(&body);
+    }
+    for piece in sent.chunks(13_001) {
+        stream.write_all(piece).await.expect("sent");
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    until("both requests arrive", || site.desk.arrivals().len() == 2).await;
+    for arrival in site.desk.arrivals() {
+        assert!(arrival.body[..] == body[..], "the body differs");
+    }
+}
+
 #[actix_rt::test]
 async fn requests_that_are_not_allowed_reach_no_upstream() {
     let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
