Send prompts to other failure domains only when they start clearly earlier

The operators call bytes between failure domains dear. Now the engine there must be 3,000 tokens (some 40 ms) ahead, a tenth of the shortest objective.

--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -19,9 +19,9 @@
 /// Tokens moved between engines that cost as much as reading one.
 const MOVED_PER_READ: u64 = 15;
 
-/// Prompt tokens that an engine reads in the time that an engine in another failure domain costs more:
-/// two round trips, of 2 to 3 ms each, one of them to connect.
-const FAR_TOKENS: u64 = 300;
+/// Prompt tokens by which an engine in another failure domain must be ahead: an engine reads them in
+/// about a tenth of the shortest objective of 400 ms. Traffic between failure domains is dear.
+const FAR_TOKENS: u64 = 3_000;
 
 /// Prompt tokens that others send, in a millisecond, to an engine that this router does not own.
 /// Engines read some 50 in that time, and most of their prompts come from their owner.
