--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -14,8 +14,8 @@
 /// request lengthens each step by about 0.1 ms, in which an engine reads 5 to 6 tokens; a prompt
 /// lasts for some ten steps.
 const RUNNING_TOKENS: u64 = 60;
-/// Fewest tokens that are worth a fetch: setting one up takes about as long as reading these.
-const FETCH_LEAST: u64 = 500;
+/// Fewest tokens that are worth a fetch, which delays an engine about as much as reading these.
+const FETCH_LEAST: u64 = 60;
 /// Tokens moved between engines that cost as much as reading one.
 const MOVED_PER_READ: u64 = 15;
 
--- a/crates/flow/tests/pool.rs
+++ b/crates/flow/tests/pool.rs
@@ -128,6 +128,30 @@
     assert_eq!(again.fetch, None);
 }
 
+/// Pattern: many short prompts with a short part that all share. Guards against a part that each
+/// engine reads anew, since it is short.
+#[test]
+fn short_shared_parts_are_fetched_as_well() {
+    let short = |own| Prompt {
+        tokens: 800,
+        expected: 50,
+        parts: [(7, 120), (own, 680)]
+            .map(|(id, tokens)| Part { id, tokens })
+            .to_vec(),
+    };
+    let mut pool = pool(3);
+    let home = pool.choose(at(0), &ask(&short(1))).expect("an engine");
+    pool.begin(&home, Some(&short(1)));
+    let used = Use {
+        requests: 2,
+        unread: 10_000,
+    };
+    pool.set_others(&"r1".into(), vec![(home.id.clone(), used)]);
+    let other = pool.choose(at(0), &ask(&short(2))).expect("an engine");
+    assert_ne!(other.id, home.id);
+    assert_eq!((other.unread, other.fetch), (680, Some(home.address)));
+}
+
 #[test]
 fn only_shared_parts_are_told_to_other_routers() {
     let prompt = prompt(7, 1);
