Call the store less often and spread its readers over the failure domains

Now readers pause for 0.6 s (six of them read in turn, so that the newest is still 0.1 s old), the others read once a minute, and the first reader of each failure domain goes before the second of any.

Ruled out: one watch for configuration and upstreams together, since the configuration would wait for the pause; a longer watch of the configuration, which a silent connection would hold up beyond the bound.

--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -21,12 +21,13 @@
 const WATCH: Duration = Duration::from_millis(900);
 /// Pause after a watch of the upstreams, so that many changes in a row are read together.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(100);
-/// The same pause in a large fleet, where an upstream changes its entry every few milliseconds. A
-/// leaving upstream serves for two seconds or longer; gossip takes half of that.
-const LARGE_PAUSE: Duration = Duration::from_millis(300);
-/// Period of the reads of a router that learns changes from its peers. It is shorter than the 20 s
-/// after which the store forgets its history, so that such a read needs no whole list.
-const SELDOM: Duration = Duration::from_secs(15);
+/// The same pause in a large fleet, where an upstream changes its entry every few milliseconds. Several
+/// routers read in turn, and the others read the one that knows most. A leaving upstream serves for
+/// two seconds or longer; gossip takes half of that.
+const LARGE_PAUSE: Duration = Duration::from_millis(600);
+/// Period of the reads of a router that learns changes from its peers. It only tells a router that
+/// became cut off from the store, which it learns as well when its turn to watch comes.
+const SELDOM: Duration = Duration::from_secs(60);
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(250);
 
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -4,7 +4,7 @@
 //! the newest beats of all that it knows; a router whose beat stands still is no longer listed. Names
 //! and addresses, which do not change, are told of a few in each message and to those who ask.
 
-use std::net::SocketAddr;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use indexmap::{IndexMap, IndexSet};
 use rand::{seq::SliceRandom, Rng};
@@ -245,7 +245,7 @@
         let told = live.into_iter().take(MOST_TOLD - 1).cloned();
         let members = std::iter::once(self.me.clone()).chain(told).collect();
         let mut latest: Vec<&Peer> = self.live_peers(now).collect();
-        latest.sort_unstable_by_key(|peer| std::cmp::Reverse(peer.heard));
+        latest.sort_unstable_by_key(|peer| Reverse(peer.heard));
         let beats = latest.into_iter().take(MOST_BEATS);
         let beats = beats.map(|peer| peer.member.beat()).collect();
         let wanted = std::mem::take(&mut self.wanted).into_iter().collect();
@@ -273,7 +273,8 @@
     }
 
     /// Returns whether this router has one of the `count` highest ranks for a duty among itself and
-    /// the running routers that read the store.
+    /// the running routers that read the store. They are spread over the failure domains, so that the
+    /// others find one in their own.
     ///
     /// ```
     /// use tsw_base::time::Tick;
@@ -295,15 +296,20 @@
     /// ```
     #[must_use]
     pub fn is_reader(&self, now: Tick, count: usize) -> bool {
-        let rank = |member: &Member| {
-            (
-                rendezvous::weight(READERS, &member.host),
-                member.host.clone(),
-            )
-        };
-        let own = rank(&self.me);
+        let rank = |member: &Member| rendezvous::weight(READERS, &member.host);
         let readers = self.live(now).filter(|peer| peer.reads_store);
-        readers.filter(|peer| rank(peer) > own).count() < count
+        let mut readers: Vec<&Member> = readers.chain([&self.me]).collect();
+        readers.sort_by_cached_key(|member| (Reverse(rank(member)), member.host.clone()));
+        // The first of each failure domain goes before the second of any.
+        let mut turns: IndexMap<&str, usize> = IndexMap::new();
+        let turns = readers.iter().map(|member| {
+            let turn = turns.entry(&member.domain).or_default();
+            *turn += 1;
+            (*turn, member.host == self.me.host)
+        });
+        let mut turns: Vec<(usize, bool)> = turns.collect();
+        turns.sort_by_key(|(turn, _)| *turn);
+        turns.into_iter().take(count).any(|(_, own)| own)
     }
 
     /// Returns the routers that clients are to use, in an order that is the same at all routers.
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -123,6 +123,39 @@
     assert_eq!(listed(&lost), ["r0", "r1", "r2", "r3", "r4"]);
 }
 
+/// Guards against failure domains without a reader of the store, whose routers all read peers in others,
+/// and against readers that are too few after some of them ended.
+#[test]
+fn readers_of_the_store_are_spread_over_the_failure_domains() {
+    let now = Tick::from_micros(1);
+    let all: Vec<Member> = (0..95).map(member).collect();
+    let readers = |running: &[Member]| -> Vec<Member> {
+        let is_reader = |own: &&Member| {
+            let mut roster = Roster::new((*own).clone(), Vec::new());
+            let members = running.to_vec();
+            let news = News {
+                members,
+                ..News::default()
+            };
+            roster.hear(now, "r", &news);
+            roster.is_reader(now, 4)
+        };
+        running.iter().filter(is_reader).cloned().collect()
+    };
+    let mut running = all;
+    for _ in 0..5 {
+        let found = readers(&running);
+        assert_eq!(found.len(), 4);
+        for domain in ["d0", "d1", "d2"] {
+            assert!(
+                found.iter().any(|reader| reader.domain == domain),
+                "{domain}"
+            );
+        }
+        running.retain(|member| !found.contains(member));
+    }
+}
+
 /// Guards against lists that are too short to bear the load or the loss of a router.
 #[test]
 fn all_routers_are_listed_if_the_strong_ones_are_equal_few_or_missing_somewhere() {
