Send statements in pieces that fit into datagrams, and show their age

Cause, found by reading: a statement names all upstreams, teams and shared parts of a router in use. The reader cut datagrams at 16,384 bytes and dropped them, so that the others believed a router with, for example, 990 teams idle.

Statements now go out in pieces of at most 12 KB of items, which the reader puts together; a name that fits into no piece and a datagram beyond the limit are typed errors in the log, on both sides. Tests: statement.rs, with up to 1,000 upstreams, 300 reads and 1,000 teams of a service.

The age of what others stated is a histogram (relay_statement_age_seconds) and stands in each decision's log line (known_us); the length of messages is one as well (relay_statement_bytes).

--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -2,12 +2,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time};
 use tsw_base::time::Tick;
 use tsw_event::{emit, Event};
-use tsw_flow::{account::Work, pool::Use, prompt::Part};
 use tsw_member::{
     audience,
     roster::{Member, News, LIVE_FOR},
@@ -16,77 +15,21 @@
 use tsw_relay::router;
 use tsw_route::Name;
 
-use crate::gate::{Gate, Phase};
+use crate::{
+    gate::{Gate, Phase},
+    statement::{self, Activity, Assembly, MAX_DATAGRAM},
+};
 
 /// Period of gossip about members.
 const MEMBERS: Duration = Duration::from_millis(250);
-/// Longest datagram that is read.
-const MAX_DATAGRAM: usize = 16_384;
 
 #[derive(Debug, Deserialize, Serialize)]
 enum Message {
     Members(News),
-    Activities(Vec<Activity>),
+    Activities(statement::Piece),
     Findings(Suspect),
 }
 
-/// What one router does for a service, as it is sent.
-#[derive(Debug, Deserialize, Serialize)]
-struct Activity {
-    service: String,
-    /// Upstream, requests and tokens of prompts that are not read yet.
-    uses: Vec<(String, u32, u64)>,
-    /// Upstream, and parts of prompts that it was told to read: identifier and tokens.
-    read: Vec<(String, Vec<(u64, u64)>)>,
-    /// Team, and work that it asked for and received lately.
-    teams: Vec<(String, f32, f32)>,
-}
-
-impl From<&router::Activity> for Activity {
-    fn from(activity: &router::Activity) -> Self {
-        let uses = activity.uses.iter();
-        let teams = activity.teams.iter();
-        let read = activity.read.iter().map(|(id, parts)| {
-            let parts = parts.iter().map(|part| (part.id, part.tokens));
-            (id.to_string(), parts.collect())
-        });
-        Self {
-            service: activity.service.to_string(),
-            uses: uses
-                .map(|(id, used)| (id.to_string(), used.requests, used.unread))
-                .collect(),
-            read: read.collect(),
-            teams: teams
-                .map(|(team, work)| (team.to_string(), work.asked as f32, work.received as f32))
-                .collect(),
-        }
-    }
-}
-
-impl From<Activity> for router::Activity {
-    fn from(activity: Activity) -> Self {
-        let uses = activity.uses.into_iter();
-        let teams = activity.teams.into_iter();
-        let read = activity.read.into_iter().map(|(id, parts)| {
-            let parts = parts.into_iter().map(|(id, tokens)| Part { id, tokens });
-            (id.into(), parts.collect())
-        });
-        Self {
-            service: activity.service.into(),
-            uses: uses
-                .map(|(id, requests, unread)| (id.into(), Use { requests, unread }))
-                .collect(),
-            read: read.collect(),
-            teams: teams
-                .map(|(team, asked, received)| {
-                    let (asked, received) = (f64::from(asked), f64::from(received));
-                    (team.into(), Work { asked, received })
-                })
-                .collect(),
-        }
-    }
-}
-
 #[derive(Debug, Deserialize, Serialize)]
 struct Datagram {
     from: String,
@@ -106,6 +49,12 @@
         Ok(bytes) => bytes,
         Err(error) => return emit(Event::InternalFailed, &[("cause", &error)]),
     };
+    if bytes.len() > MAX_DATAGRAM {
+        let bytes = bytes.len();
+        let error = statement::Error::Datagram { bytes };
+        return emit(Event::InternalFailed, &[("cause", &error)]);
+    }
+    gate.router.metrics.stated.observe(bytes.len() as f64);
     for address in to {
         // A datagram may be lost on its way as well; the next one says the same or more.
         if let Err(error) = socket.send_to(&bytes, address).await {
@@ -152,8 +101,15 @@
             continue;
         }
         let to = audience(&gate, now);
-        let message = Message::Activities(activities.iter().map(Activity::from).collect());
-        send(&gate, &socket, &to, message).await;
+        let activities = activities.iter().map(Activity::from).collect();
+        match statement::split(now.as_micros(), activities) {
+            Ok(pieces) => {
+                for piece in pieces {
+                    send(&gate, &socket, &to, Message::Activities(piece)).await;
+                }
+            }
+            Err(error) => emit(Event::InternalFailed, &[("cause", &error)]),
+        }
     }
 }
 
@@ -166,31 +122,29 @@
 }
 
 /// Forgets what routers stated that ended or have nothing to state.
-fn forget(gate: &Gate, heard: &mut IndexMap<Name, Tick>) {
+fn forget(gate: &Gate, assembly: &mut Assembly) {
     let now = gate.router.now();
     let stated_for = audience::stated_for(gate.router.statement_period());
     let roster = gate.roster.borrow();
     let live: IndexSet<&str> = roster.live(now).map(|peer| &*peer.host).collect();
-    heard.retain(|router, at| {
-        let counts = now.since(*at) <= stated_for && live.contains(&**router);
-        if !counts {
-            gate.router.set_others(router, &[]);
-        }
-        counts
-    });
+    let ended = gate
+        .router
+        .retain_others(|router, age| age <= stated_for && live.contains(router));
+    ended.iter().for_each(|router| assembly.forget(router));
 }
 
 /// Hears other routers until the process ends.
 pub async fn hear(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
-    let mut heard: IndexMap<Name, Tick> = IndexMap::new();
+    let mut assembly = Assembly::default();
     let mut forgot = Tick::ZERO;
-    let mut buffer = vec![0; MAX_DATAGRAM];
+    // One byte more than allowed shows a datagram that was cut.
+    let mut buffer = vec![0; MAX_DATAGRAM + 1];
     loop {
         let received = time::timeout(MEMBERS, socket.recv_from(&mut buffer)).await;
         let now = gate.router.now();
         if now.since(forgot).as_duration() >= MEMBERS {
             forgot = now;
-            forget(&gate, &mut heard);
+            forget(&gate, &mut assembly);
         }
         let (length, source) = match received {
             Err(_) => continue,
@@ -201,6 +155,11 @@
                 continue;
             }
         };
+        if length > MAX_DATAGRAM {
+            let error = statement::Error::Datagram { bytes: length };
+            emit(Event::FrameDropped, &[("cause", &error)]);
+            continue;
+        }
         let datagram: Datagram = match postcard::from_bytes(&buffer[..length]) {
             Ok(datagram) => datagram,
             Err(error) => {
@@ -216,15 +175,17 @@
                 }
             }
             Message::Findings(suspect) => gate.router.set_findings(suspect),
-            Message::Activities(activities) => {
+            Message::Activities(piece) => {
                 let from: Name = datagram.from.as_str().into();
+                let Some(activities) = assembly.take(&from, piece) else {
+                    continue;
+                };
                 let activities: Vec<router::Activity> =
                     activities.into_iter().map(Into::into).collect();
                 if !activities.is_empty() {
                     gate.audience.borrow_mut().worked(now, &from);
                 }
                 gate.router.set_others(&from, &activities);
-                heard.insert(from, now);
             }
         }
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`own`]: calls to the router itself: readiness, addresses, metrics, reads by peers.
 //! - [`read`]: reads the platform's store; [`peer`]: reads peers that know more; [`stored`]: what
 //!   the store holds, and what a peer lacks of it.
-//! - [`gossip`]: membership and load between routers.
+//! - [`gossip`]: membership and load between routers; [`statement`]: load in pieces that fit into
+//!   datagrams.
 //!
 //! What happens to a request after its admission is in `tsw-relay`, the decisions are in
 //! `tsw-flow`, and the names of the platform are in `tsw-platform`.
@@ -21,4 +22,5 @@
 pub mod read;
 pub mod reuse;
 pub mod serve;
+pub mod statement;
 pub mod stored;
--- /dev/null
+++ b/crates/gate/tests/statement.rs
@@ -0,0 +1,107 @@
+//! Guards against statements of routers with many upstreams, teams or prompts that are cut on their
+//! way, so that the others believe it idle, and against statements put together of wrong pieces.
+
+use proptest::prelude::*;
+use tsw_flow::{account::Work, pool::Use, prompt::Part};
+use tsw_gate::statement::{split, Activity, Assembly, Error, MAX_DATAGRAM};
+use tsw_relay::router;
+
+fn activity(service: &str, upstreams: usize, reads: usize, teams: usize) -> router::Activity {
+    let part = Part {
+        id: u64::MAX,
+        tokens: 1 << 24,
+    };
+    let used = Use {
+        requests: u32::MAX,
+        unread: u64::MAX,
+    };
+    let work = Work {
+        asked: 1e6,
+        received: 2.5,
+    };
+    let name = |kind: &str, number: usize| format!("{kind}-{number:010}").as_str().into();
+    router::Activity {
+        service: service.into(),
+        uses: (0..upstreams).map(|n| (name("i", n), used)).collect(),
+        read: (0..reads).map(|n| (name("i", n), vec![part; 3])).collect(),
+        teams: (0..teams).map(|n| (name("team", n), work)).collect(),
+    }
+}
+
+proptest! {
+    /// Pattern: fleets of every size up to hundreds of routers, 1,000 upstreams and 990 teams.
+    #[test]
+    fn statements_of_any_size_arrive_whole_in_datagrams_of_bounded_size(
+        sizes in proptest::collection::vec((0usize..1_000, 0usize..300, 0usize..1_000), 0..4),
+        reverse: bool,
+    ) {
+        let stated: Vec<router::Activity> = sizes
+            .iter()
+            .enumerate()
+            .map(|(at, (upstreams, reads, teams))| {
+                activity(&format!("s{at}"), *upstreams, *reads, *teams)
+            })
+            .filter(|activity| !activity.uses.is_empty() || !activity.read.is_empty() || !activity.teams.is_empty())
+            .collect();
+        let sent: Vec<Activity> = stated.iter().map(Activity::from).collect();
+        let mut pieces = split(7, sent).expect("short names");
+        for piece in &pieces {
+            let bytes = postcard::to_allocvec(piece).expect("encoded").len();
+            prop_assert!(bytes + 1_024 <= MAX_DATAGRAM, "{bytes}");
+        }
+        if reverse {
+            pieces.reverse();
+        }
+        let mut assembly = Assembly::default();
+        let last = pieces.pop().expect("at least one");
+        for piece in pieces {
+            prop_assert_eq!(assembly.take(&"r1".into(), piece), None);
+        }
+        let whole = assembly.take(&"r1".into(), last).expect("complete");
+        let mut whole: Vec<router::Activity> = whole.into_iter().map(Into::into).collect();
+        whole.sort_by(|a, b| a.service.cmp(&b.service));
+        for (found, stated) in whole.iter_mut().zip(&stated) {
+            let mut stated = stated.clone();
+            for activity in [&mut *found, &mut stated] {
+                activity.uses.sort_by(|a, b| a.0.cmp(&b.0));
+                activity.teams.sort_by(|a, b| a.0.cmp(&b.0));
+                activity.read.sort_by(|a, b| a.0.cmp(&b.0));
+            }
+            prop_assert_eq!(&*found, &stated);
+        }
+        prop_assert_eq!(whole.len(), stated.len());
+    }
+}
+
+/// Guards against a statement that mixes what a router said at two times.
+#[test]
+fn statement_that_lost_a_piece_gives_way_to_the_next_one() {
+    let statement = |number, teams| {
+        let sent = vec![Activity::from(&activity("s", 400, 0, teams))];
+        split(number, sent).expect("short names")
+    };
+    let (former, latter) = (statement(1, 700), statement(2, 710));
+    let mut assembly = Assembly::default();
+    let from = "r1".into();
+    for piece in former.into_iter().skip(1) {
+        assert_eq!(assembly.take(&from, piece), None);
+    }
+    let mut whole = None;
+    for piece in latter {
+        whole = whole.or(assembly.take(&from, piece));
+    }
+    let whole: router::Activity = whole.expect("complete").remove(0).into();
+    assert_eq!((whole.uses.len(), whole.teams.len()), (400, 710));
+}
+
+/// Guards against a name of absurd length that stops all statements without a word.
+#[test]
+fn name_that_fits_into_no_piece_is_an_error() {
+    let mut long = activity("s", 1, 0, 0);
+    long.uses[0].0 = "x".repeat(5_000).as_str().into();
+    let error = split(1, vec![Activity::from(&long)]).expect_err("too long");
+    assert!(
+        matches!(error, Error::Item { bytes } if bytes > 5_000),
+        "{error}"
+    );
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -93,6 +93,8 @@
         let head = self
             .dialect
             .request(request, place.choice(), left_ms, after);
+        let known = self.oldest_statement();
+        self.metrics.age.observe(known.as_secs_f64());
         emit(
             Event::Dispatched,
             &[
@@ -102,6 +104,7 @@
                 ("waited_us", &now.since(request.arrived).as_micros()),
                 ("unread", &place.choice().unread),
                 ("fetch", &place.choice().fetch.is_some()),
+                ("known_us", &known.as_micros()),
                 ("reused", &reused),
             ],
         );
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -18,6 +18,10 @@
     pub upstreams: IntGauge,
     /// Open connections of clients.
     pub clients: IntGauge,
+    /// Age of what other routers stated when an upstream was chosen, in seconds.
+    pub age: Histogram,
+    /// Length of messages to other routers, in bytes.
+    pub stated: Histogram,
     /// Time until an upstream had room, in seconds.
     pub wait: Histogram,
     /// Time until the first event or the whole plain answer, in seconds.
@@ -31,6 +35,10 @@
 const LEAST_S: f64 = 0.002;
 const FACTOR: f64 = 2.0;
 const BUCKETS: usize = 14;
+/// Shortest message that a histogram tells apart, in bytes, and its buckets: they reach to the longest
+/// datagram.
+const LEAST_BYTES: f64 = 128.0;
+const BYTES_BUCKETS: usize = 8;
 
 fn histogram(name: &str, help: &str) -> prometheus::Result<Histogram> {
     let buckets = exponential_buckets(LEAST_S, FACTOR, BUCKETS)?;
@@ -57,6 +65,17 @@
             waiting: IntGauge::new("relay_waiting", "Requests that wait for an upstream")?,
             upstreams: IntGauge::new("relay_upstreams", "Upstreams that take requests")?,
             clients: IntGauge::new("relay_clients", "Open connections of clients")?,
+            age: histogram(
+                "relay_statement_age_seconds",
+                "Age of what other routers stated when an upstream was chosen",
+            )?,
+            stated: Histogram::with_opts(
+                HistogramOpts::new(
+                    "relay_statement_bytes",
+                    "Length of messages to other routers",
+                )
+                .buckets(exponential_buckets(LEAST_BYTES, FACTOR, BYTES_BUCKETS)?),
+            )?,
             wait: histogram("relay_wait_seconds", "Time until an upstream had room")?,
             first: histogram(
                 "relay_first_seconds",
@@ -70,6 +89,8 @@
         registry.register(Box::new(metrics.waiting.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
         registry.register(Box::new(metrics.clients.clone()))?;
+        registry.register(Box::new(metrics.age.clone()))?;
+        registry.register(Box::new(metrics.stated.clone()))?;
         registry.register(Box::new(metrics.wait.clone()))?;
         registry.register(Box::new(metrics.first.clone()))?;
         registry.register(Box::new(metrics.whole.clone()))?;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -91,6 +91,8 @@
     owned: RefCell<IndexSet<Name>>,
     pub(crate) watch: RefCell<Watch>,
     pub(crate) findings: RefCell<Vec<Finding>>,
+    /// When each other router that has work stated it last.
+    stated: RefCell<IndexMap<Name, Tick>>,
     retries: Retries,
     routers: Cell<usize>,
     start: Instant,
@@ -113,6 +115,7 @@
             owned: RefCell::default(),
             watch: RefCell::new(Watch::beside_others()),
             findings: RefCell::default(),
+            stated: RefCell::default(),
             retries: options.retries,
             routers: Cell::new(1),
             start: Instant::now(),
@@ -202,6 +205,11 @@
     /// Takes what another router did for each service; nothing when it ended.
     pub fn set_others(self: &Rc<Self>, router: &Name, activities: &[Activity]) {
         let now = self.now();
+        if activities.is_empty() {
+            self.stated.borrow_mut().swap_remove(router);
+        } else {
+            self.stated.borrow_mut().insert(router.clone(), now);
+        }
         for (name, service) in self.services.borrow_mut().iter_mut() {
             let found = activities.iter().find(|activity| activity.service == *name);
             if let Some(found) = found {
@@ -217,6 +225,29 @@
         self.pump_all();
     }
 
+    /// Forgets what other routers stated unless `keep` holds for the router and the age of its
+    /// statement, and returns those that are forgotten.
+    pub fn retain_others(self: &Rc<Self>, keep: impl Fn(&str, Span) -> bool) -> Vec<Name> {
+        let now = self.now();
+        let stated = self.stated.borrow();
+        let over = stated
+            .iter()
+            .filter(|(router, at)| !keep(router, now.since(**at)));
+        let over: Vec<Name> = over.map(|(router, _)| router.clone()).collect();
+        drop(stated);
+        over.iter().for_each(|router| self.set_others(router, &[]));
+        over
+    }
+
+    /// Returns the age of the oldest statement of another router that counts.
+    #[must_use]
+    pub fn oldest_statement(&self) -> Span {
+        let now = self.now();
+        let stated = self.stated.borrow();
+        let ages = stated.values().map(|at| now.since(*at));
+        ages.max().unwrap_or(Span::ZERO)
+    }
+
     /// Returns what this router does for each service, for the other routers.
     pub fn activities(&self) -> Vec<Activity> {
         let now = self.now();
--- a/crates/relay/src/run/end.rs
+++ b/crates/relay/src/run/end.rs
@@ -65,6 +65,7 @@
                 ("level", &level.round()),
                 ("waiting", &waiting),
                 ("retry_after_us", &refused.after.as_micros()),
+                ("known_us", &router.oldest_statement().as_micros()),
             ],
         );
         self.give(Own::NotRun(refused.refusal, refused.after)).await
