State work as often as a router is busy

Cause: the period of statements grew with all routers that run (0.8 s at 58, 1.2 s at 95), and every router that had got a request in the last half minute counted as one that clients use, since its work is forgotten slowly. So a few busy routers, which start nearly all requests, chose on knowledge ten times older than a decision takes.

Now each statement says how much its router has to do. Busy routers (ten requests a second or more) and those that clients are sent to state their work every 100 ms for eight of them, and hear each other at that pace; routers with few requests state and hear at the pace of the fleet; the others hear one statement in four.

--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -8,7 +8,7 @@
 use tsw_base::time::Tick;
 use tsw_event::{emit, Event};
 use tsw_member::{
-    audience,
+    audience::{self, Load},
     roster::{Member, News, LIVE_FOR},
 };
 use tsw_poison::Suspect;
@@ -26,7 +26,7 @@
 #[derive(Debug, Deserialize, Serialize)]
 enum Message {
     Members(News),
-    Activities(statement::Piece),
+    Activities(Load, statement::Piece),
     Findings(Suspect),
 }
 
@@ -87,7 +87,10 @@
 pub async fn tell_activities(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
     let mut worked = Tick::ZERO;
     loop {
-        time::sleep(gate.router.statement_period().as_duration()).await;
+        let load = Load::of(gate.router.asked());
+        let period = gate.audience.borrow().period(load);
+        gate.router.set_statement_period(period);
+        time::sleep(period.as_duration()).await;
         let findings = gate.router.take_findings();
         if !findings.findings.is_empty() {
             send(&gate, &socket, &live(&gate), Message::Findings(findings)).await;
@@ -105,7 +108,7 @@
         match statement::split(now.as_micros(), activities) {
             Ok(pieces) => {
                 for piece in pieces {
-                    send(&gate, &socket, &to, Message::Activities(piece)).await;
+                    send(&gate, &socket, &to, Message::Activities(load, piece)).await;
                 }
             }
             Err(error) => emit(Event::InternalFailed, &[("cause", &error)]),
@@ -124,7 +127,7 @@
 /// Forgets what routers stated that ended or have nothing to state.
 fn forget(gate: &Gate, assembly: &mut Assembly) {
     let now = gate.router.now();
-    let stated_for = audience::stated_for(gate.router.statement_period());
+    let stated_for = audience::stated_for(gate.router.routers());
     let roster = gate.roster.borrow();
     let live: IndexSet<&str> = roster.live(now).map(|peer| &*peer.host).collect();
     let ended = gate
@@ -175,17 +178,16 @@
                 }
             }
             Message::Findings(suspect) => gate.router.set_findings(suspect),
-            Message::Activities(piece) => {
+            Message::Activities(load, piece) => {
                 let from: Name = datagram.from.as_str().into();
                 let Some(activities) = assembly.take(&from, piece) else {
                     continue;
                 };
                 let activities: Vec<router::Activity> =
                     activities.into_iter().map(Into::into).collect();
-                if !activities.is_empty() {
-                    gate.audience.borrow_mut().worked(now, &from);
-                }
-                gate.router.set_others(&from, &activities);
+                gate.audience.borrow_mut().note(now, &from, load);
+                let busy = load == Load::Busy;
+                gate.router.set_others(&from, &activities, busy);
             }
         }
     }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -9,7 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use tsw_base::time::{Span, Tick};
 use tsw_flow::{
-    account::Work,
+    account::{self, Work},
     budget::Budget,
     pool::{Entry, Use},
     prompt::Part,
@@ -28,12 +28,6 @@
 /// Value of the clock at the start, so that all events are later than [`Tick::ZERO`].
 const CLOCK_START: Span = Span::from_secs(1);
 
-/// Period of the statements of a router in a fleet of up to [`SMALL_FLEET`] routers. An engine reads
-/// about two long prompts in this time.
-const STATEMENTS: Span = Span::from_millis(100);
-/// Routers up to which each one tells all others at the full pace.
-const SMALL_FLEET: usize = 8;
-
 /// What the operators of the fleet promise about attempts beyond the first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Retries {
@@ -91,10 +85,13 @@
     owned: RefCell<IndexSet<Name>>,
     pub(crate) watch: RefCell<Watch>,
     pub(crate) findings: RefCell<Vec<Finding>>,
-    /// When each other router that has work stated it last.
-    stated: RefCell<IndexMap<Name, Tick>>,
+    /// When each other router that has work stated it last, and whether it has much.
+    stated: RefCell<IndexMap<Name, (Tick, bool)>>,
     retries: Retries,
     routers: Cell<usize>,
+    statement_period: Cell<Span>,
+    /// Requests for places, forgotten exponentially, and when the last one came.
+    asked: Cell<(Tick, f64)>,
     start: Instant,
 }
 
@@ -118,6 +115,8 @@
             stated: RefCell::default(),
             retries: options.retries,
             routers: Cell::new(1),
+            statement_period: Cell::default(),
+            asked: Cell::default(),
             start: Instant::now(),
         })
     }
@@ -194,21 +193,36 @@
         self.routers.get()
     }
 
-    /// Returns the period at which routers tell each other what they do. In larger fleets it grows
-    /// with the number of routers, so that each one receives about the same number of messages.
+    /// Returns the requests for places that this router got lately, as they are forgotten.
+    #[must_use]
+    pub fn asked(&self) -> f64 {
+        let (at, requests) = self.asked.get();
+        requests * (-self.now().since(at).as_secs_f64() / account::MEMORY_S).exp()
+    }
+
+    pub(crate) fn note_asked(&self) {
+        self.asked.set((self.now(), self.asked() + 1.0));
+    }
+
+    /// Takes the period at which the routers that clients use state their work.
+    pub fn set_statement_period(&self, period: Span) {
+        self.statement_period.set(period);
+    }
+
+    /// Returns the period at which the routers that clients use state their work.
     #[must_use]
     pub fn statement_period(&self) -> Span {
-        let crowd = self.routers().div_ceil(SMALL_FLEET) as u64;
-        Span::from_micros(STATEMENTS.as_micros() * crowd)
+        self.statement_period.get()
     }
 
-    /// Takes what another router did for each service; nothing when it ended.
-    pub fn set_others(self: &Rc<Self>, router: &Name, activities: &[Activity]) {
+    /// Takes what another router did for each service, and whether that is much; nothing when it ended.
+    pub fn set_others(self: &Rc<Self>, router: &Name, activities: &[Activity], busy: bool) {
         let now = self.now();
         if activities.is_empty() {
             self.stated.borrow_mut().swap_remove(router);
         } else {
-            self.stated.borrow_mut().insert(router.clone(), now);
+            let mut stated = self.stated.borrow_mut();
+            stated.insert(router.clone(), (now, busy));
         }
         for (name, service) in self.services.borrow_mut().iter_mut() {
             let found = activities.iter().find(|activity| activity.service == *name);
@@ -232,19 +246,21 @@
         let stated = self.stated.borrow();
         let over = stated
             .iter()
-            .filter(|(router, at)| !keep(router, now.since(**at)));
+            .filter(|(router, (at, _))| !keep(router, now.since(*at)));
         let over: Vec<Name> = over.map(|(router, _)| router.clone()).collect();
         drop(stated);
-        over.iter().for_each(|router| self.set_others(router, &[]));
+        over.iter()
+            .for_each(|router| self.set_others(router, &[], false));
         over
     }
 
-    /// Returns the age of the oldest statement of another router that counts.
+    /// Returns the age of the oldest statement of another router that has much to do.
     #[must_use]
     pub fn oldest_statement(&self) -> Span {
         let now = self.now();
         let stated = self.stated.borrow();
-        let ages = stated.values().map(|at| now.since(*at));
+        let ages = stated.values().filter(|(_, busy)| *busy);
+        let ages = ages.map(|(at, _)| now.since(*at));
         ages.max().unwrap_or(Span::ZERO)
     }
 
--- a/crates/relay/src/wait.rs
+++ b/crates/relay/src/wait.rs
@@ -146,6 +146,7 @@
         avoid: &[Name],
     ) -> Result<Place, Refused> {
         let now = self.now();
+        self.note_asked();
         let due = request.due();
         let age = self.statement_period();
         let wait = self.with_service(&request.service, |service| {
