Do not take lost answers of many upstreams for a request that crashes them

From second 16 to 21 upstreams lost answers (some 170 connections reset), and requests of one team to one target with equal bodies are one request to the watch. Three of them broke at three upstreams, and such requests are refused for ten minutes.

Now a broken connection is evidence only if at most one connection broke in the last two seconds at a time and upstream where the request was not among them; and an upstream that goes on with other requests 50 ms after it broke one has not crashed.

--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -1,6 +1,7 @@
 //! Requests that crash the upstreams that run them.
 //!
 //! - [`watch`]: [`Watch`], the state machine; events in, commands out.
+//! - [`breaks`]: whether broken connections tell something about a request.
 //! - [`fingerprint`]: what identifies a request.
 //! - [`message`]: payload of [`Suspect`].
 //!
@@ -44,6 +45,7 @@
 //! # Ok::<(), tsw_base::name::Error>(())
 //! ```
 
+pub mod breaks;
 pub mod fingerprint;
 pub mod message;
 pub mod watch;
--- a/crates/poison/src/watch.rs
+++ b/crates/poison/src/watch.rs
@@ -17,6 +17,9 @@
 /// Time within which crashes of the same upstream count as one, because several routers report it.
 pub const CRASH_WINDOW: Span = Span::from_secs(2);
 
+/// Time after a crash in which answers may still arrive that the upstream gave before it.
+pub const SETTLED: Span = Span::from_millis(50);
+
 /// Crashes after which a suspect is confirmed even though others ran beside it each time.
 pub const MAX_CRASHES: u32 = 3;
 
@@ -42,6 +45,11 @@
         /// Whether the upstream answered in full.
         completed: bool,
     },
+    /// An upstream passed on something of any request.
+    Answered {
+        /// The upstream.
+        upstream: name::Upstream,
+    },
     /// An upstream crashed. To be given before its requests end, so that all of them are known.
     Crashed {
         /// The upstream.
@@ -174,6 +182,7 @@
                     self.clear(fingerprint, &mut commands);
                 }
             }
+            Event::Answered { upstream } => self.refute(now, &upstream, &mut commands),
             Event::Crashed { upstream } => {
                 let hit = self.running.swap_remove(&upstream).unwrap_or_default();
                 let hit: IndexSet<Fingerprint> = hit.into_iter().collect();
@@ -185,6 +194,26 @@
         commands
     }
 
+    /// Clears the suspects of a crash that was none: the upstream goes on with other requests.
+    fn refute(&mut self, now: Tick, upstream: &name::Upstream, commands: &mut Vec<Command>) {
+        let refuted = self.records.iter().filter(|(_, record)| {
+            let Record::Suspect {
+                upstream: crashed,
+                at,
+                ..
+            } = record
+            else {
+                return false;
+            };
+            let since = now.since(*at);
+            crashed == upstream && (SETTLED..CRASH_WINDOW).contains(&since)
+        });
+        let refuted: Vec<Fingerprint> = refuted.map(|(fingerprint, _)| *fingerprint).collect();
+        for fingerprint in refuted {
+            self.clear(fingerprint, commands);
+        }
+    }
+
     fn end(&mut self, upstream: &name::Upstream, fingerprint: Fingerprint) {
         if let Some(running) = self.running.get_mut(upstream) {
             if let Some(index) = running.iter().position(|other| *other == fingerprint) {
--- a/crates/poison/tests/watch.rs
+++ b/crates/poison/tests/watch.rs
@@ -4,7 +4,9 @@
     name,
     time::{Span, Tick},
 };
-use tsw_poison::{watch, Command, Event, Finding, Fingerprint, Suspect, Treatment, Verdict, Watch};
+use tsw_poison::{
+    breaks::Breaks, watch, Command, Event, Finding, Fingerprint, Suspect, Treatment, Verdict, Watch,
+};
 
 fn upstream(number: usize) -> name::Upstream {
     format!("engine-{number}").parse().unwrap()
@@ -233,3 +235,73 @@
     run_and_crash(&mut watch, at(4), &[7], 1);
     assert!(!is_refused(&watch, at(4), 7));
 }
+
+/// Pattern: many upstreams lose answers for a while, and many clients ask for the same. Guards against a
+/// sound request that is refused for minutes, since its connections broke at three upstreams that
+/// went on with others.
+#[test]
+fn upstream_that_answers_others_has_not_crashed() {
+    let mut here = Watch::beside_others();
+    let mut there = Watch::beside_others();
+    for turn in 1..6 {
+        let now = at(turn);
+        let on = turn as usize;
+        let commands = run_and_crash(&mut here, now, &[7], on);
+        tell(&commands, now, &mut [&mut there]);
+        let upstream = upstream(on);
+        let later = now + watch::SETTLED;
+        let commands = here.handle(later, Event::Answered { upstream });
+        tell(&commands, later, &mut [&mut there]);
+        assert!(here.is_empty() && there.is_empty(), "turn {turn}");
+    }
+}
+
+/// Guards against a crash that is forgotten for an answer that was under way when it happened.
+#[test]
+fn answers_given_before_a_crash_prove_nothing() {
+    let mut watch = Watch::beside_others();
+    for turn in 1..4 {
+        let now = at(turn);
+        run_and_crash(&mut watch, now, &[7], turn as usize);
+        let upstream = upstream(turn as usize);
+        watch.handle(now + Span::from_millis(20), Event::Answered { upstream });
+    }
+    assert!(is_refused(&watch, at(3), 7));
+}
+
+/// Pattern: all upstreams lose a part of their answers for a few seconds, and many clients ask for the
+/// same. Guards against a sound request that is refused for minutes because it broke as often as others.
+#[test]
+fn breaks_of_all_requests_tell_nothing_about_one() {
+    let mut breaks = Breaks::default();
+    let mut watch = Watch::beside_others();
+    for number in 0..300u64 {
+        let now = Tick::from_micros(1) + Span::from_millis(30 * number);
+        let on = upstream((number % 5) as usize);
+        let request = if number % 3 == 0 {
+            7
+        } else {
+            u128::from(100 + number)
+        };
+        if breaks.is_evidence(now, &on, Fingerprint(request)) {
+            run_and_crash(&mut watch, now, &[request], (number % 5) as usize);
+        }
+        assert!(!is_refused(&watch, now, 7), "break {number}");
+    }
+}
+
+/// Guards against a request that is overlooked because others break with it.
+#[test]
+fn request_that_breaks_each_upstream_is_found_among_its_victims() {
+    let mut breaks = Breaks::default();
+    let mut watch = Watch::beside_others();
+    for turn in 1..4usize {
+        let now = at(turn as u64);
+        for request in [7, 100 + turn as u128, 200 + turn as u128] {
+            if breaks.is_evidence(now, &upstream(turn), Fingerprint(request)) {
+                run_and_crash(&mut watch, now, &[request], turn);
+            }
+        }
+    }
+    assert!(is_refused(&watch, at(3), 7));
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -16,7 +16,7 @@
     service::Service,
 };
 use tsw_http::pool;
-use tsw_poison::{Finding, Watch};
+use tsw_poison::{breaks::Breaks, Finding, Watch};
 use tsw_route::{adopt, table::Table, Name};
 
 use crate::{
@@ -84,6 +84,7 @@
     entries: RefCell<Vec<Entry>>,
     owned: RefCell<IndexSet<Name>>,
     pub(crate) watch: RefCell<Watch>,
+    pub(crate) breaks: RefCell<Breaks>,
     pub(crate) findings: RefCell<Vec<Finding>>,
     /// When each other router that has work stated it last, and whether it has much.
     stated: RefCell<IndexMap<Name, (Tick, bool)>>,
@@ -111,6 +112,7 @@
             entries: RefCell::default(),
             owned: RefCell::default(),
             watch: RefCell::new(Watch::beside_others()),
+            breaks: RefCell::default(),
             findings: RefCell::default(),
             stated: RefCell::default(),
             retries: options.retries,
--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -49,6 +49,11 @@
     /// Notes that the connection to an upstream broke before the upstream began to answer.
     pub(crate) fn broke(&self, request: &Request, upstream: &Name) {
         let (fingerprint, upstream) = (fingerprint(request), watched(upstream));
+        let mut breaks = self.breaks.borrow_mut();
+        if !breaks.is_evidence(self.now(), &upstream, fingerprint) {
+            return;
+        }
+        drop(breaks);
         self.watch(watch::Event::Started {
             fingerprint,
             upstream: upstream.clone(),
@@ -61,9 +66,13 @@
         if self.watch.borrow().is_empty() {
             return;
         }
+        let upstream = watched(upstream);
+        self.watch(watch::Event::Answered {
+            upstream: upstream.clone(),
+        });
         self.watch(watch::Event::Ended {
             fingerprint: fingerprint(request),
-            upstream: watched(upstream),
+            upstream,
             completed: true,
         });
     }
