Gossip to three routers of the own failure domain

Found by a longer run of the simulation of gossip: since fewer messages cross failure domains, a router of a fleet of 95 or 150 lost most of another domain from its list for a round: 2 and 3 of 400 rounds at one router (73 of 94 listed at worst).

Ruled out: more messages across domains (12 a round: 3 and 1 rounds short; 20: 2 at 200 routers).

--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -18,8 +18,9 @@
 /// Time without a new beat after which a router is forgotten.
 const KNOWN_FOR: Span = Span::from_secs(30);
 /// Routers of its own failure domain, and of others, to which a router gossips in each round. Most of
-/// the messages stay within the failure domain, since traffic between them is dear.
-const FAN_OUT_NEAR: usize = 2;
+/// the messages stay within the failure domain, since traffic between them is dear. With two near ones,
+/// running routers of other domains drop out of some lists for a moment in fleets of 95 and more.
+const FAN_OUT_NEAR: usize = 3;
 const FAN_OUT_FAR: usize = 1;
 /// Messages to other failure domains that the routers of one domain send together in each round, on
 /// average. They carry the news of all, so that they need not grow with the routers.
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -65,7 +65,7 @@
 
 #[test]
 fn all_running_routers_stay_listed_in_small_and_large_fleets() {
-    for routers in [3, 7, 30, 73, 100] {
+    for routers in [3, 7, 30, 73, 95, 100] {
         let fewest = fewest_listed(routers, 80, 0.02);
         let worst = fewest.iter().min().copied();
         assert_eq!(worst, Some(routers - 1), "{routers} routers: {fewest:?}");
@@ -194,9 +194,11 @@
         let mut far = 0;
         for _ in 0..ROUNDS {
             let (to, _) = roster.round(now, &mut rng);
-            assert_eq!(to.iter().filter(|address| near(address)).count(), 2);
-            far += to.len() - 2;
-            assert_eq!(apart.round(now, &mut rng).0.len(), 3);
+            let most_near = 3.min(routers / 3 - 1);
+            let to_near = to.iter().filter(|address| near(address)).count();
+            assert_eq!(to_near, most_near);
+            far += to.len() - 3;
+            assert_eq!(apart.round(now, &mut rng).0.len(), 4);
         }
         let usual = ROUNDS * far_of_domain / (routers / 3);
         assert!(
