Do not pass heartbeats on to peers

Cause: 93 upstreams renew their entry every 1.2 s, and each router that does not read the store was sent each renewed entry, some 78 a second of 330 bytes. Peers are now told of an entry only when more than its heartbeat has changed; a router that starts gets the latest content.

By arithmetic most of that is gossip about members, which names the beats of 256 routers in each message; not changed, see docs/CAPACITY.md.

Kept since less has to be sent and decoded.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -10,6 +10,17 @@
 /// are back within about two seconds; the rest covers the delay of a read.
 const RETURN: Span = Span::from_millis(2_300);
 
+/// What a key's new content changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing: it is older than what is known.
+    None,
+    /// Only the upstream's heartbeat.
+    Heartbeat,
+    /// What is known of the upstream, or whether it is listed.
+    Content,
+}
+
 #[derive(Clone, Debug)]
 struct Listed {
     entry: Option<Entry>,
@@ -61,7 +72,7 @@
     }
 
     /// Takes the content of one key: `None` if it was removed, and an entry without content if it
-    /// names no upstream to use. Returns whether it counts.
+    /// names no upstream to use. Returns what that changes.
     ///
     /// Changes of an older revision do not count, nor do heartbeats that were delayed on their way
     /// and written after a later one of the same upstream.
@@ -84,24 +95,36 @@
         key: &Name,
         revision: u64,
         content: Option<Option<Entry>>,
-    ) -> bool {
+    ) -> Change {
         let known = self.listed.get_mut(key);
         if known
             .as_ref()
             .is_some_and(|known| revision <= known.revision)
         {
-            return false;
+            return Change::None;
         }
         let Some(entry) = content else {
             self.remove(now, key, revision);
-            return true;
+            return Change::Content;
         };
+        let mut change = Change::Content;
         if let (Some(known), Some(entry)) = (known, &entry) {
             let newest = known.entry.as_ref().map(|entry| (entry.born, entry.seq));
             if newest > Some((entry.born, entry.seq)) {
                 known.revision = revision;
                 known.lapsed = false;
-                return false;
+                return Change::None;
+            }
+            let same = known.entry.as_ref().is_some_and(|known| {
+                let seq = entry.seq;
+                let beaten = Entry {
+                    seq,
+                    ..known.clone()
+                };
+                beaten == *entry
+            });
+            if same && !known.lapsed {
+                change = Change::Heartbeat;
             }
         }
         let listed = Listed {
@@ -110,7 +133,7 @@
             lapsed: false,
         };
         self.listed.insert(key.clone(), listed);
-        true
+        change
     }
 
     fn remove(&mut self, now: Tick, key: &Name, revision: u64) {
--- a/crates/flow/tests/registry.rs
+++ b/crates/flow/tests/registry.rs
@@ -2,7 +2,10 @@
 //! alive.
 
 use tsw_base::time::{Span, Tick};
-use tsw_flow::{pool::Entry, registry::Registry};
+use tsw_flow::{
+    pool::Entry,
+    registry::{Change, Registry},
+};
 use tsw_route::Name;
 
 fn entry(id: &str, born: u64, seq: u64, leaving: bool) -> Entry {
@@ -26,6 +29,24 @@
     "a".into()
 }
 
+/// Guards against news of an upstream that are taken for its heartbeat, and are not passed on.
+#[test]
+fn heartbeat_is_told_from_all_other_changes() {
+    let mut registry = Registry::default();
+    let mut set = |revision, content| registry.set(at(0), &key(), revision, content);
+    assert_eq!(set(1, Some(Some(entry("a", 7, 4, false)))), Change::Content);
+    assert_eq!(
+        set(2, Some(Some(entry("a", 7, 5, false)))),
+        Change::Heartbeat
+    );
+    assert_eq!(set(3, Some(Some(entry("a", 7, 6, true)))), Change::Content);
+    assert_eq!(set(4, Some(Some(entry("a", 8, 1, true)))), Change::Content);
+    assert_eq!(set(5, None), Change::Content);
+    assert_eq!(set(6, Some(Some(entry("a", 8, 2, true)))), Change::Content);
+    assert_eq!(set(7, Some(None)), Change::Content);
+    assert_eq!(set(8, Some(Some(entry("a", 8, 3, true)))), Change::Content);
+}
+
 #[test]
 fn delayed_heartbeat_does_not_bring_a_leaving_upstream_back() {
     let mut registry = Registry::default();
@@ -33,7 +54,7 @@
     registry.set(at(10), &key(), 2, Some(Some(entry("a", 7, 5, true))));
     // The heartbeat before was delayed on its way and was written last.
     let taken = registry.set(at(20), &key(), 3, Some(Some(entry("a", 7, 4, false))));
-    assert!(!taken);
+    assert_eq!(taken, Change::None);
     assert!(registry.entries(at(20))[0].leaving);
 }
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -12,7 +12,7 @@
 use tsw_event::{emit, Event};
 use tsw_flow::{
     owner::{self, Place},
-    registry::Registry,
+    registry::{Change, Registry},
 };
 use tsw_member::{audience::Audience, roster::Roster};
 use tsw_platform::{configuration, store::Item, upstream};
@@ -192,10 +192,11 @@
                         None
                     }
                 });
-            if !registry.set(now, &key, item.revision, content) {
-                continue;
+            match registry.set(now, &key, item.revision, content) {
+                Change::None => {}
+                Change::Heartbeat => stored.beat(&key, item.value.as_ref()),
+                Change::Content => stored.set_entry(key, item.revision, item.value.clone()),
             }
-            stored.set_entry(key, item.revision, item.value.clone());
         }
     }
 
--- a/crates/gate/src/stored.rs
+++ b/crates/gate/src/stored.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// Takes an entry in which only the heartbeat changed. Peers that know the entry are not told of
+    /// it: in a large fleet nearly all changes are heartbeats.
+    pub fn beat(&mut self, key: &Name, content: Option<&Bytes>) {
+        if let (Some((_, known)), Some(bytes)) = (self.entries.get_mut(key), content) {
+            *known = bytes.clone();
+        }
+    }
+
     fn remove(&mut self, key: Name, revision: u64) {
         self.removed.shift_remove(&key);
         self.removed.insert(key, revision);
--- a/crates/gate/tests/stored.rs
+++ b/crates/gate/tests/stored.rs
@@ -18,6 +18,23 @@
     }
 }
 
+/// Guards against reads between routers that carry the heartbeat of each upstream, and against a router
+/// that starts and learns an old heartbeat.
+#[test]
+fn heartbeats_are_not_passed_on_to_peers_that_know_the_entry() {
+    let mut stored = Stored::default();
+    stored.set_entry("i-1".into(), 5, Some("beat 1".into()));
+    stored.beat(&"i-1".into(), Some(&"beat 2".into()));
+    let knows = Known {
+        version: 0,
+        revision: 5,
+    };
+    assert!(stored.since(&knows, 9).entries.is_empty());
+    let starts = stored.since(&Known::default(), 9);
+    let content = Some(b"beat 2".to_vec());
+    assert_eq!(starts.entries, [("i-1".to_owned(), 5, content)]);
+}
+
 /// Guards against reads between routers that grow with the number of upstreams and with the size
 /// of the configuration although nothing changed.
 #[test]
