Do not believe a nameless statement on a used connection that a request was not run

A failure that other operators met: work that had run, and the caller was told that it hadn't. A late copy of an upstream's refusal, without the identifier of a request, on a connection that is in use again was taken for the answer to the request that was just sent there. The client got 503 for a booking that ran; with a second upstream it would have been sent there as well. late_copies_that_name_no_request showed it (503 instead of 502) and passes now. Late failures (status 500) counted as broken before.

Upstreams name the request in their refusals, also the stand-in now; on a new connection a nameless refusal is still believed, since nothing was sent there before.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -34,8 +34,12 @@
     Foreign,
     /// A statement that the request was not run.
     NotRun,
+    /// The same without the identifier of a request, then the plain answer.
+    NamelessNotRun,
     /// A failure of the upstream itself.
     Failure,
+    /// The same without the identifier of a request, then the plain answer.
+    NamelessFailure,
     /// The connection is reset after the request was read.
     Reset,
     /// The connection is reset after a request with this body was read; other requests get a stream
@@ -288,6 +292,12 @@
     format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\n{length}\r\n{body}")
 }
 
+fn not_run(fields: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n{fields}Content-Length: 0\r\n\r\n"
+    )
+}
+
 async fn answer(
     state: &State,
     connection: &mut Connection,
@@ -304,10 +314,11 @@
         Behaviour::Truncated => (plain(id, Some(body.len() + 9), &body), false),
         Behaviour::Extra => (format!("{whole}{}", plain("other", Some(5), "wrong")), true),
         Behaviour::Foreign => (format!("{}{whole}", plain("other", Some(5), "wrong")), true),
-        Behaviour::NotRun => {
-            let text =
-                "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-            (text.to_owned(), true)
+        Behaviour::NotRun => (not_run(&format!("Attempt-Id: {id}\r\n")), true),
+        Behaviour::NamelessNotRun => (format!("{}{whole}", not_run("")), true),
+        Behaviour::NamelessFailure => {
+            let failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nfail";
+            (format!("{failure}{whole}"), true)
         }
         Behaviour::Failure => {
             let text = format!(
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -132,6 +132,11 @@
                 "the response is to another request",
             ));
         }
+        // On a connection that was used before, it may be a late copy of an earlier response.
+        let nameless = report.own.is_none();
+        if nameless && (reused || (200..300).contains(&status)) {
+            return Err(Failed::new(Fault::Broken, "the response names no request"));
+        }
         if report.not_run {
             self.keep(&place, exchange).await;
             return Err(Failed::new(
@@ -139,10 +144,6 @@
                 format!("not run, status {status}"),
             ));
         }
-        // On a connection that was used before, it may be a late copy of an earlier failure.
-        if report.own.is_none() && (reused || (200..300).contains(&status)) {
-            return Err(Failed::new(Fault::Broken, "the response names no request"));
-        }
         Ok(Attempt { exchange, place })
     }
 
--- a/crates/toucand/tests/platform.rs
+++ b/crates/toucand/tests/platform.rs
@@ -267,6 +267,25 @@
     }
 }
 
+/// Guards against a late copy of an earlier response that is taken for the answer to the next request on
+/// its connection, so that a request that ran is said not to have run, or is run again.
+#[actix_rt::test]
+async fn late_copies_that_name_no_request_are_not_believed() {
+    for late in [Behaviour::NamelessNotRun, Behaviour::NamelessFailure] {
+        let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+        site.desk.script(&[Behaviour::Plain, late]);
+        let book = |id| Call::proper("POST", "/book/1", id).body("x");
+        assert_eq!(book("a1").send(&site.router).await.status, 200);
+        let answer = book("a2").send(&site.router).await;
+        assert_eq!(answer.status, 502, "{late:?}: {}", answer.text());
+        let arrivals = site.desk.arrivals();
+        let runs = arrivals
+            .iter()
+            .filter(|found| found.head.fields.text("Attempt-Id") == Some("a2"));
+        assert_eq!(runs.count(), 1, "{late:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn upstream_is_freed_when_its_client_leaves() {
     let site = Site::start(Behaviour::Silent, Behaviour::Stall(1)).await;
