Tell the beats of up to 448 routers in one message

The test had 100 routers at most and could not address more than 255; it now plays 300 as well, which failed. With 448 beats all stay listed.

Fleets up to 256 routers send what they sent before.

--- a/crates/gate/tests/statement.rs
+++ b/crates/gate/tests/statement.rs
@@ -2,8 +2,11 @@
 //! way, so that the others believe it idle, and against statements put together of wrong pieces.
 
 use proptest::prelude::*;
+use rand::{rngs::StdRng, SeedableRng as _};
+use tsw_base::time::Tick;
 use tsw_flow::{account::Work, pool::Use, prompt::Part};
 use tsw_gate::statement::{split, Activity, Assembly, Error, MAX_DATAGRAM};
+use tsw_member::roster::{Member, News, Roster};
 use tsw_relay::router;
 
 fn activity(service: &str, upstreams: usize, reads: usize, teams: usize) -> router::Activity {
@@ -105,3 +108,42 @@
         "{error}"
     );
 }
+
+/// Guards against news about the members of a large fleet that fit into no datagram, so that none of
+/// them knows any other.
+#[test]
+fn news_about_hundreds_of_members_fit_into_a_datagram() {
+    let member = |number: u16| {
+        let [high, low] = number.to_be_bytes();
+        let address = |port| ([10, 7, high, low], port).into();
+        Member {
+            host: format!("front-harbor-ridge-of-new-england-{number}"),
+            domain: "harbor-ridge-of-new-england".to_owned(),
+            run: u64::MAX,
+            beat: 1_000_000,
+            client: address(8_783),
+            gossip: address(7_400),
+            control: address(8_785),
+            processor: 500,
+            ready: true,
+            reads_store: true,
+            read_for_ms: 86_400_000,
+            version: 1 << 40,
+            revision: 1 << 40,
+        }
+    };
+    let mut roster = Roster::new(member(0), Vec::new());
+    let now = Tick::from_micros(1);
+    let members = (1..1_200).map(member).collect();
+    let news = News {
+        members,
+        ..News::default()
+    };
+    roster.hear(now, "r", &news);
+    let (_, news) = roster.round(now, &mut StdRng::seed_from_u64(7));
+    let bytes = postcard::to_allocvec(&news).expect("encoded").len();
+    assert!(
+        news.beats.len() > 400 && bytes + 512 <= MAX_DATAGRAM,
+        "{bytes}"
+    );
+}
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -32,7 +32,7 @@
 /// datagram.
 const MOST_WANTED: usize = 64;
 /// Most beats in one message, so that it fits into one datagram. Larger fleets tell the latest.
-const MOST_BEATS: usize = 256;
+const MOST_BEATS: usize = 448;
 /// Rounds after which a seed is asked again even though peers are known, so that two parts of a
 /// fleet that found no seed at first find each other.
 const SEED_ROUNDS: u64 = 8;
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -9,7 +9,8 @@
 const PERIOD: Span = Span::from_millis(250);
 
 fn member(number: usize) -> Member {
-    let address = |port| ([10, 0, 0, u8::try_from(number).expect("small")], port).into();
+    let [.., high, low] = number.to_be_bytes();
+    let address = |port| ([10, 0, high, low], port).into();
     Member {
         host: format!("r{number}"),
         domain: format!("d{}", number % 3),
@@ -65,8 +66,16 @@
 
 #[test]
 fn all_running_routers_stay_listed_in_small_and_large_fleets() {
-    for routers in [3, 7, 30, 73, 95, 100] {
-        let fewest = fewest_listed(routers, 80, 0.02);
+    for (routers, rounds) in [
+        (3, 80),
+        (7, 80),
+        (30, 80),
+        (73, 80),
+        (95, 80),
+        (100, 80),
+        (300, 56),
+    ] {
+        let fewest = fewest_listed(routers, rounds, 0.02);
         let worst = fewest.iter().min().copied();
         assert_eq!(worst, Some(routers - 1), "{routers} routers: {fewest:?}");
     }
