State at once that an idle router is busy

Cause: a router without requests slept for the period of the whole fleet (0.8 s at 58 routers, 1.2 s at 95) before it stated a flood that had begun there, and the others divided the engines without it.

Now each router looks at the pace of busy ones whether it has become one.

--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -85,12 +85,18 @@
 
 /// Tells other routers what this router does, until the process ends.
 pub async fn tell_activities(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
-    let mut worked = Tick::ZERO;
+    let (mut worked, mut told) = (Tick::ZERO, Tick::ZERO);
     loop {
+        // A router that was idle states at once that it is busy.
+        let busy = gate.audience.borrow().period(Load::Busy);
+        time::sleep(busy.as_duration()).await;
         let load = Load::of(gate.router.asked());
         let period = gate.audience.borrow().period(load);
         gate.router.set_statement_period(period);
-        time::sleep(period.as_duration()).await;
+        if gate.router.now().since(told) < period {
+            continue;
+        }
+        told = gate.router.now();
         let findings = gate.router.take_findings();
         if !findings.findings.is_empty() {
             send(&gate, &socket, &live(&gate), Message::Findings(findings)).await;
@@ -103,7 +109,7 @@
             // That the work has ended was stated several times.
             continue;
         }
-        let to = audience(&gate, now);
+        let to = hearers(&gate, now);
         let activities = activities.iter().map(Activity::from).collect();
         match statement::split(now.as_micros(), activities) {
             Ok(pieces) => {
@@ -117,7 +123,7 @@
 }
 
 /// Returns where the routers that need the next statement hear gossip.
-fn audience(gate: &Gate, now: Tick) -> Vec<SocketAddr> {
+fn hearers(gate: &Gate, now: Tick) -> Vec<SocketAddr> {
     let roster = gate.roster.borrow();
     let live: Vec<&Member> = roster.live(now).collect();
     let mut audience = gate.audience.borrow_mut();
