--- a/crates/toucand/tests/flood.rs
+++ b/crates/toucand/tests/flood.rs
@@ -35,11 +35,7 @@
     store.set("servers/m1", Some(&entry("model", &model, "ready", 1)));
     let router = Router::start("r1", store.address(), &[]);
     router.wait_ready().await;
-    // Enough descriptors that connections are not closed for want of them.
-    let settings = std::fs::read_to_string(&router.settings).expect("settings");
-    let settings = settings.replace("descriptors: 20", "descriptors: 4000");
-    std::fs::write(&router.settings, settings).expect("written");
-    router.signal(rustix::process::Signal::HUP);
+    router.set_descriptors(4_000);
     (store, model, router)
 }
 
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -178,6 +178,24 @@
         call.send_to(address).await.ok()
     }
 
+    /// Returns the most memory that the process has had, in kB.
+    pub fn peak_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = fs::read_to_string(path).expect("a running process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.expect("a line").trim().trim_end_matches(" kB");
+        number.parse().expect("a number")
+    }
+
+    /// Lets the router use so many descriptors, so that it does not close connections for want of them.
+    pub fn set_descriptors(&self, descriptors: usize) {
+        let settings = fs::read_to_string(&self.settings).expect("settings");
+        let stated = format!("descriptors: {descriptors}");
+        let settings = settings.replace("descriptors: 20", &stated);
+        fs::write(&self.settings, settings).expect("written");
+        self.signal(rustix::process::Signal::HUP);
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: rustix::process::Signal) {
         let id = i32::try_from(self.process.id()).expect("an id");
--- a/crates/toucand/tests/trouble.rs
+++ b/crates/toucand/tests/trouble.rs
@@ -21,14 +21,6 @@
 /// Deadline of a request to an upstream that sends bytes without end.
 const DEADLINE_MS: &str = "2000";
 
-fn resident_kb(router: &Router) -> u64 {
-    let path = format!("/proc/{}/status", router.process.id());
-    let status = std::fs::read_to_string(path).expect("a running process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let number = line.expect("a line").trim().trim_end_matches(" kB");
-    number.parse().expect("a number")
-}
-
 fn hurried(mut call: Call) -> Call {
     call.head.fields.remove("Deadline-Ms");
     call.head.fields.push("Deadline-Ms", DEADLINE_MS);
@@ -42,7 +34,7 @@
     for endless in Endless::ALL {
         let usual = Behaviour::Endless(endless);
         let site = Site::start(usual, usual).await;
-        let before = resident_kb(&site.router);
+        let before = site.router.peak_kb();
         let calls = [
             hurried(Call::proper("GET", "/lookup/1", "a1")),
             hurried(Call::proper("POST", "/book/1", "a2").body("truck")),
@@ -65,7 +57,7 @@
                 Err(error) => panic!("{what}: {error}"),
             }
         }
-        let grown = resident_kb(&site.router).saturating_sub(before);
+        let grown = site.router.peak_kb().saturating_sub(before);
         assert!(grown < MAX_GROWTH_KB, "{endless:?}: {grown} kB more");
     }
 }
