--- a/crates/poison/src/breaks.rs
+++ b/crates/poison/src/breaks.rs
@@ -32,7 +32,23 @@
 /// assert!(others.last() == Some(false));
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct Breaks(Vec<(Tick, name::Upstream, Fingerprint)>);
+pub struct Breaks(Vec<Break>);
+
+/// A connection that an upstream broke.
+#[derive(Clone, Debug)]
+struct Break {
+    at: Tick,
+    upstream: name::Upstream,
+    request: Fingerprint,
+}
+
+impl Break {
+    /// Returns whether the upstream broke both at about the same time, as if it had crashed.
+    fn is_beside(&self, other: &Self) -> bool {
+        let apart = self.at.since(other.at).max(other.at.since(self.at));
+        self.upstream == other.upstream && apart <= TOGETHER
+    }
+}
 
 impl Breaks {
     /// Notes that an upstream broke the connection of a request, and returns whether that tells
@@ -41,26 +57,23 @@
         &mut self,
         now: Tick,
         upstream: &name::Upstream,
-        fingerprint: Fingerprint,
+        request: Fingerprint,
     ) -> bool {
-        self.0.retain(|(at, _, _)| now.since(*at) <= RECENT);
+        self.0.retain(|found| now.since(found.at) <= RECENT);
         if self.0.len() >= MOST {
             self.0.remove(0);
         }
-        self.0.push((now, upstream.clone(), fingerprint));
-        let own: Vec<&(Tick, name::Upstream, Fingerprint)> = {
-            let breaks = self.0.iter();
-            breaks
-                .filter(|(_, _, broken)| *broken == fingerprint)
-                .collect()
-        };
-        let without = self.0.iter().filter(|(at, on, _)| {
-            let beside = |own: &&(Tick, name::Upstream, Fingerprint)| {
-                let apart = at.since(own.0).max(own.0.since(*at));
-                own.1 == *on && apart <= TOGETHER
-            };
-            !own.iter().any(beside)
+        self.0.push(Break {
+            at: now,
+            upstream: upstream.clone(),
+            request,
         });
+        let own = self.0.iter().filter(|found| found.request == request);
+        let own: Vec<&Break> = own.collect();
+        let without = self
+            .0
+            .iter()
+            .filter(|found| !own.iter().any(|own| own.is_beside(found)));
         without.count() < MOST_WITHOUT
     }
 }
