Wait until a router has taken its descriptors in tests

refusals_keep_connections_that_are_used_again failed once in a fresh clone: a connection was closed after an answer. Cause: the test sent the signal to take the new number of descriptors and went on at once; until the router has read it, 40 clients are more than 0.4 of the former 20, and it closes each connection after its answer. The test now waits until a connection stays open beside 20 others.

--- a/crates/toucand/tests/client.rs
+++ b/crates/toucand/tests/client.rs
@@ -25,7 +25,7 @@
 /// A site whose router has descriptors for all clients in trouble.
 async fn site(model: Behaviour) -> Site {
     let site = Site::start(Behaviour::Plain, model).await;
-    site.router.set_descriptors(4_000);
+    site.router.set_descriptors(4_000).await;
     site
 }
 
--- a/crates/toucand/tests/flood.rs
+++ b/crates/toucand/tests/flood.rs
@@ -35,7 +35,7 @@
     store.set("servers/m1", Some(&entry("model", &model, "ready", 1)));
     let router = Router::start("r1", store.address(), &[]);
     router.wait_ready().await;
-    router.set_descriptors(4_000);
+    router.set_descriptors(4_000).await;
     (store, model, router)
 }
 
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -188,12 +188,27 @@
     }
 
     /// Lets the router use so many descriptors, so that it does not close connections for want of them.
-    pub fn set_descriptors(&self, descriptors: usize) {
+    /// Returns when it does.
+    pub async fn set_descriptors(&self, descriptors: usize) {
         let settings = fs::read_to_string(&self.settings).expect("settings");
         let stated = format!("descriptors: {descriptors}");
         let settings = settings.replace("descriptors: 20", &stated);
         fs::write(&self.settings, settings).expect("written");
         self.signal(rustix::process::Signal::HUP);
+        // With the former number, so many open connections let it close each after its answer.
+        let mut open = Vec::new();
+        for _ in 0..20 {
+            open.push(Connection::open(self.client, PATIENCE).await.expect("open"));
+        }
+        let end = std::time::Instant::now() + PATIENCE;
+        let probe = Call::proper("GET", "/nowhere/", "probe");
+        while probe.send(self).await.fields.lists("connection", "close") {
+            assert!(
+                std::time::Instant::now() < end,
+                "the settings are not taken"
+            );
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
     }
 
     /// Sends a signal to the process.
