Give routers in tests addresses of their own, and split and rename what stops a newcomer

Ports: routers of the product's own interface listened on ports of 127.0.0.1 that had been found free, which another process or a connection could take before they listened. Ports that must refuse connections stay bound, also in toucan's test.

The member of a fleet that two tests made is shared, and the tests of audience.rs play 300 routers. The test of clients that never read now checks that their streams were passed on at all.

Names: Change::Stale instead of None; relay_message_bytes, since all messages are counted. No change of what routers do.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
     /// Nothing: it is older than what is known.
-    None,
+    Stale,
     /// Only the upstream's heartbeat.
     Heartbeat,
     /// What is known of the upstream, or whether it is listed.
@@ -101,7 +101,7 @@
             .as_ref()
             .is_some_and(|known| revision <= known.revision)
         {
-            return Change::None;
+            return Change::Stale;
         }
         let Some(entry) = content else {
             self.remove(now, key, revision);
@@ -113,7 +113,7 @@
             if newest > Some((entry.born, entry.seq)) {
                 known.revision = revision;
                 known.lapsed = false;
-                return Change::None;
+                return Change::Stale;
             }
             let same = known.entry.as_ref().is_some_and(|known| {
                 let seq = entry.seq;
--- a/crates/flow/tests/registry.rs
+++ b/crates/flow/tests/registry.rs
@@ -54,7 +54,7 @@
     registry.set(at(10), &key(), 2, Some(Some(entry("a", 7, 5, true))));
     // The heartbeat before was delayed on its way and was written last.
     let taken = registry.set(at(20), &key(), 3, Some(Some(entry("a", 7, 4, false))));
-    assert_eq!(taken, Change::None);
+    assert_eq!(taken, Change::Stale);
     assert!(registry.entries(at(20))[0].leaving);
 }
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -193,7 +193,7 @@
                     }
                 });
             match registry.set(now, &key, item.revision, content) {
-                Change::None => {}
+                Change::Stale => {}
                 Change::Heartbeat => stored.beat(&key, item.value.as_ref()),
                 Change::Content => stored.set_entry(key, item.revision, item.value.clone()),
             }
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -54,7 +54,7 @@
         let error = statement::Error::Datagram { bytes };
         return emit(Event::InternalFailed, &[("cause", &error)]);
     }
-    gate.router.metrics.stated.observe(bytes.len() as f64);
+    gate.router.metrics.message.observe(bytes.len() as f64);
     for address in to {
         // A datagram may be lost on its way as well; the next one says the same or more.
         if let Err(error) = socket.send_to(&bytes, address).await {
--- a/crates/member/tests/audience.rs
+++ b/crates/member/tests/audience.rs
@@ -1,6 +1,10 @@
 //! Guards against statements that each router of a large fleet hears though no client uses it, and
 //! against routers that are ignorant when clients come.
 
+#[path = "support/member.rs"]
+mod member;
+
+use member::member;
 use tsw_base::time::{Span, Tick};
 use tsw_member::{
     audience::{stated_for, Audience, Load},
@@ -10,31 +14,11 @@
 /// Period of statements among few routers.
 const PERIOD: Span = Span::from_millis(100);
 
-fn member(number: usize) -> Member {
-    let number = u8::try_from(number).expect("small");
-    let address = |port| ([10, 0, 0, number], port).into();
-    Member {
-        host: format!("r{number}"),
-        domain: "north".to_owned(),
-        run: 1,
-        beat: 1,
-        client: address(1),
-        gossip: address(2),
-        control: address(3),
-        processor: 120,
-        ready: true,
-        reads_store: true,
-        read_for_ms: 0,
-        version: 0,
-        revision: 0,
-    }
-}
-
 /// Guards against knowledge that ages, and against messages of each router that grow, with routers
 /// that no client uses.
 #[test]
 fn routers_without_clients_cost_no_age_and_few_messages() {
-    for routers in [30, 100, 200] {
+    for routers in [30, 100, 300] {
         let members: Vec<Member> = (0..routers).map(member).collect();
         let live: Vec<&Member> = members.iter().collect();
         let mut audience = Audience::default();
@@ -103,7 +87,7 @@
 /// Guards against the knowledge of a router without clients that ends between two statements to it.
 #[test]
 fn statements_count_until_the_next_but_one_that_goes_to_all() {
-    for routers in [3, 30, 95, 200] {
+    for routers in [3, 30, 95, 300] {
         let members: Vec<Member> = (0..routers).map(member).collect();
         let live: Vec<&Member> = members.iter().collect();
         let mut audience = Audience::default();
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -1,6 +1,10 @@
 //! Guards against running routers that drop out of the lists of others, so that clients are sent to
 //! the few that are left, and against routers of a large fleet that never find each other.
 
+#[path = "support/member.rs"]
+mod member;
+
+use member::member;
 use rand::{rngs::StdRng, Rng, SeedableRng};
 use tsw_base::time::{Span, Tick};
 use tsw_member::roster::{Member, News, Roster, LIVE_FOR};
@@ -8,26 +12,6 @@
 /// Period of gossip, as the gate sends it.
 const PERIOD: Span = Span::from_millis(250);
 
-fn member(number: usize) -> Member {
-    let [.., high, low] = number.to_be_bytes();
-    let address = |port| ([10, 0, high, low], port).into();
-    Member {
-        host: format!("r{number}"),
-        domain: format!("d{}", number % 3),
-        run: 1,
-        beat: 1,
-        client: address(1),
-        gossip: address(2),
-        control: address(3),
-        processor: 250,
-        ready: true,
-        reads_store: true,
-        read_for_ms: 0,
-        version: 0,
-        revision: 0,
-    }
-}
-
 /// Lets a fleet gossip and returns, for each round after the first ten seconds, the fewest peers
 /// that any router lists. All of them know three seeds, and a part of the datagrams is lost.
 fn fewest_listed(routers: usize, rounds: usize, loss: f64) -> Vec<usize> {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -20,8 +20,8 @@
     pub clients: IntGauge,
     /// Age of what other routers stated when an upstream was chosen, in seconds.
     pub age: Histogram,
-    /// Length of messages to other routers, in bytes.
-    pub stated: Histogram,
+    /// Length of messages to other routers, in bytes. One that goes to several counts once.
+    pub message: Histogram,
     /// Time until an upstream had room, in seconds.
     pub wait: Histogram,
     /// Time until the first event or the whole plain answer, in seconds.
@@ -69,12 +69,9 @@
                 "relay_statement_age_seconds",
                 "Age of what other routers stated when an upstream was chosen",
             )?,
-            stated: Histogram::with_opts(
-                HistogramOpts::new(
-                    "relay_statement_bytes",
-                    "Length of messages to other routers",
-                )
-                .buckets(exponential_buckets(LEAST_BYTES, FACTOR, BYTES_BUCKETS)?),
+            message: Histogram::with_opts(
+                HistogramOpts::new("relay_message_bytes", "Length of messages to other routers")
+                    .buckets(exponential_buckets(LEAST_BYTES, FACTOR, BYTES_BUCKETS)?),
             )?,
             wait: histogram("relay_wait_seconds", "Time until an upstream had room")?,
             first: histogram(
@@ -90,7 +87,7 @@
         registry.register(Box::new(metrics.upstreams.clone()))?;
         registry.register(Box::new(metrics.clients.clone()))?;
         registry.register(Box::new(metrics.age.clone()))?;
-        registry.register(Box::new(metrics.stated.clone()))?;
+        registry.register(Box::new(metrics.message.clone()))?;
         registry.register(Box::new(metrics.wait.clone()))?;
         registry.register(Box::new(metrics.first.clone()))?;
         registry.register(Box::new(metrics.whole.clone()))?;
--- a/crates/toucan/tests/operator.rs
+++ b/crates/toucan/tests/operator.rs
@@ -70,9 +70,13 @@
 /// Guards against an unreachable router whose error is shown twice or without advice.
 #[test]
 fn an_unreachable_router_is_named_once() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = closed.local_addr().expect("an address");
-    drop(closed);
+    // Bound and not listening: a port that is merely free is soon that of another test.
+    let closed = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let closed = closed.expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    closed.bind(&any.into()).expect("a free port");
+    let address = closed.local_addr().expect("bound").as_socket();
+    let address = address.expect("an address of the internet");
     for command in ["status", "drain"] {
         let run = ask(command, address);
         assert_eq!(run.code, 1, "{run:?}");
--- a/crates/toucand/tests/calls.rs
+++ b/crates/toucand/tests/calls.rs
@@ -147,12 +147,7 @@
 
 #[actix_rt::test]
 async fn request_that_no_engine_takes_is_not_run() {
-    // Bound and not listening: a port that is free again is soon another test's.
-    let closed = tokio::net::TcpSocket::new_v4().expect("a socket");
-    closed
-        .bind("127.0.0.1:0".parse().expect("an address"))
-        .expect("a free port");
-    let address = closed.local_addr().expect("bound");
+    let (_closed, address) = support::address::closed();
     let upstream = Upstream::engine(address);
     let router = Router::start(&[upstream]).await;
     let client = awc::Client::default();
--- a/crates/toucand/tests/client.rs
+++ b/crates/toucand/tests/client.rs
@@ -165,6 +165,11 @@
     let grown = site.router.peak_kb().saturating_sub(before);
     assert!(grown < MAX_GROWTH_KB, "{grown} kB more");
     for stream in idle {
-        drop(stream);
+        let begun = stream.peek(&mut [0; 16]).await.expect("an open connection");
+        assert!(
+            begun > 0,
+            "a stream was not passed on, so that nothing could pile up"
+        );
     }
+    assert_eq!(site.model_arrivals(), 8);
 }
--- a/crates/toucand/tests/exchange.rs
+++ b/crates/toucand/tests/exchange.rs
@@ -1,5 +1,8 @@
 //! Tests of the exchange with a worker of a plain service.
 
+#[path = "support/address.rs"]
+mod address;
+
 use std::{net::SocketAddr, time::Duration};
 
 use actix_http::RequestHead;
@@ -79,12 +82,7 @@
 /// Guards against reporting a call as possibly run when no connection was made.
 #[actix_rt::test]
 async fn reports_that_nothing_was_sent() {
-    // Bound and not listening: a port that is free again is soon another test's.
-    let closed = tokio::net::TcpSocket::new_v4().expect("a socket");
-    closed
-        .bind("127.0.0.1:0".parse().expect("an address"))
-        .expect("a free port");
-    let address = closed.local_addr().expect("bound");
+    let (_closed, address) = address::closed();
     let result = Connection::open(address, LIMIT).await;
     assert!(matches!(result, Err(Error::Connect(_))), "{result:?}");
 }
--- /dev/null
+++ b/crates/toucand/tests/knowledge.rs
@@ -0,0 +1,152 @@
+//! What a router on the users' platform learns from the store and from its peers, as a process against
+//! stand-ins. Each test names the failure that it guards against.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{configuration, entry, Call, Router, Site, PATIENCE};
+use tsw_fake::{
+    store::{Mode, Store},
+    worker::{Behaviour, Worker},
+};
+
+#[actix_rt::test]
+async fn leaving_upstream_gets_no_further_request() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let other = Worker::bind(Behaviour::Plain).await.expect("an upstream");
+    site.store
+        .set("servers/d2", Some(&entry("desk", &other, "ready", 1)));
+    site.store.set(
+        "servers/d1",
+        Some(&entry("desk", &site.desk, "draining", 2)),
+    );
+    // A heartbeat from before was delayed.
+    site.store
+        .set("servers/d1", Some(&entry("desk", &site.desk, "ready", 1)));
+    let mut number = 0;
+    while other.arrivals().is_empty() {
+        number += 1;
+        assert!(number < 500, "the change is not taken");
+        let id = format!("a{number}");
+        Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    let before = site.desk.arrivals().len();
+    for number in 0..20 {
+        let id = format!("b{number}");
+        let answer = Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(site.desk.arrivals().len(), before);
+}
+
+#[actix_rt::test]
+async fn malformed_entries_and_configurations_change_nothing() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    site.store.set("servers/x1", Some(b"\xff\xfe not JSON"));
+    site.store
+        .set("servers/x2", Some(br#"{"service":"desk","state":"ready"}"#));
+    site.store.set(
+        "servers/x3",
+        Some(br#"{"service":"desk","address":7,"zone":"n","slots":"6","state":"odd"}"#),
+    );
+    site.store
+        .set("op/config", Some(br#"{"version":5,"routes":"none"}"#));
+    site.store.set("op/other", Some(b"anything"));
+    let mut next = configuration(6);
+    next["routes"][0]["pathPrefix"] = "/found/".into();
+    site.store
+        .set("op/config", Some(next.to_string().as_bytes()));
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        let answer = Call::proper("GET", "/found/1", "a1")
+            .send(&site.router)
+            .await;
+        if answer.status == 200 {
+            break;
+        }
+        assert_eq!(answer.status, 404);
+        assert!(
+            std::time::Instant::now() < end,
+            "the valid configuration is not in force"
+        );
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    // An older version must not come back.
+    site.store
+        .set("op/config", Some(configuration(4).to_string().as_bytes()));
+    for _ in 0..30 {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(
+            Call::proper("GET", "/found/1", "a2")
+                .send(&site.router)
+                .await
+                .status,
+            200
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn router_takes_changes_after_the_store_has_lost_its_history() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let other = Worker::bind(Behaviour::Plain).await.expect("an upstream");
+    site.store.set_mode(Mode::Busy);
+    site.store.set("servers/d1", None);
+    site.store
+        .set("servers/d2", Some(&entry("desk", &other, "ready", 1)));
+    site.store.compact();
+    site.store.set_mode(Mode::Up);
+    let mut number = 0;
+    while other.arrivals().is_empty() {
+        number += 1;
+        assert!(number < 1_000, "the new upstream is not used");
+        let id = format!("a{number}");
+        Call::proper("GET", "/lookup/1", &id)
+            .send(&site.router)
+            .await;
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn router_that_the_store_does_not_answer_learns_from_a_peer() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let silent = Store::bind().await.expect("a store");
+    silent.set_mode(Mode::Silent);
+    let seeds = [site.router.control];
+    let second = Router::start("r2", silent.address(), &seeds);
+    second.wait_ready().await;
+    let mut number = 0;
+    loop {
+        number += 1;
+        let id = format!("a{number}");
+        let answer = Call::proper("GET", "/lookup/1", &id).send(&second).await;
+        if answer.status == 200 {
+            break;
+        }
+        assert!(number < 500, "the upstreams are not known");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Clients hear of both routers.
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        let target = "/api/resolution?name=desk.example&region=r&zone=north";
+        let answer = second.get(second.locate, target).await.expect("an answer");
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+        if body["addresses"].as_array().map(Vec::len) == Some(2) {
+            break;
+        }
+        assert!(
+            std::time::Instant::now() < end,
+            "the fleet does not find itself: {body}"
+        );
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -2,15 +2,14 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+mod address;
+
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command},
-    sync::{
-        atomic::{AtomicU8, Ordering},
-        Mutex, PoisonError,
-    },
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 
@@ -38,15 +37,6 @@
     }
 }
 
-/// Returns a loopback address that no other router of any test uses, so that a port that is found
-/// free stays free until the router listens on it.
-fn own_address() -> Ipv4Addr {
-    static ROUTERS: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let router = ROUTERS.fetch_add(1, Ordering::Relaxed);
-    Ipv4Addr::new(127, high | 0x80, low, router)
-}
-
 /// Returns free ports of an address. They are open at once, so that no two are the same.
 fn free<const N: usize>(address: Ipv4Addr) -> [SocketAddr; N] {
     let bind = |()| TcpListener::bind((address, 0)).expect("a free port");
@@ -124,7 +114,7 @@
         // A process that is started meanwhile would inherit the open ports until it runs.
         static STARTS: Mutex<()> = Mutex::new(());
         let _alone = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
-        let address = own_address();
+        let address = address::own();
         let gossip = SocketAddr::from((address, GOSSIP_PORT));
         let directory = tempfile::tempdir().expect("a directory");
         let [client, ready, locate, control, metrics] = free(address);
--- a/crates/toucand/tests/support/mod.rs
+++ b/crates/toucand/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod address;
+
 use std::{
     cell::RefCell,
     convert::Infallible,
@@ -224,16 +226,18 @@
 }
 
 impl Ports {
+    /// Returns ports of an address that no other router uses. They are open at once, so that no two
+    /// are the same.
     fn free() -> Self {
-        let tcp = || {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-            listener.local_addr().expect("bound")
-        };
-        let udp = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        let own = address::own();
+        let bind = || TcpListener::bind((own, 0)).expect("a free port");
+        let (caller, operator) = (bind(), bind());
+        let udp = UdpSocket::bind((own, 0)).expect("a free port");
+        let tcp = |listener: &TcpListener| listener.local_addr().expect("bound");
         Self {
-            caller: tcp(),
+            caller: tcp(&caller),
             peer: udp.local_addr().expect("bound"),
-            operator: tcp(),
+            operator: tcp(&operator),
         }
     }
 }
