Log the prompt parts of failed attempts and the breaks that are no evidence

Callers saw 502 for requests whose engine crashed, one engine after the other, and the log could not tell the hypotheses apart: it named neither prompt parts nor dropped evidence. upstream-failed now holds parts and events, the relay logs suspects like the other interface, and break-ignored and relay_breaks_total count what is dropped. No decision changes.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -148,6 +148,8 @@
     UpstreamDown = 412 Warn "upstream-down";
     /// An upstream that accepted no connection answers again.
     UpstreamUp = 413 Info "upstream-up";
+    /// A broken connection is not counted as evidence against the request that used it.
+    BreakIgnored = 414 Info "break-ignored";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/flow/src/prompt.rs
+++ b/crates/flow/src/prompt.rs
@@ -1,5 +1,7 @@
 //! Size and shareable parts of the prompt of a request.
 
+use std::fmt;
+
 /// A part of a prompt. Prompts that begin with the same parts share their cache entries.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Part {
@@ -34,6 +36,19 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Returns the identifiers of the shared parts for log lines, in hexadecimal digits.
+    ///
+    /// ```
+    /// use tsw_flow::prompt::{Part, Prompt};
+    /// let parts = [10, 11, 12].map(|id| Part { id, tokens: 20 });
+    /// let prompt = Prompt { tokens: 60, expected_tokens: 10, parts: parts.to_vec() };
+    /// assert_eq!(prompt.display_shared().to_string(), "a,b");
+    /// ```
+    #[must_use]
+    pub fn display_shared(&self) -> impl fmt::Display + '_ {
+        SharedParts(self.shared_parts())
+    }
+
     /// Returns the work of a request in tokens. Prompt tokens count once and generated tokens twice,
     /// as in the operators' limit of the service.
     #[must_use]
@@ -41,3 +56,16 @@
         self.tokens + 2 * self.expected_tokens
     }
 }
+
+/// Formats the identifiers of prompt parts.
+struct SharedParts<'a>(&'a [Part]);
+
+impl fmt::Display for SharedParts<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/relay/src/crash_detector.rs
+++ b/crates/relay/src/crash_detector.rs
@@ -26,6 +26,18 @@
     name.parse().expect("hexadecimal digits are allowed")
 }
 
+fn log_finding(finding: &Finding) {
+    let text = format!("{:032x}", finding.fingerprint.0);
+    match &finding.verdict {
+        Verdict::Suspected { upstream } => emit(
+            Event::PoisonSuspected,
+            &[("fingerprint", &text), ("upstream", upstream)],
+        ),
+        Verdict::Cleared => emit(Event::PoisonCleared, &[("fingerprint", &text)]),
+        Verdict::Confirmed { .. } => {}
+    }
+}
+
 impl Router {
     /// Returns for how long a request is refused because it crashes upstreams. Computes no fingerprint
     /// while no request is suspected.
@@ -50,7 +62,11 @@
     pub(crate) fn record_broken_connection(&self, request: &Request, upstream: &Name) {
         let (fingerprint, upstream) = (fingerprint(request), detector_name(upstream));
         let mut broken_connections = self.broken_connections.borrow_mut();
-        if !broken_connections.record_and_check(self.now(), &upstream, fingerprint) {
+        let is_evidence = broken_connections.record_and_check(self.now(), &upstream, fingerprint);
+        let outcome = if is_evidence { "counted" } else { "ignored" };
+        self.metrics.breaks.with_label_values(&[outcome]).inc();
+        if !is_evidence {
+            emit(Event::BreakIgnored, &[("request", &request.id)]);
             return;
         }
         drop(broken_connections);
@@ -82,6 +98,7 @@
         for command in commands {
             match command {
                 Command::Broadcast(new) => {
+                    new.findings.iter().for_each(log_finding);
                     self.findings.borrow_mut().extend(new.findings);
                 }
                 Command::Confirmed(fingerprint) => {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -12,6 +12,8 @@
     pub requests: IntCounterVec,
     /// Attempts beyond the first, by service and cause.
     pub retries: IntCounterVec,
+    /// Connections that broke before the first event, by whether that counts against the request.
+    pub breaks: IntCounterVec,
     /// Requests that wait for an upstream.
     pub waiting: IntGauge,
     /// Upstreams that accept requests.
@@ -62,6 +64,13 @@
                 Opts::new("relay_retries_total", "Attempts beyond the first by cause"),
                 &["service", "cause"],
             )?,
+            breaks: IntCounterVec::new(
+                Opts::new(
+                    "relay_breaks_total",
+                    "Connections that broke before the first event, by whether that is evidence",
+                ),
+                &["outcome"],
+            )?,
             waiting: IntGauge::new("relay_waiting", "Requests that wait for an upstream")?,
             upstreams: IntGauge::new("relay_upstreams", "Upstreams that take requests")?,
             clients: IntGauge::new("relay_clients", "Open connections of clients")?,
@@ -87,6 +96,7 @@
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.breaks.clone()))?;
         registry.register(Box::new(metrics.waiting.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
         registry.register(Box::new(metrics.clients.clone()))?;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -174,6 +174,8 @@
         if kind == FailureKind::Broken && !error.timed_out && self.timing.first_event.is_none() {
             router.record_broken_connection(self.request, upstream);
         }
+        let prompt = self.request.prompt.as_ref();
+        let parts = prompt.map(|prompt| prompt.display_shared().to_string());
         emit(
             Event::UpstreamFailed,
             &[
@@ -181,6 +183,8 @@
                 ("upstream", upstream),
                 ("cause", &error.cause),
                 ("runs", &self.attempts.runs),
+                ("events", &self.timing.events),
+                ("parts", &parts.unwrap_or_default()),
             ],
         );
     }
