Add failing tests of prompts whose shared part crashes engines

Routers refuse only a request that is equal in team, service, target and body to one that crashed upstreams, so requests that share a deadly prompt part and differ otherwise crash one engine after the other. The stand-in of the platform's engines can now crash: it closes its listener and all connections for 0.6 s.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -2,13 +2,21 @@
 //!
 //! It writes raw bytes instead of using an HTTP server, because many behaviours violate HTTP.
 
-use std::{cell::RefCell, collections::VecDeque, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
-    task,
+    sync::Notify,
+    task, time,
 };
 use tsw_http::{body, connection::Connection, head};
 
@@ -47,6 +55,9 @@
     /// Resets the connection after reading a request with this body. The response to other requests
     /// is a stream of this many events.
     ResetOnBody(&'static str, u64),
+    /// Crashes after the head of the response if a prompt part other than the last has this
+    /// identifier. The response to other requests is a stream of this many events.
+    CrashOnPart(&'static str, u64),
     /// No response; the connection stays open.
     Silent,
     /// A complete stream of this many events. It starts after the event that `Last-Event-Id` names.
@@ -146,6 +157,9 @@
     pub behaviour: Behaviour,
 }
 
+/// Time for which the upstream accepts no connection after a crash.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(600);
+
 #[derive(Default)]
 struct State {
     script: RefCell<VecDeque<Behaviour>>,
@@ -153,6 +167,38 @@
     default: RefCell<Option<Behaviour>>,
     arrivals: RefCell<Vec<Arrival>>,
     abandoned: RefCell<Vec<String>>,
+    crashes: Cell<u64>,
+    crashed: Notify,
+}
+
+impl State {
+    /// Accepts connections until the upstream crashes, which closes all of them.
+    async fn run(self: &Rc<Self>, listener: TcpListener) {
+        let mut connections = task::JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    let state = self.clone();
+                    connections.spawn_local(async move { drop(serve(&state, stream).await) });
+                }
+                () = self.crashed.notified() => return,
+            }
+        }
+    }
+
+    /// Listens again on the address of the upstream.
+    async fn restart(address: SocketAddr) -> TcpListener {
+        loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => return listener,
+                Err(error) => {
+                    log::warn!("cannot listen on {address}: {error}; retrying");
+                    time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
 }
 
 /// An upstream of the users' platform.
@@ -176,10 +222,11 @@
         *state.default.borrow_mut() = Some(default);
         let shared = state.clone();
         let task = task::spawn_local(async move {
-            let mut connections = task::JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                let state = shared.clone();
-                connections.spawn_local(async move { drop(serve(&state, stream).await) });
+            let mut listener = listener;
+            loop {
+                shared.run(listener).await;
+                time::sleep(CRASH_DOWNTIME).await;
+                listener = State::restart(address).await;
             }
         });
         Ok(Self {
@@ -216,6 +263,12 @@
         self.state.arrivals.borrow().clone()
     }
 
+    /// Returns the number of crashes.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        self.state.crashes.get()
+    }
+
     /// Returns the identifiers of the requests whose connection the router closed before the
     /// response was complete.
     #[must_use]
@@ -346,6 +399,17 @@
             reset_on_close(connection);
             return Ok(false);
         }
+        Behaviour::CrashOnPart(part, events) => {
+            if !has_shared_part(arrival, part) {
+                let behaviour = Behaviour::Stream(events);
+                return send_stream(state, connection, arrival, id, (behaviour, events)).await;
+            }
+            let head = stream_head(id);
+            connection.stream.write_all(head.as_bytes()).await?;
+            state.crashes.set(state.crashes.get() + 1);
+            state.crashed.notify_one();
+            return std::future::pending().await;
+        }
         Behaviour::Silent => {
             wait_for_close(connection).await;
             state.abandoned.borrow_mut().push(id.to_owned());
@@ -376,6 +440,25 @@
     Ok(keep_alive)
 }
 
+fn stream_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Returns whether a part of the prompt other than the last has an identifier.
+fn has_shared_part(arrival: &Arrival, id: &str) -> bool {
+    let parts = arrival
+        .head
+        .fields
+        .text("Prompt-Prefix")
+        .unwrap_or_default();
+    let ids = parts.split(',').filter_map(|part| part.split(':').next());
+    let ids: Vec<&str> = ids.collect();
+    ids.split_last()
+        .is_some_and(|(_, shared)| shared.contains(&id))
+}
+
 async fn send_stream(
     state: &State,
     connection: &mut Connection,
@@ -387,10 +470,10 @@
     let first = last
         .and_then(|last| last.parse().ok())
         .map_or(0, |last: u64| last + 1);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    connection.stream.write_all(head.as_bytes()).await?;
+    connection
+        .stream
+        .write_all(stream_head(id).as_bytes())
+        .await?;
     for number in first..events {
         let event = format!("id: {number}\ndata: piece {number}\n\n");
         if let Behaviour::SlowStream(_, pause) = behaviour {
--- /dev/null
+++ b/crates/toucand/tests/crashes.rs
@@ -0,0 +1,172 @@
+//! Router processes with the platform interface whose engines crash on a prompt part.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use actix_rt::time;
+use fleet::{publish, Call, Response, Router, KEY, TIMEOUT};
+use tsw_fake::{
+    store::Store,
+    worker::{Behaviour, Worker},
+};
+
+/// Identifier of the prompt part that crashes engines.
+const CRASHING: &str = "dead";
+/// Crash after which operators count the requests that reach engines.
+const COUNTED_FROM_CRASH: u64 = 5;
+/// Time after that crash from which the requests count.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Maximum number of requests with the part that may reach engines after that time.
+const MAX_LATE_REQUESTS: usize = 3;
+
+/// Two routers and engines that crash on [`CRASHING`].
+struct Site {
+    store: Store,
+    engines: Vec<Worker>,
+    routers: Vec<Router>,
+    sent: u32,
+}
+
+impl Site {
+    async fn start() -> Self {
+        let store = Store::bind().await.expect("a store");
+        let mut engines = Vec::new();
+        for _ in 0..6 {
+            let engine = Worker::bind(Behaviour::CrashOnPart(CRASHING, 3)).await;
+            engines.push(engine.expect("an engine"));
+        }
+        let names: Vec<String> = (1..=6).map(|number| format!("m{number}")).collect();
+        let upstreams: Vec<(&str, &str, &Worker)> = names
+            .iter()
+            .zip(&engines)
+            .map(|(name, engine)| (name.as_str(), "model", engine))
+            .collect();
+        publish(&store, &upstreams);
+        let first = Router::start("r1", store.address(), &[]);
+        let second = Router::start("r2", store.address(), &[first.control]);
+        let mut site = Self {
+            store,
+            engines,
+            routers: vec![first, second],
+            sent: 0,
+        };
+        for router in 0..2 {
+            site.wait_serving(router).await;
+        }
+        site
+    }
+
+    /// Waits until a router serves requests.
+    async fn wait_serving(&mut self, router: usize) {
+        self.routers[router].wait_ready().await;
+        let deadline = Instant::now() + TIMEOUT;
+        while self.send(router, "sound").await.status != 200 {
+            assert!(Instant::now() < deadline, "no request is served");
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a request that no other equals. Its prompt has the part `middle` between the others.
+    async fn send(&mut self, router: usize, middle: &str) -> Response {
+        self.sent += 1;
+        let id = format!("a{}", self.sent);
+        let mut call = Call::valid("POST", "/draft/1", &id);
+        let fields = &mut call.head.fields;
+        fields.push("Model-Name", "m");
+        fields.push("Token-Count", "1000,50");
+        let own = self.sent;
+        fields.push(
+            "Prompt-Prefix",
+            format!("aa:300,{middle}:300,bb:300,f{own:x}:100"),
+        );
+        let body = format!("{{\"prompt\":\"request {own}\"}}");
+        call.head
+            .fields
+            .push("Content-Length", body.len().to_string());
+        call.body = body.into();
+        assert!(call
+            .head
+            .fields
+            .text("Authorization")
+            .is_some_and(|key| key.contains(KEY)));
+        call.send(&self.routers[router]).await
+    }
+
+    fn crashes(&self) -> u64 {
+        self.engines.iter().map(Worker::crashes).sum()
+    }
+
+    /// Returns the number of requests with the crashing part that reached engines.
+    fn arrivals(&self) -> usize {
+        let arrivals = self.engines.iter().flat_map(Worker::arrivals);
+        let parts = arrivals.filter_map(|found| {
+            let parts = found.head.fields.text("Prompt-Prefix")?;
+            Some(parts.contains(CRASHING))
+        });
+        parts.filter(|crashing| *crashing).count()
+    }
+
+    /// Sends requests with the part until the operators count them, or both routers refuse them.
+    async fn crash_engines(&mut self) {
+        let deadline = Instant::now() + TIMEOUT;
+        let mut refused = 0;
+        while self.crashes() < COUNTED_FROM_CRASH && refused < 4 {
+            assert!(Instant::now() < deadline, "too few engines crashed");
+            let router = self.sent as usize % 2;
+            let response = self.send(router, CRASHING).await;
+            let is_refused = response.status == 503 && response.text().contains("crashed");
+            refused = if is_refused { refused + 1 } else { 0 };
+            // Lets the engines that crashed return, so that requests reach one.
+            time::sleep(Duration::from_millis(200)).await;
+        }
+        time::sleep(CONTACT_TIME).await;
+    }
+}
+
+/// Guards against requests that crash one engine after the other because of a prompt part that they
+/// share, although no two of them are equal, and against refusing sound requests with their other
+/// parts.
+#[actix_rt::test]
+async fn requests_with_a_prompt_part_that_crashes_engines_are_refused_by_all_routers() {
+    let mut site = Site::start().await;
+    site.crash_engines().await;
+    let before = site.arrivals();
+    let mut unserved = Vec::new();
+    for number in 0..24 {
+        let router = number % 2;
+        let status = site.send(router, CRASHING).await.status;
+        assert!(status >= 500, "an answer with status {status}");
+        let sound = site.send(router, "sound").await;
+        if sound.status != 200 {
+            unserved.push(sound.text().to_owned());
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let late = site.arrivals() - before;
+    assert!(late <= MAX_LATE_REQUESTS, "{late} requests reached engines");
+    assert!(unserved.is_empty(), "sound requests: {unserved:?}");
+}
+
+/// Guards against a router that forgets at its restart which prompt part crashes engines.
+#[actix_rt::test]
+async fn restarted_router_refuses_what_its_peers_refuse() {
+    let mut site = Site::start().await;
+    site.crash_engines().await;
+    let seed = site.routers[0].control;
+    drop(site.routers.remove(1));
+    let restarted = Router::start("r2", site.store.address(), &[seed]);
+    site.routers.push(restarted);
+    site.wait_serving(1).await;
+    time::sleep(CONTACT_TIME).await;
+    let before = site.arrivals();
+    for _ in 0..12 {
+        let status = site.send(1, CRASHING).await.status;
+        assert!(status >= 500, "an answer with status {status}");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let late = site.arrivals() - before;
+    assert!(late <= MAX_LATE_REQUESTS, "{late} requests reached engines");
+    assert_eq!(site.send(1, "sound").await.status, 200);
+}
