Refuse prompts by the part that crashes engines, on the platform interface

Cause: a request was identified by its team, service, target and body alone. Different requests with the same deadly part were new suspects each time, so three crashes of one suspect never came. Ruled out: that the breaks are not seen (21 suspects for 20 crashes) and that findings are late (there was none to send); dropped evidence (4 of 25 breaks) only hides a part.

Now each crash is recorded with the candidates of the requests that had no response: the parts of their prompts and the request itself. A candidate of a request that is answered anywhere is no cause. What is common to three crashes is refused, so that sound requests with the same key and all other parts pass. A crash counts only if the upstream refuses a connection afterwards, so lost answers are no evidence. Findings are sent at once instead of with the next report, and to routers that start. They keep the encoding: older routers read them as findings about requests that never come. One team cannot have another team's requests refused.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -150,6 +150,10 @@
     UpstreamUp = 413 Info "upstream-up";
     /// A broken connection is not counted as evidence against the request that used it.
     BreakIgnored = 414 Info "break-ignored";
+    /// Requests with certain prompt parts are refused, because they crash upstreams.
+    CauseRefused = 415 Error "cause-refused";
+    /// Requests with certain prompt parts are no longer refused, because an upstream responded to one.
+    CauseAllowed = 416 Info "cause-allowed";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time};
-use tsw_base::time::Timestamp;
+use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
 use tsw_member::{
     audience::{self, Load},
@@ -106,16 +106,6 @@
             continue;
         }
         last_sent = state.router.now();
-        let findings = state.router.take_findings();
-        if !findings.findings.is_empty() {
-            send(
-                &state,
-                &socket,
-                &live_addresses(&state),
-                Message::Findings(findings),
-            )
-            .await;
-        }
         let activities = state.router.take_reports();
         let now = state.router.now();
         if !activities.is_empty() {
@@ -137,6 +127,47 @@
     }
 }
 
+/// Sends findings about requests that crash upstreams to other routers until the process ends.
+///
+/// They do not wait for the next report: until a router has them, it sends such requests to further
+/// upstreams.
+pub async fn send_findings(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut greeted = Greeted::default();
+    let mut wait = GOSSIP_INTERVAL;
+    loop {
+        // The timeout only ends the wait: there may be other work.
+        let _ = time::timeout(wait, state.router.findings_ready.notified()).await;
+        let soon = state.router.tick_findings();
+        wait = soon.map_or(GOSSIP_INTERVAL, Span::as_duration);
+        let to = live_addresses(&state);
+        for findings in state.router.take_findings() {
+            send(&state, &socket, &to, Message::Findings(findings)).await;
+        }
+        let to = greeted.take_new(&state);
+        if !to.is_empty() {
+            for findings in state.router.refusals() {
+                send(&state, &socket, &to, Message::Findings(findings)).await;
+            }
+        }
+    }
+}
+
+/// Incarnations of the routers that were sent what is refused.
+#[derive(Default)]
+struct Greeted(IndexSet<u64>);
+
+impl Greeted {
+    /// Returns the gossip addresses of the live routers that have started since the last call.
+    fn take_new(&mut self, state: &State) -> Vec<SocketAddr> {
+        let roster = state.roster.borrow();
+        let live: Vec<&Member> = roster.live(state.router.now()).collect();
+        let is_new = |peer: &&&Member| !self.0.contains(&peer.incarnation);
+        let new = live.iter().filter(is_new).map(|peer| peer.gossip).collect();
+        self.0 = live.iter().map(|peer| peer.incarnation).collect();
+        new
+    }
+}
+
 /// Returns the gossip addresses of the recipients of the next report.
 fn report_recipients(state: &State, now: Timestamp) -> Vec<SocketAddr> {
     let roster = state.roster.borrow();
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -144,6 +144,7 @@
     }
     actix_rt::spawn(gossip::receive(state.clone(), socket.clone()));
     actix_rt::spawn(gossip::send_members(state.clone(), socket.clone()));
+    actix_rt::spawn(gossip::send_findings(state.clone(), socket.clone()));
     actix_rt::spawn(gossip::send_activities(state.clone(), socket));
     actix_rt::spawn(peer_sync::run(state.clone()));
     actix_rt::spawn(store_watch::run(state.clone(), Subject::Configuration));
--- /dev/null
+++ b/crates/poison/src/cause.rs
@@ -0,0 +1,477 @@
+//! Finds what the requests that crash upstreams have in common.
+
+use tsw_base::{
+    name,
+    time::{Span, Timestamp},
+};
+
+use crate::{
+    candidates::Candidates,
+    detector::{CRASHES_TO_CONFIRM, CRASH_WINDOW, REFUSAL_PERIOD},
+    message::{Findings, Fingerprint},
+};
+
+mod report;
+
+use report::Report;
+
+/// Time after which a crash is forgotten, and a rule after its last match.
+pub const MEMORY_PERIOD: Span = Span::from_secs(3_600);
+/// Time after the first report of a crash at which rules are derived from it. The reports of other
+/// routers arrive by then, so that all routers derive the same rules.
+pub const SETTLE_TIME: Span = Span::from_millis(100);
+/// Maximum number of crashes that are remembered.
+pub const MAX_CRASHES: usize = 64;
+/// Maximum number of requests that are remembered of one crash.
+pub const MAX_REQUESTS: usize = 32;
+/// Maximum number of rules.
+pub const MAX_RULES: usize = 256;
+/// Number of teams whose requests match a rule from which on it applies to all teams.
+const TEAMS_TO_APPLY_TO_ALL: usize = 2;
+
+/// Input of the finder.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// An upstream crashed before it began its response to a request.
+    Crashed {
+        /// The upstream.
+        upstream: name::Upstream,
+        /// The candidates of the request.
+        request: Candidates,
+    },
+    /// An upstream began its response to a request, so none of its candidates is a cause.
+    Answered {
+        /// The candidates of the request.
+        request: Candidates,
+    },
+    /// A peer sent findings about causes.
+    Message(Findings),
+    /// Time passed. Derives rules from crashes that are older than [`SETTLE_TIME`], and removes what
+    /// has expired.
+    Tick,
+}
+
+/// Output of the finder.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Command {
+    /// Send findings to all routers.
+    Broadcast(Findings),
+    /// Requests with all of these candidates are refused from now on. To be logged.
+    Refused(Vec<Fingerprint>),
+    /// Requests with these candidates are no longer refused because of them. To be logged.
+    Allowed(Vec<Fingerprint>),
+}
+
+/// A crash of an upstream, with the requests that had no response yet.
+#[derive(Clone, Debug)]
+struct Crash {
+    upstream: name::Upstream,
+    at: Timestamp,
+    observed_here: bool,
+    /// Whether rules were derived from it.
+    settled: bool,
+    requests: Vec<Candidates>,
+}
+
+impl Crash {
+    /// Returns the requests that have a candidate.
+    fn requests_with(&self, cause: Fingerprint) -> impl Iterator<Item = &Candidates> {
+        self.requests
+            .iter()
+            .filter(move |request| request.contains(cause))
+    }
+}
+
+/// Candidates of which one is the cause of crashes. Requests that have all of them are refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Rule {
+    causes: Vec<Fingerprint>,
+    /// Teams whose requests crashed upstreams.
+    teams: Vec<Fingerprint>,
+    until: Timestamp,
+}
+
+impl Rule {
+    fn matches(&self, request: &Candidates) -> bool {
+        request.contains_all(&self.causes)
+    }
+
+    /// Returns whether the rule applies to a team. One team must not be able to cause the refusal of
+    /// another team's requests.
+    fn applies_to(&self, team: Fingerprint) -> bool {
+        self.teams.len() >= TEAMS_TO_APPLY_TO_ALL || self.teams.contains(&team)
+    }
+
+    fn add_team(&mut self, team: Fingerprint) -> bool {
+        let is_new = !self.applies_to(team);
+        if is_new {
+            self.teams.push(team);
+        }
+        is_new
+    }
+}
+
+/// Finds what the requests that crash upstreams have in common, and refuses requests that have it.
+///
+/// Each crash is recorded with the candidates of the requests that had no response yet. A candidate
+/// of a request to which an upstream responds is not the cause and is removed. A candidate that is
+/// left in [`CRASHES_TO_CONFIRM`] crashes leads to a rule: requests are refused that have it and
+/// all candidates that occurred with it in each of these crashes. A request that lacks one of them is
+/// sound, or narrows the rule.
+///
+/// ```
+/// use tsw_base::time::Timestamp;
+/// use tsw_poison::{cause::{self, Event, Finder}, Candidates, Fingerprint};
+///
+/// let now = Timestamp::from_micros(1);
+/// let request = |number, parts: &[u64]| {
+///     let parts = parts.iter().map(|id| Fingerprint::of_part(b"reviews", *id));
+///     Candidates::new(b"north", Fingerprint(number), parts.collect())
+/// };
+/// let mut finder = Finder::default();
+/// for number in 0..3 {
+///     let upstream = format!("engine-{number}").parse()?;
+///     finder.handle(now, Event::Crashed { upstream, request: request(number, &[1, 2, 3]) });
+/// }
+/// let now = now + cause::SETTLE_TIME;
+/// finder.handle(now, Event::Tick);
+/// assert!(finder.refusal(now, &request(4, &[1, 2, 3])).is_some());
+/// // Two of the three parts are known to be sound once a request without the third is answered.
+/// assert_eq!(finder.refusal(now, &request(5, &[1, 3])), None);
+/// finder.handle(now, Event::Answered { request: request(5, &[1, 3]) });
+/// assert!(finder.refusal(now, &request(6, &[2, 4])).is_some());
+/// # Ok::<(), tsw_base::name::Error>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Finder {
+    crashes: Vec<Crash>,
+    rules: Vec<Rule>,
+}
+
+impl Finder {
+    /// Returns whether there is neither a crash nor a rule, so that no request needs to be checked.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.rules.is_empty()
+    }
+
+    /// Returns whether there are crashes from which rules are still to be derived, so that
+    /// [`Event::Tick`] is needed soon.
+    #[must_use]
+    pub fn is_settling(&self) -> bool {
+        self.crashes.iter().any(|crash| !crash.settled)
+    }
+
+    /// Returns the rules by which a request is refused.
+    fn matching<'a>(
+        &'a self,
+        now: Timestamp,
+        request: &'a Candidates,
+    ) -> impl Iterator<Item = &'a Rule> {
+        self.rules.iter().filter(move |rule| {
+            rule.until > now && rule.applies_to(request.team) && rule.matches(request)
+        })
+    }
+
+    /// Returns the remaining time for which a request is refused, or `None` if it is not.
+    #[must_use]
+    pub fn refusal(&self, now: Timestamp, request: &Candidates) -> Option<Span> {
+        let remaining = self
+            .matching(now, request)
+            .map(|rule| rule.until.since(now));
+        remaining.max()
+    }
+
+    /// Returns the rules by which a request is refused as findings, to remind other routers.
+    #[must_use]
+    pub fn reminder(&self, now: Timestamp, request: &Candidates) -> Vec<Findings> {
+        let rules = self.matching(now, request);
+        rules.map(|rule| report::rule(rule, now)).collect()
+    }
+
+    /// Returns the rules in force as findings, for a router that may lack them.
+    #[must_use]
+    pub fn rules(&self, now: Timestamp) -> Vec<Findings> {
+        let active = self.rules.iter().filter(|rule| rule.until > now);
+        active.map(|rule| report::rule(rule, now)).collect()
+    }
+
+    /// Processes an event and returns the commands that follow from it.
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Command> {
+        let mut commands = Vec::new();
+        match event {
+            Event::Crashed { upstream, request } => {
+                commands.push(Command::Broadcast(report::crash(&upstream, &request)));
+                self.record_crash(now, upstream, request, true, &mut commands);
+            }
+            Event::Answered { request } => {
+                let cleared = self.clear(&request.causes, &mut commands);
+                if !cleared.is_empty() {
+                    commands.push(Command::Broadcast(report::answered(&cleared)));
+                }
+            }
+            Event::Message(findings) => match Report::parse(findings) {
+                Some(Report::Crash { upstream, request }) => {
+                    self.record_crash(now, upstream, request, false, &mut commands);
+                }
+                Some(Report::Answered(causes)) => {
+                    self.clear(&causes, &mut commands);
+                }
+                Some(Report::Rule {
+                    causes,
+                    teams,
+                    remaining,
+                }) => {
+                    let until = now + remaining.min(REFUSAL_PERIOD);
+                    let rule = Rule {
+                        causes,
+                        teams,
+                        until,
+                    };
+                    self.add_rule(rule, &mut commands);
+                }
+                None => {}
+            },
+            Event::Tick => {
+                self.settle_crashes(now, &mut commands);
+                self.crashes
+                    .retain(|crash| now.since(crash.at) < MEMORY_PERIOD);
+                self.rules.retain(|rule| rule.until + MEMORY_PERIOD > now);
+            }
+        }
+        commands
+    }
+
+    /// Removes candidates that are no cause, and returns those that were candidates so far.
+    fn clear(&mut self, causes: &[Fingerprint], commands: &mut Vec<Command>) -> Vec<Fingerprint> {
+        let mut cleared = Vec::new();
+        let mut retain = |list: &mut Vec<Fingerprint>| {
+            list.retain(|cause| {
+                let keep = !causes.contains(cause);
+                if !keep && !cleared.contains(cause) {
+                    cleared.push(*cause);
+                }
+                keep
+            });
+            !list.is_empty()
+        };
+        for crash in &mut self.crashes {
+            crash
+                .requests
+                .retain_mut(|request| retain(&mut request.causes));
+        }
+        self.crashes.retain(|crash| !crash.requests.is_empty());
+        self.rules.retain_mut(|rule| {
+            let before = rule.causes.clone();
+            let keep = retain(&mut rule.causes);
+            if !keep {
+                commands.push(Command::Allowed(before));
+            }
+            keep
+        });
+        cleared
+    }
+
+    fn record_crash(
+        &mut self,
+        now: Timestamp,
+        upstream: name::Upstream,
+        request: Candidates,
+        observed_here: bool,
+        commands: &mut Vec<Command>,
+    ) {
+        let known = self.crashes.iter().position(|crash| {
+            // Several routers report the same crash.
+            crash.upstream == upstream && now.since(crash.at) <= CRASH_WINDOW
+        });
+        let index = known.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.remove(0);
+            }
+            self.crashes.push(Crash {
+                upstream,
+                at: now,
+                observed_here: false,
+                settled: false,
+                requests: Vec::new(),
+            });
+            self.crashes.len() - 1
+        });
+        let crash = &mut self.crashes[index];
+        crash.observed_here |= observed_here;
+        if crash.requests.len() < MAX_REQUESTS && !crash.requests.contains(&request) {
+            crash.requests.push(request.clone());
+        }
+        self.renew_rules(now, &request, observed_here, commands);
+    }
+
+    /// Derives rules from the crashes whose reports have arrived.
+    fn settle_crashes(&mut self, now: Timestamp, commands: &mut Vec<Command>) {
+        for index in 0..self.crashes.len() {
+            let crash = &mut self.crashes[index];
+            if crash.settled || now.since(crash.at) < SETTLE_TIME {
+                continue;
+            }
+            crash.settled = true;
+            if let Some(rule) = self.explain(now, &self.crashes[index]) {
+                self.adopt_rule(now, rule, commands);
+            }
+        }
+    }
+
+    /// Returns the rule that explains a crash best, unless one of the known rules explains it.
+    fn explain(&self, now: Timestamp, crash: &Crash) -> Option<Rule> {
+        let mut requests = crash.requests.iter();
+        if requests.any(|request| self.rules.iter().any(|rule| rule.matches(request))) {
+            return None;
+        }
+        let causes = crash.requests.iter().flat_map(|request| &request.causes);
+        let mut causes: Vec<Fingerprint> = causes.copied().collect();
+        causes.sort_unstable();
+        causes.dedup();
+        let rules = causes
+            .into_iter()
+            .filter_map(|cause| self.derive_rule(now, cause));
+        // Of rules that explain as many crashes, the one with the most candidates refuses the fewest
+        // requests.
+        let best = rules.max_by_key(|(rule, crashes)| (*crashes, rule.causes.len()));
+        best.map(|(rule, _)| rule)
+    }
+
+    /// Adds a rule that was derived here, and broadcasts it if one of its crashes was observed here.
+    fn adopt_rule(&mut self, now: Timestamp, rule: Rule, commands: &mut Vec<Command>) {
+        let findings = report::rule(&rule, now);
+        let is_observed_here = self.crashes.iter().any(|crash| {
+            let mut requests = crash.requests.iter();
+            crash.observed_here && requests.any(|request| rule.matches(request))
+        });
+        self.remove_superseded(&rule, commands);
+        self.add_rule(rule, commands);
+        if is_observed_here {
+            commands.push(Command::Broadcast(findings));
+        }
+    }
+
+    /// Extends the rules that a request matches which has crashed an upstream all the same, because
+    /// it was sent before, because the rule had expired, or by a team to which it did not apply.
+    fn renew_rules(
+        &mut self,
+        now: Timestamp,
+        request: &Candidates,
+        observed_here: bool,
+        commands: &mut Vec<Command>,
+    ) {
+        for rule in self.rules.iter_mut().filter(|rule| rule.matches(request)) {
+            let had_expired = rule.until <= now;
+            rule.until = now + REFUSAL_PERIOD;
+            let is_new_team = rule.add_team(request.team);
+            if had_expired || is_new_team {
+                commands.push(Command::Refused(rule.causes.clone()));
+                if observed_here {
+                    commands.push(Command::Broadcast(report::rule(rule, now)));
+                }
+            }
+        }
+    }
+
+    /// Returns the rule that follows from the crashes in which a candidate occurs, and their number,
+    /// if they are enough.
+    fn derive_rule(&self, now: Timestamp, cause: Fingerprint) -> Option<(Rule, usize)> {
+        let crashes = self.crashes.iter().map(|crash| crash.requests_with(cause));
+        let crashes = crashes.map(|requests| requests.collect::<Vec<&Candidates>>());
+        let crashes: Vec<Vec<&Candidates>> = crashes.filter(|found| !found.is_empty()).collect();
+        if crashes.len() < CRASHES_TO_CONFIRM as usize {
+            return None;
+        }
+        let requests: Vec<&Candidates> = crashes.concat();
+        // Any of the requests of a crash may be at fault, so a companion need not occur in all of them.
+        let causes = requests.iter().flat_map(|request| &request.causes);
+        let mut causes: Vec<Fingerprint> = causes.copied().collect();
+        causes.sort_unstable();
+        causes.dedup();
+        causes.retain(|cause| {
+            crashes
+                .iter()
+                .all(|requests| requests.iter().any(|request| request.contains(*cause)))
+        });
+        if !requests.iter().any(|request| request.contains_all(&causes)) {
+            causes.retain(|cause| requests.iter().all(|request| request.contains(*cause)));
+        }
+        let mut teams: Vec<Fingerprint> = requests.iter().map(|request| request.team).collect();
+        teams.sort_unstable();
+        teams.dedup();
+        let until = now + REFUSAL_PERIOD;
+        let rule = Rule {
+            causes,
+            teams,
+            until,
+        };
+        Some((rule, crashes.len()))
+    }
+
+    /// Removes the rules that explain only a part of the crashes that a new rule explains. They are due to
+    /// sound requests that were in flight in several of these crashes.
+    fn remove_superseded(&mut self, new: &Rule, commands: &mut Vec<Command>) {
+        let explained = |rule: &Rule| -> Vec<usize> {
+            let crashes = self.crashes.iter().enumerate();
+            let crashes = crashes.filter(|(_, crash)| {
+                let mut requests = crash.requests.iter();
+                requests.any(|request| rule.matches(request))
+            });
+            crashes.map(|(index, _)| index).collect()
+        };
+        let by_new = explained(new);
+        let is_superseded = |rule: &Rule| {
+            let by_rule = explained(rule);
+            let is_part = by_rule.iter().all(|index| by_new.contains(index));
+            !by_rule.is_empty() && is_part && by_rule.len() < by_new.len()
+        };
+        let (superseded, kept) = std::mem::take(&mut self.rules)
+            .into_iter()
+            .partition::<Vec<Rule>, _>(|rule| is_superseded(rule));
+        self.rules = kept;
+        let is_narrower = |rule: &Rule| rule.causes.iter().all(|cause| new.causes.contains(cause));
+        let allowed = superseded.into_iter().filter(|rule| !is_narrower(rule));
+        commands.extend(allowed.map(|rule| Command::Allowed(rule.causes)));
+    }
+
+    /// Adds a rule, or extends it if it is known. Rules that refuse a part of what it refuses are
+    /// removed.
+    fn add_rule(&mut self, mut rule: Rule, commands: &mut Vec<Command>) {
+        let mut is_new = true;
+        self.rules.retain(|old| {
+            let is_narrower = rule.causes.iter().all(|cause| old.causes.contains(cause));
+            if is_narrower {
+                if old.causes.len() == rule.causes.len() {
+                    is_new = false;
+                    rule.until = rule.until.max(old.until);
+                }
+                for team in &old.teams {
+                    rule.add_team(*team);
+                }
+            }
+            !is_narrower
+        });
+        if self.rules.len() >= MAX_RULES {
+            let oldest = self
+                .rules
+                .iter()
+                .enumerate()
+                .min_by_key(|(_, rule)| rule.until);
+            if let Some(index) = oldest.map(|(index, _)| index) {
+                self.rules.swap_remove(index);
+            }
+        }
+        if is_new {
+            commands.push(Command::Refused(rule.causes.clone()));
+        }
+        self.rules.push(rule);
+    }
+}
+
+/// Formats fingerprints for log lines, separated by commas.
+#[must_use]
+pub fn display(fingerprints: &[Fingerprint]) -> String {
+    let texts = fingerprints.iter().map(|found| format!("{:032x}", found.0));
+    texts.collect::<Vec<String>>().join(",")
+}
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -161,6 +161,24 @@
         }
     }
 
+    /// Returns the refused requests as findings, for a router that may not know them.
+    #[must_use]
+    pub fn confirmed(&self, now: Timestamp) -> Findings {
+        let findings = self.records.iter().filter_map(|(fingerprint, record)| {
+            let Record::Confirmed { until } = record else {
+                return None;
+            };
+            let remaining = until.since(now);
+            (remaining > Span::ZERO).then_some(Finding {
+                fingerprint: *fingerprint,
+                verdict: Verdict::Confirmed { remaining },
+            })
+        });
+        Findings {
+            findings: findings.collect(),
+        }
+    }
+
     /// Returns the number of remembered requests.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -1,6 +1,10 @@
 //! Detection of poison requests: requests that crash the upstreams that run them.
 //!
-//! - [`detector`]: [`CrashDetector`], a state machine that takes events and returns commands.
+//! - [`detector`]: [`CrashDetector`], a state machine that takes events and returns commands. It
+//!   detects equal requests that crash upstreams.
+//! - [`cause`]: a state machine that finds what different requests that crash upstreams have in
+//!   common, such as a part of their prompts.
+//! - [`candidates`]: what may be the cause if a request crashes an upstream.
 //! - [`broken_connections`]: decides whether a broken connection is evidence against its request.
 //! - [`fingerprint`]: the hash that identifies a request.
 //! - [`message`]: [`Findings`], which routers send each other.
@@ -46,9 +50,12 @@
 //! ```
 
 pub mod broken_connections;
+pub mod candidates;
+pub mod cause;
 pub mod detector;
 pub mod fingerprint;
 pub mod message;
 
+pub use candidates::Candidates;
 pub use detector::{Command, CrashDetector, Event, Treatment};
 pub use message::{Finding, Findings, Fingerprint, Verdict};
--- a/crates/poison/src/message.rs
+++ b/crates/poison/src/message.rs
@@ -14,6 +14,25 @@
     pub findings: Vec<Finding>,
 }
 
+impl Findings {
+    /// Splits the findings into those about whole requests, and those about what requests have in
+    /// common.
+    ///
+    /// ```
+    /// use tsw_poison::{Finding, Findings, Fingerprint, Verdict};
+    /// let both = [Fingerprint(7), Fingerprint::of_part(b"reviews", 1)];
+    /// let findings = both.map(|fingerprint| Finding { fingerprint, verdict: Verdict::Cleared });
+    /// let (requests, causes) = Findings { findings: findings.to_vec() }.split();
+    /// assert_eq!((requests.findings.len(), causes.findings.len()), (1, 1));
+    /// ```
+    #[must_use]
+    pub fn split(self) -> (Self, Self) {
+        let findings = self.findings.into_iter();
+        let (causes, requests) = findings.partition(|finding| finding.fingerprint.is_tagged());
+        (Self { findings: requests }, Self { findings: causes })
+    }
+}
+
 /// Verdict of a router on one request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Finding {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,7 +19,7 @@
 
 /// Timeout for connecting to an upstream. A connection takes one round trip and about 1 ms of the
 /// upstream's time.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of responses to other requests that are skipped before the response to this one.
 const MAX_MISMATCHED: usize = 2;
 
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -7,6 +7,7 @@
 };
 
 use indexmap::{IndexMap, IndexSet};
+use tokio::sync::Notify;
 use tsw_base::time::{Span, Timestamp};
 use tsw_flow::{
     account::{self, Work},
@@ -16,7 +17,7 @@
     service::Service,
 };
 use tsw_http::pool;
-use tsw_poison::{broken_connections::BrokenConnections, CrashDetector, Finding};
+use tsw_poison::{broken_connections::BrokenConnections, cause, CrashDetector, Finding, Findings};
 use tsw_route::{active, table::Table, Name};
 
 use crate::{
@@ -85,7 +86,16 @@
     owned: RefCell<IndexSet<Name>>,
     pub(crate) crash_detector: RefCell<CrashDetector>,
     pub(crate) broken_connections: RefCell<BrokenConnections>,
+    /// Finds what different requests that crash upstreams have in common.
+    pub(crate) cause_finder: RefCell<cause::Finder>,
+    /// Findings about whole requests for the other routers.
     pub(crate) findings: RefCell<Vec<Finding>>,
+    /// Findings about causes for the other routers. Each is a message of its own.
+    pub(crate) cause_findings: RefCell<Vec<Findings>>,
+    /// When the other routers were last reminded of what is refused.
+    pub(crate) reminded_at: Cell<Timestamp>,
+    /// Notified when there are findings for the other routers.
+    pub findings_ready: Notify,
     /// When the last report of each other router that has work arrived, and whether it is busy.
     peer_reports: RefCell<IndexMap<Name, (Timestamp, bool)>>,
     retries: RetryLimits,
@@ -113,7 +123,11 @@
             owned: RefCell::default(),
             crash_detector: RefCell::new(CrashDetector::without_isolation()),
             broken_connections: RefCell::default(),
+            cause_finder: RefCell::default(),
             findings: RefCell::default(),
+            cause_findings: RefCell::default(),
+            reminded_at: Cell::default(),
+            findings_ready: Notify::new(),
             peer_reports: RefCell::default(),
             retries: options.retries,
             router_count: Cell::new(1),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -122,26 +122,34 @@
 impl RequestRun<'_, '_> {
     async fn run_attempts(&mut self) -> io::Result<Outcome> {
         loop {
-            if let Some(retry_after) = self.router.poison_refusal(self.request) {
-                let refusal = Refusal::Poison;
-                return self
-                    .finish_without_slot(Refused::new(refusal, retry_after))
-                    .await;
+            if let Some(outcome) = self.refuse_poison().await? {
+                return Ok(outcome);
             }
             let reservation = match self.router.reserve(self.request, &self.avoid).await {
                 Ok(reservation) => reservation,
                 Err(refused) => return self.finish_without_slot(refused).await,
             };
+            // It may have been confirmed that the request crashes upstreams while it was queued.
+            if let Some(outcome) = self.refuse_poison().await? {
+                return Ok(outcome);
+            }
             let now = self.router.now();
             let waited = now.since(self.request.arrived).as_secs_f64();
             self.router.metrics.wait.observe(waited);
-            let upstream = reservation.choice().id.clone();
+            let choice = reservation.choice();
+            let (upstream, address) = (choice.id.clone(), choice.address);
             let error = match self.attempt(reservation).await {
                 Ok(outcome) => return Ok(outcome),
                 Err(AttemptFailure::Client(error)) => return Err(error),
                 Err(AttemptFailure::Upstream(error)) => error,
             };
             self.record_failure(&upstream, &error);
+            if self.is_crash_suspect(&error) {
+                // Before the request is retried, so that it crashes no further upstream if it is now
+                // known as a cause.
+                let router = self.router;
+                router.check_crash(self.request, &upstream, address).await;
+            }
             let max_attempts = self.request.route.max_attempts;
             let next = self
                 .attempts
@@ -159,6 +167,21 @@
         }
     }
 
+    /// Refuses the request if it crashes upstreams.
+    async fn refuse_poison(&mut self) -> io::Result<Option<Outcome>> {
+        let Some(retry_after) = self.router.poison_refusal(self.request) else {
+            return Ok(None);
+        };
+        let refused = Refused::new(Refusal::Poison, retry_after);
+        self.finish_without_slot(refused).await.map(Some)
+    }
+
+    /// Returns whether the upstream may have crashed when it began its response to the request.
+    fn is_crash_suspect(&self, error: &AttemptError) -> bool {
+        let is_broken = error.kind == FailureKind::Broken && !error.timed_out;
+        is_broken && self.timing.first_event.is_none()
+    }
+
     fn record_failure(&mut self, upstream: &Name, error: &AttemptError) {
         let (router, now) = (self.router, self.router.now());
         let kind = error.kind;
@@ -171,7 +194,7 @@
             FailureKind::Broken | FailureKind::Failed => service.pool.record_failure(now, upstream),
             FailureKind::NotRun => {}
         });
-        if kind == FailureKind::Broken && !error.timed_out && self.timing.first_event.is_none() {
+        if self.is_crash_suspect(error) {
             router.record_broken_connection(self.request, upstream);
         }
         let prompt = self.request.prompt.as_ref();
