Refuse prompts by the line that crashes engines, on the own interface

No caller lists the parts of a prompt here: its lines are taken as parts, and long lines are divided where their content determines it. The candidates of a call that fails before its first token go to the same finder, and a first token clears them. A call is checked again when it is granted a slot.

A router that starts knew nothing of what the others refuse, neither prompts nor whole calls: it now gets both with the first messages of each session.

--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -7,7 +7,7 @@
 use tsw_member::View;
 use tsw_once::{owner, survivor, witness};
 use tsw_place::Dispatch;
-use tsw_poison::CrashDetector;
+use tsw_poison::{cause, CrashDetector};
 
 use crate::{
     configuration::Configuration,
@@ -87,6 +87,8 @@
     survivor: survivor::Table,
     /// Detection of requests that crash upstreams.
     crash_detector: CrashDetector,
+    /// What requests that crash upstreams have in common.
+    cause_finder: cause::Finder,
     /// Model placement orders for engines.
     placement: Dispatch,
     /// The audit log.
--- a/crates/toucand/src/crash_detector.rs
+++ b/crates/toucand/src/crash_detector.rs
@@ -1,18 +1,21 @@
-//! Controller of the crash detector, which finds requests that crash upstreams.
+//! Controller of the detection of requests that crash upstreams, and of what they have in common.
 
 use tsw_base::{name, time::Timestamp};
 use tsw_board::{Board, WriteToken};
 use tsw_event::{emit, Event};
 use tsw_member::State;
-use tsw_poison::{Command, CrashDetector, Fingerprint, Treatment, Verdict};
+use tsw_poison::{
+    cause, Candidates, Command, CrashDetector, Findings, Fingerprint, Treatment, Verdict,
+};
 use tsw_wire::message::Message;
 
-use crate::{call::Call, turn::Turn};
+use crate::{call::Call, prompt, turn::Turn};
 
-/// Writes the crash detector section of the blackboard.
+/// Writes the sections of the blackboard about requests that crash upstreams.
 #[derive(Debug)]
 pub struct Controller {
-    write_token: WriteToken<CrashDetector>,
+    detector: WriteToken<CrashDetector>,
+    finder: WriteToken<cause::Finder>,
 }
 
 /// Returns the fingerprint by which the crash detector identifies equal calls.
@@ -21,40 +24,74 @@
     Fingerprint::of(&call.team, &call.service, &call.path, &call.body)
 }
 
+/// Returns the candidates of a call, or `None` if it has no prompt.
+#[must_use]
+pub fn candidates(call: &Call) -> Option<Candidates> {
+    let parts = prompt::parts(&call.service, &call.body);
+    let team = call.team.as_str().as_bytes();
+    (!parts.is_empty()).then(|| Candidates::new(team, fingerprint(call), parts))
+}
+
 impl Controller {
-    /// Creates the controller with the write token of its section.
+    /// Creates the controller with the write tokens of its sections.
     #[must_use]
-    pub const fn new(write_token: WriteToken<CrashDetector>) -> Self {
-        Self { write_token }
+    pub const fn new(
+        detector: WriteToken<CrashDetector>,
+        finder: WriteToken<cause::Finder>,
+    ) -> Self {
+        Self { detector, finder }
     }
 
-    /// Returns how a call is to be treated. The fingerprint is computed only if a request is
-    /// suspected.
+    /// Returns how a call is to be treated. Fingerprints are computed only if something is suspected.
     #[must_use]
     pub fn treatment(board: &Board, now: Timestamp, call: &Call) -> Treatment {
+        if !board.cause_finder.is_empty() {
+            let refusal = candidates(call).and_then(|call| board.cause_finder.refusal(now, &call));
+            if let Some(remaining) = refusal {
+                return Treatment::Refused { remaining };
+            }
+        }
         if board.crash_detector.is_empty() {
             return Treatment::Normal;
         }
         board.crash_detector.treatment(now, fingerprint(call))
     }
 
+    /// Returns what is refused as the first messages of a session to a peer, which may have started
+    /// after it was found.
+    #[must_use]
+    pub fn session_messages(board: &Board, now: Timestamp) -> Vec<Message> {
+        let mut messages = board.cause_finder.rules(now);
+        messages.push(board.crash_detector.confirmed(now));
+        messages.retain(|message| !message.findings.is_empty());
+        messages.into_iter().map(Message::Findings).collect()
+    }
+
+    /// Applies the findings of a peer.
+    pub fn receive(&self, turn: &mut Turn<'_>, findings: Findings) {
+        let (requests, causes) = findings.split();
+        self.handle(turn, tsw_poison::Event::Message(requests));
+        self.handle_cause(turn, cause::Event::Message(causes));
+    }
+
+    /// Runs the timers.
+    pub fn tick(&self, turn: &mut Turn<'_>) {
+        if !turn.board.crash_detector.is_empty() {
+            self.handle(turn, tsw_poison::Event::Tick);
+        }
+        if !turn.board.cause_finder.is_empty() {
+            self.handle_cause(turn, cause::Event::Tick);
+        }
+    }
+
     /// Passes an event to the crash detector and executes the resulting commands.
     pub fn handle(&self, turn: &mut Turn<'_>, event: tsw_poison::Event) {
-        for command in turn
-            .board
-            .crash_detector
-            .write(&self.write_token)
-            .handle(turn.now, event)
-        {
+        let detector = turn.board.crash_detector.write(&self.detector);
+        for command in detector.handle(turn.now, event) {
             match command {
                 Command::Broadcast(findings) => {
                     log_findings(&findings);
-                    let peers = turn.board.fleet.peers();
-                    let peers = peers.filter(|(_, _, state)| *state != State::Dead);
-                    let hosts: Vec<name::Host> = peers.map(|(id, _, _)| id.host.clone()).collect();
-                    for host in hosts {
-                        turn.out.send(&host, Message::Findings(findings.clone()));
-                    }
+                    broadcast(turn, &findings);
                 }
                 Command::Confirmed(fingerprint) => {
                     let text = format!("{:032x}", fingerprint.0);
@@ -63,6 +100,34 @@
             }
         }
     }
+
+    /// Passes an event to the finder of causes and executes the resulting commands.
+    pub fn handle_cause(&self, turn: &mut Turn<'_>, event: cause::Event) {
+        let finder = turn.board.cause_finder.write(&self.finder);
+        for command in finder.handle(turn.now, event) {
+            match command {
+                cause::Command::Broadcast(findings) => broadcast(turn, &findings),
+                cause::Command::Refused(causes) => {
+                    let causes = cause::display(&causes);
+                    emit(Event::CauseRefused, &[("causes", &causes)]);
+                }
+                cause::Command::Allowed(causes) => {
+                    let causes = cause::display(&causes);
+                    emit(Event::CauseAllowed, &[("causes", &causes)]);
+                }
+            }
+        }
+    }
+}
+
+/// Sends findings to all peers that are not dead.
+fn broadcast(turn: &mut Turn<'_>, findings: &Findings) {
+    let peers = turn.board.fleet.peers();
+    let peers = peers.filter(|(_, _, state)| *state != State::Dead);
+    let hosts: Vec<name::Host> = peers.map(|(id, _, _)| id.host.clone()).collect();
+    for host in hosts {
+        turn.out.send(&host, Message::Findings(findings.clone()));
+    }
 }
 
 fn log_findings(findings: &tsw_poison::Findings) {
--- a/crates/toucand/src/engine.rs
+++ b/crates/toucand/src/engine.rs
@@ -93,7 +93,8 @@
     running: Option<Running>,
     response: Box<ClientResponse>,
     buffer: BytesMut,
-    id: String,
+    id: Box<str>,
+    has_tokens: bool,
 }
 
 /// Parses and checks a caller's body as the base of the request body for an engine.
@@ -132,8 +133,8 @@
     // Callers choose their request identifiers, so two teams may choose the same one. The engine
     // gets an identifier derived from the grant, so that a cancellation affects only this attempt.
     let id = slot.granted().id;
-    let id = format!("{}-{}", id.home, id.number);
-    body.insert("request_id".to_owned(), id.as_str().into());
+    let id = format!("{}-{}", id.home, id.number).into_boxed_str();
+    body.insert("request_id".to_owned(), (&*id).into());
     body.insert("resume_from".to_owned(), resume_from.into());
     let request = router
         .client
@@ -160,6 +161,8 @@
         Ok(Err(error)) => {
             if let Some(slot) = attempt.slot.take() {
                 attempt.router.record_crash(slot.upstream());
+                let router = &attempt.router;
+                router.record_crash_before_token(&call, slot.upstream());
             }
             return Err(AttemptError::Connection(error.to_string()));
         }
@@ -176,6 +179,7 @@
         response: Box::new(response),
         buffer: BytesMut::new(),
         id: std::mem::take(&mut attempt.id),
+        has_tokens: false,
     })
 }
 
@@ -184,7 +188,7 @@
     router: Rc<Router>,
     slot: Option<Slot>,
     running: Option<Running>,
-    id: String,
+    id: Box<str>,
 }
 
 impl Drop for PendingAttempt {
@@ -213,6 +217,12 @@
         self.slot.as_ref()
     }
 
+    /// Returns whether the engine has produced a token in this attempt.
+    #[must_use]
+    pub const fn has_tokens(&self) -> bool {
+        self.has_tokens
+    }
+
     /// Waits for the next lines. This is cancel-safe: no data is lost.
     ///
     /// # Errors
@@ -228,6 +238,7 @@
             self.buffer.extend_from_slice(&part);
             let lines = parse_lines(&mut self.buffer)?;
             if !lines.is_empty() {
+                self.has_tokens |= lines.iter().any(|line| matches!(line, Line::Token { .. }));
                 return Ok(lines);
             }
         }
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -14,7 +14,7 @@
 //! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`running`], [`stream`],
 //!   [`engine`], [`plain`], [`forward`], [`non_idempotent`], [`refusal`], [`reply`].
 //! - Others: [`locate`], [`peers`], [`platform`], [`hosts`], [`load`], [`order`], [`operator`],
-//!   [`metrics`], [`recent`].
+//!   [`metrics`], [`recent`], [`prompt`].
 
 pub mod accept;
 pub mod audit;
@@ -42,6 +42,7 @@
 pub mod placement;
 pub mod plain;
 pub mod platform;
+pub mod prompt;
 pub mod recent;
 pub mod refusal;
 pub mod reply;
--- a/crates/toucand/src/peers.rs
+++ b/crates/toucand/src/peers.rs
@@ -7,7 +7,7 @@
 use tsw_member::event;
 use tsw_wire::message::{Hello, VERSION};
 
-use crate::router::Router;
+use crate::{crash_detector, router::Router};
 
 /// Opens the link and listens for peers.
 ///
@@ -37,7 +37,11 @@
             router.map_or_else(Vec::new, |router| {
                 router.update_state(|state, now| {
                     let (mut turn, control) = state.split(now);
-                    control.scheduling.session_messages(&mut turn, peer)
+                    let mut messages = control.scheduling.session_messages(&mut turn, peer);
+                    messages.extend(crash_detector::Controller::session_messages(
+                        turn.board, now,
+                    ));
+                    messages
                 })
             })
         }),
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -18,7 +18,7 @@
 use crate::{
     call::Call,
     crash_detector,
-    engine::AttemptError,
+    engine::{Attempt, AttemptError},
     health, plain,
     refusal::Refusal,
     reply::{self, Outcome, Reply},
@@ -56,10 +56,7 @@
         if call.deadline <= self.now() {
             return Err(Refusal::Deadline);
         }
-        let treatment = self.read_state(|state| {
-            crash_detector::Controller::treatment(&state.board, self.now(), call)
-        });
-        if matches!(treatment, Treatment::Refused { .. }) {
+        if self.is_poison(call) {
             return Err(Refusal::Poison);
         }
         let rules = self.rules().ok_or(Refusal::Starting)?;
@@ -191,7 +188,13 @@
     }
 
     /// Logs a failed attempt on an engine and reports a possible crash.
-    pub fn record_engine_failure(&self, call: &Call, slot: Option<&Slot>, broken: &AttemptError) {
+    pub fn record_engine_failure(
+        &self,
+        call: &Call,
+        attempt: Option<&Attempt>,
+        broken: &AttemptError,
+    ) {
+        let slot = attempt.and_then(Attempt::slot);
         let upstream = slot.map_or_else(|| "-".to_owned(), |slot| slot.upstream().to_string());
         self.record_event(
             Event::UpstreamFailed,
@@ -200,6 +203,9 @@
         );
         if let (Some(slot), true) = (slot, broken.is_crash()) {
             self.record_crash(slot.upstream());
+            if !attempt.is_some_and(Attempt::has_tokens) {
+                self.record_crash_before_token(call, slot.upstream());
+            }
         }
     }
 
@@ -289,6 +295,7 @@
             health.first_token_seen = true;
         });
         if first {
+            self.record_first_token(call);
             let since_arrival = self.age(call).as_secs_f64();
             self.metrics.first_token.observe(since_arrival);
         }
--- a/crates/toucand/src/running.rs
+++ b/crates/toucand/src/running.rs
@@ -4,7 +4,7 @@
 
 use tsw_base::name;
 use tsw_event::Event;
-use tsw_poison::Fingerprint;
+use tsw_poison::{cause, Fingerprint, Treatment};
 
 use crate::{call::Call, crash_detector, router::Router};
 
@@ -87,6 +87,40 @@
         });
     }
 
+    /// Records that an upstream may have crashed before it produced a token for a call.
+    pub fn record_crash_before_token(&self, call: &Call, upstream: &name::Upstream) {
+        if let Some(request) = crash_detector::candidates(call) {
+            let upstream = upstream.clone();
+            self.notify_cause_finder(cause::Event::Crashed { upstream, request });
+        }
+    }
+
+    /// Records that an upstream produced its first token for a call.
+    pub fn record_first_token(&self, call: &Call) {
+        if self.read_state(|state| state.board.cause_finder.is_empty()) {
+            return;
+        }
+        if let Some(request) = crash_detector::candidates(call) {
+            self.notify_cause_finder(cause::Event::Answered { request });
+        }
+    }
+
+    /// Returns whether a call is refused because it crashes upstreams.
+    #[must_use]
+    pub fn is_poison(&self, call: &Call) -> bool {
+        let now = self.now();
+        let treatment =
+            self.read_state(|state| crash_detector::Controller::treatment(&state.board, now, call));
+        matches!(treatment, Treatment::Refused { .. })
+    }
+
+    fn notify_cause_finder(&self, event: cause::Event) {
+        self.update_state(|state, now| {
+            let (mut turn, control) = state.split(now);
+            control.crash_detector.handle_cause(&mut turn, event);
+        });
+    }
+
     /// Reports to the crash detector that an upstream may have crashed.
     pub fn record_crash(&self, upstream: &name::Upstream) {
         self.notify_crash_detector(tsw_poison::Event::Crashed {
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -86,6 +86,7 @@
             witness: witness::Table::new(id.clone(), retain + lifetime * 2, Limits::default()),
             survivor: survivor::Table::new(survivor::Timing::default()),
             crash_detector: Default::default(),
+            cause_finder: Default::default(),
             placement: tsw_place::Dispatch::new(tsw_place::Options::default()),
             audit: tsw_audit::Chain::new(id.clone(), context.keys.record.clone()),
         });
@@ -113,7 +114,10 @@
                 tuning.hedge_percent,
             ),
             tables: tables::Controller::new(tables, signer, issuer),
-            crash_detector: crash_detector::Controller::new(tokens.crash_detector),
+            crash_detector: crash_detector::Controller::new(
+                tokens.crash_detector,
+                tokens.cause_finder,
+            ),
             placement: placement::Controller::new(tokens.placement),
             audit: audit::Controller::new(tokens.audit),
         };
@@ -219,9 +223,8 @@
             | Message::Holdings(_)
             | Message::Served(_) => self.handle_scheduling_message(now, from, message),
             Message::Findings(findings) => {
-                let event = tsw_poison::Event::Message(findings);
                 let (mut turn, control) = self.split(now);
-                control.crash_detector.handle(&mut turn, event);
+                control.crash_detector.receive(&mut turn, findings);
             }
             Message::Head(head) => {
                 self.control
@@ -389,9 +392,7 @@
         let slow = now >= next_slow_tick;
         if slow {
             control.placement.handle(turn, tsw_place::Event::Tick);
-            if !turn.board.crash_detector.is_empty() {
-                control.crash_detector.handle(turn, tsw_poison::Event::Tick);
-            }
+            control.crash_detector.tick(turn);
         }
         if slow {
             self.next_slow_tick = now + SLOW_PERIOD;
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -161,6 +161,10 @@
                 Step::Active(Err(broken)) => self.active_failed(&broken),
                 Step::Candidate(Err(broken)) => self.candidate_failed(&broken),
                 Step::Opened(Err(broken)) => self.candidate_failed(&broken),
+                Step::Slot(Ok(_)) if self.next_token == 0 && self.router.is_poison(&self.call) => {
+                    // It was confirmed while the call was queued.
+                    self.slot_refused(Refusal::Poison)
+                }
                 Step::Slot(Ok(slot)) => {
                     self.open_candidate(slot);
                     Ok(None)
@@ -396,7 +400,7 @@
     fn active_failed(&mut self, broken: &AttemptError) -> Result<Option<Output>, Failure> {
         if let Some(attempt) = self.active.take() {
             self.router
-                .record_engine_failure(&self.call, attempt.slot(), broken);
+                .record_engine_failure(&self.call, Some(&attempt), broken);
             attempt.fail();
         }
         self.last_error = Some(broken.clone());
@@ -416,7 +420,7 @@
     fn candidate_failed(&mut self, broken: &AttemptError) -> Result<Option<Output>, Failure> {
         if let Some(Candidate::Open(attempt)) = self.candidate.take() {
             self.router
-                .record_engine_failure(&self.call, attempt.slot(), broken);
+                .record_engine_failure(&self.call, Some(&attempt), broken);
             attempt.fail();
         } else {
             self.router.record_engine_failure(&self.call, None, broken);
--- a/crates/toucand/tests/crashing_prompts.rs
+++ b/crates/toucand/tests/crashing_prompts.rs
@@ -55,51 +55,69 @@
     )
 }
 
-/// Guards against prompts that crash one engine after the other because of a line that they share,
-/// although no two of them are equal, and against refusing sound prompts with their other lines.
-#[actix_rt::test]
-async fn prompts_with_a_line_that_crashes_engines_are_refused() {
-    let fleet = start_engines().await;
-    let upstreams = fleet
-        .addresses()
-        .iter()
-        .zip(ENGINES)
-        .map(|((_, address), name)| Upstream {
-            name,
-            service: "reviews",
-            address: *address,
-            slots: 4,
-        });
-    let upstreams: Vec<Upstream> = upstreams.collect();
-    let router = Router::start(&upstreams).await;
-    let mut number = 0;
+/// Sends prompts with the line until operators count them, or all routers refuse them.
+async fn crash_engines(fleet: &Fleet, routers: &[Router]) {
     let mut refused = 0;
     let deadline = Instant::now() + Duration::from_secs(60);
-    while crashes(&fleet) < COUNTED_FROM_CRASH && refused < 3 {
+    for number in 0.. {
+        if crashes(fleet) >= COUNTED_FROM_CRASH || refused > 2 * routers.len() {
+            break;
+        }
         assert!(Instant::now() < deadline, "too few engines crashed");
-        number += 1;
-        let (status, _) = send(&router, number, CRASHING).await;
+        let router = &routers[number as usize % routers.len()];
+        let (status, _) = send(router, number, CRASHING).await;
         assert_ne!(status, StatusCode::OK);
-        let before = crashes(&fleet);
-        refused = if status == StatusCode::UNPROCESSABLE_ENTITY && crashes(&fleet) == before {
-            refused + 1
-        } else {
-            0
-        };
+        let is_refused = status == StatusCode::UNPROCESSABLE_ENTITY;
+        refused = if is_refused { refused + 1 } else { 0 };
     }
     time::sleep(CONTACT_TIME).await;
-    let before = crashes(&fleet);
+}
+
+fn upstreams(fleet: &Fleet) -> Vec<Upstream> {
+    let addresses = fleet.addresses().iter().zip(ENGINES);
+    let upstreams = addresses.map(|((_, address), name)| Upstream {
+        name,
+        service: "reviews",
+        address: *address,
+        slots: 4,
+    });
+    upstreams.collect()
+}
+
+/// Sends prompts with the line and without it, and checks that only the latter are served.
+async fn check_refusals(fleet: &Fleet, router: &Router) {
+    let before = crashes(fleet);
     let mut unserved = Vec::new();
-    for _ in 0..12 {
-        number += 1;
-        send(&router, number, CRASHING).await;
-        number += 1;
-        let (status, body) = send(&router, number, "A sound line.").await;
+    for number in 0..12 {
+        send(router, 1_000 + number, CRASHING).await;
+        let (status, body) = send(router, 2_000 + number, "A sound line.").await;
         if status != StatusCode::OK || !body.contains("\"complete\"") {
             unserved.push((status, body));
         }
     }
-    let late = crashes(&fleet) - before;
+    let late = crashes(fleet) - before;
     assert!(late <= MAX_LATE_CRASHES, "{late} engines crashed");
     assert!(unserved.is_empty(), "sound prompts: {unserved:?}");
 }
+
+/// Guards against prompts that crash one engine after the other because of a line that they share,
+/// although no two of them are equal, and against refusing sound prompts with their other lines.
+#[actix_rt::test]
+async fn prompts_with_a_line_that_crashes_engines_are_refused() {
+    let fleet = start_engines().await;
+    let router = Router::start(&upstreams(&fleet)).await;
+    let routers = [router];
+    crash_engines(&fleet, &routers).await;
+    check_refusals(&fleet, &routers[0]).await;
+}
+
+/// Guards against a router that forgets at its restart which line of a prompt crashes engines.
+#[actix_rt::test]
+async fn restarted_router_refuses_prompts_that_its_peer_refuses() {
+    let fleet = start_engines().await;
+    let mut routers = Router::start_fleet(&["r1", "r2"], &upstreams(&fleet)).await;
+    crash_engines(&fleet, &routers).await;
+    routers[1].restart().await;
+    time::sleep(CONTACT_TIME).await;
+    check_refusals(&fleet, &routers[1]).await;
+}
--- a/crates/toucand/tests/support/mod.rs
+++ b/crates/toucand/tests/support/mod.rs
@@ -269,11 +269,18 @@
     .to_string()
 }
 
-/// Starts a fake platform that lists one router and the given upstreams.
+/// Starts a fake platform that lists the router `r1` and the given upstreams.
 pub async fn platform(ports: &Ports, upstreams: &[Upstream]) -> SocketAddr {
-    let router = json!({
-        "host": "r1", "domain": "north", "role": "router", "state": "live",
-        "address": ports.caller.to_string(), "peer_address": ports.peer.to_string(),
+    platform_of(&[("r1", ports)], upstreams).await
+}
+
+/// Starts a fake platform that lists the given routers and upstreams.
+async fn platform_of(routers: &[(&str, &Ports)], upstreams: &[Upstream]) -> SocketAddr {
+    let routers = routers.iter().map(|(host, ports)| {
+        json!({
+            "host": host, "domain": "north", "role": "router", "state": "live",
+            "address": ports.caller.to_string(), "peer_address": ports.peer.to_string(),
+        })
     });
     let listed = upstreams.iter().map(|upstream| {
         json!({
@@ -282,7 +289,7 @@
             "slots": upstream.slots,
         })
     });
-    let hosts: Vec<serde_json::Value> = std::iter::once(router).chain(listed).collect();
+    let hosts: Vec<serde_json::Value> = routers.chain(listed).collect();
     let hosts = json!({"revision": 1, "hosts": hosts}).to_string();
     serve(Rc::new(move |seen| {
         let hosts = hosts.clone();
@@ -300,34 +307,51 @@
     .await
 }
 
-/// Writes keys and certificates to a directory.
+/// Writes the keys and certificates of the router `r1` to a directory.
 pub fn write_keys(directory: &Path) {
+    write_keys_of(&["r1"], directory);
+}
+
+/// Writes the keys and certificates of routers to a directory.
+fn write_keys_of(hosts: &[&str], directory: &Path) {
     use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
     let mut params = CertificateParams::new(Vec::new()).expect("no names");
     params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
     let key = KeyPair::generate().expect("a key");
     let authority = CertifiedIssuer::self_signed(params, key).expect("an authority");
-    let key = KeyPair::generate().expect("a key");
-    let certificate = CertificateParams::new(vec!["r1".to_owned()])
-        .expect("a valid name")
-        .signed_by(&key, &authority)
-        .expect("a certificate");
+    let write = |name: &str, text: &str| fs::write(directory.join(name), text).expect("written");
+    for host in hosts {
+        let key = KeyPair::generate().expect("a key");
+        let certificate = CertificateParams::new(vec![(*host).to_owned()])
+            .expect("a valid name")
+            .signed_by(&key, &authority)
+            .expect("a certificate");
+        write(&format!("{host}.pem"), &certificate.pem());
+        write(&format!("{host}.key"), &key.serialize_pem());
+    }
     let record = ed25519_dalek::SigningKey::from_bytes(&[7; 32])
         .to_pkcs8_pem(LineEnding::LF)
         .expect("a key");
-    let write = |name: &str, text: &str| fs::write(directory.join(name), text).expect("written");
     write("authority.pem", &authority.pem());
-    write("r1.pem", &certificate.pem());
-    write("r1.key", &key.serialize_pem());
     write("permit.key", &"ab".repeat(32));
     write("record.key", &record);
 }
 
-/// Returns valid settings followed by the lines `extra`.
+/// Returns valid settings of the router `r1` followed by the lines `extra`.
 pub fn settings(directory: &Path, ports: &Ports, platform: SocketAddr, extra: &str) -> String {
+    settings_of("r1", directory, ports, platform, extra)
+}
+
+fn settings_of(
+    host: &str,
+    directory: &Path,
+    ports: &Ports,
+    platform: SocketAddr,
+    extra: &str,
+) -> String {
     let file = |name: &str| directory.join(name).display().to_string();
     format!(
-        "host: r1\ndomain: north\n\
+        "host: {host}\ndomain: north\n\
          listen: {{caller: \"{}\", peer: \"{}\", operator: \"{}\"}}\n\
          platform: {{config: \"http://{platform}\", hosts: \"http://{platform}\", \
          weights: \"http://{platform}\"}}\n\
@@ -337,8 +361,8 @@
         ports.peer,
         ports.operator,
         file("authority.pem"),
-        file("r1.pem"),
-        file("r1.key"),
+        file(&format!("{host}.pem")),
+        file(&format!("{host}.key")),
         file("permit.key"),
         file("record.key"),
     )
@@ -348,30 +372,58 @@
 pub struct Router {
     pub ports: Ports,
     pub process: Child,
-    pub directory: tempfile::TempDir,
+    pub directory: Rc<tempfile::TempDir>,
+    settings: PathBuf,
 }
 
 impl Router {
-    /// Starts a router with the given upstreams and waits until it is ready.
+    /// Starts the router `r1` with the given upstreams and waits until it is ready.
     pub async fn start(upstreams: &[Upstream]) -> Self {
-        let directory = tempfile::tempdir().expect("a directory");
-        let ports = Ports::free();
-        let platform = platform(&ports, upstreams).await;
-        write_keys(directory.path());
-        let text = settings(directory.path(), &ports, platform, "log: {level: debug}\n");
-        let process = spawn(&write_settings(directory.path(), &text));
-        let router = Self {
-            ports,
-            process,
-            directory,
-        };
+        Self::start_fleet(&["r1"], upstreams).await.remove(0)
+    }
+
+    /// Starts a fleet of routers with the given upstreams and waits until they are ready.
+    pub async fn start_fleet(hosts: &[&str], upstreams: &[Upstream]) -> Vec<Self> {
+        let directory = Rc::new(tempfile::tempdir().expect("a directory"));
+        write_keys_of(hosts, directory.path());
+        let ports: Vec<Ports> = hosts.iter().map(|_| Ports::free()).collect();
+        let listed: Vec<(&str, &Ports)> = hosts.iter().copied().zip(&ports).collect();
+        let platform = platform_of(&listed, upstreams).await;
+        let mut routers = Vec::new();
+        for (host, ports) in hosts.iter().zip(ports) {
+            let extra = "log: {level: debug}\n";
+            let text = settings_of(host, directory.path(), &ports, platform, extra);
+            let settings = directory.path().join(format!("{host}.yaml"));
+            fs::write(&settings, text).expect("written");
+            routers.push(Self {
+                ports,
+                process: spawn(&settings),
+                directory: directory.clone(),
+                settings,
+            });
+        }
+        for router in &routers {
+            router.wait_ready().await;
+        }
+        routers
+    }
+
+    /// Kills the process, starts another one and waits until it is ready.
+    pub async fn restart(&mut self) {
+        self.process.kill().expect("killed");
+        self.process.wait().expect("ended");
+        self.process = spawn(&self.settings);
+        self.wait_ready().await;
+    }
+
+    async fn wait_ready(&self) {
         let client = awc::Client::default();
-        let url = format!("http://{}/readyz", router.ports.operator);
+        let url = format!("http://{}/readyz", self.ports.operator);
         let until = Instant::now() + Duration::from_secs(10);
         loop {
             if let Ok(response) = client.get(&url).send().await {
                 if response.status() == StatusCode::OK {
-                    return router;
+                    return;
                 }
             }
             assert!(Instant::now() < until, "not ready within 10 s");
