--- a/crates/relay/src/local_response.rs
+++ b/crates/relay/src/local_response.rs
@@ -13,7 +13,7 @@
     Late,
     /// No upstream accepted it.
     NoUpstream,
-    /// Identical requests crashed several upstreams.
+    /// Equal requests, or others with the same prompt parts, crashed several upstreams.
     Poison,
 }
 
--- a/crates/toucand/src/refusal.rs
+++ b/crates/toucand/src/refusal.rs
@@ -42,8 +42,8 @@
     /// The deadline is 0 or has passed.
     #[error("the deadline has passed")]
     Deadline,
-    /// The crash detector confirmed that an equal request crashes upstreams.
-    #[error("an equal request crashed several upstreams")]
+    /// Equal requests, or others with the same lines in their prompts, crash upstreams.
+    #[error("an equal request, or one with the same lines, crashed several upstreams")]
     Poison,
     /// The queue of the team is full.
     #[error("the queue of the team is full")]
