Encode findings about causes so that older routers ignore them

Now each finding says that a fingerprint is cleared, which an older router ignores unless it suspects it; the kind of the report and the remaining time are fingerprints as well.

--- a/crates/poison/src/candidates.rs
+++ b/crates/poison/src/candidates.rs
@@ -13,31 +13,46 @@
 /// Bits of the fingerprint of a prompt part that hold the identifier of the part.
 const PART_ID_BITS: u32 = 64;
 
-/// Kind of a fingerprint in messages about causes. The fingerprints of whole requests carry no tag;
+/// Kind of a fingerprint in findings about causes. The fingerprints of whole requests carry no tag;
 /// one in 2^32 looks as if it did, and is then ignored.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Tag {
+pub(crate) enum Tag {
     /// A candidate.
     Cause = 0x6361_7573,
     /// A team.
     Team = 0x7465_616d,
-    /// Marks a message about an upstream that responded.
+    /// An upstream that crashed.
+    Upstream = 0x7570_7374,
+    /// The remaining time of a rule in microseconds.
+    Remaining = 0x7465_726d,
+    /// Marks a report about candidates that are no cause.
     Answered = 0x616e_7377,
 }
 
-impl Fingerprint {
-    /// First fingerprint of a message about candidates that are no cause. Routers of older versions
-    /// never send it, since no upstream is suspected because of it.
-    pub(crate) const ANSWERED: Self = Self((Tag::Answered as u128) << TAG_SHIFT);
+impl Tag {
+    const ALL: [Self; 5] = [
+        Self::Cause,
+        Self::Team,
+        Self::Upstream,
+        Self::Remaining,
+        Self::Answered,
+    ];
+}
 
-    const fn with_tag(self, tag: Tag) -> Self {
-        Self(((tag as u128) << TAG_SHIFT) | (self.0 & ((1 << TAG_SHIFT) - 1)))
+impl Fingerprint {
+    pub(crate) const fn with_tag(self, tag: Tag) -> Self {
+        Self(((tag as u128) << TAG_SHIFT) | self.untagged())
     }
 
-    const fn has_tag(self, tag: Tag) -> bool {
+    pub(crate) const fn has_tag(self, tag: Tag) -> bool {
         self.0 >> TAG_SHIFT == tag as u128
     }
 
+    /// Returns the bits below the tag.
+    pub(crate) const fn untagged(self) -> u128 {
+        self.0 & ((1 << TAG_SHIFT) - 1)
+    }
+
     /// Returns the fingerprint of a part of the prompts of a service.
     ///
     /// The last 16 hexadecimal digits are the identifier of the part, so that log lines show it.
@@ -54,19 +69,11 @@
         Self(service | u128::from(id)).with_tag(Tag::Cause)
     }
 
-    /// Returns whether the fingerprint stands for a candidate or a team, or marks a message about
-    /// them, and not for a whole request.
+    /// Returns whether the fingerprint belongs to a finding about causes, and not to one about a whole
+    /// request.
     #[must_use]
-    pub const fn is_tagged(self) -> bool {
-        self.has_tag(Tag::Cause) || self.has_tag(Tag::Team) || self.has_tag(Tag::Answered)
-    }
-
-    pub(crate) const fn is_cause(self) -> bool {
-        self.has_tag(Tag::Cause)
-    }
-
-    pub(crate) const fn is_team(self) -> bool {
-        self.has_tag(Tag::Team)
+    pub fn is_tagged(self) -> bool {
+        Tag::ALL.into_iter().any(|tag| self.has_tag(tag))
     }
 }
 
--- a/crates/poison/src/cause.rs
+++ b/crates/poison/src/cause.rs
@@ -65,7 +65,7 @@
 /// A crash of an upstream, with the requests that had no response yet.
 #[derive(Clone, Debug)]
 struct Crash {
-    upstream: name::Upstream,
+    upstream: Fingerprint,
     at: Timestamp,
     observed_here: bool,
     /// Whether rules were derived from it.
@@ -201,7 +201,8 @@
         let mut commands = Vec::new();
         match event {
             Event::Crashed { upstream, request } => {
-                commands.push(Command::Broadcast(report::crash(&upstream, &request)));
+                let upstream = report::upstream(&upstream);
+                commands.push(Command::Broadcast(report::crash(upstream, &request)));
                 self.record_crash(now, upstream, request, true, &mut commands);
             }
             Event::Answered { request } => {
@@ -210,7 +211,7 @@
                     commands.push(Command::Broadcast(report::answered(&cleared)));
                 }
             }
-            Event::Message(findings) => match Report::parse(findings) {
+            Event::Message(findings) => match Report::parse(&findings) {
                 Some(Report::Crash { upstream, request }) => {
                     self.record_crash(now, upstream, request, false, &mut commands);
                 }
@@ -275,7 +276,7 @@
     fn record_crash(
         &mut self,
         now: Timestamp,
-        upstream: name::Upstream,
+        upstream: Fingerprint,
         request: Candidates,
         observed_here: bool,
         commands: &mut Vec<Command>,
--- a/crates/poison/src/cause/report.rs
+++ b/crates/poison/src/cause/report.rs
@@ -1,8 +1,9 @@
 //! Findings about causes.
 //!
-//! They use the [`Verdict`]s of whole requests, because messages are encoded by position: a router of
-//! an older version reads them as findings about requests that it never sees. All fingerprints are
-//! tagged, and the first one tells the kind of the report.
+//! Messages are encoded by position, so routers of older versions can read no new kind of message. They
+//! ignore that a request is cleared which they do not suspect. A report is therefore a list of such
+//! findings: first a tagged fingerprint that tells the kind of the report, then the teams and
+//! candidates.
 
 use tsw_base::{
     name,
@@ -11,7 +12,7 @@
 
 use super::Rule;
 use crate::{
-    candidates::{Candidates, MAX_PARTS},
+    candidates::{Candidates, Tag, MAX_PARTS},
     message::{Finding, Findings, Fingerprint, Verdict},
 };
 
@@ -22,7 +23,7 @@
 pub(super) enum Report {
     /// An upstream crashed before it began its response to a request.
     Crash {
-        upstream: name::Upstream,
+        upstream: Fingerprint,
         request: Candidates,
     },
     /// Requests of these teams with all of these candidates crash upstreams.
@@ -37,63 +38,66 @@
 
 impl Report {
     /// Returns what findings report, or `None` if they are not about causes.
-    pub(super) fn parse(findings: Findings) -> Option<Self> {
+    pub(super) fn parse(findings: &Findings) -> Option<Self> {
         let all = || findings.findings.iter().map(|finding| finding.fingerprint);
-        let mut causes: Vec<Fingerprint> = all().filter(|found| found.is_cause()).collect();
+        let with_tag = |tag| all().filter(move |found| found.has_tag(tag));
+        let mut causes: Vec<Fingerprint> = with_tag(Tag::Cause).collect();
         causes.sort_unstable();
         causes.truncate(MAX_CAUSES);
-        let teams: Vec<Fingerprint> = all().filter(|found| found.is_team()).collect();
-        let first = findings.findings.first()?;
+        let teams: Vec<Fingerprint> = with_tag(Tag::Team).collect();
+        let first = all().next()?;
         if causes.is_empty() {
-            return None;
-        }
-        match &first.verdict {
-            Verdict::Cleared if first.fingerprint == Fingerprint::ANSWERED => {
-                Some(Self::Answered(causes))
-            }
-            Verdict::Suspected { upstream } if first.fingerprint.is_team() => Some(Self::Crash {
-                upstream: upstream.clone(),
-                request: Candidates::from_causes(first.fingerprint, causes),
-            }),
-            Verdict::Confirmed { remaining } if first.fingerprint.is_team() => Some(Self::Rule {
+            None
+        } else if first.has_tag(Tag::Answered) {
+            Some(Self::Answered(causes))
+        } else if first.has_tag(Tag::Upstream) {
+            Some(Self::Crash {
+                upstream: first,
+                request: Candidates::from_causes(*teams.first()?, causes),
+            })
+        } else if first.has_tag(Tag::Remaining) {
+            let micros = u64::try_from(first.untagged()).unwrap_or(u64::MAX);
+            Some(Self::Rule {
                 causes,
                 teams,
-                remaining: *remaining,
-            }),
-            _ => None,
+                remaining: Span::from_micros(micros),
+            })
+        } else {
+            None
         }
     }
 }
 
+/// Returns the fingerprint by which crashes of the same upstream are recognized.
+pub(super) fn upstream(name: &name::Upstream) -> Fingerprint {
+    Fingerprint::of_parts(&[name.as_str().as_bytes()], b"").with_tag(Tag::Upstream)
+}
+
 fn findings<'a>(
-    fingerprints: impl Iterator<Item = &'a Fingerprint>,
-    verdict: &Verdict,
+    kind: Fingerprint,
+    teams: &'a [Fingerprint],
+    causes: &'a [Fingerprint],
 ) -> Findings {
+    let fingerprints = std::iter::once(&kind).chain(teams).chain(causes);
     let findings = fingerprints.map(|fingerprint| Finding {
         fingerprint: *fingerprint,
-        verdict: verdict.clone(),
+        verdict: Verdict::Cleared,
     });
     Findings {
         findings: findings.collect(),
     }
 }
 
-pub(super) fn crash(upstream: &name::Upstream, request: &Candidates) -> Findings {
-    let verdict = Verdict::Suspected {
-        upstream: upstream.clone(),
-    };
-    let fingerprints = std::iter::once(&request.team).chain(&request.causes);
-    findings(fingerprints, &verdict)
+pub(super) fn crash(upstream: Fingerprint, request: &Candidates) -> Findings {
+    findings(upstream, &[request.team], &request.causes)
 }
 
 pub(super) fn rule(rule: &Rule, now: Timestamp) -> Findings {
-    let verdict = Verdict::Confirmed {
-        remaining: rule.until.since(now),
-    };
-    findings(rule.teams.iter().chain(&rule.causes), &verdict)
+    let remaining = u128::from(rule.until.since(now).as_micros());
+    let kind = Fingerprint(remaining).with_tag(Tag::Remaining);
+    findings(kind, &rule.teams, &rule.causes)
 }
 
 pub(super) fn answered(causes: &[Fingerprint]) -> Findings {
-    let fingerprints = std::iter::once(&Fingerprint::ANSWERED).chain(causes);
-    findings(fingerprints, &Verdict::Cleared)
+    findings(Fingerprint(0).with_tag(Tag::Answered), &[], causes)
 }
