--- a/crates/poison/src/cause.rs
+++ b/crates/poison/src/cause.rs
@@ -229,7 +229,7 @@
                         teams,
                         until,
                     };
-                    self.add_rule(rule, &mut commands);
+                    self.add_rule(rule, now, &mut commands);
                 }
                 None => {}
             },
@@ -347,7 +347,7 @@
             crash.observed_here && requests.any(|request| rule.matches(request))
         });
         self.remove_superseded(&rule, commands);
-        self.add_rule(rule, commands);
+        self.add_rule(rule, now, commands);
         if is_observed_here {
             commands.push(Command::Broadcast(findings));
         }
@@ -431,22 +431,32 @@
             .into_iter()
             .partition::<Vec<Rule>, _>(|rule| is_superseded(rule));
         self.rules = kept;
-        let is_narrower = |rule: &Rule| rule.causes.iter().all(|cause| new.causes.contains(cause));
-        let allowed = superseded.into_iter().filter(|rule| !is_narrower(rule));
+        let allowed = superseded
+            .into_iter()
+            .filter(|rule| !is_subset(&new.causes, &rule.causes));
         commands.extend(allowed.map(|rule| Command::Allowed(rule.causes)));
     }
 
-    /// Adds a rule, or extends it if it is known. Rules that refuse a part of what it refuses are
-    /// removed.
-    fn add_rule(&mut self, mut rule: Rule, commands: &mut Vec<Command>) {
-        let mut is_new = true;
+    /// Adds a rule. If it refuses a part of what a known rule refuses, that one is extended instead. Rules
+    /// that refuse a part of what it refuses are removed.
+    fn add_rule(&mut self, mut rule: Rule, now: Timestamp, commands: &mut Vec<Command>) {
+        let mut rules = self.rules.iter_mut();
+        // A peer may not know yet that some candidates of its rule were cleared.
+        if let Some(known) = rules.find(|known| is_subset(&known.causes, &rule.causes)) {
+            let had_expired = known.until <= now;
+            known.until = known.until.max(rule.until);
+            let mut has_new_team = false;
+            for team in &rule.teams {
+                has_new_team |= known.add_team(*team);
+            }
+            if (had_expired && known.until > now) || has_new_team {
+                commands.push(Command::Refused(known.causes.clone()));
+            }
+            return;
+        }
         self.rules.retain(|old| {
-            let is_narrower = rule.causes.iter().all(|cause| old.causes.contains(cause));
+            let is_narrower = is_subset(&rule.causes, &old.causes);
             if is_narrower {
-                if old.causes.len() == rule.causes.len() {
-                    is_new = false;
-                    rule.until = rule.until.max(old.until);
-                }
                 for team in &old.teams {
                     rule.add_team(*team);
                 }
@@ -454,22 +464,21 @@
             !is_narrower
         });
         if self.rules.len() >= MAX_RULES {
-            let oldest = self
-                .rules
-                .iter()
-                .enumerate()
-                .min_by_key(|(_, rule)| rule.until);
+            let rules = self.rules.iter().enumerate();
+            let oldest = rules.min_by_key(|(_, rule)| rule.until);
             if let Some(index) = oldest.map(|(index, _)| index) {
                 self.rules.swap_remove(index);
             }
         }
-        if is_new {
-            commands.push(Command::Refused(rule.causes.clone()));
-        }
+        commands.push(Command::Refused(rule.causes.clone()));
         self.rules.push(rule);
     }
 }
 
+fn is_subset(causes: &[Fingerprint], of: &[Fingerprint]) -> bool {
+    causes.iter().all(|cause| of.contains(cause))
+}
+
 /// Formats fingerprints for log lines, separated by commas.
 #[must_use]
 pub fn display(fingerprints: &[Fingerprint]) -> String {
--- a/crates/poison/tests/cause.rs
+++ b/crates/poison/tests/cause.rs
@@ -208,6 +208,19 @@
     assert!(is_refused(&finder, 4_000, &request(7, &[DEADLY])));
 }
 
+/// Guards against a rule that returns with the candidates that were cleared, and is logged again and
+/// again, because a peer sends it that does not know yet that they were.
+#[test]
+fn outdated_rule_of_a_peer_changes_nothing() {
+    let mut finder = Finder::default();
+    crash_three(&mut finder, &[1, DEADLY]);
+    let outdated = finder.rules(at(4_000));
+    answer(&mut finder, 4_000, request(4, &[1]));
+    let before = finder.rules(at(4_000));
+    assert_eq!(deliver(&outdated, 4_000, &mut finder), []);
+    assert_eq!(finder.rules(at(4_000)), before);
+}
+
 /// Guards against findings about causes that have an effect at a router of an older version: it takes
 /// them for findings about requests.
 #[test]
