Refuse requests of a team above its share with status 429

Clients could not tell that from a service that is down, as both got 503. Now a request that cannot start in time because its team is above its share gets 429, as on the own interface; the promise that it has not run and Retry-After are as before.

--- a/crates/relay/src/local_response.rs
+++ b/crates/relay/src/local_response.rs
@@ -9,6 +9,8 @@
 pub enum Refusal {
     /// No configuration is known yet.
     Starting,
+    /// It could not start before its deadline, because its team has more than its share of the work.
+    OverShare,
     /// It could not start before its deadline.
     Late,
     /// No upstream accepted it.
@@ -23,6 +25,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Starting => "starting",
+            Self::OverShare => "over-share",
             Self::Late => "late",
             Self::NoUpstream => "no-upstream",
             Self::Poison => "crashed-upstreams",
@@ -58,6 +61,7 @@
     #[must_use]
     pub const fn status(self) -> u16 {
         match self {
+            Self::NotRun(Refusal::OverShare, _) => 429,
             Self::NotRun(..) => 503,
             Self::OutcomeUnknown => 502,
             Self::TimedOut => 504,
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -131,6 +131,16 @@
     }
 }
 
+/// Returns why a request that cannot start in time is refused, given the time for which its team is above
+/// its fair share.
+fn late(above_share: Span) -> Refusal {
+    if above_share > Span::ZERO {
+        Refusal::OverShare
+    } else {
+        Refusal::Late
+    }
+}
+
 fn request_work(request: &Request) -> u64 {
     request.prompt.as_ref().map_or(1, |prompt| prompt.work())
 }
@@ -172,7 +182,7 @@
             let until = queue_expiry(request, due, service.engine().is_some());
             let wait = service.estimated_wait(now, team, fair_share);
             if now + wait >= until {
-                return Err((Refusal::Late, fair_share));
+                return Err((late(wait), fair_share));
             }
             let objective = request.route.objective.as_micros();
             let objective = Span::from_micros(u64::try_from(objective).unwrap_or(u64::MAX));
@@ -236,10 +246,13 @@
             Ok(Ok(reservation)) => Ok(reservation),
             _ => {
                 let now = self.now();
-                let fair_share =
-                    self.with_service(&request.service, |service| service.fair_share(now));
-                let fair_share = fair_share.unwrap_or(f64::INFINITY);
-                Err(self.refuse(request, Refusal::Late, fair_share))
+                let team = request.team();
+                let share = self.with_service(&request.service, |service| {
+                    let fair_share = service.fair_share(now);
+                    (fair_share, service.estimated_wait(now, team, fair_share))
+                });
+                let (fair_share, wait) = share.unwrap_or((f64::INFINITY, Span::ZERO));
+                Err(self.refuse(request, late(wait), fair_share))
             }
         }
     }
