Test streams that end with their connection

It was already passed on as complete if it ends between two events, and as broken if it ends inside one; no test showed it. The stand-in can now send both; the test passes on the code as it is.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -62,6 +62,12 @@
     Silent,
     /// A complete stream of this many events. It starts after the event that `Last-Event-Id` names.
     Stream(u64),
+    /// A complete stream of this many events without a length or chunks. It ends when the connection is
+    /// closed.
+    UnframedStream(u64),
+    /// Like [`Behaviour::UnframedStream`], but the connection is closed in the middle of the event that
+    /// follows.
+    UnframedCutStream(u64),
     /// A stream that is reset in the middle of the event that follows this many events.
     ResetStream(u64),
     /// A stream that stops after this many events; the connection stays open.
@@ -422,6 +428,9 @@
                 connection.stream.write_all(repeated.as_bytes()).await?;
             }
         }
+        Behaviour::UnframedStream(events) | Behaviour::UnframedCutStream(events) => {
+            return send_unframed_stream(connection, arrival, id, (behaviour, events)).await;
+        }
         Behaviour::Stream(events)
         | Behaviour::ResetStream(events)
         | Behaviour::Stall(events)
@@ -459,6 +468,30 @@
         .is_some_and(|(_, shared)| shared.contains(&id))
 }
 
+/// Returns the number of the first event that a request has not received yet.
+fn first_event(arrival: &Arrival) -> u64 {
+    let last = arrival.head.fields.text("Last-Event-Id");
+    last.and_then(|last| last.parse().ok())
+        .map_or(0, |last: u64| last + 1)
+}
+
+async fn send_unframed_stream(
+    connection: &mut Connection,
+    arrival: &Arrival,
+    id: &str,
+    (behaviour, events): (Behaviour, u64),
+) -> io::Result<bool> {
+    let mut text = stream_head(id).replace("Transfer-Encoding: chunked\r\n", "");
+    for number in first_event(arrival)..events {
+        text.push_str(&format!("id: {number}\ndata: piece {number}\n\n"));
+    }
+    if matches!(behaviour, Behaviour::UnframedCutStream(_)) {
+        text.push_str(&format!("id: {events}\nda"));
+    }
+    connection.stream.write_all(text.as_bytes()).await?;
+    Ok(false)
+}
+
 async fn send_stream(
     state: &State,
     connection: &mut Connection,
@@ -466,10 +499,7 @@
     id: &str,
     (behaviour, events): (Behaviour, u64),
 ) -> io::Result<bool> {
-    let last = arrival.head.fields.text("Last-Event-Id");
-    let first = last
-        .and_then(|last| last.parse().ok())
-        .map_or(0, |last: u64| last + 1);
+    let first = first_event(arrival);
     connection
         .stream
         .write_all(stream_head(id).as_bytes())
--- a/crates/toucand/tests/trouble.rs
+++ b/crates/toucand/tests/trouble.rs
@@ -302,3 +302,27 @@
     );
     assert_eq!(other.arrivals().len(), served);
 }
+
+/// Guards against taking a stream without a length or chunks as broken because it ends with its
+/// connection, and as complete although it ends inside an event.
+#[actix_rt::test]
+async fn stream_that_ends_with_its_connection_is_complete_unless_it_ends_inside_an_event() {
+    let site = Site::start(Behaviour::Plain, Behaviour::UnframedStream(4)).await;
+    for target in ["/draft/1", "/note/1"] {
+        let response = Call::prompt(target, "a1").send(&site.router).await;
+        assert_eq!((response.status, response.whole), (200, true), "{target}");
+        assert_eq!(response.events(), [0, 1, 2, 3], "{target}");
+    }
+    assert_eq!(site.model_arrivals(), 2, "a complete stream was run again");
+    for model in &site.models {
+        model.set_default(Behaviour::UnframedCutStream(2));
+    }
+    let response = Call::prompt("/note/1", "a2").send(&site.router).await;
+    assert!(!response.whole, "a truncated stream looks complete");
+    // The other engine is asked for the rest of a stream that may be resumed.
+    let first = site.model_arrivals();
+    let response = Call::prompt("/draft/1", "a3").send(&site.router).await;
+    assert!(!response.whole, "a truncated stream looks complete");
+    assert_eq!(response.events(), [0, 1]);
+    assert_eq!(site.model_arrivals(), first + 2);
+}
