Judge a crash once its reports have arrived, also for teams and known rules

Now a rule applies to the teams that are the only ones with matching requests in a crash, and known rules are extended when the reports of the crash have arrived. The crashes of a candidate are kept as bits: the rule for a set of crashes consists of the candidates that occur in all of them.

--- a/crates/poison/src/cause.rs
+++ b/crates/poison/src/cause.rs
@@ -1,5 +1,6 @@
 //! Finds what the requests that crash upstreams have in common.
 
+use indexmap::IndexMap;
 use tsw_base::{
     name,
     time::{Span, Timestamp},
@@ -20,8 +21,8 @@
 /// Time after the first report of a crash at which rules are derived from it. The reports of other
 /// routers arrive by then, so that all routers derive the same rules.
 pub const SETTLE_TIME: Span = Span::from_millis(100);
-/// Maximum number of crashes that are remembered.
-pub const MAX_CRASHES: usize = 64;
+/// Maximum number of crashes that are remembered; sets of them are kept as the bits of a `u64`.
+pub const MAX_CRASHES: usize = u64::BITS as usize;
 /// Maximum number of requests that are remembered of one crash.
 pub const MAX_REQUESTS: usize = 32;
 /// Maximum number of rules.
@@ -74,11 +75,17 @@
 }
 
 impl Crash {
-    /// Returns the requests that have a candidate.
-    fn requests_with(&self, cause: Fingerprint) -> impl Iterator<Item = &Candidates> {
-        self.requests
-            .iter()
-            .filter(move |request| request.contains(cause))
+    fn is_explained_by(&self, rule: &Rule) -> bool {
+        self.requests.iter().any(|request| rule.matches(request))
+    }
+
+    /// Returns the teams of the requests that match a rule.
+    fn teams_matching(&self, rule: &Rule) -> Vec<Fingerprint> {
+        let requests = self.requests.iter().filter(|request| rule.matches(request));
+        let mut teams: Vec<Fingerprint> = requests.map(|request| request.team).collect();
+        teams.sort_unstable();
+        teams.dedup();
+        teams
     }
 }
 
@@ -203,7 +210,7 @@
             Event::Crashed { upstream, request } => {
                 let upstream = report::upstream(&upstream);
                 commands.push(Command::Broadcast(report::crash(upstream, &request)));
-                self.record_crash(now, upstream, request, true, &mut commands);
+                self.record_crash(now, upstream, request, true);
             }
             Event::Answered { request } => {
                 let cleared = self.clear(&request.causes, &mut commands);
@@ -213,7 +220,7 @@
             }
             Event::Message(findings) => match Report::parse(&findings) {
                 Some(Report::Crash { upstream, request }) => {
-                    self.record_crash(now, upstream, request, false, &mut commands);
+                    self.record_crash(now, upstream, request, false);
                 }
                 Some(Report::Answered(causes)) => {
                     self.clear(&causes, &mut commands);
@@ -279,7 +286,6 @@
         upstream: Fingerprint,
         request: Candidates,
         observed_here: bool,
-        commands: &mut Vec<Command>,
     ) {
         let known = self.crashes.iter().position(|crash| {
             // Several routers report the same crash.
@@ -301,12 +307,11 @@
         let crash = &mut self.crashes[index];
         crash.observed_here |= observed_here;
         if crash.requests.len() < MAX_REQUESTS && !crash.requests.contains(&request) {
-            crash.requests.push(request.clone());
+            crash.requests.push(request);
         }
-        self.renew_rules(now, &request, observed_here, commands);
     }
 
-    /// Derives rules from the crashes whose reports have arrived.
+    /// Draws the conclusions from the crashes whose reports have arrived.
     fn settle_crashes(&mut self, now: Timestamp, commands: &mut Vec<Command>) {
         for index in 0..self.crashes.len() {
             let crash = &mut self.crashes[index];
@@ -314,100 +319,98 @@
                 continue;
             }
             crash.settled = true;
-            if let Some(rule) = self.explain(now, &self.crashes[index]) {
+            if self.renew_rules(now, index, commands) {
+                continue;
+            }
+            if let Some(rule) = self.derive_rule(now, index) {
                 self.adopt_rule(now, rule, commands);
             }
         }
     }
 
-    /// Returns the rule that explains a crash best, unless one of the known rules explains it.
-    fn explain(&self, now: Timestamp, crash: &Crash) -> Option<Rule> {
-        let mut requests = crash.requests.iter();
-        if requests.any(|request| self.rules.iter().any(|rule| rule.matches(request))) {
-            return None;
-        }
-        let causes = crash.requests.iter().flat_map(|request| &request.causes);
-        let mut causes: Vec<Fingerprint> = causes.copied().collect();
-        causes.sort_unstable();
-        causes.dedup();
-        let rules = causes
-            .into_iter()
-            .filter_map(|cause| self.derive_rule(now, cause));
-        // Of rules that explain as many crashes, the one with the most candidates refuses the fewest
-        // requests.
-        let best = rules.max_by_key(|(rule, crashes)| (*crashes, rule.causes.len()));
-        best.map(|(rule, _)| rule)
-    }
-
-    /// Adds a rule that was derived here, and broadcasts it if one of its crashes was observed here.
-    fn adopt_rule(&mut self, now: Timestamp, rule: Rule, commands: &mut Vec<Command>) {
-        let findings = report::rule(&rule, now);
-        let is_observed_here = self.crashes.iter().any(|crash| {
-            let mut requests = crash.requests.iter();
-            crash.observed_here && requests.any(|request| rule.matches(request))
-        });
-        self.remove_superseded(&rule, commands);
-        self.add_rule(rule, now, commands);
-        if is_observed_here {
-            commands.push(Command::Broadcast(findings));
-        }
-    }
-
-    /// Extends the rules that a request matches which has crashed an upstream all the same, because
-    /// it was sent before, because the rule had expired, or by a team to which it did not apply.
-    fn renew_rules(
-        &mut self,
-        now: Timestamp,
-        request: &Candidates,
-        observed_here: bool,
-        commands: &mut Vec<Command>,
-    ) {
-        for rule in self.rules.iter_mut().filter(|rule| rule.matches(request)) {
+    /// Extends the rules that explain a crash: requests that match them were sent before they were
+    /// known, after they had expired, or by a team to which they did not apply. Returns whether there
+    /// are any.
+    fn renew_rules(&mut self, now: Timestamp, index: usize, commands: &mut Vec<Command>) -> bool {
+        let crash = &self.crashes[index];
+        let mut is_explained = false;
+        for rule in &mut self.rules {
+            let teams = crash.teams_matching(rule);
+            if teams.is_empty() {
+                continue;
+            }
+            is_explained = true;
             let had_expired = rule.until <= now;
             rule.until = now + REFUSAL_PERIOD;
-            let is_new_team = rule.add_team(request.team);
-            if had_expired || is_new_team {
+            // Requests of other teams were in flight beside those of a team to which the rule applies.
+            let is_known_team = teams.iter().any(|team| rule.applies_to(*team));
+            if !is_known_team {
+                rule.teams.extend(teams);
+            }
+            if had_expired || !is_known_team {
                 commands.push(Command::Refused(rule.causes.clone()));
-                if observed_here {
+                if crash.observed_here {
                     commands.push(Command::Broadcast(report::rule(rule, now)));
                 }
             }
         }
+        is_explained
     }
 
-    /// Returns the rule that follows from the crashes in which a candidate occurs, and their number,
-    /// if they are enough.
-    fn derive_rule(&self, now: Timestamp, cause: Fingerprint) -> Option<(Rule, usize)> {
-        let crashes = self.crashes.iter().map(|crash| crash.requests_with(cause));
-        let crashes = crashes.map(|requests| requests.collect::<Vec<&Candidates>>());
-        let crashes: Vec<Vec<&Candidates>> = crashes.filter(|found| !found.is_empty()).collect();
-        if crashes.len() < CRASHES_TO_CONFIRM as usize {
-            return None;
-        }
-        let requests: Vec<&Candidates> = crashes.concat();
-        // Any of the requests of a crash may be at fault, so a companion need not occur in all of them.
-        let causes = requests.iter().flat_map(|request| &request.causes);
-        let mut causes: Vec<Fingerprint> = causes.copied().collect();
-        causes.sort_unstable();
-        causes.dedup();
-        causes.retain(|cause| {
-            crashes
-                .iter()
-                .all(|requests| requests.iter().any(|request| request.contains(*cause)))
-        });
-        if !requests.iter().any(|request| request.contains_all(&causes)) {
-            causes.retain(|cause| requests.iter().all(|request| request.contains(*cause)));
+    /// Returns the rule that explains a crash and most others, if there are enough.
+    fn derive_rule(&self, now: Timestamp, index: usize) -> Option<Rule> {
+        // The crashes in which each candidate occurs, as bits.
+        let mut occurrences: IndexMap<Fingerprint, u64> = IndexMap::new();
+        for (bit, crash) in self.crashes.iter().enumerate() {
+            for cause in crash.requests.iter().flat_map(|request| &request.causes) {
+                *occurrences.entry(*cause).or_default() |= 1 << bit;
+            }
         }
-        let mut teams: Vec<Fingerprint> = requests.iter().map(|request| request.team).collect();
-        teams.sort_unstable();
-        teams.dedup();
+        let mut sets: Vec<u64> = occurrences.values().copied().collect();
+        sets.sort_unstable();
+        sets.dedup();
+        sets.retain(|set| set & (1 << index) != 0 && set.count_ones() >= CRASHES_TO_CONFIRM);
+        let companions = |set: u64| -> Vec<Fingerprint> {
+            let all = occurrences.iter().filter(|(_, found)| *found & set == set);
+            all.map(|(cause, _)| *cause).collect()
+        };
+        // Of rules that explain as many crashes, the one with the most candidates refuses the fewest
+        // requests.
+        let rules = sets.into_iter().map(|set| (set, companions(set)));
+        let (set, causes) = rules.max_by_key(|(set, causes)| (set.count_ones(), causes.len()))?;
+        let crashes = self.crashes.iter().enumerate();
+        let crashes = crashes.filter(|(bit, _)| set & (1 << bit) != 0);
+        let causes = narrow(&causes, &self.crashes[index]);
         let until = now + REFUSAL_PERIOD;
-        let rule = Rule {
+        let mut rule = Rule {
             causes,
-            teams,
+            teams: Vec::new(),
             until,
         };
-        Some((rule, crashes.len()))
+        for (_, crash) in crashes {
+            let teams = crash.teams_matching(&rule);
+            if let [team] = teams[..] {
+                rule.add_team(team);
+            }
+        }
+        if rule.teams.is_empty() {
+            rule.teams = self.crashes[index].teams_matching(&rule);
+        }
+        Some(rule)
+    }
+
+    /// Adds a rule that was derived here, and broadcasts it if one of its crashes was observed here.
+    fn adopt_rule(&mut self, now: Timestamp, rule: Rule, commands: &mut Vec<Command>) {
+        let findings = report::rule(&rule, now);
+        let is_observed_here = self
+            .crashes
+            .iter()
+            .any(|crash| crash.observed_here && crash.is_explained_by(&rule));
+        self.remove_superseded(&rule, commands);
+        self.add_rule(rule, now, commands);
+        if is_observed_here {
+            commands.push(Command::Broadcast(findings));
+        }
     }
 
     /// Removes the rules that explain only a part of the crashes that a new rule explains. They are due to
@@ -415,10 +418,7 @@
     fn remove_superseded(&mut self, new: &Rule, commands: &mut Vec<Command>) {
         let explained = |rule: &Rule| -> Vec<usize> {
             let crashes = self.crashes.iter().enumerate();
-            let crashes = crashes.filter(|(_, crash)| {
-                let mut requests = crash.requests.iter();
-                requests.any(|request| rule.matches(request))
-            });
+            let crashes = crashes.filter(|(_, crash)| crash.is_explained_by(rule));
             crashes.map(|(index, _)| index).collect()
         };
         let by_new = explained(new);
@@ -475,6 +475,19 @@
     }
 }
 
+/// Returns those of `causes`, which occur in each of several crashes, that a request of the latest crash
+/// has. They may be those of different requests that were in flight in each of these crashes, so that
+/// no request has them all.
+fn narrow(causes: &[Fingerprint], latest: &Crash) -> Vec<Fingerprint> {
+    let of_requests = latest.requests.iter().map(|request| {
+        let causes = causes.iter().copied();
+        let causes = causes.filter(|cause| request.contains(*cause));
+        causes.collect::<Vec<Fingerprint>>()
+    });
+    // If another request is at fault, the next crash shows it: this one is no longer in flight then.
+    of_requests.max_by_key(Vec::len).unwrap_or_default()
+}
+
 fn is_subset(causes: &[Fingerprint], of: &[Fingerprint]) -> bool {
     causes.iter().all(|cause| of.contains(cause))
 }
--- a/crates/poison/src/cause/report.rs
+++ b/crates/poison/src/cause/report.rs
@@ -55,7 +55,7 @@
                 upstream: first,
                 request: Candidates::from_causes(*teams.first()?, causes),
             })
-        } else if first.has_tag(Tag::Remaining) {
+        } else if first.has_tag(Tag::Remaining) && !teams.is_empty() {
             let micros = u64::try_from(first.untagged()).unwrap_or(u64::MAX);
             Some(Self::Rule {
                 causes,
--- a/crates/poison/tests/cause.rs
+++ b/crates/poison/tests/cause.rs
@@ -173,6 +173,56 @@
     }
 }
 
+/// Guards against a team whose requests crash upstreams while requests of another team with the same
+/// parts are in flight there, so that the other team's requests are refused.
+#[test]
+fn team_in_flight_in_the_crashes_of_another_team_is_not_refused() {
+    let mut finder = Finder::default();
+    for number in 1..=5 {
+        let now = 1_000 * number;
+        let sound = request_of("south", 100 + u128::from(number), &[1, 2]);
+        report(&mut finder, now, number, sound);
+        crash(
+            &mut finder,
+            now,
+            number,
+            request(u128::from(number), &[1, 2]),
+        );
+        // In some crashes only the request of the team at fault is in flight.
+        let alone = request(50 + u128::from(number), &[1, 2]);
+        crash(&mut finder, now + 500, 10 * number, alone);
+    }
+    assert!(is_refused(&finder, 6_000, &request(7, &[1, 2])));
+    assert!(!is_refused(
+        &finder,
+        6_000,
+        &request_of("south", 8, &[1, 2])
+    ));
+}
+
+/// Guards against conclusions that take long because many requests with long prompts were in flight in
+/// many crashes.
+#[test]
+fn conclusions_from_the_largest_number_of_candidates_are_quick() {
+    let mut finder = Finder::default();
+    for number in 0..cause::MAX_CRASHES as u64 {
+        for other in 0..cause::MAX_REQUESTS as u64 {
+            let parts = (0..120)
+                .map(|part| part + 60 * (other % 8))
+                .collect::<Vec<u64>>();
+            let crashing = request(u128::from(1_000 * number + other), &parts);
+            report(&mut finder, 10 * number, number, crashing);
+        }
+    }
+    let started = std::time::Instant::now();
+    settle(&mut finder, 10 * cause::MAX_CRASHES as u64);
+    let took = started.elapsed();
+    assert!(
+        took < std::time::Duration::from_secs(5),
+        "{took:?} in a debug build"
+    );
+}
+
 /// Guards against routers that learn the same part one after the other, each from crashes of its own.
 #[test]
 fn crashes_seen_by_different_routers_add_up() {
