Name the queue of messages to peers after what it holds

It holds reminders of refused requests as well as reports about causes. A comment promised that a retry waits for the conclusion from a crash; conclusions come 100 ms later, so it says what the order is for. No behaviour changes.

--- a/crates/relay/src/crash_detector.rs
+++ b/crates/relay/src/crash_detector.rs
@@ -98,7 +98,7 @@
             .or_else(|| self.cause_refusal(request))?;
         if self.now().since(self.reminded_at.get()) >= REMINDER_INTERVAL {
             self.reminded_at.set(self.now());
-            self.cause_findings.borrow_mut().extend(refusal.reminder);
+            self.messages_to_peers.borrow_mut().extend(refusal.reminder);
             self.findings_ready.notify_one();
         }
         Some(refusal.remaining)
@@ -249,7 +249,7 @@
         for command in commands {
             match command {
                 cause::Command::Broadcast(findings) => {
-                    self.cause_findings.borrow_mut().push(findings);
+                    self.messages_to_peers.borrow_mut().push(findings);
                     self.findings_ready.notify_one();
                 }
                 cause::Command::Refused(causes) => {
@@ -266,7 +266,7 @@
 
     /// Returns the findings since the last call, as messages for the other routers.
     pub fn take_findings(&self) -> Vec<Findings> {
-        let mut messages = self.cause_findings.take();
+        let mut messages = self.messages_to_peers.take();
         messages.extend(split(self.findings.take()));
         messages
     }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -90,8 +90,9 @@
     pub(crate) cause_finder: RefCell<cause::Finder>,
     /// Findings about whole requests for the other routers.
     pub(crate) findings: RefCell<Vec<Finding>>,
-    /// Findings about causes for the other routers. Each is a message of its own.
-    pub(crate) cause_findings: RefCell<Vec<Findings>>,
+    /// Findings for the other routers that each are a message of their own: reports about causes, and
+    /// reminders.
+    pub(crate) messages_to_peers: RefCell<Vec<Findings>>,
     /// When the other routers were last reminded of what is refused.
     pub(crate) reminded_at: Cell<Timestamp>,
     /// Notified when there are findings for the other routers.
@@ -125,7 +126,7 @@
             broken_connections: RefCell::default(),
             cause_finder: RefCell::default(),
             findings: RefCell::default(),
-            cause_findings: RefCell::default(),
+            messages_to_peers: RefCell::default(),
             reminded_at: Cell::default(),
             findings_ready: Notify::new(),
             peer_reports: RefCell::default(),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -145,8 +145,7 @@
             };
             self.record_failure(&upstream, &error);
             if self.is_crash_suspect(&error) {
-                // Before the request is retried, so that it crashes no further upstream if it is now
-                // known as a cause.
+                // Reported before the retry, which may crash another upstream.
                 let router = self.router;
                 router.check_crash(self.request, &upstream, address).await;
             }
