Let the stand-in for the store return from a copy

The platform's store may come back from a copy some seconds old: its content and its revision go back, revisions are assigned again, and the header Store-Era in all its answers rises by one. The stand-in could not play this, so no test of ours could.

Store::copy and Store::restore play it. Watches that wait are cut, a watch from a revision that the store does not have is refused with status 410, and one whose revision has been assigned again is served without the changes in between, as by the platform. Store::set_names_era(false) plays a platform that does not name the era.

--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -1,17 +1,26 @@
 //! The key-value store of the users' platform, which routers only read.
 //!
 //! Calls: `GET /api/kv-key`, `GET /api/kv-range` and `GET /api/kv-watch`. Tests change its
-//! contents and availability through [`Store`].
+//! contents and availability through [`Store`]. Every response names the era of its content: the
+//! era rises by one whenever the store returns from a copy, after which it assigns the revisions of
+//! the lost changes again.
 
 use std::{
     cell::{Cell, RefCell},
+    io,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
-use actix_http::StatusCode;
+use actix_http::{
+    body::{BodyStream, MessageBody as _},
+    header::{HeaderName, HeaderValue},
+    StatusCode,
+};
 use base64::{engine::general_purpose::STANDARD, Engine as _};
+use bytes::Bytes;
+use futures_util::stream;
 use serde_json::{json, Value};
 use tokio::sync::Notify;
 
@@ -21,6 +30,8 @@
 const PAGE_SIZE: usize = 50;
 /// Maximum duration of a watch.
 const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Header that names the era of the store.
+const ERA: HeaderName = HeaderName::from_static("store-era");
 
 /// How the store responds to calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -53,15 +64,45 @@
     }
 }
 
-#[derive(Default)]
+/// The content of a [`Store`] at one moment, with its revision and its history.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    changes: Vec<Change>,
+    compacted_revision: u64,
+}
+
+impl Copy {
+    /// Returns the revision of the store when the copy was made.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.changes.len() as u64
+    }
+}
+
 struct State {
     changes: RefCell<Vec<Change>>,
     /// Watches that start before this revision are refused.
     compacted_revision: Cell<u64>,
+    /// Number of times that the store has returned from a copy, plus one.
+    era: Cell<u64>,
+    names_era: Cell<bool>,
     mode: Cell<Mode>,
     changed: Notify,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            changes: RefCell::default(),
+            compacted_revision: Cell::default(),
+            era: Cell::new(1),
+            names_era: Cell::new(true),
+            mode: Cell::default(),
+            changed: Notify::default(),
+        }
+    }
+}
+
 impl State {
     fn revision(&self) -> u64 {
         self.changes.borrow().len() as u64
@@ -109,8 +150,12 @@
         let prefix = call.param("pathPrefix").unwrap_or_default();
         let wait = Duration::from_millis(call.number("waitMs").unwrap_or(0)).min(MAX_WAIT);
         let deadline = actix_rt::time::Instant::now() + wait;
+        let era = self.era.get();
         loop {
-            if after < self.compacted_revision.get() {
+            if self.era.get() != era {
+                return cut();
+            }
+            if after < self.compacted_revision.get() || after > self.revision() {
                 return http::error_response(StatusCode::GONE, &"the history is gone");
             }
             let changed = self.changed.notified();
@@ -174,6 +219,52 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Copies the content, the revision and the history.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        Copy {
+            changes: self.state.changes.borrow().clone(),
+            compacted_revision: self.state.compacted_revision.get(),
+        }
+    }
+
+    /// Returns from a copy: the content, the revision and the history become those of the copy, and
+    /// the era rises by one. The revisions after that of the copy are assigned again. The
+    /// connections of waiting watches are closed without a response; they may be watching from a
+    /// revision that the store no longer has, which is refused with status 410 until the revision
+    /// has been assigned again.
+    ///
+    /// ```
+    /// # actix_rt::System::new().block_on(async {
+    /// use tsw_fake::store::Store;
+    /// let store = Store::bind().await?;
+    /// store.set("a", Some(b"1"));
+    /// let copy = store.copy();
+    /// store.set("a", Some(b"2"));
+    /// store.restore(&copy);
+    /// assert_eq!((store.copy().revision(), store.era()), (1, 2));
+    /// # Ok::<(), tsw_fake::http::Error>(())
+    /// # }).unwrap();
+    /// ```
+    pub fn restore(&self, copy: &Copy) {
+        self.state.changes.replace(copy.changes.clone());
+        self.state.compacted_revision.set(copy.compacted_revision);
+        self.state.era.set(self.state.era.get() + 1);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Returns the era, which starts at 1.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.state.era.get()
+    }
+
+    /// Changes whether responses name the era, as they do at first. A store of an older platform
+    /// does not.
+    pub fn set_names_era(&self, names_era: bool) {
+        self.state.names_era.set(names_era);
+    }
+
     /// Compacts the history: watches that start before the current revision are refused with status
     /// 410.
     pub fn compact(&self) {
@@ -189,19 +280,34 @@
 }
 
 async fn respond(state: &State, call: &Call) -> HttpResponse {
-    match state.mode.get() {
-        Mode::Up => {}
-        Mode::Busy => return http::error_response(StatusCode::SERVICE_UNAVAILABLE, &"busy"),
+    let era = state.era.get();
+    let mut response = match state.mode.get() {
+        Mode::Up => read(state, call).await,
+        Mode::Busy => http::error_response(StatusCode::SERVICE_UNAVAILABLE, &"busy"),
         Mode::Silent => std::future::pending().await,
+    };
+    if state.era.get() == era && state.mode.get() == Mode::Silent {
+        std::future::pending().await
     }
-    let response = match call.path.as_str() {
+    if state.names_era.get() {
+        let era = HeaderValue::from(state.era.get());
+        response.headers_mut().insert(ERA, era);
+    }
+    response
+}
+
+async fn read(state: &State, call: &Call) -> HttpResponse {
+    match call.path.as_str() {
         "/api/kv-key" => state.key(call),
         "/api/kv-range" => state.range(call),
         "/api/kv-watch" => state.watch(call).await,
         _ => http::not_found(call),
-    };
-    if state.mode.get() == Mode::Silent {
-        std::future::pending().await
     }
-    response
+}
+
+/// Returns a response whose body fails before the head is sent, which closes the connection.
+fn cut() -> HttpResponse {
+    let failure = io::Error::other("the store has returned from a copy");
+    let body = BodyStream::new(stream::iter([Err::<Bytes, _>(failure)]));
+    HttpResponse::new(StatusCode::OK).set_body(body.boxed())
 }
