Log changes of upstreams, and the era of the platform's store

Whether a router took or ignored what the store held after it was restored from a copy could not be told from the log: revisions, entries and the era were not in it. Logs upstream-added, upstream-leaving and upstream-gone with their revision, store-restored with the revisions before and after, and entry-ignored when the content of an entry contradicts what is known. No decision changes.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -98,6 +98,10 @@
     ConfigurationRejected = 210 Error "configuration-rejected";
     /// An entry of the platform does not specify a usable upstream.
     EntryRejected = 211 Warn "entry-rejected";
+    /// The platform's store was restored from a copy that lacks its latest changes.
+    StoreRestored = 212 Warn "store-restored";
+    /// The content of an entry contradicts what is known of its upstream and was ignored.
+    EntryIgnored = 213 Info "entry-ignored";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused without being run.
--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -51,6 +51,13 @@
         self.revision
     }
 
+    /// Returns the entry known under a key and the revision of its last change.
+    #[must_use]
+    pub fn entry(&self, key: &Name) -> Option<(&Entry, u64)> {
+        let listed = self.listed.get(key)?;
+        listed.entry.as_ref().map(|entry| (entry, listed.revision))
+    }
+
     /// Records that the platform cannot be read.
     pub fn record_platform_failure(&mut self, now: Timestamp) {
         if !std::mem::replace(&mut self.down, true) {
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -12,6 +12,7 @@
 use tsw_event::{emit, Event};
 use tsw_flow::{
     owner::{self, Node},
+    pool::Entry,
     registry::{Change, Registry},
 };
 use tsw_member::{audience::Audience, roster::Roster};
@@ -197,7 +198,13 @@
                         None
                     }
                 });
-            match registry.set(now, &key, item.revision, entry) {
+            let before = registry
+                .entry(&key)
+                .map(|(entry, known)| (entry.clone(), known));
+            let offered = entry.clone().flatten();
+            let change = registry.set(now, &key, item.revision, entry);
+            log_change(change, item.revision, before, offered);
+            match change {
                 Change::Stale => {}
                 Change::Heartbeat => store_copy.set_heartbeat(&key, item.value.as_ref()),
                 Change::Content => store_copy.set_entry(key, item.revision, item.value.clone()),
@@ -238,3 +245,45 @@
         self.router.set_entries(entries, owned);
     }
 }
+
+/// Logs the effect of new content of an entry. Content that was read twice is not logged.
+fn log_change(change: Change, revision: u64, known: Option<(Entry, u64)>, offered: Option<Entry>) {
+    let is_leaving = |entry: &Option<Entry>| entry.as_ref().is_some_and(|entry| entry.leaving);
+    let (known, known_revision) = known.unzip();
+    let number = |entry: &Entry| (entry.started_at, entry.seq);
+    match (change, &known, &offered) {
+        (Change::Heartbeat, ..) => {}
+        (Change::Stale, Some(before), Some(entry)) if number(before) != number(entry) => emit(
+            Event::EntryIgnored,
+            &[
+                ("upstream", &entry.id),
+                ("seq", &entry.seq),
+                ("leaving", &entry.leaving),
+                ("revision", &revision),
+                ("known_seq", &before.seq),
+                ("known_revision", &known_revision.unwrap_or(0)),
+            ],
+        ),
+        (Change::Content, None, Some(entry)) => emit(
+            Event::UpstreamAdded,
+            &[
+                ("upstream", &entry.id),
+                ("service", &entry.service),
+                ("revision", &revision),
+            ],
+        ),
+        (Change::Content, Some(entry), None) => emit(
+            Event::UpstreamGone,
+            &[("upstream", &entry.id), ("revision", &revision)],
+        ),
+        _ => {}
+    }
+    if change == Change::Content && is_leaving(&offered) && !is_leaving(&known) {
+        if let Some(entry) = &offered {
+            emit(
+                Event::UpstreamLeaving,
+                &[("upstream", &entry.id), ("revision", &revision)],
+            );
+        }
+    }
+}
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -55,6 +55,7 @@
 pub async fn run(state: Rc<State>, subject: Subject) {
     let mut store = Store::new(state.settings.borrow().store);
     let mut revision = 0;
+    let mut era = None;
     let mut reachable = true;
     let mut last_read = Instant::now();
     loop {
@@ -80,6 +81,21 @@
         }
         match result {
             Ok((items, complete)) => {
+                if era.is_some() && items.era != era {
+                    let (from, to) = (format!("{era:?}"), format!("{:?}", items.era));
+                    emit(
+                        Event::StoreRestored,
+                        &[
+                            ("subject", &subject.prefix()),
+                            ("from", &from),
+                            ("to", &to),
+                            ("known", &revision),
+                            ("revision", &items.revision),
+                            ("complete", &complete),
+                        ],
+                    );
+                }
+                era = items.era;
                 revision = items.revision;
                 apply(&state, subject, &items, complete);
             }
