Order the content of the platform's store by era before revision

Callers saw requests sent to upstreams that had announced their departure (DRAIN). After the store was restored from a copy its revisions go back and are assigned again, but a router compared all content by revision alone: a departure written at revision 69 was ignored because the upstream was known at 71. A watch from the known revision was also answered as soon as the store had reached it again, and the changes before it were missed.

A position in the store's history is now its era and its revision, in this order. A watch whose answer is of another era, or a list whose pages are of two, is read again as a list. Across eras the upstream's own start and heartbeat numbers decide, so that a copy does not bring a leaving upstream back, and the grace period starts at a restore even if no outage was noticed, since the copy lacks upstreams that are alive. Content from before the restore is refused.

Both tests in crates/toucand/tests/restored_store.rs fail on the code before ("the upstream is not used") and pass.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -102,6 +102,8 @@
     StoreRestored = 212 Warn "store-restored";
     /// The content of an entry contradicts what is known of its upstream and was ignored.
     EntryIgnored = 213 Info "entry-ignored";
+    /// The platform's store, or a peer, answered from before the latest restore.
+    StoreOutdated = 214 Warn "store-outdated";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused without being run.
--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -10,6 +10,38 @@
 /// that are alive are listed again within about two seconds; the rest covers the delay of a read.
 const GRACE_PERIOD: Span = Span::from_millis(2_300);
 
+/// A point in the history of the platform's store.
+///
+/// Revisions go back when the store is restored from a copy, and are assigned again. They are
+/// comparable only within one era, so the era precedes the revision in the order.
+///
+/// ```
+/// use tsw_flow::registry::Position;
+/// let before = Position { era: Some(1), revision: 90 };
+/// let after = Position { era: Some(2), revision: 40 };
+/// assert!(before < after);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// Number of restores of the store; `None` if unknown.
+    pub era: Option<u64>,
+    /// Revision of the store.
+    pub revision: u64,
+}
+
+/// Relation of the era of new content to the current one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EraChange {
+    /// The eras are the same.
+    Same,
+    /// The era was unknown before.
+    First,
+    /// The store was restored from a copy.
+    Restored,
+    /// The content is from before the latest restore and must not be applied.
+    Older,
+}
+
 /// Effect of new content of a key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -25,11 +57,24 @@
 struct Listed {
     /// `None` if the content names no usable upstream.
     entry: Option<Entry>,
-    revision: u64,
+    position: Position,
     /// Whether the entry was removed, but is kept because of an outage of the platform.
     removed: bool,
 }
 
+impl Listed {
+    /// Returns whether `entry`, read at `position`, is older than this entry.
+    fn is_newer_than(&self, entry: &Entry, position: Position) -> bool {
+        let Some(known) = &self.entry else {
+            return false;
+        };
+        let newest = (known.started_at, known.seq).cmp(&(entry.started_at, entry.seq));
+        // A copy of the store may hold an entry from before the upstream announced its departure.
+        let restored = position.era != self.position.era;
+        newest.is_gt() || newest.is_eq() && restored && known.leaving && !entry.leaving
+    }
+}
+
 /// The upstreams listed by the platform, by the key of their entry.
 ///
 /// Upstreams whose entry disappears during an outage of the platform stay in use until shortly after
@@ -37,25 +82,57 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     listed: IndexMap<Name, Listed>,
-    revision: u64,
+    position: Position,
     down: bool,
     down_since: Timestamp,
     /// End of the grace period after an outage, during which removed entries are kept.
     grace_end: Timestamp,
+    /// End of the grace period after a restore of the store, whose copy lacks recent upstreams.
+    restore_grace_end: Timestamp,
 }
 
 impl Registry {
-    /// Returns the platform revision up to which all changes are known.
+    /// Returns the point in the store's history up to which all changes are known.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    pub const fn position(&self) -> Position {
+        self.position
     }
 
-    /// Returns the entry known under a key and the revision of its last change.
+    /// Returns the entry known under a key and the position of its last change.
     #[must_use]
-    pub fn entry(&self, key: &Name) -> Option<(&Entry, u64)> {
+    pub fn entry(&self, key: &Name) -> Option<(&Entry, Position)> {
         let listed = self.listed.get(key)?;
-        listed.entry.as_ref().map(|entry| (entry, listed.revision))
+        listed.entry.as_ref().map(|entry| (entry, listed.position))
+    }
+
+    /// Enters the era of content that is about to be applied. Revisions passed to the other methods
+    /// are of this era.
+    ///
+    /// The copy from which the store was restored lacks upstreams that are alive, until they are
+    /// listed again. A restore therefore starts a grace period even if no outage was noticed.
+    ///
+    /// ```
+    /// use tsw_base::time::Timestamp;
+    /// use tsw_flow::registry::{EraChange, Registry};
+    /// let mut registry = Registry::default();
+    /// assert_eq!(registry.enter_era(Timestamp::ZERO, Some(1)), EraChange::First);
+    /// assert_eq!(registry.enter_era(Timestamp::ZERO, Some(2)), EraChange::Restored);
+    /// assert_eq!(registry.enter_era(Timestamp::ZERO, Some(1)), EraChange::Older);
+    /// ```
+    pub fn enter_era(&mut self, now: Timestamp, era: Option<u64>) -> EraChange {
+        let before = self.position.era;
+        if era == before {
+            return EraChange::Same;
+        }
+        if era < before {
+            return EraChange::Older;
+        }
+        self.position = Position { era, revision: 0 };
+        if before.is_none() {
+            return EraChange::First;
+        }
+        self.restore_grace_end = now + GRACE_PERIOD;
+        EraChange::Restored
     }
 
     /// Records that the platform cannot be read.
@@ -87,7 +164,7 @@
     /// `Some(None)` that its content names no usable upstream.
     ///
     /// Changes of an older revision are ignored, as are heartbeats that were delayed and written
-    /// after a later one of the same upstream.
+    /// after a later one of the same upstream, or that come from a copy of the store.
     ///
     /// ```
     /// use tsw_base::time::Timestamp;
@@ -108,27 +185,32 @@
         revision: u64,
         content: Option<Option<Entry>>,
     ) -> Change {
+        let position = Position {
+            revision,
+            ..self.position
+        };
         let known = self.listed.get_mut(key);
         if known
             .as_ref()
-            .is_some_and(|known| revision <= known.revision)
+            .is_some_and(|known| position <= known.position)
         {
             return Change::Stale;
         }
         let Some(entry) = content else {
-            self.remove(now, key, revision);
+            self.remove(now, key, position);
             return Change::Content;
         };
         let mut change = Change::Content;
         if let (Some(known), Some(entry)) = (known, &entry) {
-            let newest = known
-                .entry
-                .as_ref()
-                .map(|entry| (entry.started_at, entry.seq));
-            if newest > Some((entry.started_at, entry.seq)) {
-                known.revision = revision;
-                known.removed = false;
-                return Change::Stale;
+            if known.is_newer_than(entry, position) {
+                known.position = position;
+                let was_removed = std::mem::take(&mut known.removed);
+                // A removal was already passed on to peers.
+                return if was_removed {
+                    Change::Content
+                } else {
+                    Change::Stale
+                };
             }
             let same = known.entry.as_ref().is_some_and(|known| {
                 let seq = entry.seq;
@@ -144,17 +226,21 @@
         }
         let listed = Listed {
             entry,
-            revision,
+            position,
             removed: false,
         };
         self.listed.insert(key.clone(), listed);
         change
     }
 
-    fn remove(&mut self, now: Timestamp, key: &Name, revision: u64) {
-        let keep = self.down || now < self.grace_end;
+    fn is_in_grace(&self, now: Timestamp) -> bool {
+        self.down || now < self.grace_end.max(self.restore_grace_end)
+    }
+
+    fn remove(&mut self, now: Timestamp, key: &Name, position: Position) {
+        let keep = self.is_in_grace(now);
         if let Some(listed) = self.listed.get_mut(key) {
-            listed.revision = revision;
+            listed.position = position;
             // An upstream that announced its departure does not come back.
             let leaving = listed.entry.as_ref().is_none_or(|entry| entry.leaving);
             listed.removed = true;
@@ -166,24 +252,28 @@
 
     /// Applies a complete list of keys read at `revision`: keys that are not in it are removed.
     pub fn apply_list(&mut self, now: Timestamp, revision: u64, keys: &[Name]) {
+        let position = Position {
+            revision,
+            ..self.position
+        };
         let missing = self.listed.iter().filter(|(key, listed)| {
-            listed.revision <= revision && !listed.removed && !keys.contains(key)
+            listed.position <= position && !listed.removed && !keys.contains(key)
         });
         let missing: Vec<Name> = missing.map(|(key, _)| key.clone()).collect();
         for key in missing {
-            self.remove(now, &key, revision);
+            self.remove(now, &key, position);
         }
         self.advance(revision);
     }
 
     /// Records that all changes up to `revision` are known.
     pub fn advance(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+        self.position.revision = self.position.revision.max(revision);
     }
 
     /// Returns the upstreams, and drops expired entries once the grace period is over.
     pub fn entries(&mut self, now: Timestamp) -> Vec<Entry> {
-        if !self.down && now >= self.grace_end {
+        if !self.is_in_grace(now) {
             self.listed.retain(|_, listed| !listed.removed);
         }
         let entries = self
--- /dev/null
+++ b/crates/flow/tests/restored_store.rs
@@ -0,0 +1,89 @@
+//! Guards against requests to upstreams that have left, and against dropping upstreams that are
+//! alive, after the platform's store was restored from a copy.
+
+use tsw_base::time::{Span, Timestamp};
+use tsw_flow::{
+    pool::Entry,
+    registry::{Change, EraChange, Position, Registry},
+};
+use tsw_route::Name;
+
+fn entry(seq: u64, leaving: bool) -> Option<Option<Entry>> {
+    Some(Some(Entry {
+        id: "a".into(),
+        service: "desk".into(),
+        address: "10.0.0.9:80".parse().expect("an address"),
+        domain: "north".into(),
+        slots: 6,
+        leaving,
+        started_at: 7,
+        seq,
+    }))
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::ZERO + Span::from_millis(millis)
+}
+
+fn key() -> Name {
+    "a".into()
+}
+
+/// Returns a registry that knows an upstream at revision 90 of era 1.
+fn registry(seq: u64, leaving: bool) -> Registry {
+    let mut registry = Registry::default();
+    registry.enter_era(at(0), Some(1));
+    registry.set(at(0), &key(), 90, entry(seq, leaving));
+    registry.advance(90);
+    registry
+}
+
+/// Guards against a change that is mistaken for an outdated one because the store assigned a lower
+/// revision after the restore.
+#[test]
+fn change_after_a_restore_counts_although_its_revision_is_lower() {
+    let mut registry = registry(4, false);
+    assert_eq!(registry.enter_era(at(10), Some(2)), EraChange::Restored);
+    registry.apply_list(at(10), 40, &[key()]);
+    let change = registry.set(at(20), &key(), 41, entry(5, true));
+    assert_eq!(change, Change::Content);
+    assert!(registry.entries(at(20))[0].leaving);
+    let era = Some(2);
+    let revision = 40;
+    assert_eq!(registry.position(), Position { era, revision });
+}
+
+/// Guards against a copy of the store that brings a leaving upstream back into use, also if the
+/// heartbeat in which it announced its departure has the same number.
+#[test]
+fn copy_does_not_bring_a_leaving_upstream_back() {
+    for seq in [4, 5] {
+        let mut registry = registry(5, true);
+        registry.enter_era(at(10), Some(2));
+        registry.set(at(10), &key(), 30, entry(seq, false));
+        registry.apply_list(at(10), 40, &[key()]);
+        assert!(registry.entries(at(10))[0].leaving, "{seq}");
+    }
+}
+
+/// Guards against dropping an upstream that the copy lacks before it is listed again, if this
+/// router or a peer noticed no outage.
+#[test]
+fn upstream_that_the_copy_lacks_is_kept_for_the_grace_period() {
+    let mut registry = registry(4, false);
+    registry.enter_era(at(10), Some(2));
+    registry.apply_list(at(10), 40, &[]);
+    registry.record_peer_read(at(0));
+    assert_eq!(registry.entries(at(1_900)).len(), 1);
+    assert!(registry.entries(at(2_400)).is_empty());
+}
+
+/// Guards against content read before a restore, but applied after it.
+#[test]
+fn content_of_an_older_era_is_refused() {
+    let mut registry = registry(4, false);
+    registry.enter_era(at(10), Some(2));
+    assert_eq!(registry.enter_era(at(20), Some(1)), EraChange::Older);
+    assert_eq!(registry.enter_era(at(20), None), EraChange::Older);
+    assert_eq!(registry.position().era, Some(2));
+}
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::time;
 use tsw_event::{emit, Event};
+use tsw_flow::registry::Position;
 use tsw_http::{
     connection::Connection,
     exchange::{self, Exchange},
@@ -51,7 +52,7 @@
 /// Returns the store content that a peer with the given revisions lacks.
 #[must_use]
 pub fn delta(state: &State, known: &KnownRevisions) -> StoreDelta {
-    let revision = state.registry.borrow().revision();
+    let revision = state.registry.borrow().position().revision;
     state.store_copy.borrow().since(known, revision)
 }
 
@@ -132,7 +133,8 @@
     if !delta.configuration.is_empty() {
         state.offer_configuration(&delta.configuration.into(), &peer.host);
     }
-    if delta.revision <= state.registry.borrow().revision() {
+    let known = state.registry.borrow().position();
+    if delta.revision <= known.revision {
         return;
     }
     state
@@ -148,10 +150,9 @@
             revision,
         })
         .collect();
-    state.apply_items(&items);
-    if delta.complete {
-        state.apply_list(&items, delta.revision);
-    }
-    state.registry.borrow_mut().advance(delta.revision);
-    state.apply_entries();
+    let position = Position {
+        revision: delta.revision,
+        ..known
+    };
+    state.apply_upstreams(&items, position, delta.complete);
 }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -13,7 +13,7 @@
 use tsw_flow::{
     owner::{self, Node},
     pool::Entry,
-    registry::{Change, Registry},
+    registry::{Change, EraChange, Position, Registry},
 };
 use tsw_member::{audience::Audience, roster::Roster};
 use tsw_platform::{configuration, store::Item, upstream};
@@ -135,7 +135,7 @@
         roster.me.read_for_ms = read_since.map_or(0, |since| now.since(since).as_millis());
         roster.me.ready = self.is_ready();
         roster.me.version = self.router.table().map_or(0, |table| table.version);
-        roster.me.revision = self.registry.borrow().revision();
+        roster.me.revision = self.registry.borrow().position().revision;
         self.router.set_router_count(1 + roster.live(now).count());
     }
 
@@ -178,8 +178,46 @@
         adopted
     }
 
+    /// Applies upstreams read from the store or a peer, and returns whether they are of the current
+    /// era or a later one. A complete list also removes the upstreams that it lacks.
+    pub fn apply_upstreams(&self, items: &[Item], position: Position, complete: bool) -> bool {
+        if !self.enter_era(position) {
+            return false;
+        }
+        self.apply_items(items);
+        if complete {
+            self.apply_list(items, position.revision);
+        }
+        self.registry.borrow_mut().advance(position.revision);
+        self.apply_entries();
+        true
+    }
+
+    fn enter_era(&self, position: Position) -> bool {
+        let now = self.router.now();
+        let mut registry = self.registry.borrow_mut();
+        let before = registry.position();
+        let change = registry.enter_era(now, position.era);
+        let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
+            ("from", &before.era.unwrap_or(0)),
+            ("to", &position.era.unwrap_or(0)),
+            ("known", &before.revision),
+            ("revision", &position.revision),
+        ];
+        match change {
+            EraChange::Same | EraChange::First => {}
+            EraChange::Restored => {
+                emit(Event::StoreRestored, fields);
+                // The copy lacks what was written since, as if it had not been read meanwhile.
+                self.read_since.set(self.read_since.get().map(|_| now));
+            }
+            EraChange::Older => emit(Event::StoreOutdated, fields),
+        }
+        change != EraChange::Older
+    }
+
     /// Applies changed entries of upstreams.
-    pub fn apply_items(&self, items: &[Item]) {
+    fn apply_items(&self, items: &[Item]) {
         let now = self.router.now();
         let mut registry = self.registry.borrow_mut();
         let mut store_copy = self.store_copy.borrow_mut();
@@ -213,7 +251,7 @@
     }
 
     /// Removes the entries that are missing from a complete list as of `revision`.
-    pub fn apply_list(&self, items: &[Item], revision: u64) {
+    fn apply_list(&self, items: &[Item], revision: u64) {
         let keys: Vec<Name> = items
             .iter()
             .filter_map(|item| item.key.strip_prefix(upstream::PREFIX))
@@ -247,9 +285,15 @@
 }
 
 /// Logs the effect of new content of an entry. Content that was read twice is not logged.
-fn log_change(change: Change, revision: u64, known: Option<(Entry, u64)>, offered: Option<Entry>) {
+fn log_change(
+    change: Change,
+    revision: u64,
+    known: Option<(Entry, Position)>,
+    offered: Option<Entry>,
+) {
     let is_leaving = |entry: &Option<Entry>| entry.as_ref().is_some_and(|entry| entry.leaving);
-    let (known, known_revision) = known.unzip();
+    let (known, position) = known.unzip();
+    let known_revision = position.map_or(0, |position| position.revision);
     let number = |entry: &Entry| (entry.started_at, entry.seq);
     match (change, &known, &offered) {
         (Change::Heartbeat, ..) => {}
@@ -261,7 +305,7 @@
                 ("leaving", &entry.leaving),
                 ("revision", &revision),
                 ("known_seq", &before.seq),
-                ("known_revision", &known_revision.unwrap_or(0)),
+                ("known_revision", &known_revision),
             ],
         ),
         (Change::Content, None, Some(entry)) => emit(
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use tokio::time;
 use tsw_event::{emit, Event};
+use tsw_flow::registry::Position;
 use tsw_platform::{
     configuration,
     store::{Error, Items, Store},
@@ -54,18 +55,20 @@
 /// Lists and then watches a part of the store until the process ends.
 pub async fn run(state: Rc<State>, subject: Subject) {
     let mut store = Store::new(state.settings.borrow().store);
-    let mut revision = 0;
-    let mut era = None;
+    let mut position = None;
     let mut reachable = true;
     let mut last_read = Instant::now();
     loop {
-        while revision > 0 && !state.is_store_reader() && last_read.elapsed() < NON_READER_INTERVAL
+        while position.is_some()
+            && !state.is_store_reader()
+            && last_read.elapsed() < NON_READER_INTERVAL
         {
             time::sleep(jitter(RETRY_PAUSE)).await;
         }
         last_read = Instant::now();
-        let result = read(&mut store, subject, revision).await;
-        let failed = !matches!(result, Ok(_) | Err(Error::Compacted));
+        let result = read(&mut store, subject, position).await;
+        let must_list = matches!(result, Err(Error::Compacted | Error::Restored));
+        let failed = result.is_err() && !must_list;
         if failed == reachable {
             reachable = !failed;
             match &result {
@@ -76,30 +79,16 @@
                 _ => emit(Event::PlatformUp, &[("subject", &subject.prefix())]),
             }
         }
-        if subject == Subject::Upstreams && !matches!(result, Err(Error::Compacted)) {
+        if subject == Subject::Upstreams && !must_list {
             state.set_reads_store(result.is_ok());
         }
         match result {
-            Ok((items, complete)) => {
-                if era.is_some() && items.era != era {
-                    let (from, to) = (format!("{era:?}"), format!("{:?}", items.era));
-                    emit(
-                        Event::StoreRestored,
-                        &[
-                            ("subject", &subject.prefix()),
-                            ("from", &from),
-                            ("to", &to),
-                            ("known", &revision),
-                            ("revision", &items.revision),
-                            ("complete", &complete),
-                        ],
-                    );
-                }
-                era = items.era;
-                revision = items.revision;
-                apply(&state, subject, &items, complete);
+            Ok(items) => {
+                let complete = position.is_none();
+                let applied = apply(&state, subject, &items, complete);
+                position = applied.then_some(items.position);
             }
-            Err(Error::Compacted) => revision = 0,
+            Err(_) if must_list => position = None,
             Err(_) => time::sleep(jitter(RETRY_PAUSE)).await,
         }
         if subject == Subject::Upstreams {
@@ -113,18 +102,20 @@
     }
 }
 
-async fn read(store: &mut Store, subject: Subject, revision: u64) -> Result<(Items, bool), Error> {
-    if revision == 0 {
-        Ok((store.list(subject.prefix()).await?, true))
-    } else {
-        let items = store
-            .watch(subject.prefix(), revision, WATCH_TIMEOUT)
-            .await?;
-        Ok((items, false))
+/// Watches after `position`, or lists if there is none.
+async fn read(
+    store: &mut Store,
+    subject: Subject,
+    position: Option<Position>,
+) -> Result<Items, Error> {
+    match position {
+        Some(after) => store.watch(subject.prefix(), after, WATCH_TIMEOUT).await,
+        None => store.list(subject.prefix()).await,
     }
 }
 
-fn apply(state: &Rc<State>, subject: Subject, items: &Items, complete: bool) {
+/// Applies what was read. Returns false if it must be listed again.
+fn apply(state: &Rc<State>, subject: Subject, items: &Items, complete: bool) -> bool {
     match subject {
         Subject::Configuration => {
             let newest = items
@@ -134,15 +125,9 @@
             for bytes in newest.filter_map(|item| item.value.as_ref()) {
                 state.offer_configuration(bytes, "store");
             }
+            true
         }
-        Subject::Upstreams => {
-            state.apply_items(&items.items);
-            if complete {
-                state.apply_list(&items.items, items.revision);
-            }
-            state.registry.borrow_mut().advance(items.revision);
-            state.apply_entries();
-        }
+        Subject::Upstreams => state.apply_upstreams(&items.items, items.position, complete),
     }
 }
 
--- /dev/null
+++ b/crates/toucand/tests/restored_store.rs
@@ -0,0 +1,99 @@
+//! How a router process follows the platform's store after it was restored from a copy that lacks
+//! the latest changes. The store and the upstreams are fakes.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{entry, Call, Router, Site};
+use tsw_fake::{
+    store::{Mode, Store},
+    worker::{Behaviour, Worker},
+};
+
+/// Writes items that concern no router, so that the revision rises.
+fn raise_revision(store: &Store, changes: u64) {
+    for _ in 0..changes {
+        store.set("other/item", Some(b"x"));
+    }
+}
+
+async fn worker() -> Worker {
+    Worker::bind(Behaviour::Plain).await.expect("an upstream")
+}
+
+async fn call(router: &Router) {
+    let response = Call::valid("GET", "/lookup/1", "a1").send(router).await;
+    assert_eq!(response.status, 200);
+}
+
+/// Asserts that an upstream gets no requests.
+async fn assert_unused(router: &Router, upstream: &Worker) {
+    let before = upstream.arrivals().len();
+    for _ in 0..20 {
+        call(router).await;
+    }
+    assert_eq!(upstream.arrivals().len(), before);
+}
+
+/// Waits until an upstream gets requests.
+async fn wait_used(router: &Router, upstream: &Worker) {
+    let before = upstream.arrivals().len();
+    for _ in 0..500 {
+        call(router).await;
+        if upstream.arrivals().len() > before {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the upstream is not used");
+}
+
+/// Guards against an announced departure that is taken for outdated because its revision is lower
+/// than the one at which the upstream was known before the restore, and against a copy that brings
+/// an upstream back that had announced its departure.
+#[actix_rt::test]
+async fn departures_are_followed_across_a_restore() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let (second, third) = (worker().await, worker().await);
+    let set = |key, worker: &Worker, state, seq| {
+        site.store
+            .set(key, Some(&entry("desk", worker, state, seq)));
+    };
+    let copy = site.store.copy();
+    raise_revision(&site.store, 50);
+    set("servers/d2", &second, "ready", 1);
+    set("servers/d1", &site.desk, "draining", 2);
+    wait_used(&site.router, &second).await;
+    site.store.restore(&copy);
+    set("servers/d2", &second, "ready", 1);
+    set("servers/d2", &second, "draining", 2);
+    set("servers/d3", &third, "ready", 1);
+    let first_arrivals = site.desk.arrivals().len();
+    wait_used(&site.router, &third).await;
+    assert_unused(&site.router, &second).await;
+    assert_eq!(site.desk.arrivals().len(), first_arrivals);
+}
+
+/// Guards against changes that a watch misses because the store has assigned its revision again
+/// before the router reads it after an outage.
+#[actix_rt::test]
+async fn changes_are_read_if_the_store_has_passed_the_known_revision_again() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let second = worker().await;
+    let copy = site.store.copy();
+    raise_revision(&site.store, 20);
+    // The watch returns once with the raised revision.
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    site.store.set_mode(Mode::Silent);
+    site.store.restore(&copy);
+    let draining = entry("desk", &site.desk, "draining", 2);
+    site.store.set("servers/d1", Some(&draining));
+    let ready = entry("desk", &second, "ready", 1);
+    site.store.set("servers/d2", Some(&ready));
+    raise_revision(&site.store, 40);
+    site.store.set_mode(Mode::Up);
+    wait_used(&site.router, &second).await;
+    assert_unused(&site.router, &site.desk).await;
+}
