Order what routers pass on to each other by the era of the store

Callers of a large fleet saw requests sent to upstreams that had announced their departure (DRAIN) after the store was restored from a copy: only six routers read the store there, and the others compared their revision with that of the readers alone. They asked none of them until its new revision exceeded the one from before the restore, and a reader passed on entries with revisions from before the restore, so that a later departure with a lower one was ignored.

A router states the era of its revision with its gossip and asks for content with the era that it knows. One of a later era is ahead whatever its revision, and answers a peer of another era with a complete list. On a restore the revisions of a router's copy become incomparable; entries stay. Gossip and answers carry the era after the fields that they had, where routers of before ignore it; a router that knows the era counts only those that state it as readers of the store, and refuses content without an era. Content for routers that do not state an era is complete after a restore.

--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -66,7 +66,7 @@
         }
         None if path == peer_sync::PATH => {
             let delta = peer_sync::delta(state, &KnownRevisions::from_query(query));
-            match postcard::to_allocvec(&delta) {
+            match delta.encode() {
                 Ok(body) => (200, "application/octet-stream", body),
                 Err(error) => (500, JSON, error.to_string().into_bytes()),
             }
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -36,6 +36,26 @@
     message: Message,
 }
 
+/// Encodes a datagram. The eras of members follow it.
+fn encode(datagram: &Datagram) -> Result<Vec<u8>, postcard::Error> {
+    let bytes = postcard::to_allocvec(datagram)?;
+    match &datagram.message {
+        Message::Members(update) => postcard::to_extend(&update.eras(), bytes),
+        Message::Activities(..) | Message::Findings(_) => Ok(bytes),
+    }
+}
+
+/// Decodes a datagram. The eras of members stay unknown if the sender does not state them.
+fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
+    let (mut datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes)?;
+    if let Message::Members(update) = &mut datagram.message {
+        if !rest.is_empty() {
+            update.set_eras(&postcard::from_bytes::<Vec<_>>(rest)?);
+        }
+    }
+    Ok(datagram)
+}
+
 /// Returns the gossip addresses of the live routers.
 fn live_addresses(state: &State) -> Vec<SocketAddr> {
     let roster = state.roster.borrow();
@@ -45,7 +65,7 @@
 
 async fn send(state: &State, socket: &UdpSocket, to: &[SocketAddr], message: Message) {
     let from = state.settings.borrow().host.clone();
-    let bytes = match postcard::to_allocvec(&Datagram { from, message }) {
+    let bytes = match encode(&Datagram { from, message }) {
         Ok(bytes) => bytes,
         Err(error) => return emit(Event::InternalFailed, &[("cause", &error)]),
     };
@@ -217,7 +237,7 @@
             emit(Event::FrameDropped, &[("cause", &error)]);
             continue;
         }
-        let datagram: Datagram = match postcard::from_bytes(&buffer[..length]) {
+        let datagram = match decode(&buffer[..length]) {
             Ok(datagram) => datagram,
             Err(error) => {
                 emit(Event::FrameDropped, &[("cause", &error)]);
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -65,10 +65,11 @@
             continue;
         };
         let known = {
-            let roster = state.roster.borrow();
+            let me = &state.roster.borrow().me;
             KnownRevisions {
-                version: roster.me.version,
-                revision: roster.me.revision,
+                version: me.version,
+                revision: me.revision,
+                era: me.era,
             }
         };
         match time::timeout(TIMEOUT, fetch(peer.control, &known)).await {
@@ -94,20 +95,28 @@
     let now = state.router.now();
     let reader = state.is_store_reader();
     let roster = state.roster.borrow();
-    let (version, revision) = (roster.me.version, roster.me.revision);
+    let (version, known) = (roster.me.version, position(&roster.me));
     let newer = roster.live(now).filter(|peer| {
         let watches_store = reader && roster.me.reads_store;
-        let newer_upstreams = peer.reads_store && !watches_store && peer.revision > revision;
+        let newer_upstreams = peer.reads_store && !watches_store && position(peer) > known;
         peer.version > version || newer_upstreams
     });
     newer
         .max_by_key(|peer| {
             let local_reader = peer.reads_store && peer.domain == roster.me.domain;
-            (peer.version, local_reader, peer.revision)
+            (peer.version, local_reader, position(peer))
         })
         .cloned()
 }
 
+/// Returns the point in the store's history up to which a router knows the upstreams.
+const fn position(member: &Member) -> Position {
+    Position {
+        era: member.era,
+        revision: member.revision,
+    }
+}
+
 async fn fetch(address: SocketAddr, known: &KnownRevisions) -> Result<StoreDelta, Error> {
     let connection = Connection::open(address, TIMEOUT).await?;
     let mut fields = Fields::default();
@@ -126,15 +135,18 @@
             return Err(Error::TooLong);
         }
     }
-    Ok(postcard::from_bytes(&body)?)
+    Ok(StoreDelta::decode(&body)?)
 }
 
 fn apply(state: &Rc<State>, peer: &Member, delta: StoreDelta) {
     if !delta.configuration.is_empty() {
         state.offer_configuration(&delta.configuration.into(), &peer.host);
     }
-    let known = state.registry.borrow().position();
-    if delta.revision <= known.revision {
+    let position = Position {
+        era: delta.era,
+        revision: delta.revision,
+    };
+    if position <= state.registry.borrow().position() {
         return;
     }
     state
@@ -150,9 +162,5 @@
             revision,
         })
         .collect();
-    let position = Position {
-        revision: delta.revision,
-        ..known
-    };
     state.apply_upstreams(&items, position, delta.complete);
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -188,6 +188,7 @@
         read_for_ms: 0,
         version: 0,
         revision: 0,
+        era: None,
     };
     Ok(Rc::new(State {
         roster: RefCell::new(Roster::new(own_member, settings.gossip_seeds())),
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -135,7 +135,8 @@
         roster.me.read_for_ms = read_since.map_or(0, |since| now.since(since).as_millis());
         roster.me.ready = self.is_ready();
         roster.me.version = self.router.table().map_or(0, |table| table.version);
-        roster.me.revision = self.registry.borrow().position().revision;
+        let position = self.registry.borrow().position();
+        (roster.me.era, roster.me.revision) = (position.era, position.revision);
         self.router.set_router_count(1 + roster.live(now).count());
     }
 
@@ -205,8 +206,10 @@
             ("revision", &position.revision),
         ];
         match change {
-            EraChange::Same | EraChange::First => {}
+            EraChange::Same => {}
+            EraChange::First => self.store_copy.borrow_mut().enter_era(position.era),
             EraChange::Restored => {
+                self.store_copy.borrow_mut().enter_era(position.era);
                 emit(Event::StoreRestored, fields);
                 // The copy lacks what was written since, as if it had not been read meanwhile.
                 self.read_since.set(self.read_since.get().map(|_| now));
--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -16,6 +16,8 @@
     pub version: u64,
     /// Store revision up to which the entries of upstreams are known.
     pub revision: u64,
+    /// Era of that revision; `None` if unknown.
+    pub era: Option<u64>,
 }
 
 impl KnownRevisions {
@@ -23,26 +25,30 @@
     ///
     /// ```
     /// use tsw_gate::store_copy::KnownRevisions;
-    /// let known = KnownRevisions { version: 4, revision: 90 };
+    /// let known = KnownRevisions { version: 4, revision: 90, era: Some(2) };
     /// assert_eq!(KnownRevisions::from_query(&known.query()), known);
     /// assert_eq!(KnownRevisions::from_query("version=x"), KnownRevisions::default());
     /// ```
     #[must_use]
     pub fn query(&self) -> String {
-        format!("version={}&revision={}", self.version, self.revision)
+        let era = self.era.map(|era| format!("&era={era}"));
+        let era = era.unwrap_or_default();
+        format!("version={}&revision={}{era}", self.version, self.revision)
     }
 
-    /// Parses the query of a read. A number that is missing or malformed counts as 0.
+    /// Parses the query of a read. A number that is missing or malformed counts as 0, an era as
+    /// unknown.
     #[must_use]
     pub fn from_query(query: &str) -> Self {
         let number = |name: &str| {
             let mut parts = query.split('&').filter_map(|part| part.split_once('='));
             let found = parts.find(|(key, _)| *key == name);
-            found.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+            found.and_then(|(_, value)| value.parse().ok())
         };
         Self {
-            version: number("version"),
-            revision: number("revision"),
+            version: number("version").unwrap_or(0),
+            revision: number("revision").unwrap_or(0),
+            era: number("era"),
         }
     }
 }
@@ -58,6 +64,41 @@
     pub complete: bool,
     /// Entries of upstreams: name, revision and content; `None` if the entry was removed.
     pub entries: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// Era of the revisions. It follows the other fields in the encoding, where routers that do not
+    /// know it ignore it.
+    #[serde(skip)]
+    pub era: Option<u64>,
+}
+
+impl StoreDelta {
+    /// Encodes the content for a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the content cannot be encoded.
+    ///
+    /// ```
+    /// use tsw_gate::store_copy::StoreDelta;
+    /// let delta = StoreDelta { revision: 4, era: Some(2), ..StoreDelta::default() };
+    /// assert_eq!(StoreDelta::decode(&delta.encode()?)?, delta);
+    /// # Ok::<(), postcard::Error>(())
+    /// ```
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_extend(&self.era, postcard::to_allocvec(self)?)
+    }
+
+    /// Decodes the content sent by a peer. The era is unknown if the peer does not state it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are malformed.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut delta, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            delta.era = postcard::from_bytes(rest)?;
+        }
+        Ok(delta)
+    }
 }
 
 /// A router's copy of the content of the store.
@@ -65,6 +106,10 @@
 pub struct StoreCopy {
     version: u64,
     configuration: Bytes,
+    /// Era of the revisions of entries.
+    era: Option<u64>,
+    /// Whether the store was restored from a copy since the process started.
+    restored: bool,
     entries: IndexMap<Name, (u64, Bytes)>,
     /// Removed entries and the revision of each removal, the oldest first.
     removed: IndexMap<Name, u64>,
@@ -79,6 +124,18 @@
         self.configuration = bytes;
     }
 
+    /// Enters a later era. The entries stay, but their revisions are not comparable to those of the
+    /// new era: peers of an older one receive a complete list.
+    pub fn enter_era(&mut self, era: Option<u64>) {
+        self.restored |= self.era.is_some();
+        self.era = era;
+        for (revision, _) in self.entries.values_mut() {
+            *revision = 0;
+        }
+        self.removed.clear();
+        self.pruned_up_to = 0;
+    }
+
     /// Stores the content of an entry, or its removal if `content` is `None`.
     pub fn set_entry(&mut self, key: Name, revision: u64, content: Option<Bytes>) {
         match content {
@@ -132,18 +189,20 @@
     /// let mut copy = StoreCopy::default();
     /// copy.set_entry("i-1".into(), 5, Some("one".into()));
     /// copy.set_entry("i-2".into(), 9, Some("two".into()));
-    /// let lacks = copy.since(&KnownRevisions { version: 0, revision: 6 }, 9);
+    /// let lacks = copy.since(&KnownRevisions { revision: 6, ..KnownRevisions::default() }, 9);
     /// assert_eq!(lacks.entries, [("i-2".to_owned(), 9, Some(b"two".to_vec()))]);
     /// ```
     #[must_use]
     pub fn since(&self, known: &KnownRevisions, revision: u64) -> StoreDelta {
         // A router that has just started knows no entry to which a removal could refer.
-        let complete = known.revision == 0 || known.revision < self.pruned_up_to;
+        let complete = known.revision == 0
+            || known.revision < self.pruned_up_to
+            || !self.is_comparable(known.era);
         let after = if complete { 0 } else { known.revision };
         let entries = self
             .entries
             .iter()
-            .filter(|(_, (changed, _))| *changed > after)
+            .filter(|(_, (changed, _))| complete || *changed > after)
             .map(|(key, (changed, bytes))| (key.to_string(), *changed, Some(bytes.to_vec())));
         let removed = self
             .removed
@@ -160,6 +219,14 @@
             revision,
             complete,
             entries: entries.chain(removed).collect(),
+            era: self.era,
         }
     }
+
+    /// Returns whether the revisions of a peer can be compared with those of this router. A router
+    /// that does not state an era knows the revisions of the present one, unless the store was
+    /// restored.
+    fn is_comparable(&self, era: Option<u64>) -> bool {
+        era == self.era || era.is_none() && !self.restored
+    }
 }
--- a/crates/gate/tests/report.rs
+++ b/crates/gate/tests/report.rs
@@ -131,6 +131,7 @@
             read_for_ms: 86_400_000,
             version: 1 << 40,
             revision: 1 << 40,
+            era: Some(1_000),
         }
     };
     let mut roster = Roster::new(member(0), Vec::new());
@@ -142,7 +143,8 @@
     };
     roster.receive(now, "r", &update);
     let (_, update) = roster.next_round(now, &mut StdRng::seed_from_u64(7));
-    let bytes = postcard::to_allocvec(&update).expect("encoded").len();
+    let bytes = postcard::to_allocvec(&(&update, update.eras()));
+    let bytes = bytes.expect("encoded").len();
     assert!(
         update.heartbeats.len() > 400 && bytes + 512 <= MAX_DATAGRAM,
         "{bytes}"
--- a/crates/gate/tests/store_copy.rs
+++ b/crates/gate/tests/store_copy.rs
@@ -28,6 +28,7 @@
     let known = KnownRevisions {
         version: 0,
         revision: 5,
+        era: None,
     };
     assert!(router.since(&known, 9).entries.is_empty());
     let initial = router.since(&KnownRevisions::default(), 9);
@@ -48,12 +49,14 @@
     let known = KnownRevisions {
         version: 3,
         revision: 109,
+        era: None,
     };
     let delta = router.since(&known, 109);
     assert!(delta.entries.is_empty() && delta.configuration.is_empty());
     let outdated = KnownRevisions {
         version: 2,
         revision: 108,
+        era: None,
     };
     let delta = router.since(&outdated, 109);
     assert_eq!(
@@ -80,6 +83,7 @@
         &KnownRevisions {
             version: 0,
             revision: 2,
+            era: None,
         },
         2_001,
     );
@@ -89,6 +93,7 @@
         &KnownRevisions {
             version: 0,
             revision: 1_990,
+            era: None,
         },
         2_001,
     );
@@ -152,3 +157,66 @@
         }
     }
 }
+
+/// Returns a copy that knows an entry at revision 90 and was then restored to revision 40.
+fn restored_copy() -> StoreCopy {
+    let mut router = StoreCopy::default();
+    router.enter_era(Some(1));
+    router.set_entry("known".into(), 90, Some("x".into()));
+    router.enter_era(Some(2));
+    router.set_entry("new".into(), 40, Some("x".into()));
+    router
+}
+
+/// Guards against a peer that keeps upstreams of before a restore of the store, or lacks those of
+/// after it, because its revision is higher.
+#[test]
+fn peer_of_another_era_receives_a_complete_list() {
+    for era in [Some(1), None] {
+        let known = KnownRevisions {
+            version: 0,
+            revision: 95,
+            era,
+        };
+        let delta = restored_copy().since(&known, 41);
+        assert!(delta.complete && delta.era == Some(2), "{era:?}");
+        assert_eq!(delta.entries.len(), 2, "{era:?}");
+    }
+}
+
+/// Guards against revisions of before a restore that are passed on as if they were of after it, so
+/// that the peer ignores later changes with lower ones. Seen on a day with an old copy: a router
+/// ignored a departure at revision 69 of an upstream that it knew at 71 from a peer.
+#[test]
+fn revisions_of_an_older_era_are_not_passed_on() {
+    let known = KnownRevisions {
+        version: 0,
+        revision: 35,
+        era: Some(2),
+    };
+    let delta = restored_copy().since(&known, 41);
+    assert!(!delta.complete);
+    let expected = ("new".to_owned(), 40, Some(b"x".to_vec()));
+    assert_eq!(delta.entries, [expected]);
+}
+
+/// A delta as routers encoded and decoded it before they stated the era.
+#[derive(serde::Deserialize, serde::Serialize)]
+struct DeltaWithoutEra {
+    configuration: Vec<u8>,
+    revision: u64,
+    complete: bool,
+    entries: Vec<(String, u64, Option<Vec<u8>>)>,
+}
+
+/// Guards against routers of two versions that cannot read from each other.
+#[test]
+fn routers_that_do_not_state_the_era_are_understood_and_understand() {
+    let delta = restored_copy().since(&KnownRevisions::default(), 41);
+    let bytes = delta.encode().expect("encoded");
+    let old: DeltaWithoutEra = postcard::from_bytes(&bytes).expect("decoded");
+    assert_eq!((old.revision, &old.entries), (41, &delta.entries));
+    let bytes = postcard::to_allocvec(&old).expect("encoded");
+    let decoded = StoreDelta::decode(&bytes).expect("decoded");
+    assert_eq!((decoded.era, decoded.entries), (None, delta.entries));
+}
--- a/crates/member/src/audience.rs
+++ b/crates/member/src/audience.rs
@@ -118,7 +118,7 @@
     ///     host: format!("r{number}"), domain: "north".to_owned(), incarnation: 1, heartbeat: 1,
     ///     client: ([10, 0, 0, number], 1).into(), gossip: ([10, 0, 0, number], 2).into(),
     ///     control: ([10, 0, 0, number], 3).into(), processor: 250, ready: true,
-    ///     reads_store: true, read_for_ms: 0, version: 0, revision: 0,
+    ///     reads_store: true, read_for_ms: 0, version: 0, revision: 0, era: None,
     /// };
     /// let all: Vec<Member> = (1..6).map(member).collect();
     /// let live: Vec<&Member> = all.iter().collect();
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -80,6 +80,9 @@
     pub version: u64,
     /// Store revision of the upstreams that it knows.
     pub revision: u64,
+    /// Era of that revision; `None` if unknown. See [`RosterUpdate::eras`].
+    #[serde(skip)]
+    pub era: Option<u64>,
 }
 
 impl Member {
@@ -96,6 +99,7 @@
             read_for_ms: self.read_for_ms,
             version: self.version,
             revision: self.revision,
+            era: self.era,
         }
     }
 }
@@ -112,6 +116,8 @@
     read_for_ms: u64,
     version: u64,
     revision: u64,
+    #[serde(skip)]
+    era: Option<u64>,
 }
 
 /// A gossip message about the members of the fleet.
@@ -125,6 +131,34 @@
     pub requested: Vec<u64>,
 }
 
+impl RosterUpdate {
+    /// Returns the eras of the members and of the heartbeats, in this order. They are sent after the
+    /// message, where routers that do not know them ignore them.
+    #[must_use]
+    pub fn eras(&self) -> Vec<Option<u64>> {
+        let members = self.members.iter().map(|member| member.era);
+        let heartbeats = self.heartbeats.iter().map(|heartbeat| heartbeat.era);
+        members.chain(heartbeats).collect()
+    }
+
+    /// Sets the eras of a received message. Those that are missing stay unknown.
+    ///
+    /// ```
+    /// use tsw_member::roster::RosterUpdate;
+    /// let mut update = RosterUpdate::default();
+    /// update.set_eras(&[Some(1)]);
+    /// assert!(update.eras().is_empty());
+    /// ```
+    pub fn set_eras(&mut self, eras: &[Option<u64>]) {
+        let members = self.members.iter_mut().map(|member| &mut member.era);
+        let heartbeats = self.heartbeats.iter_mut();
+        let heartbeats = heartbeats.map(|heartbeat| &mut heartbeat.era);
+        for (field, era) in members.chain(heartbeats).zip(eras) {
+            *field = *era;
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     member: Member,
@@ -153,7 +187,7 @@
     /// let member = |host: &str| Member {
     ///     host: host.to_owned(), domain: "north".to_owned(), incarnation: 1, heartbeat: 1,
     ///     client: address, gossip: address, control: address, processor: 250, ready: true,
-    ///     reads_store: true, read_for_ms: 0, version: 0, revision: 0,
+    ///     reads_store: true, read_for_ms: 0, version: 0, revision: 0, era: None,
     /// };
     /// let mut roster = Roster::new(member("r1"), Vec::new());
     /// let now = Timestamp::from_micros(1);
@@ -202,11 +236,14 @@
                 Some(known) => member.host == from || !is_live(known, now),
             };
             if is_newer {
-                let peer = Peer {
+                let mut peer = Peer {
                     member: member.clone(),
                     key: member.key(),
                     last_heartbeat: now,
                 };
+                let same = known.filter(|known| known.key == peer.key);
+                // Routers that do not know eras pass members on without them.
+                peer.member.era = peer.member.era.max(same.and_then(|known| known.member.era));
                 self.peers.insert(member.host.clone(), peer);
             }
         }
@@ -305,7 +342,7 @@
     /// let member = |number: u8| Member {
     ///     host: format!("r{number}"), domain: "north".to_owned(), incarnation: 1, heartbeat: 1,
     ///     client: address, gossip: address, control: address, processor: 250, ready: true,
-    ///     reads_store: true, read_for_ms: 0, version: 0, revision: 0,
+    ///     reads_store: true, read_for_ms: 0, version: 0, revision: 0, era: None,
     /// };
     /// let now = Timestamp::from_micros(1);
     /// let all: Vec<Member> = (0..9).map(member).collect();
@@ -320,7 +357,10 @@
     #[must_use]
     pub fn is_store_reader(&self, now: Timestamp, count: usize) -> bool {
         let rank = |member: &Member| rendezvous::weight(READER_SEED, &member.host);
+        // A router cannot learn from those that do not state an era if it knows one itself.
+        let states_era = |peer: &&Member| peer.era.is_some() || self.me.era.is_none();
         let readers = self.live(now).filter(|peer| peer.reads_store);
+        let readers = readers.filter(states_era);
         let mut readers: Vec<&Member> = readers.chain([&self.me]).collect();
         readers.sort_by_cached_key(|member| (Reverse(rank(member)), member.host.clone()));
         // The first reader of every failure domain precedes the second one of any.
@@ -388,6 +428,7 @@
         member.read_for_ms = heartbeat.read_for_ms;
         member.version = heartbeat.version;
         member.revision = heartbeat.revision;
+        member.era = member.era.max(heartbeat.era);
     }
 }
 
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -221,3 +221,40 @@
         );
     }
 }
+
+/// Guards against a router that takes revisions of before a restore of the store for later ones,
+/// because a router that does not state eras passed the member on.
+#[test]
+fn era_of_a_peer_is_kept_when_others_pass_it_on_without() {
+    let now = Timestamp::from_micros(1);
+    let mut peer = member(1);
+    peer.era = Some(2);
+    let mut update = RosterUpdate {
+        members: vec![peer],
+        ..RosterUpdate::default()
+    };
+    let mut roster = Roster::new(member(0), Vec::new());
+    roster.receive(now, "r1", &update);
+    update.members[0].heartbeat += 1;
+    update.set_eras(&[None]);
+    roster.receive(now, "r2", &update);
+    let known: Vec<_> = roster.live(now).map(|peer| peer.era).collect();
+    assert_eq!(known, [Some(2)]);
+}
+
+/// Guards against a fleet in which the routers that know the era read from none of those that read
+/// the store, because these do not state it.
+#[test]
+fn routers_that_do_not_state_the_era_are_no_readers_for_those_that_do() {
+    let now = Timestamp::from_micros(1);
+    let update = RosterUpdate {
+        members: (1..9).map(member).collect(),
+        ..RosterUpdate::default()
+    };
+    for number in 0..9 {
+        let mut roster = Roster::new(member(number), Vec::new());
+        roster.me.era = Some(1);
+        roster.receive(now, "r1", &update);
+        assert!(roster.is_store_reader(now, 1), "{number}");
+    }
+}
--- a/crates/member/tests/support/member.rs
+++ b/crates/member/tests/support/member.rs
@@ -20,5 +20,6 @@
         read_for_ms: 0,
         version: 0,
         revision: 0,
+        era: None,
     }
 }
