List the store at once when a watch cannot go on

A router that got status 410, or an answer of another era, waited for the pause between two watches before it listed the store, 600 ms in a large fleet. Until then it used the upstreams of before the restore. It lists at once now; the pause follows the list.

--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -88,7 +88,11 @@
                 let applied = apply(&state, subject, &items, complete);
                 position = applied.then_some(items.position);
             }
-            Err(_) if must_list => position = None,
+            // Listed without a pause, since changes before the list are unknown.
+            Err(_) if must_list => {
+                position = None;
+                continue;
+            }
             Err(_) => time::sleep(jitter(RETRY_PAUSE)).await,
         }
         if subject == Subject::Upstreams {
