Withhold upstreams that left before the store was restored

The copy from which the store is restored may list upstreams that left after it was made, until their entries expire. A router took them for new upstreams and would send them requests.

A router remembers the last 256 upstreams whose entry was removed. One that is listed in a later era is not used until it sends a heartbeat in that era, starts anew, or is still listed after 5 s, by which time an entry without heartbeats has expired. Within one era the store's order counts as before. Event entry-ignored names such entries.

The test upstream_that_left_before_a_restore_is_withheld fails on the code before.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -10,6 +10,12 @@
 /// that are alive are listed again within about two seconds; the rest covers the delay of a read.
 const GRACE_PERIOD: Span = Span::from_millis(2_300);
 
+/// Time after a restore of the store for which it may list an upstream that left before: an entry
+/// expires after three missed heartbeats, which are sent about every 1.2 s.
+const EXPIRY_PERIOD: Span = Span::from_millis(5_000);
+/// Maximum number of upstreams that left and are remembered.
+const MAX_DEPARTED: usize = 256;
+
 /// A point in the history of the platform's store.
 ///
 /// Revisions go back when the store is restored from a copy, and are assigned again. They are
@@ -51,6 +57,8 @@
     Heartbeat,
     /// The data of the upstream changed, or whether it is listed.
     Content,
+    /// Listed, but not used: the upstream left before the store was restored from a copy.
+    Withheld,
 }
 
 #[derive(Clone, Debug)]
@@ -60,6 +68,17 @@
     position: Position,
     /// Whether the entry was removed, but is kept because of an outage of the platform.
     removed: bool,
+    /// Whether the upstream left before the latest restore and is not known to be alive since. It is
+    /// not used until the entry must have expired.
+    withheld: bool,
+}
+
+/// An upstream whose entry was removed.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    started_at: u64,
+    /// Era in which the entry was removed.
+    era: Option<u64>,
 }
 
 impl Listed {
@@ -82,6 +101,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     listed: IndexMap<Name, Listed>,
+    /// Upstreams that are not listed any more, the oldest first.
+    departed: IndexMap<Name, Departed>,
     position: Position,
     down: bool,
     down_since: Timestamp,
@@ -89,6 +110,8 @@
     grace_end: Timestamp,
     /// End of the grace period after a restore of the store, whose copy lacks recent upstreams.
     restore_grace_end: Timestamp,
+    /// Time from which entries of the copy from which the store was restored have expired.
+    expiry_end: Timestamp,
 }
 
 impl Registry {
@@ -132,6 +155,7 @@
             return EraChange::First;
         }
         self.restore_grace_end = now + GRACE_PERIOD;
+        self.expiry_end = now + EXPIRY_PERIOD;
         EraChange::Restored
     }
 
@@ -189,6 +213,8 @@
             revision,
             ..self.position
         };
+        let offered = content.as_ref().and_then(Option::as_ref);
+        let withheld = offered.is_some_and(|entry| self.is_withheld(now, key, entry));
         let known = self.listed.get_mut(key);
         if known
             .as_ref()
@@ -220,19 +246,54 @@
                 };
                 expected == *entry
             });
-            if same && !known.removed {
+            if same && !known.removed && !known.withheld {
                 change = Change::Heartbeat;
             }
         }
+        if withheld {
+            change = Change::Withheld;
+        } else {
+            self.departed.shift_remove(key);
+        }
         let listed = Listed {
             entry,
             position,
             removed: false,
+            withheld,
         };
         self.listed.insert(key.clone(), listed);
         change
     }
 
+    /// Returns whether an entry is of a run that ended before the latest restore, and no heartbeat
+    /// has shown since that the upstream is alive.
+    fn is_withheld(&self, now: Timestamp, key: &Name, entry: &Entry) -> bool {
+        let era = self.position.era;
+        let departed = self.departed.get(key).filter(|_| now < self.expiry_end);
+        let left = departed
+            .is_some_and(|departed| departed.era != era && entry.started_at <= departed.started_at);
+        let known = self.listed.get(key);
+        let beats = known.is_some_and(|known| {
+            let seq = known.entry.as_ref().map(|entry| entry.seq);
+            !known.withheld || known.position.era == era && seq < Some(entry.seq)
+        });
+        left && !beats
+    }
+
+    fn record_departure(&mut self, key: Name, listed: &Listed) {
+        if let Some(entry) = &listed.entry {
+            let departed = Departed {
+                started_at: entry.started_at,
+                era: listed.position.era,
+            };
+            self.departed.shift_remove(&key);
+            self.departed.insert(key, departed);
+            if self.departed.len() > MAX_DEPARTED {
+                self.departed.shift_remove_index(0);
+            }
+        }
+    }
+
     fn is_in_grace(&self, now: Timestamp) -> bool {
         self.down || now < self.grace_end.max(self.restore_grace_end)
     }
@@ -244,8 +305,10 @@
             // An upstream that announced its departure does not come back.
             let leaving = listed.entry.as_ref().is_none_or(|entry| entry.leaving);
             listed.removed = true;
-            if !keep || leaving {
-                self.listed.swap_remove(key);
+            if !keep || leaving || listed.withheld {
+                if let Some(listed) = self.listed.swap_remove(key) {
+                    self.record_departure(key.clone(), &listed);
+                }
             }
         }
     }
@@ -274,12 +337,17 @@
     /// Returns the upstreams, and drops expired entries once the grace period is over.
     pub fn entries(&mut self, now: Timestamp) -> Vec<Entry> {
         if !self.is_in_grace(now) {
-            self.listed.retain(|_, listed| !listed.removed);
+            let removed = self.listed.iter().filter(|(_, listed)| listed.removed);
+            let removed: Vec<Name> = removed.map(|(key, _)| key.clone()).collect();
+            for key in removed {
+                if let Some(listed) = self.listed.swap_remove(&key) {
+                    self.record_departure(key, &listed);
+                }
+            }
         }
-        let entries = self
-            .listed
-            .values()
-            .filter_map(|listed| listed.entry.clone());
-        entries.collect()
+        let expired = now >= self.expiry_end;
+        let used = self.listed.values();
+        let used = used.filter(|listed| expired || !listed.withheld);
+        used.filter_map(|listed| listed.entry.clone()).collect()
     }
 }
--- a/crates/flow/tests/restored_store.rs
+++ b/crates/flow/tests/restored_store.rs
@@ -87,3 +87,48 @@
     assert_eq!(registry.enter_era(at(20), None), EraChange::Older);
     assert_eq!(registry.position().era, Some(2));
 }
+
+/// Guards against requests to an upstream that left before a restore, and that the copy still lists
+/// until its entry expires.
+#[test]
+fn upstream_that_left_before_a_restore_is_withheld() {
+    let mut registry = registry(4, false);
+    registry.set(at(5), &key(), 91, None);
+    registry.enter_era(at(10), Some(2));
+    let change = registry.set(at(10), &key(), 30, entry(3, false));
+    assert_eq!(change, Change::Withheld);
+    registry.apply_list(at(10), 40, &[key()]);
+    assert!(registry.entries(at(100)).is_empty());
+    registry.set(at(3_000), &key(), 41, None);
+    assert!(registry.entries(at(9_000)).is_empty());
+    // In the same era the store's order counts.
+    registry.set(at(9_000), &key(), 42, entry(9, false));
+    assert_eq!(registry.entries(at(9_000)).len(), 1);
+}
+
+/// Guards against keeping an upstream out of use that is alive, although it was not listed before
+/// the restore: it runs anew, sends a heartbeat, or stays listed for longer than an entry that
+/// expires.
+#[test]
+fn withheld_upstream_is_used_when_it_is_known_to_be_alive() {
+    let restored = || {
+        let mut registry = registry(4, false);
+        registry.set(at(5), &key(), 91, None);
+        registry.enter_era(at(10), Some(2));
+        registry.set(at(10), &key(), 30, entry(3, false));
+        registry.apply_list(at(10), 40, &[key()]);
+        registry
+    };
+    let mut silent = restored();
+    assert_eq!(silent.entries(at(6_000)).len(), 1);
+    let mut heard = restored();
+    heard.set(at(1_000), &key(), 41, entry(4, false));
+    assert_eq!(heard.entries(at(1_000)).len(), 1);
+    let mut anew = restored();
+    let mut started = entry(1, false);
+    if let Some(Some(entry)) = &mut started {
+        entry.started_at += 1;
+    }
+    anew.set(at(1_000), &key(), 41, started);
+    assert_eq!(anew.entries(at(1_000)).len(), 1);
+}
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -248,7 +248,9 @@
             match change {
                 Change::Stale => {}
                 Change::Heartbeat => store_copy.set_heartbeat(&key, item.value.as_ref()),
-                Change::Content => store_copy.set_entry(key, item.revision, item.value.clone()),
+                Change::Content | Change::Withheld => {
+                    store_copy.set_entry(key, item.revision, item.value.clone())
+                }
             }
         }
     }
@@ -311,6 +313,16 @@
                 ("known_revision", &known_revision),
             ],
         ),
+        (Change::Withheld, _, Some(entry)) => emit(
+            Event::EntryIgnored,
+            &[
+                ("upstream", &entry.id),
+                ("seq", &entry.seq),
+                ("leaving", &entry.leaving),
+                ("revision", &revision),
+                ("cause", &"left before the store was restored"),
+            ],
+        ),
         (Change::Content, None, Some(entry)) => emit(
             Event::UpstreamAdded,
             &[
