--- a/crates/toucand/tests/restored_store.rs
+++ b/crates/toucand/tests/restored_store.rs
@@ -50,6 +50,26 @@
     panic!("the upstream is not used");
 }
 
+/// Waits until a router lists a number of routers for clients.
+async fn wait_listed(router: &Router, count: usize) {
+    let target = "/api/resolution?name=desk.example&region=r&zone=north";
+    for _ in 0..500 {
+        let response = router.get(router.locate, target).await;
+        let body =
+            response.map(|response| serde_json::from_str::<serde_json::Value>(response.text()));
+        if let Some(Ok(body)) = body {
+            if body["addresses"]
+                .as_array()
+                .is_some_and(|all| all.len() == count)
+            {
+                return;
+            }
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("not all routers are listed");
+}
+
 /// Guards against an announced departure that is taken for outdated because its revision is lower
 /// than the one at which the upstream was known before the restore, and against a copy that brings
 /// an upstream back that had announced its departure.
@@ -97,3 +117,41 @@
     wait_used(&site.router, &second).await;
     assert_unused(&site.router, &site.desk).await;
 }
+
+/// Guards against routers of a large fleet, most of which read from the readers of the store, that
+/// ignore a departure because they compare its revision with those from before the restore.
+#[actix_rt::test]
+async fn routers_that_read_from_peers_follow_departures_across_a_restore() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let seeds = [site.router.control];
+    let start = |number| Router::start(&format!("r{number}"), site.store.address(), &seeds);
+    let others: Vec<Router> = (2..=10).map(start).collect();
+    let all = || others.iter().chain([&site.router]);
+    for router in all() {
+        router.wait_ready().await;
+        wait_used(router, &site.desk).await;
+        wait_listed(router, 10).await;
+    }
+    let (second, third) = (worker().await, worker().await);
+    let set = |key, worker: &Worker, state, seq| {
+        site.store
+            .set(key, Some(&entry("desk", worker, state, seq)));
+    };
+    let copy = site.store.copy();
+    raise_revision(&site.store, 50);
+    set("servers/d2", &second, "ready", 1);
+    set("servers/d1", &site.desk, "draining", 2);
+    for router in all() {
+        wait_used(router, &second).await;
+        assert_unused(router, &site.desk).await;
+    }
+    site.store.restore(&copy);
+    set("servers/d2", &second, "ready", 1);
+    set("servers/d2", &second, "draining", 2);
+    set("servers/d3", &third, "ready", 1);
+    for router in all() {
+        wait_used(router, &third).await;
+        assert_unused(router, &second).await;
+        assert_unused(router, &site.desk).await;
+    }
+}
