Log configurations that are not adopted because they are older

A copy from which the store was restored may hold an older configuration. Routers keep the newer one; the log did not say that an older one was offered.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -104,6 +104,8 @@
     EntryIgnored = 213 Info "entry-ignored";
     /// The platform's store, or a peer, answered from before the latest restore.
     StoreOutdated = 214 Warn "store-outdated";
+    /// An older configuration of the platform was offered and not adopted.
+    ConfigurationOlder = 215 Info "configuration-older";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused without being run.
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -167,6 +167,17 @@
             }
         };
         let version = table.version;
+        let active = self.router.table().map_or(0, |table| table.version);
+        if version < active {
+            emit(
+                Event::ConfigurationOlder,
+                &[
+                    ("version", &version),
+                    ("active", &active),
+                    ("source", &source),
+                ],
+            );
+        }
         let adopted = self.router.replace_table_if_newer(table);
         if adopted {
             let mut store_copy = self.store_copy.borrow_mut();
