Test that a configuration is adopted after the store was restored

A configuration that is written after a restore, and before the store reaches the revision from which a router watches, was missed like the departures of upstreams, and never adopted.

--- a/crates/toucand/tests/restored_store.rs
+++ b/crates/toucand/tests/restored_store.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use fleet::{entry, Call, Router, Site};
+use fleet::{configuration, entry, Call, Router, Site};
 use tsw_fake::{
     store::{Mode, Store},
     worker::{Behaviour, Worker},
@@ -118,6 +118,32 @@
     assert_unused(&site.router, &site.desk).await;
 }
 
+/// Guards against a configuration that is never adopted for the same reason.
+#[actix_rt::test]
+async fn configuration_is_adopted_if_the_store_has_passed_the_known_revision_again() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    let copy = site.store.copy();
+    raise_revision(&site.store, 20);
+    // The watch returns once with the raised revision.
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    site.store.set_mode(Mode::Silent);
+    site.store.restore(&copy);
+    let mut newer = configuration(2);
+    newer["routes"][0]["pathPrefix"] = "/found/".into();
+    site.store
+        .set("op/config", Some(newer.to_string().as_bytes()));
+    raise_revision(&site.store, 40);
+    site.store.set_mode(Mode::Up);
+    for _ in 0..250 {
+        let found = Call::valid("GET", "/found/1", "a1");
+        if found.send(&site.router).await.status == 200 {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the configuration is not adopted");
+}
+
 /// Guards against routers of a large fleet, most of which read from the readers of the store, that
 /// ignore a departure because they compare its revision with those from before the restore.
 #[actix_rt::test]
