Ask a peer of a later era for all upstreams

A router that states no era yet, because it could not read the store, asked a peer for the changes since its revision; if the store was restored meanwhile and the peer started after that, the answer was incomplete. Found by reading, not seen.

--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -66,9 +66,11 @@
         };
         let known = {
             let me = &state.roster.borrow().me;
+            // Changes since a revision of an older era would be incomplete.
+            let revision = if peer.era > me.era { 0 } else { me.revision };
             KnownRevisions {
                 version: me.version,
-                revision: me.revision,
+                revision,
                 era: me.era,
             }
         };
