Do not withhold an upstream again that outlived a restore

An upstream that was withheld after a restore and stayed listed was in use again, but would have been withheld for 5 s more by the next restore. Found by reading. The test upstream_that_outlived_a_restore_is_not_withheld_by_the_next fails on the code before.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -345,9 +345,14 @@
                 }
             }
         }
-        let expired = now >= self.expiry_end;
-        let used = self.listed.values();
-        let used = used.filter(|listed| expired || !listed.withheld);
+        if now >= self.expiry_end {
+            for (key, listed) in &mut self.listed {
+                if std::mem::take(&mut listed.withheld) {
+                    self.departed.shift_remove(key);
+                }
+            }
+        }
+        let used = self.listed.values().filter(|listed| !listed.withheld);
         used.filter_map(|listed| listed.entry.clone()).collect()
     }
 }
--- a/crates/flow/tests/restored_store.rs
+++ b/crates/flow/tests/restored_store.rs
@@ -132,3 +132,19 @@
     anew.set(at(1_000), &key(), 41, started);
     assert_eq!(anew.entries(at(1_000)).len(), 1);
 }
+
+/// Guards against an upstream that is withheld a second time by a later restore, although its entry
+/// has not expired after the first one.
+#[test]
+fn upstream_that_outlived_a_restore_is_not_withheld_by_the_next() {
+    let mut registry = registry(4, false);
+    registry.set(at(5), &key(), 91, None);
+    registry.enter_era(at(10), Some(2));
+    registry.set(at(10), &key(), 30, entry(3, false));
+    registry.apply_list(at(10), 40, &[key()]);
+    assert_eq!(registry.entries(at(6_000)).len(), 1);
+    registry.enter_era(at(9_000), Some(3));
+    registry.set(at(9_000), &key(), 30, entry(3, false));
+    registry.apply_list(at(9_000), 35, &[key()]);
+    assert_eq!(registry.entries(at(9_000)).len(), 1);
+}
