Pass on what was known before a restore with the first heartbeat after it

In a fleet of more than eight routers, a router that had listed the copy of the store kept sending to an upstream whose departure its peers knew from before the restore. They hold that content with revision 0, the upstream's next write is only a heartbeat to them, and heartbeats keep the revision: no delta ever held the entry, while the stated revision rose.

The first heartbeat after a restore now gives the entry a revision of the new era. Each entry is transferred once more to each peer after a restore.

--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -258,7 +258,9 @@
             log_change(change, item.revision, before, offered);
             match change {
                 Change::Stale => {}
-                Change::Heartbeat => store_copy.set_heartbeat(&key, item.value.as_ref()),
+                Change::Heartbeat => {
+                    store_copy.set_heartbeat(&key, item.revision, item.value.as_ref())
+                }
                 Change::Content | Change::Withheld => {
                     store_copy.set_entry(key, item.revision, item.value.clone())
                 }
--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -152,8 +152,14 @@
 
     /// Stores an entry in which only the heartbeat changed. Its revision stays, so that peers that
     /// have the entry do not receive it again: in a large fleet nearly all changes are heartbeats.
-    pub fn set_heartbeat(&mut self, key: &Name, content: Option<&Bytes>) {
-        if let (Some((_, known)), Some(bytes)) = (self.entries.get_mut(key), content) {
+    ///
+    /// The first heartbeat after a restore of the store gives the entry a revision of the new era.
+    /// Peers that have listed the copy may know older content of it.
+    pub fn set_heartbeat(&mut self, key: &Name, revision: u64, content: Option<&Bytes>) {
+        if let (Some((changed, known)), Some(bytes)) = (self.entries.get_mut(key), content) {
+            if *changed == 0 {
+                *changed = revision;
+            }
             *known = bytes.clone();
         }
     }
--- a/crates/gate/tests/store_copy.rs
+++ b/crates/gate/tests/store_copy.rs
@@ -24,7 +24,7 @@
 fn heartbeats_are_not_sent_to_peers_that_know_the_entry() {
     let mut router = StoreCopy::default();
     router.set_entry("i-1".into(), 5, Some("beat 1".into()));
-    router.set_heartbeat(&"i-1".into(), Some(&"beat 2".into()));
+    router.set_heartbeat(&"i-1".into(), 6, Some(&"beat 2".into()));
     let known = KnownRevisions {
         version: 0,
         revision: 5,
@@ -220,3 +220,24 @@
     let decoded = StoreDelta::decode(&bytes).expect("decoded");
     assert_eq!((decoded.era, decoded.entries), (None, delta.entries));
 }
+
+/// Guards against a router that listed an entry from the copy and never hears, from a peer that knew
+/// its newer content before the restore, that the upstream leaves.
+#[test]
+fn content_known_before_a_restore_reaches_routers_that_listed_the_copy() {
+    let mut reader = StoreCopy::default();
+    reader.enter_era(Some(1));
+    reader.set_entry("i-1".into(), 80, Some("draining, beat 2".into()));
+    reader.enter_era(Some(2));
+    // The peer listed the copy at revision 40. The upstream then writes its departure again, which
+    // for the reader is only a heartbeat.
+    reader.set_heartbeat(&"i-1".into(), 45, Some(&"draining, beat 3".into()));
+    let known = KnownRevisions {
+        version: 0,
+        revision: 40,
+        era: Some(2),
+    };
+    let delta = reader.since(&known, 45);
+    let expected = ("i-1".to_owned(), 45, Some(b"draining, beat 3".to_vec()));
+    assert_eq!(delta.entries, [expected]);
+}
