Pause between lists if the store rejects the watches that follow them

The calls of all routers are limited.

A list that follows another one within the retry pause waits for that pause. The stand-in can reject all watches, and counts calls.

--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -43,6 +43,8 @@
     Busy,
     /// Not at all.
     Silent,
+    /// With status 410 to each watch, as if the history were always gone.
+    Forgetful,
 }
 
 #[derive(Clone, Debug)]
@@ -87,6 +89,7 @@
     era: Cell<u64>,
     names_era: Cell<bool>,
     mode: Cell<Mode>,
+    calls: Cell<u64>,
     changed: Notify,
 }
 
@@ -98,6 +101,7 @@
             era: Cell::new(1),
             names_era: Cell::new(true),
             mode: Cell::default(),
+            calls: Cell::default(),
             changed: Notify::default(),
         }
     }
@@ -155,7 +159,8 @@
             if self.era.get() != era {
                 return cut();
             }
-            if after < self.compacted_revision.get() || after > self.revision() {
+            let is_forgetful = self.mode.get() == Mode::Forgetful;
+            if is_forgetful || after < self.compacted_revision.get() || after > self.revision() {
                 return http::error_response(StatusCode::GONE, &"the history is gone");
             }
             let changed = self.changed.notified();
@@ -272,6 +277,12 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Returns the number of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.state.calls.get()
+    }
+
     /// Changes how the store responds to calls.
     pub fn set_mode(&self, mode: Mode) {
         self.state.mode.set(mode);
@@ -280,9 +291,10 @@
 }
 
 async fn respond(state: &State, call: &Call) -> HttpResponse {
+    state.calls.set(state.calls.get() + 1);
     let era = state.era.get();
     let mut response = match state.mode.get() {
-        Mode::Up => read(state, call).await,
+        Mode::Up | Mode::Forgetful => read(state, call).await,
         Mode::Busy => http::error_response(StatusCode::SERVICE_UNAVAILABLE, &"busy"),
         Mode::Silent => std::future::pending().await,
     };
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -58,6 +58,7 @@
     let mut position = None;
     let mut reachable = true;
     let mut last_read = Instant::now();
+    let mut last_list = None::<Instant>;
     loop {
         while position.is_some()
             && !state.is_store_reader()
@@ -66,6 +67,9 @@
             time::sleep(jitter(RETRY_PAUSE)).await;
         }
         last_read = Instant::now();
+        if position.is_none() {
+            last_list = Some(last_read);
+        }
         let result = read(&mut store, subject, position).await;
         let must_list = matches!(result, Err(Error::Compacted | Error::Restored));
         let failed = result.is_err() && !must_list;
@@ -88,9 +92,13 @@
                 let applied = apply(&state, subject, &items, complete);
                 position = applied.then_some(items.position);
             }
-            // Listed without a pause, since changes before the list are unknown.
+            // Listed without a pause, since changes before the list are unknown, unless the store
+            // rejected what follows the last list.
             Err(_) if must_list => {
                 position = None;
+                if last_list.is_some_and(|at| at.elapsed() < RETRY_PAUSE) {
+                    time::sleep(jitter(RETRY_PAUSE)).await;
+                }
                 continue;
             }
             Err(_) => time::sleep(jitter(RETRY_PAUSE)).await,
--- a/crates/toucand/tests/restored_store.rs
+++ b/crates/toucand/tests/restored_store.rs
@@ -4,7 +4,7 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::{configuration, entry, Call, Router, Site};
 use tsw_fake::{
@@ -181,3 +181,17 @@
         assert_unused(router, &site.desk).await;
     }
 }
+
+/// Guards against a router that calls a store that rejects each watch as fast as it can.
+#[actix_rt::test]
+async fn store_that_rejects_each_watch_is_not_listed_without_a_pause() {
+    /// Calls that the store serves for all routers of a fleet of seven.
+    const CALLS_PER_S: f64 = 2_000.0 / 7.0;
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    site.store.set_mode(Mode::Forgetful);
+    let (start, before) = (Instant::now(), site.store.calls());
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    let calls = (site.store.calls() - before) as f64;
+    let allowed = CALLS_PER_S * start.elapsed().as_secs_f64();
+    assert!(calls <= allowed, "{calls} calls, {allowed} are allowed");
+}
