Remember that an upstream left although its entry is unreadable

An unreadable entry under the name of an upstream that had left made the registry forget the departure, so that a later copy of the store brought the upstream back. Found by a review.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -214,6 +214,7 @@
             ..self.position
         };
         let offered = content.as_ref().and_then(Option::as_ref);
+        let is_readable = offered.is_some();
         let withheld = offered.is_some_and(|entry| self.is_withheld(now, key, entry));
         let known = self.listed.get_mut(key);
         if known
@@ -252,7 +253,7 @@
         }
         if withheld {
             change = Change::Withheld;
-        } else {
+        } else if is_readable {
             self.departed.shift_remove(key);
         }
         let listed = Listed {
--- a/crates/flow/tests/restored_store.rs
+++ b/crates/flow/tests/restored_store.rs
@@ -148,3 +148,15 @@
     registry.apply_list(at(9_000), 35, &[key()]);
     assert_eq!(registry.entries(at(9_000)).len(), 1);
 }
+
+/// Guards against an unreadable entry that makes the registry forget that an upstream left.
+#[test]
+fn unreadable_entry_does_not_lift_withholding() {
+    let mut registry = registry(4, false);
+    registry.set(at(5), &key(), 91, None);
+    registry.set(at(6), &key(), 92, Some(None));
+    registry.set(at(7), &key(), 93, None);
+    registry.enter_era(at(10), Some(2));
+    registry.set(at(10), &key(), 30, entry(3, false));
+    assert!(registry.entries(at(20)).is_empty());
+}
