Keep a departure known from a peer when the copy is listed

A router that had learned of a departure from a peer after a restore, and then listed the store itself, took the copy's entry with equal heartbeat number, in which the upstream is not leaving yet. Within one era the later revision decides, and what peers knew before the restore has revision 0. Such content now counts as from before the era.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -88,8 +88,9 @@
             return false;
         };
         let newest = (known.started_at, known.seq).cmp(&(entry.started_at, entry.seq));
-        // A copy of the store may hold an entry from before the upstream announced its departure.
-        let restored = position.era != self.position.era;
+        // A copy of the store may hold an entry from before the upstream announced its departure. A
+        // peer passes on what it knew before a restore as revision 0.
+        let restored = position.era != self.position.era || self.position.revision == 0;
         newest.is_gt() || newest.is_eq() && restored && known.leaving && !entry.leaving
     }
 }
--- a/crates/flow/tests/restored_store.rs
+++ b/crates/flow/tests/restored_store.rs
@@ -149,6 +149,20 @@
     assert_eq!(registry.entries(at(9_000)).len(), 1);
 }
 
+/// Guards against a copy that brings back a leaving upstream which a peer had passed on.
+#[test]
+fn copy_does_not_bring_back_a_leaving_upstream_known_from_a_peer() {
+    let mut registry = registry(5, false);
+    registry.enter_era(at(10), Some(2));
+    // A complete list of a peer, in which content from before the restore has revision 0.
+    registry.set(at(10), &key(), 0, entry(5, true));
+    registry.apply_list(at(10), 38, &[key()]);
+    // The router becomes a store reader and lists the store.
+    registry.set(at(20), &key(), 30, entry(5, false));
+    registry.apply_list(at(20), 40, &[key()]);
+    assert!(registry.entries(at(20))[0].leaving);
+}
+
 /// Guards against an unreadable entry that makes the registry forget that an upstream left.
 #[test]
 fn unreadable_entry_does_not_lift_withholding() {
