Log why a response is cut, a retry is denied, and a request is lost unread

The log could not tell the hypotheses about requests without a response apart: a cut response had no cause, a retry that the budget did not allow left no line, and a connection that ended while a request arrived on it, or was closed as idle with a request unread, left none either. Events 313 and 314 are new; 306 states its cause. No logic is changed.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -122,6 +122,10 @@
     Retried = 311 Info "retried";
     /// A grant was returned unused.
     GrantUnused = 312 Debug "grant-unused";
+    /// A connection of a client ended before the request on it was read.
+    RequestLost = 313 Warn "request-lost";
+    /// A retry was not made because the retry budget is used up.
+    RetryDenied = 314 Warn "retry-denied";
     /// A home granted a slot to an entry router.
     SlotGranted = 401 Info "slot-granted";
     /// An upstream is scheduled.
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -1,6 +1,6 @@
 //! Client connections.
 
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{cell::Cell, fmt::Display, io, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use tokio::{
@@ -14,6 +14,7 @@
     connection::{self, Connection},
     head,
 };
+use tsw_platform::client_request;
 use tsw_relay::{
     local_response::LocalResponse,
     request::Request,
@@ -109,12 +110,24 @@
             *head_deadline.get_or_insert_with(|| time::Instant::now() + limits.head_timeout)
         };
         tokio::select! {
-            read = connection.fill() => {
-                if read? == 0 {
+            read = connection.fill() => match read {
+                Ok(1..) => {}
+                Ok(0) if idle => return Ok(Next::Closed),
+                Ok(0) => {
+                    log_lost(connection, None, "the client closed the connection");
                     return Ok(Next::Closed);
                 }
-            }
+                Err(error) => {
+                    if !idle {
+                        log_lost(connection, None, &error);
+                    }
+                    return Err(error);
+                }
+            },
             () = time::sleep_until(deadline) => {
+                if idle && connection.has_unread_bytes() {
+                    log_lost(connection, None, "closed as idle");
+                }
                 return Ok(if idle { Next::Closed } else { Next::Invalid(LocalResponse::RequestTimeout) });
             }
             _ = phase.wait_for(|phase| *phase == Phase::Closing), if idle => {
@@ -170,9 +183,13 @@
     let _in_flight = CountGuard::new(&state.in_flight);
     let table = state.router.table();
     let checked = authorize::check(&head, table.as_ref(), rand::random());
-    let body = match read_body(connection, &head, limits).await? {
-        Ok(body) => body,
-        Err(response) => {
+    let body = match read_body(connection, &head, limits).await {
+        Ok(Ok(body)) => body,
+        Err(error) => {
+            log_lost(connection, Some(&head), &error);
+            return Err(error);
+        }
+        Ok(Err(response)) => {
             let (_, writer) = connection.stream.split();
             let mut responder = Responder::new(writer, &head, true);
             emit(Event::Refused, &[("cause", &response)]);
@@ -231,6 +248,20 @@
     }
 }
 
+/// Logs that a connection ended before a request was read, of which the head may be known.
+fn log_lost(connection: &Connection, head: Option<&head::Request>, cause: impl Display) {
+    let parsed = head.map(client_request::parse);
+    let id = parsed.and_then(|parsed| parsed.id);
+    emit(
+        Event::RequestLost,
+        &[
+            ("request", &id.as_deref().unwrap_or("-")),
+            ("cause", &cause),
+            ("received", &connection.buffer.len()),
+        ],
+    );
+}
+
 fn log_disconnect(state: &State, request: &Request) {
     let elapsed = state.router.now().since(request.arrived);
     emit(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -156,11 +156,11 @@
             let response = match next {
                 NextStep::Reconnect => None,
                 NextStep::Retry if self.acquire_retry() => None,
-                NextStep::Retry => Some(self.attempts.final_response()),
-                NextStep::Respond(response) => Some(response),
+                NextStep::Retry => Some((self.attempts.final_response(), "no retry left")),
+                NextStep::Respond(response) => Some((response, "no attempt left")),
             };
-            if let Some(response) = response {
-                return self.finish(response).await;
+            if let Some((response, cause)) = response {
+                return self.finish(response, cause).await;
             }
             self.avoid.push(upstream);
         }
@@ -216,13 +216,17 @@
         let allowed = router.with_service(&self.request.service, |service| {
             service.retries.try_acquire(now, router.router_count())
         });
-        if allowed == Some(true) {
-            emit(
-                Event::Retried,
-                &[("request", &self.request.id), ("runs", &self.attempts.runs)],
-            );
-        }
-        allowed == Some(true)
+        let allowed = allowed == Some(true);
+        let event = if allowed {
+            Event::Retried
+        } else {
+            Event::RetryDenied
+        };
+        emit(
+            event,
+            &[("request", &self.request.id), ("runs", &self.attempts.runs)],
+        );
+        allowed
     }
 
     /// Returns when an attempt that has made no progress since `since` is abandoned.
--- a/crates/relay/src/run/finish.rs
+++ b/crates/relay/src/run/finish.rs
@@ -1,7 +1,7 @@
 //! Sends the final response of a request that no upstream has answered, and records the outcome of
 //! requests in logs and metrics.
 
-use std::io;
+use std::{fmt::Display, io};
 
 use tsw_base::time::Span;
 use tsw_event::{emit, Event};
@@ -24,13 +24,17 @@
     pub(super) async fn finish_without_slot(&mut self, refused: Refused) -> io::Result<Outcome> {
         match self.attempts.final_response() {
             FinalResponse::NotRun => self.refuse(refused).await,
-            response => self.finish(response).await,
+            response => self.finish(response, refused.refusal.name()).await,
         }
     }
 
-    pub(super) async fn finish(&mut self, response: FinalResponse) -> io::Result<Outcome> {
+    pub(super) async fn finish(
+        &mut self,
+        response: FinalResponse,
+        cause: &str,
+    ) -> io::Result<Outcome> {
         if self.responder.progress() != Progress::NotStarted {
-            return Ok(self.truncate());
+            return Ok(self.truncate(cause));
         }
         if let Some((head, body)) = self.failure.take() {
             self.forward_whole(head, &body).await?;
@@ -75,7 +79,7 @@
 
     pub(super) async fn respond_locally(&mut self, response: LocalResponse) -> io::Result<Outcome> {
         if self.responder.progress() != Progress::NotStarted {
-            return Ok(self.truncate());
+            return Ok(self.truncate(response));
         }
         if !matches!(response, LocalResponse::NotRun(..)) {
             emit(
@@ -108,11 +112,12 @@
         self.responder.respond(head.status, fields, body).await
     }
 
-    pub(super) fn truncate(&self) -> Outcome {
+    pub(super) fn truncate(&self, cause: impl Display) -> Outcome {
         emit(
             Event::Cut,
             &[
                 ("request", &self.request.id),
+                ("cause", &cause),
                 ("runs", &self.attempts.runs),
                 ("resumable", &self.request.route.kind.may_repeat()),
             ],
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -96,7 +96,7 @@
             match self.next_data(&mut exchange, now).await {
                 Ok(Some(data)) => self.responder.write_data(&[data]).await?,
                 Ok(None) => break,
-                Err(_) => return Ok(self.truncate()),
+                Err(error) => return Ok(self.truncate(error.cause)),
             }
         }
         self.responder.finish().await?;
