Wait for the last attempt that a route allows until the request is due

Callers of an idempotent route with one attempt got 502 after four objectives, at least 1 s, though their upstream was sound and answered later; with two attempts, after the second one was silent for as long.

The stall timeout was computed before the attempt was counted, so that the attempt in progress never counted against maxAttempts: the last one was abandoned for a retry that could not follow.

late_response_to_the_last_attempt_is_awaited fails without the change: 502 instead of 200 for a response 2.5 s late, with an objective of 100 ms.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -78,6 +78,12 @@
     TrickleComments(u64),
     /// A complete stream of this many events with a pause before each.
     SlowStream(u64, Duration),
+    /// A complete stream of this many events with one pause, before the event of this number.
+    PausedStream(u64, u64, Duration),
+    /// A response with a `Content-Length` after a pause.
+    LatePlain(Duration),
+    /// A response of this many bytes with one pause in the middle.
+    PausedPlain(usize, Duration),
     /// An endless sequence of bytes that never completes a response.
     Endless(Endless),
 }
@@ -374,6 +380,17 @@
     let complete = plain_response(id, Some(body.len()), &body);
     let (text, keep_alive) = match behaviour {
         Behaviour::Plain => (complete, true),
+        Behaviour::LatePlain(pause) => {
+            time::sleep(pause).await;
+            (complete, true)
+        }
+        Behaviour::PausedPlain(length, pause) => {
+            let half = "x".repeat(length / 2);
+            let start = plain_response(id, Some(2 * half.len()), &half);
+            connection.stream.write_all(start.as_bytes()).await?;
+            time::sleep(pause).await;
+            (half, true)
+        }
         Behaviour::Unframed => (plain_response(id, None, &body), false),
         Behaviour::UnframedReset => (plain_response(id, None, &body), false),
         Behaviour::Truncated => (plain_response(id, Some(body.len() + 9), &body), false),
@@ -436,6 +453,7 @@
         | Behaviour::Stall(events)
         | Behaviour::Trickle(events)
         | Behaviour::TrickleComments(events)
+        | Behaviour::PausedStream(events, ..)
         | Behaviour::SlowStream(events, _) => {
             return send_stream(state, connection, arrival, id, (behaviour, events)).await;
         }
@@ -506,8 +524,10 @@
         .await?;
     for number in first..events {
         let event = format!("id: {number}\ndata: piece {number}\n\n");
-        if let Behaviour::SlowStream(_, pause) = behaviour {
-            actix_rt::time::sleep(pause).await;
+        match behaviour {
+            Behaviour::SlowStream(_, pause) => time::sleep(pause).await,
+            Behaviour::PausedStream(_, at, pause) if at == number => time::sleep(pause).await,
+            _ => {}
         }
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         connection.stream.write_all(chunk.as_bytes()).await?;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -253,9 +253,9 @@
     }
 
     async fn attempt(&mut self, reservation: Reservation) -> Result<Outcome, AttemptFailure> {
-        let until = self.stall_deadline(self.router.now());
         // From here on the request may run. The count is decremented if it certainly did not.
         self.attempts.runs += 1;
+        let until = self.stall_deadline(self.router.now());
         let sent = self
             .router
             .send(
