Do not cut a long plain response because its upstream pauses

Callers got a truncated response of an idempotent route when it was longer than 1 MB and its upstream paused for four objectives, at least 1 s.

Such a response is forwarded as it arrives, so no retry can replace it; the stall timeout, which makes room for a retry, could only cut it. Now the wait ends with the request's deadline or the route's timeout.

paused_response_that_is_too_long_to_be_retried_is_passed_on_whole fails without the change: status 200, but not whole.

--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -80,7 +80,8 @@
         Ok(Outcome::Complete)
     }
 
-    /// Forwards a plain response that is too long to be buffered.
+    /// Forwards a plain response that is too long to be buffered. No retry can replace it, so there is no
+    /// stall timeout.
     async fn forward_rest(
         &mut self,
         mut exchange: Exchange,
@@ -92,11 +93,10 @@
         self.responder.start(head.status, fields);
         self.responder.write_data(&[buffered]).await?;
         loop {
-            let now = self.router.now();
-            match self.next_data(&mut exchange, now).await {
+            match exchange.data().await {
                 Ok(Some(data)) => self.responder.write_data(&[data]).await?,
                 Ok(None) => break,
-                Err(error) => return Ok(self.truncate(error.cause)),
+                Err(error) => return Ok(self.truncate(error)),
             }
         }
         self.responder.finish().await?;
--- a/crates/toucand/tests/silence.rs
+++ b/crates/toucand/tests/silence.rs
@@ -56,3 +56,29 @@
         assert_eq!(arrivals, attempts as usize);
     }
 }
+
+/// Guards against cutting a response that is too long to be buffered, and thus to be replaced by a
+/// retry, when its upstream pauses.
+#[actix_rt::test]
+async fn paused_response_that_is_too_long_to_be_retried_is_passed_on_whole() {
+    const LENGTH: usize = 4 << 20;
+    let site = site(
+        Behaviour::PausedPlain(LENGTH, PAUSE),
+        Behaviour::Stream(3),
+        2,
+    )
+    .await;
+    let other = Worker::bind(Behaviour::Plain).await.expect("an upstream");
+    site.store
+        .set("servers/d2", Some(&entry("desk", &other, "ready", 1)));
+    site.wait_metric("relay_upstreams 4").await;
+    let mut served = 0;
+    while served == 0 {
+        let response = Call::valid("GET", "/lookup/1", "a1")
+            .send(&site.router)
+            .await;
+        assert_eq!((response.status, response.whole), (200, true));
+        served = site.desk.arrivals().len();
+        assert!(served == 0 || response.body.len() == LENGTH);
+    }
+}
