Leave a silent upstream only for one that takes the request

Callers lost responses that their upstream would have completed: resumable streams were cut, and idempotent requests got 502, after 1 to 2 s of silence. A sound server may be silent for a second or so and go on.

An attempt without progress was given up at the stall timeout, before it was known whether the request might run elsewhere. If the fleet's retry budget was used up, or no other upstream had a free slot, nothing was left but to cut the response. An upstream that pauses stalls all its requests at once, which uses up the budget by itself.

From the stall timeout on, the request now looks for a slot elsewhere and a retry while its attempt is still read. Only with both is the attempt dropped; if data arrives first, it goes on; otherwise it ends with its deadline or the route's timeout. Attempts and retries count as before, the stall counts as a failure of the upstream as before, and what must not be repeated is not affected. Event 417 states a stall.

Evidence: crates/toucand/tests/silence.rs.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -158,6 +158,9 @@
     CauseRefused = 415 Error "cause-refused";
     /// Requests with certain prompt parts are no longer refused, because an upstream responded to one.
     CauseAllowed = 416 Info "cause-allowed";
+    /// An upstream made no progress until the stall timeout. Its request moves to another one that has
+    /// room if the retry budget allows it, and waits otherwise.
+    UpstreamSilent = 417 Warn "upstream-silent";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/flow/src/budget.rs
+++ b/crates/flow/src/budget.rs
@@ -64,9 +64,9 @@
         self.bucket(now).1 += 1;
     }
 
-    /// Takes one retry out of the budget and returns whether it is allowed, in a fleet of `routers`.
-    pub fn try_acquire(&mut self, now: Timestamp, routers: usize) -> bool {
-        self.bucket(now);
+    /// Returns whether a retry would be allowed, in a fleet of `routers`.
+    #[must_use]
+    pub fn has_retry(&self, now: Timestamp, routers: usize) -> bool {
         // The window that ends now begins within the oldest bucket. To stay on the safe side, all
         // retries of that bucket count and none of its requests do.
         let oldest = (self.bucket_number(now) + 1).saturating_sub(KEPT_BUCKETS as u64);
@@ -81,7 +81,12 @@
         }
         let slack = self.slack / routers.max(1) as f64;
         let allowed = SAFETY_FACTOR * (self.ratio * f64::from(requests) + slack);
-        let granted = f64::from(retries + 1) <= allowed;
+        f64::from(retries + 1) <= allowed
+    }
+
+    /// Takes one retry out of the budget and returns whether it is allowed, in a fleet of `routers`.
+    pub fn try_acquire(&mut self, now: Timestamp, routers: usize) -> bool {
+        let granted = self.has_retry(now, routers);
         if granted {
             self.bucket(now).2 += 1;
         }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use tokio::time;
-use tsw_base::time::Timestamp;
 use tsw_event::{emit, Event};
 use tsw_flow::retry::FailureKind;
 use tsw_http::{
@@ -60,8 +59,8 @@
 }
 
 impl Router {
-    /// Sends a request to the upstream of a reservation and waits until `until` for the head of the
-    /// response. `after` is the identifier of the event after which a stream resumes.
+    /// Sends a request to the upstream of a reservation and waits for the head of the response. `after`
+    /// is the identifier of the event after which a stream resumes.
     ///
     /// Dropping the future closes the connection.
     ///
@@ -73,7 +72,6 @@
         request: &Request,
         reservation: Reservation,
         after: Option<&Bytes>,
-        until: Timestamp,
     ) -> Result<Attempt, AttemptError> {
         let address = reservation.choice().address;
         let pooled = self.connections.borrow_mut().take(address, Instant::now());
@@ -126,12 +124,9 @@
             }
             Ok::<_, Error>(exchange)
         };
-        let limit = until.since(now).as_duration();
-        let exchange = match time::timeout(limit, response).await {
-            Ok(Ok(exchange)) => exchange,
-            Ok(Err(error)) => return Err(AttemptError::new(FailureKind::Broken, error)),
-            Err(_) => return Err(AttemptError::timeout()),
-        };
+        let exchange = response
+            .await
+            .map_err(|error| AttemptError::new(FailureKind::Broken, error))?;
         let status = exchange.head().status;
         let info = self.protocol.response_info(request, exchange.head());
         if info.matches_request == Some(false) {
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -159,7 +159,6 @@
         let now = self.now();
         self.record_slot_request();
         let due = request.due();
-        let interval = self.report_interval();
         let wait = self.with_service(&request.service, |service| {
             let prompt = request.prompt.as_ref();
             let fair_share = service.fair_share(now);
@@ -170,11 +169,8 @@
             service
                 .accounts
                 .record_request(now, &team.into(), request_work(request));
-            let may_start = service.may_start(now, team, request_work(request), fair_share);
-            if may_start && !service.has_startable(now, fair_share) {
-                if let Some(choice) = service.choose(now, &self.domain, prompt, avoid, interval) {
-                    return Ok(Ok(record_start(service, now, request, choice)));
-                }
+            if let Some(choice) = self.start_at_once(service, now, request, avoid) {
+                return Ok(Ok(choice));
             }
             if service.pool.accepting_count() == 0 {
                 return Err((Refusal::NoUpstream, fair_share));
@@ -209,6 +205,40 @@
         self.wait_in_queue(request, avoid, number, until, now).await
     }
 
+    /// Reserves a slot at an upstream other than `avoid` if one is free for the request now.
+    pub(crate) fn try_reserve(
+        self: &Rc<Self>,
+        request: &Rc<Request>,
+        avoid: &[Name],
+    ) -> Option<Reservation> {
+        let now = self.now();
+        let choice = self.with_service(&request.service, |service| {
+            self.start_at_once(service, now, request, avoid)
+        });
+        Some(self.reservation(request, choice??))
+    }
+
+    /// Starts a request without queueing it, unless a queued one may start before it.
+    fn start_at_once(
+        &self,
+        service: &mut Service,
+        now: Timestamp,
+        request: &Request,
+        avoid: &[Name],
+    ) -> Option<Choice> {
+        let fair_share = service.fair_share(now);
+        let work = request_work(request);
+        if !service.may_start(now, request.team(), work, fair_share)
+            || service.has_startable(now, fair_share)
+        {
+            return None;
+        }
+        let prompt = request.prompt.as_ref();
+        let interval = self.report_interval();
+        let choice = service.choose(now, &self.domain, prompt, avoid, interval)?;
+        Some(record_start(service, now, request, choice))
+    }
+
     async fn wait_in_queue(
         self: &Rc<Self>,
         request: &Rc<Request>,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs one request from its admission to its final response.
 
-use std::{io, rc::Rc};
+use std::{cell::Cell, io, rc::Rc};
 
 use bytes::Bytes;
 use tokio::time;
@@ -8,7 +8,7 @@
 use tsw_event::{emit, Event};
 use tsw_flow::retry::{Attempts, FailureKind, FinalResponse, NextStep};
 use tsw_http::head;
-use tsw_route::{table::Kind, Name};
+use tsw_route::Name;
 
 use crate::{
     attempt::AttemptError,
@@ -22,21 +22,10 @@
 
 mod finish;
 mod forward;
+mod stall;
 
 pub use finish::send_local_response;
 
-/// Stall timeout of a plain upstream, as a multiple of the route's objective, if the request may be
-/// repeated.
-const STALL_OBJECTIVES: u64 = 4;
-/// Stall timeout between events, as a multiple of the route's gap objective, after which a stream is
-/// resumed at another upstream if that is allowed. Clients disconnect after eight gap objectives.
-const STALL_GAPS: u64 = 3;
-/// Minimum stall timeout before the first event of a stream. A shorter one would send more prompts to
-/// engines that are busy with prefill; clients wait for three seconds or longer.
-const MIN_FIRST_EVENT_TIMEOUT: Span = Span::from_millis(2_000);
-/// Minimum stall timeout. Engines pause for this long during the prefill of other requests.
-const MIN_STALL_TIMEOUT: Span = Span::from_millis(1_000);
-
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -55,6 +44,8 @@
     avoid: Vec<Name>,
     last_event_id: Option<Bytes>,
     timing: EventTiming,
+    /// The last progress before the most recent stall, so that each stall is recorded once.
+    stalled_since: Cell<Option<Timestamp>>,
     /// The error response of an upstream, sent to the client if no attempt succeeds.
     failure: Option<(head::Response, Bytes)>,
 }
@@ -62,6 +53,8 @@
 /// Why an attempt ended without a complete response.
 enum AttemptFailure {
     Upstream(AttemptError),
+    /// The upstream is silent, and the request moves to the upstream of the reservation.
+    Stalled(Reservation),
     Client(io::Error),
 }
 
@@ -101,6 +94,7 @@
         avoid: Vec::new(),
         last_event_id: None,
         timing: EventTiming::default(),
+        stalled_since: Cell::default(),
         failure: None,
     };
     let left = request.due().since(router.now()).as_duration();
@@ -121,13 +115,17 @@
 
 impl RequestRun<'_, '_> {
     async fn run_attempts(&mut self) -> io::Result<Outcome> {
+        let mut reserved = None;
         loop {
             if let Some(outcome) = self.refuse_poison().await? {
                 return Ok(outcome);
             }
-            let reservation = match self.router.reserve(self.request, &self.avoid).await {
-                Ok(reservation) => reservation,
-                Err(refused) => return self.finish_without_slot(refused).await,
+            let reservation = match reserved.take() {
+                Some(reservation) => reservation,
+                None => match self.router.reserve(self.request, &self.avoid).await {
+                    Ok(reservation) => reservation,
+                    Err(refused) => return self.finish_without_slot(refused).await,
+                },
             };
             // It may have been confirmed that the request crashes upstreams while it was queued.
             if let Some(outcome) = self.refuse_poison().await? {
@@ -142,6 +140,12 @@
                 Ok(outcome) => return Ok(outcome),
                 Err(AttemptFailure::Client(error)) => return Err(error),
                 Err(AttemptFailure::Upstream(error)) => error,
+                Err(AttemptFailure::Stalled(reservation)) => {
+                    reserved = Some(reservation);
+                    self.log_failure(&upstream, &AttemptError::timeout());
+                    self.avoid.push(upstream);
+                    continue;
+                }
             };
             self.record_failure(&upstream, &error);
             if self.is_crash_suspect(&error) {
@@ -196,6 +200,10 @@
         if self.is_crash_suspect(error) {
             router.record_broken_connection(self.request, upstream);
         }
+        self.log_failure(upstream, error);
+    }
+
+    fn log_failure(&self, upstream: &Name, error: &AttemptError) {
         let prompt = self.request.prompt.as_ref();
         let parts = prompt.map(|prompt| prompt.display_shared().to_string());
         emit(
@@ -229,42 +237,18 @@
         allowed
     }
 
-    /// Returns when an attempt that has made no progress since `since` is abandoned.
-    fn stall_deadline(&self, since: Timestamp) -> Timestamp {
-        let (route, due) = (&self.request.route, self.request.due());
-        let may_retry = self.attempts.runs < route.max_attempts;
-        let micros =
-            |time: std::time::Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        let limit = match route.kind {
-            Kind::Idempotent => micros(route.objective) * STALL_OBJECTIVES,
-            Kind::Stream { resumable: true } if self.last_event_id.is_some() => {
-                micros(route.gap_objective.unwrap_or(route.objective)) * STALL_GAPS
-            }
-            Kind::Stream { resumable: true } => {
-                (micros(route.objective) * 2).max(MIN_FIRST_EVENT_TIMEOUT.as_micros())
-            }
-            _ => return due,
-        };
-        if may_retry {
-            due.min(since + Span::from_micros(limit).max(MIN_STALL_TIMEOUT))
-        } else {
-            due
-        }
-    }
-
     async fn attempt(&mut self, reservation: Reservation) -> Result<Outcome, AttemptFailure> {
         // From here on the request may run. The count is decremented if it certainly did not.
         self.attempts.runs += 1;
-        let until = self.stall_deadline(self.router.now());
+        let upstream = reservation.choice().id.clone();
+        let (router, request) = (self.router, self.request);
         let sent = self
-            .router
-            .send(
-                self.request,
-                reservation,
-                self.last_event_id.as_ref(),
-                until,
+            .wait_for_progress(
+                &upstream,
+                router.now(),
+                router.send(request, reservation, self.last_event_id.as_ref()),
             )
-            .await;
+            .await?;
         if let Err(AttemptError {
             kind: FailureKind::Unreachable | FailureKind::NotRun,
             ..
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -1,7 +1,6 @@
 //! Forwards the response of an upstream to the client.
 
 use bytes::{Bytes, BytesMut};
-use tokio::time;
 use tsw_base::time::Timestamp;
 use tsw_event::{emit, Event};
 use tsw_flow::retry::FailureKind;
@@ -46,10 +45,11 @@
             mut exchange,
             reservation,
         } = attempt;
+        let upstream = reservation.choice().id.clone();
         let mut body = BytesMut::new();
         loop {
             let now = self.router.now();
-            match self.next_data(&mut exchange, now).await? {
+            match self.next_data(&mut exchange, &upstream, now).await? {
                 None => break,
                 Some(data) if body.len() + data.len() > MAX_BUFFERED => {
                     body.extend_from_slice(&data);
@@ -58,7 +58,6 @@
                 Some(data) => body.extend_from_slice(&data),
             }
         }
-        let upstream = reservation.choice().id.clone();
         let head = exchange.head().clone();
         self.router.reuse(&reservation, exchange);
         drop(reservation);
@@ -122,7 +121,7 @@
         let mut splitter = Splitter::default();
         let mut events = Vec::new();
         let mut since = self.router.now();
-        while let Some(data) = self.next_data(&mut exchange, since).await? {
+        while let Some(data) = self.next_data(&mut exchange, &upstream, since).await? {
             splitter
                 .add(&data)
                 .map_err(|error| AttemptError::new(FailureKind::Broken, error))?;
@@ -170,21 +169,17 @@
         }
     }
 
-    /// Waits for data of a response until the stall timeout, counted from the last progress at `since`.
-    /// Only events count as progress of a stream, since a stalled one may still send bytes now and
-    /// then.
+    /// Waits for data of a response whose last progress was at `since`. Only events count as progress of
+    /// a stream, since a stalled one may still send bytes now and then.
     async fn next_data(
-        &mut self,
+        &self,
         exchange: &mut Exchange,
+        upstream: &Name,
         since: Timestamp,
-    ) -> Result<Option<Bytes>, AttemptError> {
-        let now = self.router.now();
-        let limit = self.stall_deadline(since).since(now).as_duration();
-        match time::timeout(limit, exchange.data()).await {
-            Ok(Ok(data)) => Ok(data),
-            Ok(Err(error)) => Err(AttemptError::new(FailureKind::Broken, error)),
-            Err(_) => Err(AttemptError::timeout()),
-        }
+    ) -> Result<Option<Bytes>, AttemptFailure> {
+        let data = self.wait_for_progress(upstream, since, exchange.data());
+        let data = data.await?;
+        data.map_err(|error| AttemptError::new(FailureKind::Broken, error).into())
     }
 }
 
--- a/crates/toucand/tests/silence.rs
+++ b/crates/toucand/tests/silence.rs
@@ -5,18 +5,21 @@
 
 use std::time::Duration;
 
-use fleet::{configuration, entry, Call, Site, TIMEOUT};
+use fleet::{configuration, entry, wait_until, Call, Site, TIMEOUT};
 use serde_json::Value;
 use tsw_fake::worker::{Behaviour, Worker};
 
 /// Pause of a sound upstream: longer than any stall timeout of the routes in use.
 const PAUSE: Duration = Duration::from_millis(2_500);
+/// Number of streams that pause together: more than the retry budget lets move elsewhere.
+const STREAMS: usize = 80;
 
 /// Starts a site whose `lookup` route has a short objective and this many attempts.
 async fn site(desk: Behaviour, model: Behaviour, attempts: u32) -> Site {
     let site = Site::start(desk, model).await;
     site.router.set_descriptors(4_000).await;
     let mut changed = configuration(2);
+    changed["limits"]["tokensPerS"] = Value::from(3_000_000);
     let route = &mut changed["routes"][0];
     route["targetLatencyMs"] = Value::from(100);
     route["maxAttempts"] = Value::from(attempts);
@@ -38,6 +41,100 @@
     site
 }
 
+/// Makes the second engine one that takes no further requests.
+async fn let_second_engine_leave(site: &Site) {
+    let leaving = entry("model", &site.models[1], "draining", 2);
+    site.store.set("servers/m2", Some(&leaving));
+    site.wait_metric("relay_upstreams 2").await;
+}
+
+/// Guards against cutting a stream whose engine is silent for a while although no other engine may
+/// take over.
+#[actix_rt::test]
+async fn paused_stream_that_no_other_engine_can_resume_is_passed_on_whole() {
+    let site = site(Behaviour::Plain, Behaviour::PausedStream(4, 2, PAUSE), 2).await;
+    let_second_engine_leave(&site).await;
+    let response = Call::prompt("/draft/1", "a1").send(&site.router).await;
+    assert_eq!(response.events(), [0, 1, 2, 3]);
+    assert!(response.whole, "the stream was cut");
+    assert_eq!(site.model_arrivals(), 1);
+}
+
+/// Guards against cutting streams that pause together, as at an engine that stands still for a
+/// moment, because the retry budget does not let all of them move.
+#[actix_rt::test]
+async fn streams_that_pause_together_are_passed_on_whole() {
+    let site = site(Behaviour::Plain, Behaviour::PausedStream(4, 2, PAUSE), 2).await;
+    for (worker, key) in site.models.iter().zip(["servers/m1", "servers/m2"]) {
+        let text = entry("model", worker, "ready", 2);
+        let mut large: Value = serde_json::from_slice(&text).expect("JSON");
+        large["slots"] = Value::from(STREAMS);
+        site.store.set(key, Some(large.to_string().as_bytes()));
+    }
+    // Requests that are sent before the router has read the entries are refused, not cut.
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let address = site.router.client;
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let call = Call::prompt("/draft/1", &format!("a{number}"));
+            actix_rt::spawn(async move { call.send_to(address).await })
+        })
+        .collect();
+    let (mut served, mut cut) = (0, 0);
+    for stream in streams {
+        let response = actix_rt::time::timeout(TIMEOUT, stream).await;
+        let response = response.expect("in time").expect("no panic");
+        let response = response.expect("a response");
+        if response.status == 200 {
+            served += 1;
+            cut += usize::from(!response.whole || response.events() != [0, 1, 2, 3]);
+        } else {
+            // Refused without being run.
+            assert!([429, 503].contains(&response.status), "{response:?}");
+        }
+    }
+    assert!(served > STREAMS / 2, "most streams were refused: {served}");
+    assert_eq!(cut, 0, "streams were cut");
+}
+
+/// Guards against abandoning a stalled stream for good: it moves once another engine takes requests.
+#[actix_rt::test]
+async fn stalled_stream_goes_on_when_another_engine_becomes_available() {
+    let site = site(Behaviour::Plain, Behaviour::Stream(5), 2).await;
+    let_second_engine_leave(&site).await;
+    site.models[0].script(&[Behaviour::Stall(2)]);
+    let address = site.router.client;
+    let reading =
+        actix_rt::spawn(async move { Call::prompt("/draft/1", "a1").send_to(address).await });
+    wait_until("the first arrival", || site.model_arrivals() == 1).await;
+    actix_rt::time::sleep(PAUSE).await;
+    let other = Worker::bind(Behaviour::Stream(5)).await.expect("an engine");
+    site.store
+        .set("servers/m3", Some(&entry("model", &other, "ready", 1)));
+    let response = actix_rt::time::timeout(TIMEOUT, reading).await;
+    let response = response.expect("in time").expect("no panic");
+    let response = response.expect("a response");
+    assert_eq!(response.events(), [0, 1, 2, 3, 4]);
+    assert!(response.whole, "the stream was cut");
+    assert_eq!(
+        site.models[0].abandoned(),
+        ["a1"],
+        "the stalled run goes on"
+    );
+}
+
+/// Guards against answering 502 for a request whose upstream is silent for a while although no other
+/// upstream can run it.
+#[actix_rt::test]
+async fn late_response_is_awaited_if_no_other_upstream_can_run_the_request() {
+    let site = site(Behaviour::LatePlain(PAUSE), Behaviour::Stream(3), 2).await;
+    let response = Call::valid("GET", "/lookup/1", "a1")
+        .send(&site.router)
+        .await;
+    assert_eq!(response.status, 200);
+    assert_eq!(site.desk.arrivals().len(), 1);
+}
+
 /// Guards against abandoning the last attempt that the configuration allows.
 #[actix_rt::test]
 async fn late_response_to_the_last_attempt_is_awaited() {
