Apply the idle timeout in force to connections that are already idle

Callers of a kept connection found it closed, or had their request cross the close, after a configuration had raised the idle timeout: clients reuse connections for up to four fifths of the timeout in force.

The limits were taken when the wait for the next request began, and for connections opened before the first configuration the defaults. They are now read from the active configuration at the idle deadline, and again before a head and a body are checked.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -70,31 +70,25 @@
     let mut connection = Connection::accepted(stream);
     let mut first = true;
     loop {
-        let limits = state
-            .router
-            .table()
-            .map_or(Limits::default(), |table| table.limits);
-        let head = match next_request(&state, &mut connection, &limits).await? {
+        let head = match next_request(&state, &mut connection).await? {
             Next::Request(head) => head,
             Next::Invalid(response) => return refuse(&state, connection, response).await,
             Next::Closed => return Ok(()),
         };
         state.reuse.record(std::mem::take(&mut first));
-        if !serve_request(&state, &mut connection, head, &limits).await? {
+        if !serve_request(&state, &mut connection, head).await? {
             return Ok(());
         }
     }
 }
 
 /// Waits for the head of the next request.
-async fn next_request(
-    state: &State,
-    connection: &mut Connection,
-    limits: &Limits,
-) -> io::Result<Next> {
+async fn next_request(state: &State, connection: &mut Connection) -> io::Result<Next> {
     let mut phase = state.phase.subscribe();
-    let mut head_deadline = None;
+    let idle_since = time::Instant::now();
+    let mut head_since = None;
     loop {
+        let limits = state.limits();
         match head::Request::take(&mut connection.buffer, limits.head_bytes) {
             Ok(Some(head)) => return Ok(Next::Request(head)),
             Ok(None) => {}
@@ -105,9 +99,9 @@
         }
         let idle = connection.buffer.is_empty();
         let deadline = if idle {
-            time::Instant::now() + limits.idle_timeout
+            idle_since + limits.idle_timeout
         } else {
-            *head_deadline.get_or_insert_with(|| time::Instant::now() + limits.head_timeout)
+            *head_since.get_or_insert_with(time::Instant::now) + limits.head_timeout
         };
         tokio::select! {
             read = connection.fill() => match read {
@@ -125,10 +119,16 @@
                 }
             },
             () = time::sleep_until(deadline) => {
-                if idle && connection.has_unread_bytes() {
-                    log_lost(connection, None, "closed as idle");
+                if !idle {
+                    return Ok(Next::Invalid(LocalResponse::RequestTimeout));
+                }
+                // The active configuration may have raised the timeout meanwhile.
+                if idle_since + state.limits().idle_timeout <= deadline {
+                    if connection.has_unread_bytes() {
+                        log_lost(connection, None, "closed as idle");
+                    }
+                    return Ok(Next::Closed);
                 }
-                return Ok(if idle { Next::Closed } else { Next::Invalid(LocalResponse::RequestTimeout) });
             }
             _ = phase.wait_for(|phase| *phase == Phase::Closing), if idle => {
                 // Data that has already arrived is read: closing now would reset the connection and
@@ -178,12 +178,11 @@
     state: &Rc<State>,
     connection: &mut Connection,
     head: head::Request,
-    limits: &Limits,
 ) -> io::Result<bool> {
     let _in_flight = CountGuard::new(&state.in_flight);
     let table = state.router.table();
     let checked = authorize::check(&head, table.as_ref(), rand::random());
-    let body = match read_body(connection, &head, limits).await {
+    let body = match read_body(connection, &head, &state.limits()).await {
         Ok(Ok(body)) => body,
         Err(error) => {
             log_lost(connection, Some(&head), &error);
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -17,7 +17,7 @@
 use tsw_member::{audience::Audience, roster::Roster};
 use tsw_platform::{configuration, store::Item, upstream};
 use tsw_relay::router::Router;
-use tsw_route::Name;
+use tsw_route::{table::Limits, Name};
 
 use crate::{connection_reuse::ReuseTracker, store_copy::StoreCopy};
 
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Returns the limits on clients of the active configuration.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let table = self.router.table();
+        table.map_or(Limits::default(), |table| table.limits)
+    }
+
     /// Returns whether connections are closed after the current response: because the router is
     /// stopping, or because client connections use too many file descriptors.
     #[must_use]
--- a/crates/toucand/tests/silence.rs
+++ b/crates/toucand/tests/silence.rs
@@ -23,21 +23,7 @@
     let route = &mut changed["routes"][0];
     route["targetLatencyMs"] = Value::from(100);
     route["maxAttempts"] = Value::from(attempts);
-    // The router states that it knows this route by refusing a request without a key.
-    let mut added = route.clone();
-    added["name"] = Value::from("added");
-    added["pathPrefix"] = Value::from("/added/");
-    changed["routes"]
-        .as_array_mut()
-        .expect("routes")
-        .push(added);
-    let text = changed.to_string();
-    site.store.set("op/config", Some(text.as_bytes()));
-    let end = std::time::Instant::now() + TIMEOUT;
-    while Call::new("GET", "/added/1").send(&site.router).await.status == 404 {
-        assert!(std::time::Instant::now() < end, "no new configuration");
-        actix_rt::time::sleep(Duration::from_millis(20)).await;
-    }
+    site.reconfigure(changed).await;
     site
 }
 
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -387,6 +387,27 @@
         }
     }
 
+    /// Writes a configuration to the store and waits until the router has adopted it.
+    pub async fn reconfigure(&self, mut configuration: Value) {
+        let path = format!("/version-{}/", configuration["version"]);
+        let routes = configuration["routes"].as_array_mut().expect("routes");
+        let mut added = routes[0].clone();
+        added["name"] = Value::from(path.trim_matches('/'));
+        added["pathPrefix"] = Value::from(&*path);
+        added["public"] = Value::from(false);
+        routes.push(added);
+        let text = configuration.to_string();
+        self.store.set("op/config", Some(text.as_bytes()));
+        let mut probe = Call::valid("GET", &path, "probe");
+        probe.head.fields.remove("Authorization");
+        let end = std::time::Instant::now() + TIMEOUT;
+        // The router refuses a request without a key once it knows the route.
+        while probe.send(&self.router).await.status != 401 {
+            assert!(std::time::Instant::now() < end, "no new configuration");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     pub fn model_arrivals(&self) -> usize {
         self.models.iter().map(|model| model.arrivals().len()).sum()
     }
