Read a request that has arrived before closing its connection as idle

Callers got a reset instead of a response when the router was slow or stood still around the idle deadline of a kept connection: their request had arrived before it.

The deadline and the readable connection were handled in random order, and the deadline closed the connection without looking for unread bytes; closing with unread bytes resets. The deadline now reads them first, as the close at the end of a drain does, also before a partial head is answered with 408.

request_that_arrived_before_the_idle_deadline_is_answered fails without the change: "request 8 got no response: the connection broke: Connection reset by peer", the first failure among 20 connections.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -119,14 +119,15 @@
                 }
             },
             () = time::sleep_until(deadline) => {
-                if !idle {
-                    return Ok(Next::Invalid(LocalResponse::RequestTimeout));
-                }
-                // The active configuration may have raised the timeout meanwhile.
-                if idle_since + state.limits().idle_timeout <= deadline {
-                    if connection.has_unread_bytes() {
-                        log_lost(connection, None, "closed as idle");
+                // Data that has already arrived is read first, as below.
+                if connection.has_unread_bytes() {
+                    if connection.fill().await? == 0 {
+                        return Ok(Next::Closed);
                     }
+                } else if !idle {
+                    return Ok(Next::Invalid(LocalResponse::RequestTimeout));
+                } else if idle_since + state.limits().idle_timeout <= deadline {
+                    // Otherwise, the active configuration has raised the timeout meanwhile.
                     return Ok(Next::Closed);
                 }
             }
--- a/crates/toucand/tests/kept_connections.rs
+++ b/crates/toucand/tests/kept_connections.rs
@@ -6,6 +6,7 @@
 use std::{io, time::Duration};
 
 use fleet::{configuration, Call, Site, TIMEOUT};
+use rustix::process::Signal;
 use serde_json::Value;
 use tsw_fake::worker::Behaviour;
 use tsw_http::{connection::Connection, exchange::Exchange};
@@ -73,3 +74,17 @@
     actix_rt::time::sleep(IDLE_TIMEOUT + Duration::from_millis(500)).await;
     check_answered(call_on_each(kept)).await;
 }
+
+/// Guards against closing a kept connection as idle although a request has arrived on it, which
+/// the router has not read yet because it was slow.
+#[actix_rt::test]
+async fn request_that_arrived_before_the_idle_deadline_is_answered() {
+    let site = site().await;
+    let kept = kept_connections(&site).await;
+    // SIGSTOP suspends the process while the requests arrive, until after the deadline.
+    site.router.signal(Signal::STOP);
+    let requests = call_on_each(kept);
+    actix_rt::time::sleep(IDLE_TIMEOUT + Duration::from_millis(500)).await;
+    site.router.signal(Signal::CONT);
+    check_answered(requests).await;
+}
