Count a request as in flight from its first byte on

Callers whose request had arrived in part when a router closed at the end of its accept time got a closed connection: the process ended while the rest of the head arrived.

The drain waits for requests in flight, and a request counted as such only once its head was complete. It now counts from its first byte on, through a refusal of its head; the head timeout bounds the wait. Waiting for a request and reading its head are separate functions, so that the idle deadline and the end of a drain close in the same way, reading first what has arrived.

planned_stop_awaits_requests_that_have_arrived_in_part fails without the change: after 67 bytes, within the head, the client reads nothing but the end. A body that arrives in part was awaited before, and further SIGTERM and SIGHUP during a stop cut nothing: the test of that, further_signals_do_not_cut_a_planned_stop_short, passed on the first run.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -53,13 +53,6 @@
     }
 }
 
-/// The result of waiting for the next request on a connection.
-enum Next {
-    Request(head::Request),
-    Invalid(LocalResponse),
-    Closed,
-}
-
 /// Serves the requests on a connection until it is closed.
 ///
 /// # Errors
@@ -69,75 +62,74 @@
     let _open = CountGuard::new(&state.clients);
     let mut connection = Connection::accepted(stream);
     let mut first = true;
-    loop {
-        let head = match next_request(&state, &mut connection).await? {
-            Next::Request(head) => head,
-            Next::Invalid(response) => return refuse(&state, connection, response).await,
-            Next::Closed => return Ok(()),
+    while wait_for_request(&state, &mut connection).await? {
+        let _in_flight = CountGuard::new(&state.in_flight);
+        let head = match read_head(&state, &mut connection).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(response)) => return refuse(&state, connection, response).await,
+            Err(error) => {
+                log_lost(&connection, None, &error);
+                return Err(error);
+            }
         };
         state.reuse.record(std::mem::take(&mut first));
         if !serve_request(&state, &mut connection, head).await? {
-            return Ok(());
+            break;
         }
     }
+    Ok(())
 }
 
-/// Waits for the head of the next request.
-async fn next_request(state: &State, connection: &mut Connection) -> io::Result<Next> {
+/// Waits until a request begins to arrive. Returns false if the connection is closed instead.
+async fn wait_for_request(state: &State, connection: &mut Connection) -> io::Result<bool> {
     let mut phase = state.phase.subscribe();
     let idle_since = time::Instant::now();
-    let mut head_since = None;
+    while connection.buffer.is_empty() {
+        let deadline = idle_since + state.limits().idle_timeout;
+        let closes = tokio::select! {
+            read = connection.fill() => {
+                if read? == 0 {
+                    return Ok(false);
+                }
+                false
+            }
+            // The active configuration may have raised the timeout meanwhile.
+            () = time::sleep_until(deadline) => {
+                idle_since + state.limits().idle_timeout <= deadline
+            }
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => true,
+        };
+        // Data that has already arrived is read: closing now would reset the connection and lose the
+        // request.
+        if closes && (!connection.has_unread_bytes() || connection.fill().await? == 0) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+/// Reads the head of a request that has begun to arrive. The inner error is the response to a head
+/// that is refused.
+async fn read_head(
+    state: &State,
+    connection: &mut Connection,
+) -> io::Result<Result<head::Request, LocalResponse>> {
+    let limits = state.limits();
+    let deadline = time::Instant::now() + limits.head_timeout;
     loop {
-        let limits = state.limits();
         match head::Request::take(&mut connection.buffer, limits.head_bytes) {
-            Ok(Some(head)) => return Ok(Next::Request(head)),
+            Ok(Some(head)) => return Ok(Ok(head)),
             Ok(None) => {}
-            Err(head::Error::TooLong { .. }) => {
-                return Ok(Next::Invalid(LocalResponse::HeadTooLarge))
-            }
-            Err(_) => return Ok(Next::Invalid(LocalResponse::Malformed)),
+            Err(head::Error::TooLong { .. }) => return Ok(Err(LocalResponse::HeadTooLarge)),
+            Err(_) => return Ok(Err(LocalResponse::Malformed)),
         }
-        let idle = connection.buffer.is_empty();
-        let deadline = if idle {
-            idle_since + limits.idle_timeout
-        } else {
-            *head_since.get_or_insert_with(time::Instant::now) + limits.head_timeout
+        let read = match time::timeout_at(deadline, connection.fill()).await {
+            Ok(read) => read?,
+            Err(_) if connection.has_unread_bytes() => connection.fill().await?,
+            Err(_) => return Ok(Err(LocalResponse::RequestTimeout)),
         };
-        tokio::select! {
-            read = connection.fill() => match read {
-                Ok(1..) => {}
-                Ok(0) if idle => return Ok(Next::Closed),
-                Ok(0) => {
-                    log_lost(connection, None, "the client closed the connection");
-                    return Ok(Next::Closed);
-                }
-                Err(error) => {
-                    if !idle {
-                        log_lost(connection, None, &error);
-                    }
-                    return Err(error);
-                }
-            },
-            () = time::sleep_until(deadline) => {
-                // Data that has already arrived is read first, as below.
-                if connection.has_unread_bytes() {
-                    if connection.fill().await? == 0 {
-                        return Ok(Next::Closed);
-                    }
-                } else if !idle {
-                    return Ok(Next::Invalid(LocalResponse::RequestTimeout));
-                } else if idle_since + state.limits().idle_timeout <= deadline {
-                    // Otherwise, the active configuration has raised the timeout meanwhile.
-                    return Ok(Next::Closed);
-                }
-            }
-            _ = phase.wait_for(|phase| *phase == Phase::Closing), if idle => {
-                // Data that has already arrived is read: closing now would reset the connection and
-                // lose the request.
-                if !connection.has_unread_bytes() || connection.fill().await? == 0 {
-                    return Ok(Next::Closed);
-                }
-            }
+        if read == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
 }
@@ -180,7 +172,6 @@
     connection: &mut Connection,
     head: head::Request,
 ) -> io::Result<bool> {
-    let _in_flight = CountGuard::new(&state.in_flight);
     let table = state.router.table();
     let checked = authorize::check(&head, table.as_ref(), rand::random());
     let body = match read_body(connection, &head, &state.limits()).await {
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -60,7 +60,7 @@
     pub read_since: Cell<Option<Timestamp>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
-    /// Number of requests that have been read and not answered yet.
+    /// Number of requests that have begun to arrive and are not answered yet.
     pub in_flight: Cell<usize>,
     /// Number of open client connections.
     pub clients: Cell<usize>,
--- /dev/null
+++ b/crates/toucand/tests/planned_stop.rs
@@ -0,0 +1,85 @@
+//! Requests that are under way while a router process is told to stop.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use fleet::{Call, Site, TIMEOUT};
+use rustix::process::Signal;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+use tsw_fake::worker::Behaviour;
+
+/// Longer than the time for which a router that was told to stop accepts new requests.
+const PAST_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
+
+/// Reads what the router sends until it closes the connection.
+async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let read = actix_rt::time::timeout(TIMEOUT, stream.read_to_end(&mut bytes)).await;
+    if let Err(error) = read.expect("in time") {
+        bytes.extend_from_slice(format!("({error})").as_bytes());
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+async fn check_exit(site: &mut Site) {
+    let process = &mut site.router.process;
+    fleet::wait_until("the end of the process", || {
+        process.try_wait().expect("a status").is_some()
+    })
+    .await;
+    let status = process.wait().expect("a status");
+    assert!(status.success(), "{status}");
+}
+
+/// Guards against a planned stop that ends the process while the rest of a request arrives.
+#[actix_rt::test]
+async fn planned_stop_awaits_requests_that_have_arrived_in_part() {
+    let call = Call::valid("POST", "/book/1", "a1").body("two trucks");
+    let mut bytes = BytesMut::new();
+    call.head.write(&mut bytes);
+    let within_head = bytes.len() / 2;
+    let within_body = bytes.len() + 3;
+    bytes.extend_from_slice(&call.body);
+    for at in [within_head, within_body] {
+        let mut site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+        let stream = TcpStream::connect(site.router.client).await;
+        let mut stream = stream.expect("a connection");
+        stream.write_all(&bytes[..at]).await.expect("sent");
+        site.wait_metric("relay_clients 1").await;
+        site.router.signal(Signal::TERM);
+        actix_rt::time::sleep(PAST_ACCEPT_TIME).await;
+        let sent = stream.write_all(&bytes[at..]).await;
+        sent.unwrap_or_else(|error| panic!("after {at} bytes: {error}"));
+        let response = read_to_end(stream).await;
+        assert!(
+            response.starts_with("HTTP/1.1 200 "),
+            "after {at} bytes: {response:?}"
+        );
+        check_exit(&mut site).await;
+    }
+}
+
+/// Guards against further signals that end a process that finishes its requests.
+#[actix_rt::test]
+async fn further_signals_do_not_cut_a_planned_stop_short() {
+    let pause = Duration::from_millis(900);
+    let mut site = Site::start(Behaviour::Plain, Behaviour::SlowStream(4, pause)).await;
+    let address = site.router.client;
+    let reading =
+        actix_rt::spawn(async move { Call::prompt("/note/1", "a1").send_to(address).await });
+    fleet::wait_until("the arrival", || site.model_arrivals() == 1).await;
+    for signal in [Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM] {
+        site.router.signal(signal);
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+    }
+    let response = reading.await.expect("no panic").expect("a response");
+    assert_eq!(response.events(), [0, 1, 2, 3]);
+    assert!(response.whole);
+    check_exit(&mut site).await;
+}
