Answer the requests that outlast a planned stop

Callers whose request was still at its upstream at the end of the grace time found their connection closed without a response, while a queued one could have been told that it was not run.

The drain logged drain-overdue and the process exited. Shortly before the exit it now ends all requests: one that no upstream has got is refused with 503 (stopping), one that may have run gets 504, and a response that has begun is cut as before.

requests_that_outlast_a_planned_stop_are_answered fails without the change: "request 0: the connection ended without a response".

--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -316,13 +316,20 @@
     // Lets connections whose next request has arrived read it, so that it counts as in flight.
     time::sleep(TICK).await;
     let limit = grace.saturating_sub(EXIT_MARGIN);
-    while state.in_flight.get() > 0 && start.elapsed() < limit {
-        time::sleep(TICK).await;
-    }
+    wait_in_flight(state, start + limit).await;
     if state.in_flight.get() > 0 {
         emit(
             Event::DrainOverdue,
             &[("in_flight", &state.in_flight.get())],
         );
+        state.router.end_requests();
+        wait_in_flight(state, start + limit + EXIT_MARGIN / 2).await;
+    }
+}
+
+/// Waits until no request is in flight.
+async fn wait_in_flight(state: &State, until: Instant) {
+    while state.in_flight.get() > 0 && Instant::now() < until {
+        time::sleep(TICK).await;
     }
 }
--- a/crates/relay/src/local_response.rs
+++ b/crates/relay/src/local_response.rs
@@ -15,6 +15,8 @@
     Late,
     /// No upstream accepted it.
     NoUpstream,
+    /// The router is about to exit.
+    Stopping,
     /// Equal requests, or others with the same prompt parts, crashed several upstreams.
     Poison,
 }
@@ -28,6 +30,7 @@
             Self::OverShare => "over-share",
             Self::Late => "late",
             Self::NoUpstream => "no-upstream",
+            Self::Stopping => "stopping",
             Self::Poison => "crashed-upstreams",
         }
     }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -7,7 +7,7 @@
 };
 
 use indexmap::{IndexMap, IndexSet};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tsw_base::time::{Span, Timestamp};
 use tsw_flow::{
     account::{self, Work},
@@ -105,6 +105,8 @@
     /// Time of the last request for a slot, and an exponentially decaying count of such requests.
     recent_requests: Cell<(Timestamp, f64)>,
     started_at: Instant,
+    /// Whether the requests in flight are to be answered now.
+    pub(crate) stopping: watch::Sender<bool>,
 }
 
 impl Router {
@@ -135,6 +137,7 @@
             report_interval: Cell::default(),
             recent_requests: Cell::default(),
             started_at: Instant::now(),
+            stopping: watch::Sender::new(false),
         })
     }
 
@@ -145,6 +148,11 @@
         Timestamp::ZERO + CLOCK_START + Span::from_micros(elapsed)
     }
 
+    /// Ends all requests in flight with a final response, or cuts a response that has begun.
+    pub fn end_requests(&self) {
+        self.stopping.send_replace(true);
+    }
+
     /// Returns the active table.
     #[must_use]
     pub fn table(&self) -> Option<Rc<Table>> {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -98,15 +98,22 @@
         failure: None,
     };
     let left = request.due().since(router.now()).as_duration();
-    let outcome = match time::timeout(left, request_run.run_attempts()).await {
-        Ok(outcome) => outcome?,
-        Err(_) => {
-            let refused = Refused::new(Refusal::Late, Span::ZERO);
-            match request_run.attempts.final_response() {
-                FinalResponse::NotRun => request_run.refuse(refused).await?,
-                _ => request_run.respond_locally(LocalResponse::TimedOut).await?,
+    let mut stopping = router.stopping.subscribe();
+    let end = tokio::select! {
+        biased;
+        outcome = request_run.run_attempts() => Ok(outcome?),
+        () = time::sleep(left) => Err(Refusal::Late),
+        _ = stopping.wait_for(|stopping| *stopping) => Err(Refusal::Stopping),
+    };
+    let outcome = match end {
+        Ok(outcome) => outcome,
+        Err(refusal) => match request_run.attempts.final_response() {
+            FinalResponse::NotRun => {
+                let refused = Refused::new(refusal, Span::ZERO);
+                request_run.refuse(refused).await?
             }
-        }
+            _ => request_run.respond_locally(LocalResponse::TimedOut).await?,
+        },
     };
     let total = router.now().since(request.arrived).as_secs_f64();
     router.metrics.total.observe(total);
--- a/crates/toucand/tests/planned_stop.rs
+++ b/crates/toucand/tests/planned_stop.rs
@@ -83,3 +83,32 @@
     assert!(response.whole);
     check_exit(&mut site).await;
 }
+
+/// Guards against closing the connections of requests that are unanswered when the time for a
+/// planned stop is over.
+#[actix_rt::test]
+async fn requests_that_outlast_a_planned_stop_are_answered() {
+    let mut site = Site::start(Behaviour::Silent, Behaviour::Silent).await;
+    let calls = [
+        Call::valid("POST", "/book/1", "a1").body("truck"),
+        Call::valid("GET", "/lookup/1", "a2"),
+        Call::prompt("/note/1", "a3"),
+        Call::prompt("/draft/1", "a4"),
+    ];
+    let address = site.router.client;
+    let sent: Vec<_> = calls
+        .map(|call| actix_rt::spawn(async move { call.send_to(address).await }))
+        .into();
+    fleet::wait_until("all arrivals", || {
+        site.desk.arrivals().len() + site.model_arrivals() >= 4
+    })
+    .await;
+    site.router.signal(Signal::TERM);
+    for (number, response) in sent.into_iter().enumerate() {
+        let response = response.await.expect("no panic");
+        let response = response.unwrap_or_else(|error| panic!("request {number}: {error}"));
+        // The request may have run.
+        assert!([502, 504].contains(&response.status), "{response:?}");
+    }
+    check_exit(&mut site).await;
+}
