Return to a silent upstream if the others refuse the request

Callers lost a resumable stream, or got 502 for a lookup, when it had left a silent upstream and the next one was full or unreachable: the run that was given up may have been sound.

After a refusal the request avoided both upstreams, found no third one and was cut. It may now return to an upstream that it left only because it was silent, with a retry of the budget, or waits for another one until its deadline. An upstream that refused it stays excluded.

stream_that_is_refused_elsewhere_returns_to_its_engine fails without the change: two of four events, then the end.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -42,6 +42,8 @@
     responder: &'a mut Responder<'b>,
     attempts: Attempts,
     avoid: Vec<Name>,
+    /// Upstreams that the request left because they were silent, since its last progress.
+    left_silent: Vec<Name>,
     last_event_id: Option<Bytes>,
     timing: EventTiming,
     /// The last progress before the most recent stall, so that each stall is recorded once.
@@ -92,6 +94,7 @@
         responder,
         attempts: Attempts::default(),
         avoid: Vec::new(),
+        left_silent: Vec::new(),
         last_event_id: None,
         timing: EventTiming::default(),
         stalled_since: Cell::default(),
@@ -150,6 +153,7 @@
                 Err(AttemptFailure::Stalled(reservation)) => {
                     reserved = Some(reservation);
                     self.log_failure(&upstream, &AttemptError::timeout());
+                    self.left_silent.push(upstream.clone());
                     self.avoid.push(upstream);
                     continue;
                 }
@@ -161,6 +165,15 @@
                 router.check_crash(self.request, &upstream, address).await;
             }
             let max_attempts = self.request.route.max_attempts;
+            let did_not_run = matches!(error.kind, FailureKind::Unreachable | FailureKind::NotRun);
+            if did_not_run && !self.left_silent.is_empty() && self.attempts.runs < max_attempts {
+                // The silent upstreams may be sound, so that they may be used again.
+                let left = &self.left_silent;
+                self.avoid.retain(|name| !left.contains(name));
+                reserved = Some(self.reserve_elsewhere(&upstream).await);
+                self.avoid.push(upstream);
+                continue;
+            }
             let next = self
                 .attempts
                 .next_step(self.request.route.kind, max_attempts, error.kind);
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -35,6 +35,7 @@
             self.router.metrics.first_event.observe(since.as_secs_f64());
         }
         self.timing.record(self.request.arrived, now, events);
+        self.left_silent.clear();
     }
 
     pub(super) async fn forward_plain(
--- a/crates/relay/src/run/stall.rs
+++ b/crates/relay/src/run/stall.rs
@@ -102,10 +102,10 @@
         );
     }
 
-    /// Waits until another upstream than the silent one has a free slot and the retry budget allows
-    /// its use.
-    async fn reserve_elsewhere(&self, silent: &Name) -> Reservation {
-        let avoid: Vec<Name> = self.avoid.iter().chain([silent]).cloned().collect();
+    /// Waits until another upstream than the last one has a free slot and the retry budget allows its
+    /// use.
+    pub(super) async fn reserve_elsewhere(&self, last: &Name) -> Reservation {
+        let avoid: Vec<Name> = self.avoid.iter().chain([last]).cloned().collect();
         let (router, request) = (self.router, self.request);
         loop {
             let has_retry = router.with_service(&request.service, |service| {
--- a/crates/toucand/tests/silence.rs
+++ b/crates/toucand/tests/silence.rs
@@ -165,3 +165,29 @@
         assert!(served == 0 || response.body.len() == LENGTH);
     }
 }
+
+/// Guards against cutting a stream that was moved away from a silent engine because the other engine
+/// refuses it: the silent one may be sound.
+#[actix_rt::test]
+async fn stream_that_is_refused_elsewhere_returns_to_its_engine() {
+    let site = site(Behaviour::Plain, Behaviour::NotRun, 2).await;
+    let_second_engine_leave(&site).await;
+    let paused = Behaviour::PausedStream(4, 2, PAUSE);
+    site.models[0].script(&[paused, paused]);
+    let address = site.router.client;
+    let reading =
+        actix_rt::spawn(async move { Call::prompt("/draft/1", "a1").send_to(address).await });
+    wait_until("the first arrival", || site.model_arrivals() == 1).await;
+    let ready = entry("model", &site.models[1], "ready", 3);
+    site.store.set("servers/m2", Some(&ready));
+    let response = actix_rt::time::timeout(TIMEOUT, reading).await;
+    let response = response.expect("in time").expect("no panic");
+    let response = response.expect("a response");
+    assert_eq!(response.events(), [0, 1, 2, 3]);
+    assert!(response.whole, "the stream was cut");
+    assert_eq!(
+        site.models[1].arrivals().len(),
+        1,
+        "the stream did not move"
+    );
+}
