Spend no retry on a request that is due

A request whose upstream was silent until its deadline, or its route's timeout, took a retry out of the fleet's budget and was answered in the same millisecond, since nothing could be sent in no time. Other requests lacked that retry.

There is no test: callers see the same response.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -174,6 +174,11 @@
                 self.avoid.push(upstream);
                 continue;
             }
+            if error.timed_out {
+                // The request is due, so that a retry could not be answered in time.
+                let response = self.attempts.final_response();
+                return self.finish(response, "no answer in time").await;
+            }
             let next = self
                 .attempts
                 .next_step(self.request.route.kind, max_attempts, error.kind);
