Bound the refusals of a request that left a silent upstream

One request could empty a router's share of the retry budget: after it had left a silent upstream, it was sent to every other one that refused it, with one retry each and no pause. Others then lacked the retry to leave a silent upstream of their own.

The limit holds there too; a further upstream that could not be reached costs no second retry, as elsewhere.

request_that_left_a_silent_upstream_is_refused_by_few_others fails without the change: 12 refusals at 12 upstreams, 4 are allowed.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -153,6 +153,7 @@
                 Err(AttemptFailure::Stalled(reservation)) => {
                     reserved = Some(reservation);
                     self.log_failure(&upstream, &AttemptError::timeout());
+                    self.stalled_since.set(None);
                     self.left_silent.push(upstream.clone());
                     self.avoid.push(upstream);
                     continue;
@@ -165,15 +166,6 @@
                 router.check_crash(self.request, &upstream, address).await;
             }
             let max_attempts = self.request.route.max_attempts;
-            let did_not_run = matches!(error.kind, FailureKind::Unreachable | FailureKind::NotRun);
-            if did_not_run && !self.left_silent.is_empty() && self.attempts.runs < max_attempts {
-                // The silent upstreams may be sound, so that they may be used again.
-                let left = &self.left_silent;
-                self.avoid.retain(|name| !left.contains(name));
-                reserved = Some(self.reserve_elsewhere(&upstream).await);
-                self.avoid.push(upstream);
-                continue;
-            }
             if error.timed_out {
                 // The request is due, so that a retry could not be answered in time.
                 let response = self.attempts.final_response();
@@ -182,7 +174,18 @@
             let next = self
                 .attempts
                 .next_step(self.request.route.kind, max_attempts, error.kind);
+            let did_not_run = matches!(error.kind, FailureKind::Unreachable | FailureKind::NotRun);
             let response = match next {
+                NextStep::Reconnect | NextStep::Retry
+                    if did_not_run && !self.left_silent.is_empty() =>
+                {
+                    // The silent upstreams may be sound, so that they may be used again.
+                    let left = &self.left_silent;
+                    self.avoid.retain(|name| !left.contains(name));
+                    let is_retry = next == NextStep::Retry;
+                    reserved = Some(self.reserve_elsewhere(&upstream, is_retry).await);
+                    None
+                }
                 NextStep::Reconnect => None,
                 NextStep::Retry if self.acquire_retry() => None,
                 NextStep::Retry => Some((self.attempts.final_response(), "no retry left")),
@@ -213,12 +216,15 @@
     fn record_failure(&mut self, upstream: &Name, error: &AttemptError) {
         let (router, now) = (self.router, self.router.now());
         let kind = error.kind;
+        let stalled = self.stalled_since.take().is_some();
         // `attempt` has already counted attempts that may have run.
         if matches!(kind, FailureKind::Unreachable | FailureKind::NotRun) {
             self.attempts.record(kind);
         }
         router.with_service(&self.request.service, |service| match kind {
             FailureKind::Unreachable => service.pool.record_unreachable(now, upstream),
+            // A stall of the attempt was recorded when it began.
+            FailureKind::Broken | FailureKind::Failed if stalled => {}
             FailureKind::Broken | FailureKind::Failed => service.pool.record_failure(now, upstream),
             FailureKind::NotRun => {}
         });
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -36,6 +36,7 @@
         }
         self.timing.record(self.request.arrived, now, events);
         self.left_silent.clear();
+        self.stalled_since.set(None);
     }
 
     pub(super) async fn forward_plain(
--- a/crates/relay/src/run/stall.rs
+++ b/crates/relay/src/run/stall.rs
@@ -21,7 +21,7 @@
 const MIN_FIRST_EVENT_TIMEOUT: Span = Span::from_millis(2_000);
 /// Minimum stall timeout. Engines pause for this long during the prefill of other requests.
 const MIN_STALL_TIMEOUT: Span = Span::from_millis(1_000);
-/// Interval at which a request of a silent upstream looks for a slot at another one.
+/// Interval at which a request of a silent upstream looks for a retry in the budget.
 const MOVE_INTERVAL: Duration = Duration::from_millis(50);
 
 impl RequestRun<'_, '_> {
@@ -74,7 +74,7 @@
             tokio::select! {
                 biased;
                 done = progress => Ok(done),
-                reservation = self.reserve_elsewhere(upstream) => {
+                reservation = self.reserve_elsewhere(upstream, true) => {
                     Err(AttemptFailure::Stalled(reservation))
                 }
             }
@@ -102,9 +102,9 @@
         );
     }
 
-    /// Waits until another upstream than the last one has a free slot and the retry budget allows its
-    /// use.
-    pub(super) async fn reserve_elsewhere(&self, last: &Name) -> Reservation {
+    /// Waits until another upstream than the last one has a free slot and, if the use of it is a retry,
+    /// the retry budget allows that. A request that is known to crash upstreams waits where it is.
+    pub(super) async fn reserve_elsewhere(&self, last: &Name, is_retry: bool) -> Reservation {
         let avoid: Vec<Name> = self.avoid.iter().chain([last]).cloned().collect();
         let (router, request) = (self.router, self.request);
         loop {
@@ -112,9 +112,10 @@
                 let now = router.now();
                 service.retries.has_retry(now, router.router_count())
             });
-            if has_retry == Some(true) {
+            let may_move = !is_retry || has_retry == Some(true);
+            if may_move && router.poison_refusal(request).is_none() {
                 if let Some(reservation) = router.try_reserve(request, &avoid) {
-                    if self.acquire_retry() {
+                    if !is_retry || self.acquire_retry() {
                         return reservation;
                     }
                 }
--- a/crates/toucand/tests/silence.rs
+++ b/crates/toucand/tests/silence.rs
@@ -191,3 +191,30 @@
         "the stream did not move"
     );
 }
+
+/// Guards against one request that empties the retry budget after it left a silent upstream, because
+/// all others refuse it.
+#[actix_rt::test]
+async fn request_that_left_a_silent_upstream_is_refused_by_few_others() {
+    /// Attempts that upstreams may refuse: the first and three retries.
+    const MAX_REFUSED: usize = 4;
+    let site = site(Behaviour::Silent, Behaviour::Stream(3), 2).await;
+    let address = site.router.client;
+    let mut call = Call::valid("GET", "/lookup/1", "a1");
+    call.head.fields.remove("Deadline-Ms");
+    call.head.fields.push("Deadline-Ms", "4000");
+    let sent = actix_rt::spawn(async move { call.send_to(address).await });
+    wait_until("the first arrival", || !site.desk.arrivals().is_empty()).await;
+    let mut others = Vec::new();
+    for number in 0..3 * MAX_REFUSED {
+        let other = Worker::bind(Behaviour::NotRun).await.expect("an upstream");
+        let key = format!("servers/n{number}");
+        site.store
+            .set(&key, Some(&entry("desk", &other, "ready", 1)));
+        others.push(other);
+    }
+    let response = sent.await.expect("no panic").expect("a response");
+    assert!([502, 504].contains(&response.status), "{response:?}");
+    let refused: usize = others.iter().map(|other| other.arrivals().len()).sum();
+    assert!((1..=MAX_REFUSED).contains(&refused), "{refused} refusals");
+}
