Let a request of a silent upstream wait in the queue for another one

A stalled stream stayed at its silent engine, past the time for which its client waits, while requests that had arrived after it were started elsewhere. It looked for a free slot every 50 ms and only while nothing was queued, so that under load the queue took each slot that got free.

It now waits in the queue, where its early objective puts it first, while its attempt is still read. Such an entry delays no other request: it counts neither as waiting work nor as blocked, and a new request passes it where it can start at once. relay_waiting is counted down also for a request whose wait is dropped.

--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -20,6 +20,9 @@
     pub objective_at: Timestamp,
     /// Time at which it is refused if it has not started.
     pub expires_at: Timestamp,
+    /// Whether it runs at a silent upstream and waits for another one. It then delays no other request
+    /// and counts as no waiting work.
+    pub moves: bool,
 }
 
 /// The waiting requests of a service at one router.
@@ -53,10 +56,10 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the work of all waiting requests, or of those of one team.
+    /// Returns the work of all waiting requests that do not run yet, or of those of one team.
     #[must_use]
     pub fn work(&self, team: Option<&str>) -> u64 {
-        let waiting = self.waiting.iter();
+        let waiting = self.waiting.iter().filter(|waiting| !waiting.moves);
         let counted = waiting.filter(|waiting| team.is_none_or(|team| *waiting.team == *team));
         counted.map(|waiting| waiting.work).sum()
     }
--- a/crates/flow/tests/share.rs
+++ b/crates/flow/tests/share.rs
@@ -98,6 +98,7 @@
             priority: 1,
             objective_at: now + OBJECTIVE,
             expires_at,
+            moves: false,
         });
     }
 
@@ -270,6 +271,7 @@
         priority: 1,
         objective_at: now + OBJECTIVE,
         expires_at: now + OBJECTIVE,
+        moves: false,
     });
     let service = &mut fleet.services[0];
     service.accounts.record_request(now, &"quiet".into(), 1_000);
@@ -286,6 +288,7 @@
         priority: 1,
         objective_at: now + OBJECTIVE,
         expires_at: now + OBJECTIVE,
+        moves: false,
     });
     assert!(
         service.has_startable(now, fair_share),
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -102,6 +102,7 @@
 impl Drop for QueueGuard {
     fn drop(&mut self) {
         let key = (self.service.clone(), self.number);
+        self.router.metrics.waiting.dec();
         self.router.waiters.borrow_mut().0.swap_remove(&key);
         self.router
             .with_service(&self.service, |service| service.queue.remove(self.number));
@@ -159,6 +160,7 @@
         let now = self.now();
         self.record_slot_request();
         let due = request.due();
+        let interval = self.report_interval();
         let wait = self.with_service(&request.service, |service| {
             let prompt = request.prompt.as_ref();
             let fair_share = service.fair_share(now);
@@ -169,8 +171,11 @@
             service
                 .accounts
                 .record_request(now, &team.into(), request_work(request));
-            if let Some(choice) = self.start_at_once(service, now, request, avoid) {
-                return Ok(Ok(choice));
+            let may_start = service.may_start(now, team, request_work(request), fair_share);
+            if may_start && !service.has_startable(now, fair_share) {
+                if let Some(choice) = service.choose(now, &self.domain, prompt, avoid, interval) {
+                    return Ok(Ok(record_start(service, now, request, choice)));
+                }
             }
             if service.pool.accepting_count() == 0 {
                 return Err((Refusal::NoUpstream, fair_share));
@@ -180,17 +185,8 @@
             if now + wait >= until {
                 return Err((late(wait), fair_share));
             }
-            let objective = request.route.objective.as_micros();
-            let objective = Span::from_micros(u64::try_from(objective).unwrap_or(u64::MAX));
             Ok(Err((
-                service.queue.push(QueuedRequest {
-                    number: 0,
-                    team: request.team().into(),
-                    work: request_work(request),
-                    priority: request.priority,
-                    objective_at: request.arrived + objective,
-                    expires_at: until,
-                }),
+                service.queue.push(queued(request, until, false)),
                 until,
             )))
         });
@@ -205,38 +201,23 @@
         self.wait_in_queue(request, avoid, number, until, now).await
     }
 
-    /// Reserves a slot at an upstream other than `avoid` if one is free for the request now.
-    pub(crate) fn try_reserve(
+    /// Waits until the request is due for a slot at an upstream other than `avoid`, for a request that
+    /// runs at a silent one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service is unknown or the request is due.
+    pub(crate) async fn reserve_for_move(
         self: &Rc<Self>,
         request: &Rc<Request>,
         avoid: &[Name],
-    ) -> Option<Reservation> {
-        let now = self.now();
-        let choice = self.with_service(&request.service, |service| {
-            self.start_at_once(service, now, request, avoid)
+    ) -> Result<Reservation, Refused> {
+        let (now, due) = (self.now(), request.due());
+        let number = self.with_service(&request.service, |service| {
+            service.queue.push(queued(request, due, true))
         });
-        Some(self.reservation(request, choice??))
-    }
-
-    /// Starts a request without queueing it, unless a queued one may start before it.
-    fn start_at_once(
-        &self,
-        service: &mut Service,
-        now: Timestamp,
-        request: &Request,
-        avoid: &[Name],
-    ) -> Option<Choice> {
-        let fair_share = service.fair_share(now);
-        let work = request_work(request);
-        if !service.may_start(now, request.team(), work, fair_share)
-            || service.has_startable(now, fair_share)
-        {
-            return None;
-        }
-        let prompt = request.prompt.as_ref();
-        let interval = self.report_interval();
-        let choice = service.choose(now, &self.domain, prompt, avoid, interval)?;
-        Some(record_start(service, now, request, choice))
+        let number = number.ok_or(Refused::new(Refusal::NoUpstream, MIN_RETRY_AFTER))?;
+        self.wait_in_queue(request, avoid, number, due, now).await
     }
 
     async fn wait_in_queue(
@@ -255,12 +236,12 @@
         };
         let key = (request.service.clone(), number);
         self.waiters.borrow_mut().0.insert(key, waiter);
+        self.metrics.waiting.inc();
         let _guard = QueueGuard {
             router: self.clone(),
             service: request.service.clone(),
             number,
         };
-        self.metrics.waiting.inc();
         emit(
             Event::Queued,
             &[
@@ -271,7 +252,6 @@
         );
         self.start_queued(&request.service);
         let granted = time::timeout(until.since(now).as_duration(), granted).await;
-        self.metrics.waiting.dec();
         match granted {
             Ok(Ok(reservation)) => Ok(reservation),
             _ => {
@@ -384,6 +364,9 @@
                 let prompt = waiter.request.prompt.as_ref();
                 let choice = service.choose(now, &self.domain, prompt, &waiter.avoid, interval);
                 let Some(choice) = choice else {
+                    if waiting.moves {
+                        continue;
+                    }
                     blocked += 1;
                     if blocked >= MAX_BLOCKED {
                         break;
@@ -424,6 +407,20 @@
     choice
 }
 
+/// Returns the entry of a request in the queue, which assigns its number.
+fn queued(request: &Request, expires_at: Timestamp, moves: bool) -> QueuedRequest {
+    let objective = u64::try_from(request.route.objective.as_micros()).unwrap_or(u64::MAX);
+    QueuedRequest {
+        number: 0,
+        team: request.team().into(),
+        work: request_work(request),
+        priority: request.priority,
+        objective_at: request.arrived + Span::from_micros(objective),
+        expires_at,
+        moves,
+    }
+}
+
 fn queue_expiry(request: &Request, due: Timestamp, engine: bool) -> Timestamp {
     let objective = u64::try_from(request.route.objective.as_micros()).unwrap_or(u64::MAX);
     let objective = Span::from_micros(objective);
--- a/crates/relay/src/run/stall.rs
+++ b/crates/relay/src/run/stall.rs
@@ -114,7 +114,7 @@
             });
             let may_move = !is_retry || has_retry == Some(true);
             if may_move && router.poison_refusal(request).is_none() {
-                if let Some(reservation) = router.try_reserve(request, &avoid) {
+                if let Ok(reservation) = router.reserve_for_move(request, &avoid).await {
                     if !is_retry || self.acquire_retry() {
                         return reservation;
                     }
--- a/crates/toucand/tests/silence.rs
+++ b/crates/toucand/tests/silence.rs
@@ -218,3 +218,52 @@
     let refused: usize = others.iter().map(|other| other.arrivals().len()).sum();
     assert!((1..=MAX_REFUSED).contains(&refused), "{refused} refusals");
 }
+
+/// Guards against a stalled stream that gets no slot while younger requests are queued.
+#[actix_rt::test]
+async fn stalled_stream_moves_before_younger_requests_start() {
+    let pause = Duration::from_millis(300);
+    let site = Site::start(Behaviour::Plain, Behaviour::SlowStream(3, pause)).await;
+    site.router.set_descriptors(4_000).await;
+    let mut changed = configuration(2);
+    changed["limits"]["tokensPerS"] = Value::from(3_000_000);
+    for route in changed["routes"].as_array_mut().expect("routes") {
+        // Requests may wait at the router for a tenth of it.
+        route["targetLatencyMs"] = Value::from(60_000);
+    }
+    site.reconfigure(changed).await;
+    let set_single_slot = |number: usize, state: &str, seq| {
+        let text = entry("model", &site.models[number], state, seq);
+        let mut single: Value = serde_json::from_slice(&text).expect("JSON");
+        single["slots"] = Value::from(1);
+        let key = format!("servers/m{}", number + 1);
+        site.store.set(&key, Some(single.to_string().as_bytes()));
+    };
+    set_single_slot(1, "draining", 2);
+    site.wait_metric("relay_upstreams 2").await;
+    set_single_slot(0, "ready", 2);
+    actix_rt::time::sleep(pause).await;
+    site.models[0].script(&[Behaviour::Stall(2)]);
+    let address = site.router.client;
+    let send = |id: &str| {
+        let call = Call::prompt("/draft/1", id);
+        actix_rt::spawn(async move {
+            let response = call.send_to(address).await;
+            (response, std::time::Instant::now())
+        })
+    };
+    let first = send("a1");
+    wait_until("the first arrival", || site.model_arrivals() == 1).await;
+    let younger: Vec<_> = (0..8).map(|number| send(&format!("b{number}"))).collect();
+    set_single_slot(1, "ready", 3);
+    let (response, end) = first.await.expect("no panic");
+    assert!(response.expect("a response").whole, "the stream was cut");
+    let mut before = 0;
+    for request in younger {
+        let (response, ended) = request.await.expect("no panic");
+        let served = response.is_ok_and(|response| response.status == 200 && response.whole);
+        before += usize::from(served && ended < end);
+    }
+    // Those that start before the stream counts as stalled: one takes 0.9 s, the stall timeout is 1 s.
+    assert!(before <= 3, "{before} younger requests were served first");
+}
