Answer a request that is due with 504, and not as broken off

Callers read "the upstream broke off", status 502, when their upstream had sent nothing until the deadline; relay_requests_total counted it as unknown and not as overdue. The attempt's own timeout came before that of the request. An error response of an earlier attempt is still passed on.

request_that_is_due_is_answered_as_timed_out fails without the change: 502 instead of 504.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -172,8 +172,10 @@
             let max_attempts = self.request.route.max_attempts;
             if error.timed_out {
                 // The request is due, so that a retry could not be answered in time.
-                let response = self.attempts.final_response();
-                return self.finish(response, "no answer in time").await;
+                return match self.failure {
+                    Some(_) => self.finish(FinalResponse::Failure, &error.cause).await,
+                    None => self.respond_locally(LocalResponse::TimedOut).await,
+                };
             }
             let next = self
                 .attempts
--- a/crates/toucand/tests/silence.rs
+++ b/crates/toucand/tests/silence.rs
@@ -267,3 +267,19 @@
     // Those that start before the stream counts as stalled: one takes 0.9 s, the stall timeout is 1 s.
     assert!(before <= 3, "{before} younger requests were served first");
 }
+
+/// Guards against stating that the upstream broke off when it was silent until the request was due.
+#[actix_rt::test]
+async fn request_that_is_due_is_answered_as_timed_out() {
+    let site = site(Behaviour::Silent, Behaviour::Stream(3), 2).await;
+    for call in [
+        Call::valid("GET", "/lookup/1", "a1"),
+        Call::valid("POST", "/book/1", "a2").body("truck"),
+    ] {
+        let mut call = call;
+        call.head.fields.remove("Deadline-Ms");
+        call.head.fields.push("Deadline-Ms", "1500");
+        let response = call.send(&site.router).await;
+        assert_eq!(response.status, 504);
+    }
+}
