Do not end the router of the own interface on a hangup

A SIGHUP ended a process of the project's own interface at once: streams broke off, and calls got no response. The signal had no handler, and its default action ends the process; the platform interface has one. It is ignored now, since these settings are read only at the start.

Found in a review that looked for requests that end without a response elsewhere. hangup_cuts_no_stream fails without the change: the client is disconnected before it has a response.

--- a/crates/toucand/src/serve.rs
+++ b/crates/toucand/src/serve.rs
@@ -120,6 +120,8 @@
         end,
     });
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    // Without a handler the signal would end the process. The settings are read only at the start.
+    let _hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     // One worker only: each worker would create a router of its own.
     let server = Server::build()
         .workers(1)
