--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -1,6 +1,6 @@
 //! Client connections.
 
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{cell::Cell, fmt::Display, io, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use tokio::{
@@ -14,6 +14,7 @@
     connection::{self, Connection},
     head,
 };
+use tsw_platform::client_request;
 use tsw_relay::{
     local_response::LocalResponse,
     request::Request,
@@ -52,13 +53,6 @@
     }
 }
 
-/// The result of waiting for the next request on a connection.
-enum Next {
-    Request(head::Request),
-    Invalid(LocalResponse),
-    Closed,
-}
-
 /// Serves the requests on a connection until it is closed.
 ///
 /// # Errors
@@ -68,62 +62,74 @@
     let _open = CountGuard::new(&state.clients);
     let mut connection = Connection::accepted(stream);
     let mut first = true;
-    loop {
-        let limits = state
-            .router
-            .table()
-            .map_or(Limits::default(), |table| table.limits);
-        let head = match next_request(&state, &mut connection, &limits).await? {
-            Next::Request(head) => head,
-            Next::Invalid(response) => return refuse(&state, connection, response).await,
-            Next::Closed => return Ok(()),
+    while wait_for_request(&state, &mut connection).await? {
+        let _in_flight = CountGuard::new(&state.in_flight);
+        let head = match read_head(&state, &mut connection).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(response)) => return refuse(&state, connection, response).await,
+            Err(error) => {
+                log_lost(&connection, None, &error);
+                return Err(error);
+            }
         };
         state.reuse.record(std::mem::take(&mut first));
-        if !serve_request(&state, &mut connection, head, &limits).await? {
-            return Ok(());
+        if !serve_request(&state, &mut connection, head).await? {
+            break;
         }
     }
+    Ok(())
 }
 
-/// Waits for the head of the next request.
-async fn next_request(
-    state: &State,
-    connection: &mut Connection,
-    limits: &Limits,
-) -> io::Result<Next> {
+/// Waits until a request begins to arrive. Returns false if the connection is closed instead.
+async fn wait_for_request(state: &State, connection: &mut Connection) -> io::Result<bool> {
     let mut phase = state.phase.subscribe();
-    let mut head_deadline = None;
-    loop {
-        match head::Request::take(&mut connection.buffer, limits.head_bytes) {
-            Ok(Some(head)) => return Ok(Next::Request(head)),
-            Ok(None) => {}
-            Err(head::Error::TooLong { .. }) => {
-                return Ok(Next::Invalid(LocalResponse::HeadTooLarge))
-            }
-            Err(_) => return Ok(Next::Invalid(LocalResponse::Malformed)),
-        }
-        let idle = connection.buffer.is_empty();
-        let deadline = if idle {
-            time::Instant::now() + limits.idle_timeout
-        } else {
-            *head_deadline.get_or_insert_with(|| time::Instant::now() + limits.head_timeout)
-        };
-        tokio::select! {
+    let idle_since = time::Instant::now();
+    while connection.buffer.is_empty() {
+        let deadline = idle_since + state.limits().idle_timeout;
+        let closes = tokio::select! {
             read = connection.fill() => {
                 if read? == 0 {
-                    return Ok(Next::Closed);
+                    return Ok(false);
                 }
+                false
             }
+            // The active configuration may have raised the timeout meanwhile.
             () = time::sleep_until(deadline) => {
-                return Ok(if idle { Next::Closed } else { Next::Invalid(LocalResponse::RequestTimeout) });
-            }
-            _ = phase.wait_for(|phase| *phase == Phase::Closing), if idle => {
-                // Data that has already arrived is read: closing now would reset the connection and
-                // lose the request.
-                if !connection.has_unread_bytes() || connection.fill().await? == 0 {
-                    return Ok(Next::Closed);
-                }
+                idle_since + state.limits().idle_timeout <= deadline
             }
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => true,
+        };
+        // Data that has already arrived is read: closing now would reset the connection and lose the
+        // request.
+        if closes && (!connection.has_unread_bytes() || connection.fill().await? == 0) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+/// Reads the head of a request that has begun to arrive. The inner error is the response to a head
+/// that is refused.
+async fn read_head(
+    state: &State,
+    connection: &mut Connection,
+) -> io::Result<Result<head::Request, LocalResponse>> {
+    let limits = state.limits();
+    let deadline = time::Instant::now() + limits.head_timeout;
+    loop {
+        match head::Request::take(&mut connection.buffer, limits.head_bytes) {
+            Ok(Some(head)) => return Ok(Ok(head)),
+            Ok(None) => {}
+            Err(head::Error::TooLong { .. }) => return Ok(Err(LocalResponse::HeadTooLarge)),
+            Err(_) => return Ok(Err(LocalResponse::Malformed)),
+        }
+        let read = match time::timeout_at(deadline, connection.fill()).await {
+            Ok(read) => read?,
+            Err(_) if connection.has_unread_bytes() => connection.fill().await?,
+            Err(_) => return Ok(Err(LocalResponse::RequestTimeout)),
+        };
+        if read == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
 }
@@ -165,14 +171,16 @@
     state: &Rc<State>,
     connection: &mut Connection,
     head: head::Request,
-    limits: &Limits,
 ) -> io::Result<bool> {
-    let _in_flight = CountGuard::new(&state.in_flight);
     let table = state.router.table();
     let checked = authorize::check(&head, table.as_ref(), rand::random());
-    let body = match read_body(connection, &head, limits).await? {
-        Ok(body) => body,
-        Err(response) => {
+    let body = match read_body(connection, &head, &state.limits()).await {
+        Ok(Ok(body)) => body,
+        Err(error) => {
+            log_lost(connection, Some(&head), &error);
+            return Err(error);
+        }
+        Ok(Err(response)) => {
             let (_, writer) = connection.stream.split();
             let mut responder = Responder::new(writer, &head, true);
             emit(Event::Refused, &[("cause", &response)]);
@@ -231,6 +239,20 @@
     }
 }
 
+/// Logs that a connection ended before a request was read, of which the head may be known.
+fn log_lost(connection: &Connection, head: Option<&head::Request>, cause: impl Display) {
+    let parsed = head.map(client_request::parse);
+    let id = parsed.and_then(|parsed| parsed.id);
+    emit(
+        Event::RequestLost,
+        &[
+            ("request", &id.as_deref().unwrap_or("-")),
+            ("cause", &cause),
+            ("received", &connection.buffer.len()),
+        ],
+    );
+}
+
 fn log_disconnect(state: &State, request: &Request) {
     let elapsed = state.router.now().since(request.arrived);
     emit(
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -17,7 +17,7 @@
 use tsw_member::{audience::Audience, roster::Roster};
 use tsw_platform::{configuration, store::Item, upstream};
 use tsw_relay::router::Router;
-use tsw_route::Name;
+use tsw_route::{table::Limits, Name};
 
 use crate::{connection_reuse::ReuseTracker, store_copy::StoreCopy};
 
@@ -60,7 +60,7 @@
     pub read_since: Cell<Option<Timestamp>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
-    /// Number of requests that have been read and not answered yet.
+    /// Number of requests that have begun to arrive and are not answered yet.
     pub in_flight: Cell<usize>,
     /// Number of open client connections.
     pub clients: Cell<usize>,
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Returns the limits on clients of the active configuration.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let table = self.router.table();
+        table.map_or(Limits::default(), |table| table.limits)
+    }
+
     /// Returns whether connections are closed after the current response: because the router is
     /// stopping, or because client connections use too many file descriptors.
     #[must_use]
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs one request from its admission to its final response.
 
-use std::{io, rc::Rc};
+use std::{cell::Cell, io, rc::Rc};
 
 use bytes::Bytes;
 use tokio::time;
@@ -8,7 +8,7 @@
 use tsw_event::{emit, Event};
 use tsw_flow::retry::{Attempts, FailureKind, FinalResponse, NextStep};
 use tsw_http::head;
-use tsw_route::{table::Kind, Name};
+use tsw_route::Name;
 
 use crate::{
     attempt::AttemptError,
@@ -22,21 +22,10 @@
 
 mod finish;
 mod forward;
+mod stall;
 
 pub use finish::send_local_response;
 
-/// Stall timeout of a plain upstream, as a multiple of the route's objective, if the request may be
-/// repeated.
-const STALL_OBJECTIVES: u64 = 4;
-/// Stall timeout between events, as a multiple of the route's gap objective, after which a stream is
-/// resumed at another upstream if that is allowed. Clients disconnect after eight gap objectives.
-const STALL_GAPS: u64 = 3;
-/// Minimum stall timeout before the first event of a stream. A shorter one would send more prompts to
-/// engines that are busy with prefill; clients wait for three seconds or longer.
-const MIN_FIRST_EVENT_TIMEOUT: Span = Span::from_millis(2_000);
-/// Minimum stall timeout. Engines pause for this long during the prefill of other requests.
-const MIN_STALL_TIMEOUT: Span = Span::from_millis(1_000);
-
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -53,8 +42,12 @@
     responder: &'a mut Responder<'b>,
     attempts: Attempts,
     avoid: Vec<Name>,
+    /// Upstreams that the request left because they were silent, since its last progress.
+    left_silent: Vec<Name>,
     last_event_id: Option<Bytes>,
     timing: EventTiming,
+    /// The last progress before the most recent stall, so that each stall is recorded once.
+    stalled_since: Cell<Option<Timestamp>>,
     /// The error response of an upstream, sent to the client if no attempt succeeds.
     failure: Option<(head::Response, Bytes)>,
 }
@@ -62,6 +55,8 @@
 /// Why an attempt ended without a complete response.
 enum AttemptFailure {
     Upstream(AttemptError),
+    /// The upstream is silent, and the request moves to the upstream of the reservation.
+    Stalled(Reservation),
     Client(io::Error),
 }
 
@@ -99,21 +94,34 @@
         responder,
         attempts: Attempts::default(),
         avoid: Vec::new(),
+        left_silent: Vec::new(),
         last_event_id: None,
         timing: EventTiming::default(),
+        stalled_since: Cell::default(),
         failure: None,
     };
     let left = request.due().since(router.now()).as_duration();
-    let outcome = match time::timeout(left, request_run.run_attempts()).await {
-        Ok(outcome) => outcome?,
-        Err(_) => {
-            let refused = Refused::new(Refusal::Late, Span::ZERO);
-            match request_run.attempts.final_response() {
-                FinalResponse::NotRun => request_run.refuse(refused).await?,
-                _ => request_run.respond_locally(LocalResponse::TimedOut).await?,
-            }
+    let mut stopping = router.stopping.subscribe();
+    let end = if *stopping.borrow_and_update() {
+        Err(Refusal::Stopping)
+    } else {
+        tokio::select! {
+            biased;
+            outcome = request_run.run_attempts() => Ok(outcome?),
+            () = time::sleep(left) => Err(Refusal::Late),
+            _ = stopping.changed() => Err(Refusal::Stopping),
         }
     };
+    let outcome = match end {
+        Ok(outcome) => outcome,
+        Err(refusal) => match request_run.attempts.final_response() {
+            FinalResponse::NotRun => {
+                let refused = Refused::new(refusal, Span::ZERO);
+                request_run.refuse(refused).await?
+            }
+            _ => request_run.respond_locally(LocalResponse::TimedOut).await?,
+        },
+    };
     let total = router.now().since(request.arrived).as_secs_f64();
     router.metrics.total.observe(total);
     Ok(outcome)
@@ -121,13 +129,17 @@
 
 impl RequestRun<'_, '_> {
     async fn run_attempts(&mut self) -> io::Result<Outcome> {
+        let mut reserved = None;
         loop {
             if let Some(outcome) = self.refuse_poison().await? {
                 return Ok(outcome);
             }
-            let reservation = match self.router.reserve(self.request, &self.avoid).await {
-                Ok(reservation) => reservation,
-                Err(refused) => return self.finish_without_slot(refused).await,
+            let reservation = match reserved.take() {
+                Some(reservation) => reservation,
+                None => match self.router.reserve(self.request, &self.avoid).await {
+                    Ok(reservation) => reservation,
+                    Err(refused) => return self.finish_without_slot(refused).await,
+                },
             };
             // It may have been confirmed that the request crashes upstreams while it was queued.
             if let Some(outcome) = self.refuse_poison().await? {
@@ -142,6 +154,14 @@
                 Ok(outcome) => return Ok(outcome),
                 Err(AttemptFailure::Client(error)) => return Err(error),
                 Err(AttemptFailure::Upstream(error)) => error,
+                Err(AttemptFailure::Stalled(reservation)) => {
+                    reserved = Some(reservation);
+                    self.log_failure(&upstream, &AttemptError::timeout());
+                    self.stalled_since.set(None);
+                    self.left_silent.push(upstream.clone());
+                    self.avoid.push(upstream);
+                    continue;
+                }
             };
             self.record_failure(&upstream, &error);
             if self.is_crash_suspect(&error) {
@@ -150,17 +170,35 @@
                 router.check_crash(self.request, &upstream, address).await;
             }
             let max_attempts = self.request.route.max_attempts;
+            if error.timed_out {
+                // The request is due, so that a retry could not be answered in time.
+                return match self.failure {
+                    Some(_) => self.finish(FinalResponse::Failure, &error.cause).await,
+                    None => self.respond_locally(LocalResponse::TimedOut).await,
+                };
+            }
             let next = self
                 .attempts
                 .next_step(self.request.route.kind, max_attempts, error.kind);
+            let did_not_run = matches!(error.kind, FailureKind::Unreachable | FailureKind::NotRun);
             let response = match next {
+                NextStep::Reconnect | NextStep::Retry
+                    if did_not_run && !self.left_silent.is_empty() =>
+                {
+                    // The silent upstreams may be sound, so that they may be used again.
+                    let left = &self.left_silent;
+                    self.avoid.retain(|name| !left.contains(name));
+                    let is_retry = next == NextStep::Retry;
+                    reserved = Some(self.reserve_elsewhere(&upstream, is_retry).await);
+                    None
+                }
                 NextStep::Reconnect => None,
                 NextStep::Retry if self.acquire_retry() => None,
-                NextStep::Retry => Some(self.attempts.final_response()),
-                NextStep::Respond(response) => Some(response),
+                NextStep::Retry => Some((self.attempts.final_response(), "no retry left")),
+                NextStep::Respond(response) => Some((response, "no attempt left")),
             };
-            if let Some(response) = response {
-                return self.finish(response).await;
+            if let Some((response, cause)) = response {
+                return self.finish(response, cause).await;
             }
             self.avoid.push(upstream);
         }
@@ -184,18 +222,25 @@
     fn record_failure(&mut self, upstream: &Name, error: &AttemptError) {
         let (router, now) = (self.router, self.router.now());
         let kind = error.kind;
+        let stalled = self.stalled_since.take().is_some();
         // `attempt` has already counted attempts that may have run.
         if matches!(kind, FailureKind::Unreachable | FailureKind::NotRun) {
             self.attempts.record(kind);
         }
         router.with_service(&self.request.service, |service| match kind {
             FailureKind::Unreachable => service.pool.record_unreachable(now, upstream),
+            // A stall of the attempt was recorded when it began.
+            FailureKind::Broken | FailureKind::Failed if stalled => {}
             FailureKind::Broken | FailureKind::Failed => service.pool.record_failure(now, upstream),
             FailureKind::NotRun => {}
         });
         if self.is_crash_suspect(error) {
             router.record_broken_connection(self.request, upstream);
         }
+        self.log_failure(upstream, error);
+    }
+
+    fn log_failure(&self, upstream: &Name, error: &AttemptError) {
         let prompt = self.request.prompt.as_ref();
         let parts = prompt.map(|prompt| prompt.display_shared().to_string());
         emit(
@@ -216,51 +261,31 @@
         let allowed = router.with_service(&self.request.service, |service| {
             service.retries.try_acquire(now, router.router_count())
         });
-        if allowed == Some(true) {
-            emit(
-                Event::Retried,
-                &[("request", &self.request.id), ("runs", &self.attempts.runs)],
-            );
-        }
-        allowed == Some(true)
-    }
-
-    /// Returns when an attempt that has made no progress since `since` is abandoned.
-    fn stall_deadline(&self, since: Timestamp) -> Timestamp {
-        let (route, due) = (&self.request.route, self.request.due());
-        let may_retry = self.attempts.runs < route.max_attempts;
-        let micros =
-            |time: std::time::Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        let limit = match route.kind {
-            Kind::Idempotent => micros(route.objective) * STALL_OBJECTIVES,
-            Kind::Stream { resumable: true } if self.last_event_id.is_some() => {
-                micros(route.gap_objective.unwrap_or(route.objective)) * STALL_GAPS
-            }
-            Kind::Stream { resumable: true } => {
-                (micros(route.objective) * 2).max(MIN_FIRST_EVENT_TIMEOUT.as_micros())
-            }
-            _ => return due,
-        };
-        if may_retry {
-            due.min(since + Span::from_micros(limit).max(MIN_STALL_TIMEOUT))
+        let allowed = allowed == Some(true);
+        let event = if allowed {
+            Event::Retried
         } else {
-            due
-        }
+            Event::RetryDenied
+        };
+        emit(
+            event,
+            &[("request", &self.request.id), ("runs", &self.attempts.runs)],
+        );
+        allowed
     }
 
     async fn attempt(&mut self, reservation: Reservation) -> Result<Outcome, AttemptFailure> {
-        let until = self.stall_deadline(self.router.now());
         // From here on the request may run. The count is decremented if it certainly did not.
         self.attempts.runs += 1;
+        let upstream = reservation.choice().id.clone();
+        let (router, request) = (self.router, self.request);
         let sent = self
-            .router
-            .send(
-                self.request,
-                reservation,
-                self.last_event_id.as_ref(),
-                until,
+            .wait_for_progress(
+                &upstream,
+                router.now(),
+                router.send(request, reservation, self.last_event_id.as_ref()),
             )
-            .await;
+            .await?;
         if let Err(AttemptError {
             kind: FailureKind::Unreachable | FailureKind::NotRun,
             ..
