--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -130,6 +130,10 @@
     Retried = 311 Info "retried";
     /// A grant was returned unused.
     GrantUnused = 312 Debug "grant-unused";
+    /// A connection of a client ended before the request on it was read.
+    RequestLost = 313 Warn "request-lost";
+    /// A retry was not made because the retry budget is used up.
+    RetryDenied = 314 Warn "retry-denied";
     /// A home granted a slot to an entry router.
     SlotGranted = 401 Info "slot-granted";
     /// An upstream is scheduled.
@@ -162,6 +166,9 @@
     CauseRefused = 415 Error "cause-refused";
     /// Requests with certain prompt parts are no longer refused, because an upstream responded to one.
     CauseAllowed = 416 Info "cause-allowed";
+    /// An upstream made no progress until the stall timeout. Its request moves to another one that has
+    /// room if the retry budget allows it, and waits otherwise.
+    UpstreamSilent = 417 Warn "upstream-silent";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
