Return the store from a copy in the soak test, and check departures and configurations

The soak test did not play a store that returns from a copy, and did not check whether requests reach an upstream after its departure or whether a configuration goes back.

New fault RestoreStore: the store stops responding, returns from a copy 0.5 s to 24 s old, and upstreams and the operator write again what they had written: upstreams with their next heartbeat, which they send now, the operator after 0.5 s. Entries without heartbeats expire. Half of the replaced upstreams remain until the end of a run.

New checks, for routers in touch: no request reaches an upstream later than the drain bound after the store acknowledged its departure, and none is refused that the newest configuration allows once its bound has passed or the same router process has served such a request. Idempotent requests bear a key that only the newest version allows.

--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -77,6 +77,28 @@
     pub fn revision(&self) -> u64 {
         self.changes.len() as u64
     }
+
+    /// Returns the keys that start with a prefix, sorted.
+    #[must_use]
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let items = items(&self.changes, prefix).into_iter();
+        items.map(|item| item.key).collect()
+    }
+}
+
+/// Returns the current items whose keys start with a prefix, sorted by key.
+fn items(changes: &[Change], prefix: &str) -> Vec<Change> {
+    let mut items: Vec<Change> = Vec::new();
+    for change in changes
+        .iter()
+        .filter(|change| change.key.starts_with(prefix))
+    {
+        items.retain(|item| item.key != change.key);
+        items.push(change.clone());
+    }
+    items.retain(|item| item.value.is_some());
+    items.sort_by(|a, b| a.key.cmp(&b.key));
+    items
 }
 
 struct State {
@@ -108,26 +130,10 @@
         self.changes.borrow().len() as u64
     }
 
-    /// Returns the current items whose keys start with a prefix, sorted by key.
-    fn items(&self, prefix: &str) -> Vec<Change> {
-        let changes = self.changes.borrow();
-        let mut items: Vec<Change> = Vec::new();
-        for change in changes
-            .iter()
-            .filter(|change| change.key.starts_with(prefix))
-        {
-            items.retain(|item| item.key != change.key);
-            items.push(change.clone());
-        }
-        items.retain(|item| item.value.is_some());
-        items.sort_by(|a, b| a.key.cmp(&b.key));
-        items
-    }
-
     fn range(&self, call: &Call) -> HttpResponse {
         let after = call.param("after").unwrap_or_default();
         let prefix = call.param("pathPrefix").unwrap_or_default();
-        let mut items = self.items(&prefix);
+        let mut items = items(&self.changes.borrow(), &prefix);
         items.retain(|item| item.key > after);
         let more = items.len() > PAGE_SIZE;
         items.truncate(PAGE_SIZE);
@@ -138,8 +144,8 @@
 
     fn key(&self, call: &Call) -> HttpResponse {
         let key = call.param("key").unwrap_or_default();
-        let found = self.items(&key).into_iter().find(|item| item.key == key);
-        match found {
+        let items = items(&self.changes.borrow(), &key);
+        match items.into_iter().find(|item| item.key == key) {
             Some(item) => http::json(StatusCode::OK, &item.json()),
             None => http::error_response(StatusCode::NOT_FOUND, &"no such key"),
         }
--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -8,7 +8,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -161,6 +161,8 @@
     pub body: Bytes,
     /// How the upstream responds to it.
     pub behaviour: Behaviour,
+    /// Time at which it had arrived completely.
+    pub time: Instant,
 }
 
 /// Time for which the upstream accepts no connection after a crash.
@@ -339,6 +341,7 @@
             head,
             body,
             behaviour,
+            time: Instant::now(),
         };
         state.arrivals.borrow_mut().push(arrival.clone());
         let id = arrival.head.fields.text("Attempt-Id").unwrap_or_default();
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 use tsw_http::{body, connection::Connection, exchange::Exchange, field::Fields, head};
 
-use crate::history::{End, History, Kind, Request, KEY};
+use crate::history::{self, End, History, Kind, Request, KEY};
 
 /// Hostname of the routes.
 pub const HOST: &str = "soak.example";
@@ -68,6 +68,10 @@
             router: connected
                 .as_ref()
                 .map_or_else(|router| *router, |opened| opened.0),
+            configuration: match kind {
+                Kind::Idempotent => Some(shared.history.borrow().configurations.len()),
+                _ => None,
+            },
             sent,
             ended: sent,
             end: End::NoConnection,
@@ -100,7 +104,9 @@
     fields.push("Host", HOST);
     fields.push("Attempt-Id", id.to_owned());
     fields.push("Deadline-Ms", DEADLINE.as_millis().to_string());
-    fields.push("Authorization", format!("Token {KEY}"));
+    let key = request.configuration.map(history::key);
+    let key = key.as_deref().unwrap_or(KEY);
+    fields.push("Authorization", format!("Token {key}"));
     if request.kind.is_stream() {
         fields.push("Model-Name", "m");
         fields.push("Token-Count", "1000,50");
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -4,7 +4,7 @@
 
 use rand::{seq::SliceRandom, Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tsw_fake::worker::Behaviour;
+use tsw_fake::{store::Mode, worker::Behaviour};
 
 /// Number of events in a complete stream.
 pub const STREAM_EVENTS: u64 = 6;
@@ -14,6 +14,8 @@
 const MAX_DURATION_MS: u64 = 3_000;
 /// Delay of a slow link in each direction.
 const SLOW_DELAY: Duration = Duration::from_millis(150);
+/// Ages of the copies from which the store returns.
+const COPY_AGE_MS: std::ops::RangeInclusive<u64> = 500..=24_000;
 
 /// A fault or a planned operation. The number is the index of a router or an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,6 +44,9 @@
     StoreBusy,
     /// The store does not respond.
     StoreSilent,
+    /// The store stops responding in this way and returns from a copy of this age; what was written
+    /// since is lost and written again.
+    RestoreStore(Mode, Duration),
     /// The link between one router and the store is blocked.
     BlockStore(usize),
     /// The store compacts its history.
@@ -92,7 +97,7 @@
 
 fn draw_fault(rng: &mut Pcg64Mcg, routers: usize, upstreams: usize) -> Fault {
     let (router, upstream) = (rng.gen_range(0..routers), rng.gen_range(0..upstreams));
-    match rng.gen_range(0..16) {
+    match rng.gen_range(0..20) {
         0 | 1 => Fault::Kill(router),
         2 => Fault::Pause(router),
         3 | 4 => Fault::Terminate(router),
@@ -102,11 +107,16 @@
         8 => Fault::BlockFromUpstream(upstream),
         9 => Fault::ResetUpstream(upstream),
         10 | 11 => Fault::ChangeBehaviour(upstream, draw_behaviour(rng)),
-        12 => Fault::ReplaceUpstream(upstream),
-        13 => *[Fault::StoreBusy, Fault::StoreSilent]
+        12 | 13 => Fault::ReplaceUpstream(upstream),
+        14 => *[Fault::StoreBusy, Fault::StoreSilent]
             .choose(rng)
             .expect("not empty"),
-        14 => Fault::BlockStore(router),
+        15 => Fault::BlockStore(router),
+        16 | 17 => {
+            let mode = *[Mode::Busy, Mode::Silent].choose(rng).expect("not empty");
+            Fault::RestoreStore(mode, Duration::from_millis(rng.gen_range(COPY_AGE_MS)))
+        }
+        18 => Fault::PublishConfiguration,
         _ => *[Fault::CompactStore, Fault::PublishConfiguration]
             .choose(rng)
             .expect("not empty"),
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -16,6 +16,8 @@
         optional --length-s length_s: u64
         /// Router program (`toucand` in the directory of this program).
         optional --program program: PathBuf
+        /// Program of every second router, for fleets of two builds (that of the others).
+        optional --other-program other_program: PathBuf
         /// Directory to which the logs of failed runs are moved (the system's temporary directory).
         optional --logs logs: PathBuf
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The router processes, the stand-ins and the proxies between them.
 
+mod injection;
+
 use std::{
     cell::{Cell, RefCell},
     fs,
@@ -14,13 +16,9 @@
 };
 
 use eyre::{Context as _, Result};
-use rustix::process::Signal;
 use serde_json::{json, Value};
-use tokio::time;
-use tsw_fake::{
-    store::{Mode, Store},
-    worker::{Behaviour, Worker},
-};
+use tokio::{task, time};
+use tsw_fake::worker::{Behaviour, Worker};
 use tsw_load::{
     delay::Timer,
     process::Process,
@@ -29,8 +27,9 @@
 
 use crate::{
     client::HOST,
-    fault::{Fault, STREAM_EVENTS},
-    history::{Disturbance, History, Kind, ReceivedRequest, KEY, MAX_ATTEMPTS, TEAM},
+    fault::STREAM_EVENTS,
+    history::{self, History, Kind, ReceivedRequest, KEY, MAX_ATTEMPTS, TEAM},
+    store::{Store, HEARTBEAT_INTERVAL},
 };
 
 /// Gossip port of all routers; each router has its own loopback address.
@@ -40,12 +39,8 @@
 const LINK_DELAY: Duration = Duration::from_millis(20);
 /// Time limit for the graceful stop of a router, in seconds.
 const GRACE_S: u64 = 8;
-/// Time after a restart within which a router serves again.
-const ROUTER_START: Duration = Duration::from_secs(2);
-/// Time for which a replaced upstream is listed as draining.
-const DRAIN_TIME: Duration = Duration::from_millis(2_500);
-/// Time between the removal of a replaced upstream from the list and its end.
-const REMOVED_TIME: Duration = Duration::from_secs(1);
+/// Interval at which due heartbeats are sent and expired entries are removed.
+const TEND_INTERVAL: Duration = Duration::from_millis(50);
 
 /// An upstream with the links to and from it.
 pub struct Upstream {
@@ -56,6 +51,9 @@
     address: SocketAddr,
     inbound: Arc<Link>,
     outbound: Arc<Link>,
+    state: Cell<&'static str>,
+    sequence: Cell<u64>,
+    next_heartbeat: Cell<Instant>,
 }
 
 /// A router with its link to the store.
@@ -73,19 +71,22 @@
     store: Store,
     relay: Relay,
     upstreams: RefCell<Vec<Rc<Upstream>>>,
+    /// Replaced upstreams that still send heartbeats.
+    draining: RefCell<Vec<Rc<Upstream>>>,
+    /// Replaced upstreams that remain until the end of the run.
+    retired: RefCell<Vec<Rc<Upstream>>>,
     /// The routers.
     pub routers: Vec<Router>,
-    program: PathBuf,
+    programs: Vec<PathBuf>,
     directory: PathBuf,
     history: Rc<RefCell<History>>,
-    configuration_version: Cell<u64>,
     /// Number of upstreams started so far.
     upstream_count: Cell<usize>,
     /// Descriptions of routers that exited unexpectedly or failed to stop gracefully.
     pub failed_exits: RefCell<Vec<String>>,
 }
 
-fn configuration(version: u64) -> Value {
+fn configuration(version: usize) -> Value {
     let route = |kind: Kind, name: &str, service: &str, attempts: usize| {
         json!({
             "name": kind.name(), "hostname": HOST, "pathPrefix": format!("/{}/", kind.name()),
@@ -109,7 +110,7 @@
         ],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
                    "idleTimeoutMs": 15_000, "tokensPerS": 300_000},
-        "tenants": [{"name": TEAM, "apiKeys": [KEY], "priority": 1}],
+        "tenants": [{"name": TEAM, "apiKeys": [KEY, history::key(version)], "priority": 1}],
     })
 }
 
@@ -136,13 +137,13 @@
 }
 
 impl Fleet {
-    /// Starts a store, upstreams of both services and routers of `program`.
+    /// Starts a store, upstreams of both services and routers of these programs, which take turns.
     ///
     /// # Errors
     ///
     /// Returns an error if the store, an upstream or a router cannot be started.
     pub async fn start(
-        program: &FilePath,
+        programs: &[&FilePath],
         directory: &FilePath,
         (routers, upstreams): (usize, usize),
         seed: u64,
@@ -153,11 +154,12 @@
             store,
             relay,
             upstreams: RefCell::default(),
+            draining: RefCell::default(),
+            retired: RefCell::default(),
             routers: Vec::new(),
-            program: program.to_owned(),
+            programs: programs.iter().map(|&program| program.into()).collect(),
             directory: directory.to_owned(),
             history: Rc::default(),
-            configuration_version: Cell::new(0),
             upstream_count: Cell::new(0),
             failed_exits: RefCell::default(),
         };
@@ -177,6 +179,14 @@
         fleet.history.borrow_mut().router_disturbances = vec![Vec::new(); routers];
         let fleet = Rc::new(fleet);
         (0..routers).try_for_each(|number| fleet.start_router(number))?;
+        let tended = Rc::downgrade(&fleet);
+        task::spawn_local(async move {
+            while let Some(fleet) = tended.upgrade() {
+                fleet.tend();
+                drop(fleet);
+                time::sleep(TEND_INTERVAL).await;
+            }
+        });
         Ok(fleet)
     }
 
@@ -186,11 +196,36 @@
         &self.history
     }
 
+    /// Publishes a newer configuration.
     fn publish_configuration(&self) {
-        self.configuration_version
-            .set(self.configuration_version.get() + 1);
-        let text = configuration(self.configuration_version.get()).to_string();
-        self.store.set("op/config", Some(text.as_bytes()));
+        self.history
+            .borrow_mut()
+            .configurations
+            .push(Instant::now());
+        self.write_configuration();
+    }
+
+    /// Writes the newest configuration.
+    fn write_configuration(&self) {
+        let version = self.history.borrow().configurations.len();
+        let text = configuration(version).to_string();
+        self.store.write_configuration(&text);
+    }
+
+    /// Sends due heartbeats, and lets the store remove expired entries and make copies.
+    fn tend(&self) {
+        let now = Instant::now();
+        let (upstreams, draining) = (self.upstreams.borrow(), self.draining.borrow());
+        for upstream in upstreams.iter().chain(draining.iter()) {
+            if now < upstream.next_heartbeat.get() {
+                continue;
+            }
+            upstream.next_heartbeat.set(now + HEARTBEAT_INTERVAL);
+            if self.store.is_up() {
+                self.write_entry(upstream);
+            }
+        }
+        self.store.tend();
     }
 
     async fn start_upstream(&self, service: &'static str) -> Result<Rc<Upstream>> {
@@ -209,20 +244,34 @@
             address,
             inbound,
             outbound,
+            state: Cell::new("ready"),
+            sequence: Cell::new(0),
+            next_heartbeat: Cell::new(Instant::now() + HEARTBEAT_INTERVAL),
         };
-        self.publish_entry(&upstream, "ready", 1);
+        self.write_entry(&upstream);
         Ok(Rc::new(upstream))
     }
 
-    /// Publishes the entry of an upstream in the store.
-    fn publish_entry(&self, upstream: &Upstream, state: &str, sequence: u64) {
+    /// Writes the entry of an upstream to the store, with the next sequence number.
+    fn write_entry(&self, upstream: &Upstream) {
+        let state = upstream.state.get();
+        upstream.sequence.set(upstream.sequence.get() + 1);
         let entry = json!({
             "service": upstream.service, "address": upstream.address.to_string(),
             "zone": "north", "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
-            "born": 1_000, "seqNo": sequence,
+            "born": 1_000, "seqNo": upstream.sequence.get(),
         });
-        let key = format!("servers/{}", upstream.id);
-        self.store.set(&key, Some(entry.to_string().as_bytes()));
+        self.store.write_entry(&upstream.id, &entry.to_string());
+        if state == "draining" {
+            self.record_departure(upstream);
+        }
+    }
+
+    /// Records that the store has acknowledged that an upstream leaves.
+    fn record_departure(&self, upstream: &Upstream) {
+        let departures = &mut self.history.borrow_mut().departures;
+        let acknowledged = departures.entry(upstream.number).or_default();
+        acknowledged.push(Instant::now());
     }
 
     /// Writes the settings of a router; [`Fleet::start_router`] starts it.
@@ -261,169 +310,13 @@
         let mut process = router.process.borrow_mut();
         if process.is_none() {
             let arguments = ["--config".to_owned(), router.settings.display().to_string()];
-            let started = Process::start(&router.name, &self.program, &arguments, &self.directory);
+            let program = &self.programs[number % self.programs.len()];
+            let started = Process::start(&router.name, program, &arguments, &self.directory);
             *process = Some(started?);
         }
         Ok(())
     }
 
-    /// Injects a fault and returns when it has ended.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the fault cannot be injected.
-    pub async fn inject(self: Rc<Self>, fault: Fault, duration: Duration) -> Result<()> {
-        let start = Instant::now();
-        match fault {
-            Fault::Kill(router) => self.kill(router, duration).await?,
-            Fault::Pause(router) => {
-                self.signal(router, Signal::STOP)?;
-                time::sleep(duration).await;
-                self.signal(router, Signal::CONT)?;
-                self.record_router_disturbance(router, start, false);
-            }
-            Fault::Terminate(router) => self.terminate(router).await?,
-            Fault::Reload(router) => {
-                self.signal(router, Signal::HUP)?;
-                self.record_router_disturbance(router, start, true);
-            }
-            Fault::DelayUpstream(number, delay) => {
-                let upstream = self.current_upstream(number);
-                upstream.inbound.set_delay(delay);
-                upstream.outbound.set_delay(delay);
-                time::sleep(duration).await;
-                upstream.inbound.set_delay(LINK_DELAY);
-                upstream.outbound.set_delay(LINK_DELAY);
-                self.record_upstream_fault(&upstream, start);
-            }
-            Fault::BlockToUpstream(number) => {
-                let upstream = self.current_upstream(number);
-                block(&upstream.inbound, duration).await;
-                self.record_upstream_fault(&upstream, start);
-            }
-            Fault::BlockFromUpstream(number) => {
-                let upstream = self.current_upstream(number);
-                block(&upstream.outbound, duration).await;
-                self.record_upstream_fault(&upstream, start);
-            }
-            Fault::ResetUpstream(number) => {
-                let upstream = self.current_upstream(number);
-                upstream.inbound.reset();
-                self.record_upstream_fault(&upstream, start);
-            }
-            Fault::ChangeBehaviour(number, behaviour) => {
-                let upstream = self.current_upstream(number);
-                upstream.worker.set_default(behaviour);
-                time::sleep(duration).await;
-                upstream
-                    .worker
-                    .set_default(normal_behaviour(upstream.service));
-                self.record_upstream_fault(&upstream, start);
-            }
-            Fault::ReplaceUpstream(number) => self.replace_upstream(number).await?,
-            Fault::StoreBusy => self.change_store_mode(Mode::Busy, duration).await,
-            Fault::StoreSilent => self.change_store_mode(Mode::Silent, duration).await,
-            Fault::BlockStore(router) => {
-                block(&self.routers[router].store_link, duration).await;
-            }
-            Fault::CompactStore => self.store.compact(),
-            Fault::PublishConfiguration => self.publish_configuration(),
-        }
-        Ok(())
-    }
-
-    /// Returns the upstream that has this index now; a replacement takes the index of the old one.
-    fn current_upstream(&self, number: usize) -> Rc<Upstream> {
-        self.upstreams.borrow()[number].clone()
-    }
-
-    async fn change_store_mode(&self, mode: Mode, duration: Duration) {
-        self.store.set_mode(mode);
-        time::sleep(duration).await;
-        self.store.set_mode(Mode::Up);
-    }
-
-    fn record_upstream_fault(&self, upstream: &Upstream, start: Instant) {
-        let mut history = self.history.borrow_mut();
-        let disturbances = history
-            .upstream_disturbances
-            .entry(upstream.number)
-            .or_default();
-        disturbances.push(Disturbance {
-            start,
-            end: Instant::now(),
-            planned: false,
-        });
-    }
-
-    fn record_router_disturbance(&self, router: usize, start: Instant, planned: bool) {
-        self.history.borrow_mut().router_disturbances[router].push(Disturbance {
-            start,
-            end: Instant::now() + ROUTER_START,
-            planned,
-        });
-    }
-
-    /// Sends a signal to a router if it is running.
-    fn signal(&self, router: usize, signal: Signal) -> Result<()> {
-        match &*self.routers[router].process.borrow() {
-            Some(process) => Ok(process.signal(signal)?),
-            None => Ok(()),
-        }
-    }
-
-    async fn kill(&self, router: usize, duration: Duration) -> Result<()> {
-        let start = Instant::now();
-        let process = self.routers[router].process.take();
-        let Some(mut process) = process else {
-            return Ok(());
-        };
-        process.kill().await?;
-        time::sleep(duration).await;
-        self.start_router(router)?;
-        self.record_router_disturbance(router, start, false);
-        Ok(())
-    }
-
-    async fn terminate(&self, router: usize) -> Result<()> {
-        let start = Instant::now();
-        let process = self.routers[router].process.take();
-        let Some(mut process) = process else {
-            return Ok(());
-        };
-        process.terminate()?;
-        // Resumes a process that another fault has paused, which would delay its stop.
-        process.signal(Signal::CONT)?;
-        let limit = Duration::from_secs(GRACE_S) + ROUTER_START;
-        let ended = process.wait(limit).await;
-        if !ended.is_some_and(|status| status.success()) {
-            let text = format!(
-                "{}: planned stop ended with {ended:?}",
-                self.routers[router].name
-            );
-            self.failed_exits.borrow_mut().push(text);
-        }
-        self.start_router(router)?;
-        self.record_router_disturbance(router, start, true);
-        Ok(())
-    }
-
-    async fn replace_upstream(&self, number: usize) -> Result<()> {
-        let old = self.current_upstream(number);
-        let new = self.start_upstream(old.service).await?;
-        // A concurrent fault may have replaced this upstream already.
-        if !Rc::ptr_eq(&old, &self.current_upstream(number)) {
-            return Ok(());
-        }
-        self.upstreams.borrow_mut()[number] = new;
-        self.publish_entry(&old, "draining", 2);
-        time::sleep(DRAIN_TIME).await;
-        self.store.set(&format!("servers/{}", old.id), None);
-        time::sleep(REMOVED_TIME).await;
-        self.record_arrivals(&old);
-        Ok(())
-    }
-
     /// Adds the requests that an upstream received to the history.
     fn record_arrivals(&self, upstream: &Upstream) {
         let arrivals = upstream.worker.arrivals().into_iter();
@@ -446,18 +339,13 @@
                 self.failed_exits.borrow_mut().push(error.to_string());
             }
         }
-        for upstream in self.upstreams.borrow().iter() {
+        let (upstreams, retired) = (self.upstreams.borrow(), self.retired.borrow());
+        for upstream in upstreams.iter().chain(retired.iter()) {
             self.record_arrivals(upstream);
         }
     }
 }
 
-async fn block(link: &Link, duration: Duration) {
-    link.set_cut(true);
-    time::sleep(duration).await;
-    link.set_cut(false);
-}
-
 fn normal_behaviour(service: &str) -> Behaviour {
     match service {
         "model" => Behaviour::Stream(STREAM_EVENTS),
--- /dev/null
+++ b/crates/soak/src/fleet/injection.rs
@@ -0,0 +1,229 @@
+//! The injection of faults and planned operations.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use eyre::Result;
+use rustix::process::Signal;
+use tokio::time;
+use tsw_fake::store::Mode;
+use tsw_load::relay::Link;
+
+use super::{normal_behaviour, Fleet, Upstream, GRACE_S, LINK_DELAY};
+use crate::{
+    fault::Fault,
+    history::{Disturbance, StoreDisturbance},
+};
+
+/// Time for which a replaced upstream is listed as draining.
+const DRAIN_TIME: Duration = Duration::from_millis(2_500);
+/// Time between the removal of a replaced upstream from the list and its end. Some upstreams remain
+/// until the end of the run.
+const REMOVED_TIME: Duration = Duration::from_secs(1);
+/// Time between the return of the store from a copy and the operator's repeated write.
+const REWRITE_DELAY: Duration = Duration::from_millis(500);
+/// Time after a restart within which a router serves again.
+const ROUTER_START: Duration = Duration::from_secs(2);
+
+impl Fleet {
+    /// Injects a fault and returns when it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the fault cannot be injected.
+    pub async fn inject(self: Rc<Self>, fault: Fault, duration: Duration) -> Result<()> {
+        let start = Instant::now();
+        match fault {
+            Fault::Kill(router) => self.kill(router, duration).await?,
+            Fault::Pause(router) => {
+                self.signal(router, Signal::STOP)?;
+                time::sleep(duration).await;
+                self.signal(router, Signal::CONT)?;
+                self.record_router_disturbance(router, start, false);
+            }
+            Fault::Terminate(router) => self.terminate(router).await?,
+            Fault::Reload(router) => {
+                self.signal(router, Signal::HUP)?;
+                self.record_router_disturbance(router, start, true);
+            }
+            Fault::DelayUpstream(number, delay) => {
+                let upstream = self.current_upstream(number);
+                upstream.inbound.set_delay(delay);
+                upstream.outbound.set_delay(delay);
+                time::sleep(duration).await;
+                upstream.inbound.set_delay(LINK_DELAY);
+                upstream.outbound.set_delay(LINK_DELAY);
+                self.record_upstream_fault(&upstream, start);
+            }
+            Fault::BlockToUpstream(number) => {
+                let upstream = self.current_upstream(number);
+                block(&upstream.inbound, duration).await;
+                self.record_upstream_fault(&upstream, start);
+            }
+            Fault::BlockFromUpstream(number) => {
+                let upstream = self.current_upstream(number);
+                block(&upstream.outbound, duration).await;
+                self.record_upstream_fault(&upstream, start);
+            }
+            Fault::ResetUpstream(number) => {
+                let upstream = self.current_upstream(number);
+                upstream.inbound.reset();
+                self.record_upstream_fault(&upstream, start);
+            }
+            Fault::ChangeBehaviour(number, behaviour) => {
+                let upstream = self.current_upstream(number);
+                upstream.worker.set_default(behaviour);
+                time::sleep(duration).await;
+                upstream
+                    .worker
+                    .set_default(normal_behaviour(upstream.service));
+                self.record_upstream_fault(&upstream, start);
+            }
+            Fault::ReplaceUpstream(number) => self.replace_upstream(number).await?,
+            Fault::StoreBusy => self.change_store_mode(Mode::Busy, duration).await,
+            Fault::StoreSilent => self.change_store_mode(Mode::Silent, duration).await,
+            Fault::RestoreStore(mode, age) => self.restore_store(mode, age, duration).await,
+            Fault::BlockStore(router) => {
+                block(&self.routers[router].store_link, duration).await;
+                self.record_store_disturbance(Some(router), start);
+            }
+            Fault::CompactStore => self.store.compact(),
+            Fault::PublishConfiguration => self.publish_configuration(),
+        }
+        Ok(())
+    }
+
+    /// Returns the upstream that has this index now; a replacement takes the index of the old one.
+    fn current_upstream(&self, number: usize) -> Rc<Upstream> {
+        self.upstreams.borrow()[number].clone()
+    }
+
+    async fn change_store_mode(&self, mode: Mode, duration: Duration) {
+        let start = Instant::now();
+        self.store.set_mode(mode);
+        time::sleep(duration).await;
+        self.store.set_mode(Mode::Up);
+        self.record_store_disturbance(None, start);
+    }
+
+    /// Lets the store return from a copy. Upstreams write their entries again with their next
+    /// heartbeats, and the operator writes the newest configuration again.
+    async fn restore_store(&self, mode: Mode, age: Duration, duration: Duration) {
+        let start = Instant::now();
+        self.store.set_mode(mode);
+        time::sleep(duration).await;
+        self.store.restore(age);
+        self.store.set_mode(Mode::Up);
+        self.record_store_disturbance(None, start);
+        time::sleep(REWRITE_DELAY).await;
+        self.write_configuration();
+    }
+
+    /// Records that the store, or the link between it and one router, was disturbed until now.
+    fn record_store_disturbance(&self, router: Option<usize>, start: Instant) {
+        let disturbances = &mut self.history.borrow_mut().store_disturbances;
+        disturbances.push(StoreDisturbance {
+            router,
+            start,
+            end: Instant::now(),
+        });
+    }
+
+    fn record_upstream_fault(&self, upstream: &Upstream, start: Instant) {
+        let mut history = self.history.borrow_mut();
+        let disturbances = history
+            .upstream_disturbances
+            .entry(upstream.number)
+            .or_default();
+        disturbances.push(Disturbance {
+            start,
+            end: Instant::now(),
+            planned: false,
+        });
+    }
+
+    fn record_router_disturbance(&self, router: usize, start: Instant, planned: bool) {
+        self.history.borrow_mut().router_disturbances[router].push(Disturbance {
+            start,
+            end: Instant::now() + ROUTER_START,
+            planned,
+        });
+    }
+
+    /// Sends a signal to a router if it is running.
+    fn signal(&self, router: usize, signal: Signal) -> Result<()> {
+        match &*self.routers[router].process.borrow() {
+            Some(process) => Ok(process.signal(signal)?),
+            None => Ok(()),
+        }
+    }
+
+    async fn kill(&self, router: usize, duration: Duration) -> Result<()> {
+        let start = Instant::now();
+        let process = self.routers[router].process.take();
+        let Some(mut process) = process else {
+            return Ok(());
+        };
+        process.kill().await?;
+        time::sleep(duration).await;
+        self.start_router(router)?;
+        self.record_router_disturbance(router, start, false);
+        Ok(())
+    }
+
+    async fn terminate(&self, router: usize) -> Result<()> {
+        let start = Instant::now();
+        let process = self.routers[router].process.take();
+        let Some(mut process) = process else {
+            return Ok(());
+        };
+        process.terminate()?;
+        // Resumes a process that another fault has paused, which would delay its stop.
+        process.signal(Signal::CONT)?;
+        let limit = Duration::from_secs(GRACE_S) + ROUTER_START;
+        let ended = process.wait(limit).await;
+        if !ended.is_some_and(|status| status.success()) {
+            let text = format!(
+                "{}: planned stop ended with {ended:?}",
+                self.routers[router].name
+            );
+            self.failed_exits.borrow_mut().push(text);
+        }
+        self.start_router(router)?;
+        self.record_router_disturbance(router, start, true);
+        Ok(())
+    }
+
+    async fn replace_upstream(&self, number: usize) -> Result<()> {
+        let old = self.current_upstream(number);
+        let new = self.start_upstream(old.service).await?;
+        // A concurrent fault may have replaced this upstream already.
+        if !Rc::ptr_eq(&old, &self.current_upstream(number)) {
+            return Ok(());
+        }
+        self.upstreams.borrow_mut()[number] = new;
+        old.state.set("draining");
+        self.write_entry(&old);
+        self.draining.borrow_mut().push(old.clone());
+        time::sleep(DRAIN_TIME).await;
+        let is_other = |upstream: &Rc<Upstream>| !Rc::ptr_eq(upstream, &old);
+        self.draining.borrow_mut().retain(is_other);
+        self.store.remove_entry(&old.id);
+        self.record_departure(&old);
+        if (old.number / 2).is_multiple_of(2) {
+            self.retired.borrow_mut().push(old);
+            return Ok(());
+        }
+        time::sleep(REMOVED_TIME).await;
+        self.record_arrivals(&old);
+        Ok(())
+    }
+}
+
+async fn block(link: &Link, duration: Duration) {
+    link.set_cut(true);
+    time::sleep(duration).await;
+    link.set_cut(false);
+}
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,5 +1,7 @@
 //! The history of requests as clients and upstreams observed it, and the checks on it.
 
+mod acknowledged;
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -90,6 +92,9 @@
     pub body: Bytes,
     /// Index of the router that it was sent to.
     pub router: usize,
+    /// Version of the configuration that was the newest when it was sent, if the request bears a key
+    /// that only this version allows.
+    pub configuration: Option<usize>,
     /// Time at which it was sent.
     pub sent: Instant,
     /// Time at which it ended.
@@ -109,6 +114,17 @@
     pub planned: bool,
 }
 
+/// A period in which the store did not respond to some routers, or returned from a copy.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreDisturbance {
+    /// The only router that was affected, or none if all were.
+    pub router: Option<usize>,
+    /// Start of the period.
+    pub start: Instant,
+    /// End of the period.
+    pub end: Instant,
+}
+
 /// A request that an upstream received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -129,6 +145,19 @@
     pub router_disturbances: Vec<Vec<Disturbance>>,
     /// Disturbances of each upstream and of the links to and from it.
     pub upstream_disturbances: IndexMap<usize, Vec<Disturbance>>,
+    /// Disturbances of the store and of the links to it.
+    pub store_disturbances: Vec<StoreDisturbance>,
+    /// Times at which the store acknowledged that an upstream is draining or gone, by its number.
+    pub departures: IndexMap<usize, Vec<Instant>>,
+    /// Times at which the store acknowledged the versions of the configuration, of which the first
+    /// is 1.
+    pub configurations: Vec<Instant>,
+}
+
+/// Returns the API key that only this version of the configuration allows.
+#[must_use]
+pub fn key(version: usize) -> String {
+    format!("{KEY}-{version}")
 }
 
 impl History {
@@ -160,6 +189,8 @@
             let found = found.into_iter().flatten();
             violations.extend(found.map(|violation| format!("{id}: {violation}; {request:?}")));
         }
+        violations.extend(self.late_arrivals());
+        violations.extend(self.outdated_refusals());
         violations
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`fleet`]: the router processes, the stand-ins and the proxies between them.
 //! - [`client`]: clients that reuse connections.
 //! - [`history`]: what clients and upstreams observed, and the checks on it.
+//! - [`store`]: the store, with the expiry of entries and the return from a copy.
 //! - [`run`]: runs the test for one seed.
 
 pub mod client;
@@ -16,3 +17,4 @@
 pub mod fleet;
 pub mod history;
 pub mod run;
+pub mod store;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,6 +15,8 @@
         Some(program) => program,
         None => std::env::current_exe()?.with_file_name("toucand"),
     };
+    let other_program = flags.other_program.as_ref().unwrap_or(&program);
+    let programs = [program.as_path(), other_program];
     let length = Duration::from_secs(flags.length_s.unwrap_or(12));
     let first_seed = flags
         .seed
@@ -22,7 +24,7 @@
     let mut failed_seeds = Vec::new();
     for seed in first_seed..first_seed + flags.count.unwrap_or(1) {
         let directory = tempfile::tempdir()?;
-        let outcome = run::run_seed(&program, directory.path(), seed, length).await?;
+        let outcome = run::run_seed(&programs, directory.path(), seed, length).await?;
         println!(
             "seed {seed}: {} requests, {:.3} served, {:.3} served after recovery, {} faults, {} violations",
             outcome.requests,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -40,19 +40,19 @@
     pub violations: Vec<String>,
 }
 
-/// Runs the routers while the faults of a seed are injected, all of which start and end within
+/// Runs routers of these programs, which take turns, while the faults of a seed are injected, all of which start and end within
 /// `length`. The logs of the routers are written to `directory`.
 ///
 /// # Errors
 ///
 /// Returns an error if a process cannot be started or a fault cannot be injected.
 pub async fn run_seed(
-    program: &Path,
+    programs: &[&Path],
     directory: &Path,
     seed: u64,
     length: Duration,
 ) -> Result<Outcome> {
-    let fleet = Fleet::start(program, directory, (ROUTERS, UPSTREAMS), seed).await?;
+    let fleet = Fleet::start(programs, directory, (ROUTERS, UPSTREAMS), seed).await?;
     let shared = Rc::new(client::Shared {
         routers: fleet.routers.iter().map(|router| router.address).collect(),
         history: fleet.history().clone(),
--- a/crates/soak/tests/history.rs
+++ b/crates/soak/tests/history.rs
@@ -18,6 +18,7 @@
         target: format!("/{}/a", kind.name()),
         body: Bytes::from_static(b"body"),
         router: 0,
+        configuration: None,
         sent,
         ended: sent + Duration::from_millis(10),
         end,
@@ -37,6 +38,7 @@
         },
         body: Bytes::from_static(b"body"),
         behaviour,
+        time: Instant::now(),
     }
 }
 
--- a/crates/toucand/tests/soak.rs
+++ b/crates/toucand/tests/soak.rs
@@ -16,7 +16,7 @@
     for seed in SEEDS {
         let directory = tempfile::tempdir().expect("a directory");
         let program = Path::new(env!("CARGO_BIN_EXE_toucand"));
-        let outcome = run::run_seed(program, directory.path(), seed, LENGTH).await;
+        let outcome = run::run_seed(&[program], directory.path(), seed, LENGTH).await;
         let outcome = outcome.expect("the run finishes");
         assert!(outcome.requests > 0, "seed {seed}: no requests");
         assert!(outcome.violations.is_empty(), "seed {seed}: {outcome:#?}");
