--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -10,6 +10,8 @@
 pub const STREAM_EVENTS: u64 = 6;
 /// Mean time between the starts of two faults. Most faults last longer, so that they overlap.
 const MEAN_INTERVAL_MS: u64 = 500;
+/// Mean time between the starts of two faults between which routers are in touch.
+const MEAN_CALM_INTERVAL_MS: u64 = 1_000;
 /// Maximum duration of a fault.
 const MAX_DURATION_MS: u64 = 3_000;
 /// Delay of a slow link in each direction.
@@ -66,7 +68,9 @@
     pub fault: Fault,
 }
 
-/// Draws the faults of a seed, all of which start and end within `length`.
+/// Draws the faults of a seed, all of which start and end within `length`. Half of the seeds draw
+/// all kinds of faults. The others draw fewer, and only those between which routers are in touch:
+/// the store returns from a copy while upstreams are replaced and configurations are published.
 ///
 /// ```
 /// use std::time::Duration;
@@ -79,15 +83,25 @@
 pub fn draw(seed: u64, length: Duration, routers: usize, upstreams: usize) -> Vec<ScheduledFault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let length = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
-    let count = length / MEAN_INTERVAL_MS;
-    let mut faults: Vec<ScheduledFault> = (0..count)
-        .map(|_| {
+    let is_calm = rng.gen_bool(0.5);
+    let interval = if is_calm {
+        MEAN_CALM_INTERVAL_MS
+    } else {
+        MEAN_INTERVAL_MS
+    };
+    let mut faults: Vec<ScheduledFault> = (0..length / interval)
+        .map(|number| {
             let duration = rng.gen_range(100..=MAX_DURATION_MS.min(length));
             let start = rng.gen_range(0..=length - duration);
             ScheduledFault {
                 start: Duration::from_millis(start),
                 duration: Duration::from_millis(duration),
-                fault: draw_fault(&mut rng, routers, upstreams),
+                fault: match (is_calm, number % 8) {
+                    (false, _) => draw_fault(&mut rng, routers, upstreams),
+                    (true, 0) => draw_restoration(&mut rng),
+                    (true, 1 | 2) => Fault::PublishConfiguration,
+                    (true, _) => Fault::ReplaceUpstream(rng.gen_range(0..upstreams)),
+                },
             }
         })
         .collect();
@@ -112,10 +126,7 @@
             .choose(rng)
             .expect("not empty"),
         15 => Fault::BlockStore(router),
-        16 | 17 => {
-            let mode = *[Mode::Busy, Mode::Silent].choose(rng).expect("not empty");
-            Fault::RestoreStore(mode, Duration::from_millis(rng.gen_range(COPY_AGE_MS)))
-        }
+        16 | 17 => draw_restoration(rng),
         18 => Fault::PublishConfiguration,
         _ => *[Fault::CompactStore, Fault::PublishConfiguration]
             .choose(rng)
@@ -123,6 +134,11 @@
     }
 }
 
+fn draw_restoration(rng: &mut Pcg64Mcg) -> Fault {
+    let mode = *[Mode::Busy, Mode::Silent].choose(rng).expect("not empty");
+    Fault::RestoreStore(mode, Duration::from_millis(rng.gen_range(COPY_AGE_MS)))
+}
+
 fn draw_behaviour(rng: &mut Pcg64Mcg) -> Behaviour {
     let behaviours = [
         Behaviour::ResetStream(2),
