--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -171,9 +171,7 @@
             let id = arrival.head.fields.text("Attempt-Id").unwrap_or_default();
             match self.requests.get(id) {
                 Some(request) => violations.extend(forwarding_violations(id, request, arrival)),
-                None => {
-                    violations.push(format!("{id} arrived at an upstream but no client sent it"))
-                }
+                None => violations.push(format!("no client sent it: {received:?}")),
             }
             if arrival.behaviour != Behaviour::NotRun {
                 executions.entry(id).or_default().push(received);
