Withhold upstreams that left before a restore while the store is down again

Its entry in the copy was withheld for five seconds from the first restore, and used when they had passed, but the store went away 2.2 s after that restore and could not remove the entry.

An outage that begins in the period extends it until five seconds after the outage.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -181,6 +181,10 @@
     pub fn record_platform_read(&mut self, now: Timestamp) {
         if std::mem::take(&mut self.down) {
             self.grace_end = now + GRACE_PERIOD;
+            // The store may not have removed expired entries meanwhile.
+            if self.down_since < self.expiry_end {
+                self.expiry_end = now + EXPIRY_PERIOD;
+            }
         }
     }
 
@@ -269,7 +273,7 @@
     /// has shown since that the upstream is alive.
     fn is_withheld(&self, now: Timestamp, key: &Name, entry: &Entry) -> bool {
         let era = self.position.era;
-        let departed = self.departed.get(key).filter(|_| now < self.expiry_end);
+        let departed = self.departed.get(key).filter(|_| !self.is_expired(now));
         let left = departed
             .is_some_and(|departed| departed.era != era && entry.started_at <= departed.started_at);
         let known = self.listed.get(key);
@@ -294,6 +298,11 @@
         }
     }
 
+    /// Returns whether the store has had the time to remove entries that its copy listed.
+    fn is_expired(&self, now: Timestamp) -> bool {
+        now >= self.expiry_end && (!self.down || self.down_since >= self.expiry_end)
+    }
+
     fn is_in_grace(&self, now: Timestamp) -> bool {
         self.down || now < self.grace_end.max(self.restore_grace_end)
     }
@@ -345,7 +354,7 @@
                 }
             }
         }
-        if now >= self.expiry_end {
+        if self.is_expired(now) {
             for (key, listed) in &mut self.listed {
                 if std::mem::take(&mut listed.withheld) {
                     self.departed.shift_remove(key);
