Withhold upstreams that left also while only this router cannot read the store

The period in which departed upstreams are withheld now depends on this router's own reads. The unit test covers both ways to record the failure.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -112,6 +112,8 @@
     restore_grace_end: Timestamp,
     /// Time from which entries of the copy from which the store was restored have expired.
     expiry_end: Timestamp,
+    /// Start of the time in which this router could not read the platform, even if others could.
+    unread_since: Option<Timestamp>,
 }
 
 impl Registry {
@@ -159,8 +161,14 @@
         EraChange::Restored
     }
 
+    /// Records that this router cannot read the platform, although others may.
+    pub fn record_read_failure(&mut self, now: Timestamp) {
+        self.unread_since.get_or_insert(now);
+    }
+
     /// Records that the platform cannot be read.
     pub fn record_platform_failure(&mut self, now: Timestamp) {
+        self.record_read_failure(now);
         if !std::mem::replace(&mut self.down, true) {
             self.down_since = now;
         }
@@ -181,10 +189,11 @@
     pub fn record_platform_read(&mut self, now: Timestamp) {
         if std::mem::take(&mut self.down) {
             self.grace_end = now + GRACE_PERIOD;
-            // The store may not have removed expired entries meanwhile.
-            if self.down_since < self.expiry_end {
-                self.expiry_end = now + EXPIRY_PERIOD;
-            }
+        }
+        let unread_since = self.unread_since.take();
+        // The store may not have removed expired entries meanwhile.
+        if unread_since.is_some_and(|since| since < self.expiry_end) {
+            self.expiry_end = now + EXPIRY_PERIOD;
         }
     }
 
@@ -300,7 +309,8 @@
 
     /// Returns whether the store has had the time to remove entries that its copy listed.
     fn is_expired(&self, now: Timestamp) -> bool {
-        now >= self.expiry_end && (!self.down || self.down_since >= self.expiry_end)
+        let known_until = self.unread_since.unwrap_or(now);
+        known_until >= self.expiry_end
     }
 
     fn is_in_grace(&self, now: Timestamp) -> bool {
--- a/crates/flow/tests/restored_store.rs
+++ b/crates/flow/tests/restored_store.rs
@@ -150,17 +150,22 @@
 }
 
 /// Guards against requests to an upstream that left before a restore, while the store is down again
-/// and cannot remove the entry that its copy still listed.
+/// and cannot remove the entry that its copy still listed, also if a peer still claims to read it.
 #[test]
 fn withheld_upstream_stays_out_of_use_while_the_store_is_down() {
-    let mut registry = registry(4, false);
-    registry.set(at(5), &key(), 91, None);
-    registry.enter_era(at(10), Some(2));
-    registry.set(at(10), &key(), 30, entry(3, false));
-    registry.apply_list(at(10), 40, &[key()]);
-    registry.record_platform_failure(at(2_000));
-    assert!(registry.entries(at(9_000)).is_empty());
-    registry.record_platform_read(at(9_500));
-    assert!(registry.entries(at(12_000)).is_empty());
-    assert_eq!(registry.entries(at(15_000)).len(), 1);
+    for record in [
+        Registry::record_platform_failure,
+        Registry::record_read_failure,
+    ] {
+        let mut registry = registry(4, false);
+        registry.set(at(5), &key(), 91, None);
+        registry.enter_era(at(10), Some(2));
+        registry.set(at(10), &key(), 30, entry(3, false));
+        registry.apply_list(at(10), 40, &[key()]);
+        record(&mut registry, at(2_000));
+        assert!(registry.entries(at(9_000)).is_empty());
+        registry.record_platform_read(at(9_500));
+        assert!(registry.entries(at(12_000)).is_empty());
+        assert_eq!(registry.entries(at(15_000)).len(), 1);
+    }
 }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -89,7 +89,9 @@
         let mut registry = self.registry.borrow_mut();
         if reads {
             registry.record_platform_read(now);
-        } else if !peer_reads {
+        } else if peer_reads {
+            registry.record_read_failure(now);
+        } else {
             registry.record_platform_failure(now);
         }
     }
