--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -258,3 +258,33 @@
         assert!(roster.is_store_reader(now, 1), "{number}");
     }
 }
+
+/// Guards against a router that does not notice a restore of the store, because it hears of a peer
+/// only through the heartbeats that another one passes on.
+#[test]
+fn era_of_a_peer_is_learned_from_heartbeats_that_are_passed_on() {
+    let now = Timestamp::from_micros(1);
+    let full = |members| RosterUpdate {
+        members,
+        ..RosterUpdate::default()
+    };
+    let mut roster = Roster::new(member(0), Vec::new());
+    roster.receive(now, "r1", &full((1..9).map(member).collect()));
+    let restored = (2..9).map(|number| {
+        let mut peer = member(number);
+        (peer.era, peer.heartbeat) = (Some(2), 2);
+        peer
+    });
+    let mut sender = Roster::new(member(1), Vec::new());
+    sender.receive(now, "r2", &full(restored.collect()));
+    let (_, sent) = sender.next_round(now, &mut rand::thread_rng());
+    // The members that are named in full do not count.
+    let mut heartbeats = RosterUpdate {
+        heartbeats: sent.heartbeats.clone(),
+        ..RosterUpdate::default()
+    };
+    heartbeats.set_eras(&sent.eras()[sent.members.len()..]);
+    roster.receive(now, "r1", &heartbeats);
+    let restored = roster.live(now).filter(|peer| peer.era == Some(2));
+    assert_eq!(restored.count(), 7);
+}
