--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -43,8 +43,8 @@
     Busy,
     /// Not at all.
     Silent,
-    /// With status 410 to each watch, as if the history were always gone.
-    Forgetful,
+    /// With status 410 to each watch, as if the history were compacted before it.
+    Compacting,
 }
 
 #[derive(Clone, Debug)]
@@ -165,8 +165,8 @@
             if self.era.get() != era {
                 return cut();
             }
-            let is_forgetful = self.mode.get() == Mode::Forgetful;
-            if is_forgetful || after < self.compacted_revision.get() || after > self.revision() {
+            let is_compacting = self.mode.get() == Mode::Compacting;
+            if is_compacting || after < self.compacted_revision.get() || after > self.revision() {
                 return http::error_response(StatusCode::GONE, &"the history is gone");
             }
             let changed = self.changed.notified();
@@ -300,7 +300,7 @@
     state.calls.set(state.calls.get() + 1);
     let era = state.era.get();
     let mut response = match state.mode.get() {
-        Mode::Up | Mode::Forgetful => read(state, call).await,
+        Mode::Up | Mode::Compacting => read(state, call).await,
         Mode::Busy => http::error_response(StatusCode::SERVICE_UNAVAILABLE, &"busy"),
         Mode::Silent => std::future::pending().await,
     };
--- a/crates/toucand/tests/restored_store.rs
+++ b/crates/toucand/tests/restored_store.rs
@@ -188,7 +188,7 @@
     /// Calls that the store serves for all routers of a fleet of seven.
     const CALLS_PER_S: f64 = 2_000.0 / 7.0;
     let site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
-    site.store.set_mode(Mode::Forgetful);
+    site.store.set_mode(Mode::Compacting);
     let (start, before) = (Instant::now(), site.store.calls());
     actix_rt::time::sleep(Duration::from_secs(1)).await;
     let calls = (site.store.calls() - before) as f64;
