Give each request to an upstream that states a rate a permit of one router

Cause: the rate was read nowhere, and no limit of a router holds for all of them. Class of the fault: a bound on a sum, kept by none of its parts.

All requests, retries, moves and resumed streams need one, since all go through the choice in the pool.

Weighed: even parts of the live routers exceed the bound from 2 x rate + 5 routers on, as each needs a first request (tested sizes: 1 to 300), and parts by reports are as old as the reports, 1.2 s at 95 routers.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -185,6 +185,12 @@
     UpstreamPaused = 419 Info "upstream-paused";
     /// An upstream asked for a pause that is shortened or ignored.
     PauseUnusable = 420 Warn "pause-unusable";
+    /// An upstream states the request rate that it takes from all routers together.
+    UpstreamLimited = 421 Info "upstream-limited";
+    /// An upstream no longer states a request rate.
+    UpstreamUnlimited = 422 Info "upstream-unlimited";
+    /// An upstream states a request rate that is ignored, or several, the lowest of which is used.
+    RateUnusable = 423 Warn "rate-unusable";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`assignment`]: which software version gets a new stream, as a function of its identifier.
 //! - [`origin`]: where streams began, so that they go on at the same software version.
 //! - [`pool`]: the upstreams of a service and the selection of one for a request.
+//! - [`rate`]: divides the request rate that an upstream states among the routers.
 //! - [`owner`]: which upstreams a router owns and prefers.
 //! - [`history`]: what changes of the list prove about the time before the start.
 //! - [`registry`]: the upstreams listed by the platform, kept through its outages.
@@ -28,6 +29,7 @@
 pub mod prefix_cache;
 pub mod prompt;
 pub mod queue;
+pub mod rate;
 pub mod registry;
 pub mod resumption;
 pub mod retry;
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -1,8 +1,11 @@
 //! The upstreams of a service and the selection of one for a request.
 
 mod engine;
+mod limit;
 mod pause;
 
+pub use limit::{Question, Statement};
+
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
@@ -182,6 +185,10 @@
     leaving: IndexMap<Name, u64>,
     /// Latest pause of each upstream.
     pauses: IndexMap<Name, pause::Pause>,
+    /// Rates that upstreams state.
+    limits: IndexMap<Name, limit::Limit>,
+    /// Upstreams that stated a rate that cannot be used, with the start of the run that did.
+    unusable_rates: IndexMap<Name, u64>,
 }
 
 impl Pool {
@@ -323,6 +330,7 @@
             let is_same = |software: &Software| *software == Software::of(&upstream.entry);
             !upstream.entry.leaving
                 && self.pause_permits(now, upstream)
+                && self.limit_permits(now, upstream)
                 && !constraints.avoid.contains(&upstream.entry.id)
                 && constraints.software.is_none_or(is_same)
         };
@@ -337,7 +345,7 @@
             healthy
         };
         match constraints.prompt {
-            Some(prompt) => engine::choose(now, &candidates, &self.owned, constraints, prompt),
+            Some(prompt) => engine::choose(now, self, &candidates, constraints, prompt),
             None => choose_plain(now, &candidates, constraints),
         }
     }
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -2,12 +2,10 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexSet;
 use tsw_base::time::Timestamp;
 use tsw_member::rendezvous;
-use tsw_route::Name;
 
-use super::{Choice, Constraints, Upstream};
+use super::{Choice, Constraints, Pool, Upstream};
 use crate::prompt::Prompt;
 
 /// Cost of a running request. It lengthens each engine step by about 0.1 ms, in which an engine
@@ -16,6 +14,8 @@
 /// Minimum number of tokens to fetch. A fetch delays an engine about as much as processing these
 /// tokens does.
 const MIN_FETCH_TOKENS: u64 = 60;
+/// Cost of a permit that expires unused: the engine that states a rate idles.
+const UNUSED_PERMIT_COST: u64 = 3_000;
 /// Number of tokens whose transfer between engines costs as much as processing one.
 const TRANSFERRED_PER_PROCESSED: u64 = 15;
 
@@ -69,11 +69,12 @@
 /// Chooses the engine with the least delay for the prompt and for the requests that run there.
 pub(super) fn choose(
     now: Timestamp,
+    pool: &Pool,
     candidates: &[&Upstream],
-    owned: &IndexSet<Name>,
     constraints: &Constraints<'_>,
     prompt: &Prompt,
 ) -> Option<Choice> {
+    let owned = &pool.owned;
     let cached = cached(candidates, prompt);
     let source = cached.iter().max_by_key(|cached| cached.tokens);
     let candidates = cached.iter().filter_map(|cached| {
@@ -102,7 +103,12 @@
         };
         let concurrent = CONCURRENT_PREFILL_WEIGHT * pending.min(uncached);
         let cost = pending + uncached + concurrent + running + fetching + remote + unreported;
-        let cost = cost.saturating_sub(cached.preferred_tokens) as f64;
+        let permit = if pool.is_rate_limited(upstream) {
+            UNUSED_PERMIT_COST
+        } else {
+            0
+        };
+        let cost = cost.saturating_sub(cached.preferred_tokens + permit) as f64;
         let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, upstream, uncached, fetch))
     });
--- /dev/null
+++ b/crates/flow/src/pool/limit.rs
@@ -0,0 +1,439 @@
+//! Request rates that upstreams state, and the permits of this router to send requests to them.
+
+use indexmap::IndexMap;
+use tsw_base::time::{Span, Timestamp};
+use tsw_route::Name;
+
+use super::{Choice, Pool, Upstream};
+use crate::{
+    origin::Software,
+    rate::{Allocator, Grant, Rate, MAX_DEMAND, PERMIT_LIFETIME},
+};
+
+/// Maximum number of limits kept. It exceeds the upstreams of a service.
+const MAX_LIMITS: usize = 4_096;
+/// Age from which a statement that another router passes on is ignored, and after which the end of a limit
+/// is forgotten. A limited upstream gets a request, and can state its rate again, within 10 s.
+const MAX_STATEMENT_AGE: Span = Span::from_millis(30_000);
+/// Time after which a question is repeated.
+const ASK_INTERVAL: Span = Span::from_millis(50);
+/// Maximum age of a question whose answer still counts, so that a late one hands out nothing.
+const MAX_ANSWER_DELAY: Span = Span::from_millis(300);
+/// Time without an answer after which a router takes a part of the rate for itself.
+const UNANSWERED_TIMEOUT: Span = Span::from_millis(1_000);
+/// Fraction of its even part that a router takes if no allocator answers it. The allocator may still hand
+/// out the whole rate to others.
+const UNALLOCATED_FRACTION: f64 = 0.25;
+
+/// What an upstream last stated about the rate that it takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Statement {
+    /// Start of the run that stated it.
+    pub run: u64,
+    /// The rate; `None` if it no longer states one.
+    pub rate: Option<Rate>,
+    /// Time since the response that stated it.
+    pub age: Span,
+}
+
+/// An upstream that this router needs permits for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Question {
+    /// The upstream.
+    pub upstream: Name,
+    /// What it last stated.
+    pub statement: Statement,
+    /// Number of permits.
+    pub permits: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Permit {
+    from: Timestamp,
+    until: Timestamp,
+}
+
+/// The rate that an upstream states, and the permits for it.
+#[derive(Clone, Debug)]
+pub(super) struct Limit {
+    run: u64,
+    rate: Option<Rate>,
+    stated_at: Timestamp,
+    permits: Vec<Permit>,
+    /// Time and number of the permits of the last question.
+    asked_at: Timestamp,
+    asked: u32,
+    /// First question without an answer since.
+    unanswered_since: Option<Timestamp>,
+    /// Start of the next permit that the allocator has, for whichever router.
+    expected_at: Timestamp,
+    /// Earliest start of the next request without an allocator.
+    alone_at: Timestamp,
+    /// Set while this router is the allocator.
+    allocator: Option<Allocator>,
+}
+
+impl Limit {
+    fn new(run: u64, rate: Option<Rate>, stated_at: Timestamp) -> Self {
+        Self {
+            run,
+            rate,
+            stated_at,
+            permits: Vec::new(),
+            asked_at: Timestamp::ZERO,
+            asked: 0,
+            unanswered_since: None,
+            expected_at: Timestamp::ZERO,
+            alone_at: Timestamp::ZERO,
+            allocator: None,
+        }
+    }
+
+    fn statement(&self, now: Timestamp) -> Statement {
+        Statement {
+            run: self.run,
+            rate: self.rate,
+            age: now.since(self.stated_at),
+        }
+    }
+
+    fn usable(&self, now: Timestamp) -> impl Iterator<Item = usize> + '_ {
+        let permits = self.permits.iter().enumerate();
+        let usable = permits.filter(move |(_, permit)| permit.from <= now && now < permit.until);
+        usable.map(|(index, _)| index)
+    }
+
+    /// Returns the number of permits that this router has or may still get for its last question.
+    fn expected(&self, now: Timestamp) -> u32 {
+        let held = self.permits.iter().filter(|permit| now < permit.until);
+        let is_asked = now.since(self.asked_at) < ASK_INTERVAL;
+        held.count() as u32 + if is_asked { self.asked } else { 0 }
+    }
+}
+
+impl Pool {
+    fn limit(&self, upstream: &Upstream) -> Option<&Limit> {
+        let entry = &upstream.entry;
+        let limit = self.limits.get(&entry.id)?;
+        (entry.started_at <= limit.run && limit.rate.is_some()).then_some(limit)
+    }
+
+    /// Returns whether an upstream states a rate.
+    pub(super) fn is_rate_limited(&self, upstream: &Upstream) -> bool {
+        self.limit(upstream).is_some()
+    }
+
+    /// Returns whether an upstream may get a request as far as the rate that it states is concerned.
+    pub(super) fn limit_permits(&self, now: Timestamp, upstream: &Upstream) -> bool {
+        let limit = self.limit(upstream);
+        limit.is_none_or(|limit| limit.usable(now).next().is_some())
+    }
+
+    /// Records what an upstream states in its response to a request that was sent at `sent_at`, and returns
+    /// whether the limit is new or ended.
+    ///
+    /// A response without a rate ends a limit only if its request was sent after the limit was stated:
+    /// responses may overtake each other.
+    pub fn record_rate(
+        &mut self,
+        now: Timestamp,
+        choice: &Choice,
+        sent_at: Timestamp,
+        rate: Option<Rate>,
+    ) -> bool {
+        let known = self.limits.get(&choice.id);
+        let known = known.filter(|limit| choice.started_at <= limit.run);
+        match (known, rate) {
+            (None, None) => return false,
+            (Some(limit), None) if limit.rate.is_none() || sent_at <= limit.stated_at => {
+                return false
+            }
+            (Some(limit), _) if choice.started_at < limit.run => return false,
+            _ => {}
+        }
+        let changes = known.is_none_or(|limit| limit.rate.is_some() != rate.is_some());
+        self.set_rate(now, &choice.id, choice.started_at, rate);
+        changes
+    }
+
+    /// Records that an upstream states a rate that cannot be used, and returns whether that is new.
+    pub fn record_unusable_rate(&mut self, choice: &Choice) -> bool {
+        let run = choice.started_at;
+        if self.unusable_rates.get(&choice.id) == Some(&run) {
+            return false;
+        }
+        self.unusable_rates.insert(choice.id.clone(), run);
+        if self.unusable_rates.len() > MAX_LIMITS {
+            self.unusable_rates.shift_remove_index(0);
+        }
+        true
+    }
+
+    /// Applies a statement that another router passed on, and returns whether the limit is new or ended.
+    pub fn merge_rate(&mut self, now: Timestamp, upstream: &Name, statement: Statement) -> bool {
+        let stated_at = Timestamp::ZERO + now.since(Timestamp::ZERO + statement.age);
+        let known = self.limits.get(upstream);
+        let is_later =
+            known.is_none_or(|limit| (statement.run, stated_at) > (limit.run, limit.stated_at));
+        if statement.age >= MAX_STATEMENT_AGE || !is_later {
+            return false;
+        }
+        let before = known.filter(|limit| limit.run == statement.run);
+        let before = before.is_some_and(|limit| limit.rate.is_some());
+        self.set_rate(stated_at, upstream, statement.run, statement.rate);
+        before != statement.rate.is_some()
+    }
+
+    fn set_rate(&mut self, at: Timestamp, upstream: &Name, run: u64, rate: Option<Rate>) {
+        if let Some(limit) = self.limits.get_mut(upstream) {
+            if limit.run == run {
+                (limit.rate, limit.stated_at) = (rate, limit.stated_at.max(at));
+                return;
+            }
+        }
+        let expired =
+            |limit: &Limit| limit.rate.is_none() && at.since(limit.stated_at) >= MAX_STATEMENT_AGE;
+        self.limits.retain(|_, limit| !expired(limit));
+        self.limits.shift_remove(upstream);
+        if self.limits.len() >= MAX_LIMITS {
+            let mut names = self.limits.keys();
+            let unlisted = names.position(|name| !self.upstreams.contains_key(name));
+            self.limits.shift_remove_index(unlisted.unwrap_or(0));
+        }
+        self.limits
+            .insert(upstream.clone(), Limit::new(run, rate, at));
+    }
+
+    /// Returns whether any upstream states a rate.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.limits.values().any(|limit| limit.rate.is_some())
+    }
+
+    /// Returns the number of upstreams that state a rate.
+    #[must_use]
+    pub fn limited_count(&self) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams
+            .filter(|upstream| self.rate(upstream).is_some())
+            .count()
+    }
+
+    /// Returns what an upstream last stated, if anything is known.
+    #[must_use]
+    pub fn statement(&self, now: Timestamp, upstream: &str) -> Option<Statement> {
+        self.limits.get(upstream).map(|limit| limit.statement(now))
+    }
+
+    /// Returns the rate that an upstream states.
+    fn rate(&self, upstream: &Upstream) -> Option<Rate> {
+        self.limit(upstream).and_then(|limit| limit.rate)
+    }
+
+    /// Returns what upstreams stated within `max_age`, for the other routers.
+    pub fn statements(
+        &self,
+        now: Timestamp,
+        max_age: Span,
+    ) -> impl Iterator<Item = (&Name, Statement)> {
+        let statements = self.limits.iter();
+        let statements = statements.map(move |(id, limit)| (id, limit.statement(now)));
+        statements.filter(move |(_, statement)| statement.age < max_age)
+    }
+
+    /// Uses a permit for a request to the chosen upstream, if it states a rate.
+    pub fn use_permit(&mut self, now: Timestamp, choice: &Choice) {
+        let Some(limit) = self.limits.get_mut(&choice.id) else {
+            return;
+        };
+        limit.permits.retain(|permit| now < permit.until);
+        let usable = limit.usable(now);
+        let first = usable.min_by_key(|index| limit.permits[*index].until);
+        if let Some(index) = first {
+            limit.permits.swap_remove(index);
+        }
+    }
+
+    /// Plans a permit for a request: one that this router has or has just asked for, or else a further one
+    /// for the limited upstream that is expected to have one first. `planned` counts them by upstream.
+    pub fn plan_permit(
+        &self,
+        now: Timestamp,
+        avoid: &[Name],
+        software: Option<&Software>,
+        planned: &mut IndexMap<Name, u32>,
+    ) {
+        let is_same = |upstream: &&Upstream| {
+            software.is_none_or(|software| *software == Software::of(&upstream.entry))
+        };
+        let accepting = self.upstreams.values().filter(|upstream| {
+            !upstream.entry.leaving
+                && self.pause_permits(now, upstream)
+                && !avoid.contains(&upstream.entry.id)
+                && upstream.requests() < upstream.entry.slots
+        });
+        let limited = accepting.filter(is_same).filter_map(|upstream| {
+            let limit = self.limit(upstream)?;
+            let id = &upstream.entry.id;
+            let count = planned.get(id).copied().unwrap_or_default();
+            let further = u64::from((count + 1).saturating_sub(limit.expected(now)));
+            let interval = limit.rate?.interval().as_micros();
+            let wait =
+                limit.expected_at.since(now).as_micros() + interval * further.saturating_sub(1);
+            let is_failing = upstream.unavailable_until > now;
+            // Routers that ask for the same permits take turns at the upstreams.
+            let order = (further > 0, is_failing, wait, limit.asked_at);
+            (count < MAX_DEMAND).then_some((order, id))
+        });
+        if let Some((_, id)) = limited.min_by_key(|(order, _)| *order) {
+            *planned.entry(id.clone()).or_default() += 1;
+        }
+    }
+
+    /// Returns the questions for planned permits, and records that they are asked now. Permits that this
+    /// router has, or has just asked for, are not asked for again.
+    pub fn questions(&mut self, now: Timestamp, planned: IndexMap<Name, u32>) -> Vec<Question> {
+        let questions = planned.into_iter().filter_map(|(upstream, permits)| {
+            let limit = self.limits.get_mut(&upstream)?;
+            if permits <= limit.expected(now) {
+                return None;
+            }
+            let held = limit.expected(now);
+            limit.asked_at = now;
+            limit.asked = permits - held.min(permits);
+            limit.unanswered_since = limit.unanswered_since.or(Some(now));
+            Some(Question {
+                upstream,
+                statement: limit.statement(now),
+                permits: limit.asked,
+            })
+        });
+        questions.collect()
+    }
+
+    /// Takes a part of the rate of an upstream whose allocator does not answer, in a fleet of `routers`.
+    pub fn permit_unanswered(&mut self, now: Timestamp, upstream: &Name, routers: usize) {
+        let Some(limit) = self.limits.get_mut(upstream) else {
+            return;
+        };
+        let (Some(rate), Some(since)) = (limit.rate, limit.unanswered_since) else {
+            return;
+        };
+        if now.since(since) < UNANSWERED_TIMEOUT || now < limit.alone_at {
+            return;
+        }
+        let parts = routers.max(1) as f64 / UNALLOCATED_FRACTION;
+        let micros = rate.interval().as_micros() as f64 * parts;
+        if limit.alone_at > Timestamp::ZERO {
+            limit.permits.push(Permit {
+                from: now,
+                until: now + PERMIT_LIFETIME,
+            });
+        }
+        limit.alone_at = now + Span::from_micros(micros as u64);
+    }
+
+    /// Applies the answer of an allocator to a question that was asked at `asked_at`: the times until
+    /// its permits start, and until the next one is expected.
+    pub fn record_answer(
+        &mut self,
+        now: Timestamp,
+        upstream: &Name,
+        asked_at: Timestamp,
+        starts_in: &[Span],
+        wait: Span,
+    ) {
+        let Some(limit) = self.limits.get_mut(upstream) else {
+            return;
+        };
+        if now.since(asked_at) > MAX_ANSWER_DELAY {
+            return;
+        }
+        limit.unanswered_since = None;
+        limit.alone_at = Timestamp::ZERO;
+        limit.expected_at = now + wait;
+        limit.permits.retain(|permit| now < permit.until);
+        limit.asked = limit.asked.saturating_sub(starts_in.len() as u32);
+        for starts_in in starts_in {
+            let from = now + *starts_in;
+            let until = from + PERMIT_LIFETIME;
+            limit.permits.push(Permit { from, until });
+        }
+    }
+
+    /// Records the question of a router as the allocator of an upstream, see [`Allocator::ask`]. Permits start at `since` at the earliest if this router was not the allocator
+    /// before.
+    pub fn ask_allocator(
+        &mut self,
+        now: Timestamp,
+        since: Timestamp,
+        router: &Name,
+        upstream: &Name,
+        (permits, asked_us): (u32, u64),
+    ) {
+        let limit = self.limits.get_mut(upstream);
+        let Some(limit) = limit.filter(|limit| limit.rate.is_some()) else {
+            return;
+        };
+        let new = || Allocator::new(since.max(now));
+        let allocator = limit.allocator.get_or_insert_with(new);
+        allocator.ask(now, router, permits, asked_us);
+    }
+
+    /// Returns the time until the next permit for an upstream starts, if this router is its allocator.
+    #[must_use]
+    pub fn next_permit_in(&self, now: Timestamp, upstream: &str) -> Option<Span> {
+        let allocator = self.limits.get(upstream)?.allocator.as_ref();
+        allocator.map(|allocator| allocator.next_in(now))
+    }
+
+    /// Returns the permits that this router hands out now as an allocator, by upstream.
+    pub fn allocate(&mut self, now: Timestamp) -> Vec<(Name, Grant)> {
+        let limits = self.limits.iter_mut().filter_map(|(id, limit)| {
+            let (rate, allocator) = (limit.rate?, limit.allocator.as_mut()?);
+            Some((id, allocator.allocate(now, rate)))
+        });
+        let grants = limits.flat_map(|(id, grants)| {
+            let of_upstream = grants.into_iter();
+            of_upstream.map(move |grant| (id.clone(), grant))
+        });
+        grants.collect()
+    }
+
+    /// Returns whether any router waits for a permit of this allocator.
+    #[must_use]
+    pub fn has_demand(&self, now: Timestamp) -> bool {
+        let allocators = self
+            .limits
+            .values()
+            .filter_map(|limit| limit.allocator.as_ref());
+        let mut allocators = allocators;
+        allocators.any(|allocator| allocator.has_demand(now))
+    }
+
+    /// Ends the allocation for upstreams unless `keep` returns true.
+    pub fn retain_allocators(&mut self, keep: impl Fn(&Name) -> bool) {
+        for (id, limit) in &mut self.limits {
+            if limit.allocator.is_some() && !keep(id) {
+                limit.allocator = None;
+            }
+        }
+    }
+
+    /// Returns the shortest time until one of the upstreams that accept requests may get one, as far as
+    /// their pauses and rates are known, other than `avoid` if there are others.
+    #[must_use]
+    pub fn shortest_wait(
+        &self,
+        now: Timestamp,
+        avoid: &[Name],
+        software: Option<&Software>,
+    ) -> Span {
+        self.shortest(avoid, software, |upstream| {
+            let limit = self.limit(upstream);
+            let limit = limit.filter(|limit| limit.usable(now).next().is_none());
+            let permit = limit.map_or(Span::ZERO, |limit| limit.expected_at.since(now));
+            permit.max(self.pause_left(now, upstream))
+        })
+    }
+}
--- a/crates/flow/src/pool/pause.rs
+++ b/crates/flow/src/pool/pause.rs
@@ -69,16 +69,32 @@
         now: Timestamp,
         avoid: &[Name],
         software: Option<&Software>,
+    ) -> Span {
+        self.shortest(avoid, software, |upstream| self.pause_left(now, upstream))
+    }
+
+    pub(super) fn pause_left(&self, now: Timestamp, upstream: &Upstream) -> Span {
+        let until = self.pause_end(upstream);
+        until.map_or(Span::ZERO, |until| until.since(now))
+    }
+
+    /// Returns the shortest of the times of the upstreams that accept requests, other than `avoid` if there
+    /// are others; zero if none accepts any.
+    pub(super) fn shortest(
+        &self,
+        avoid: &[Name],
+        software: Option<&Software>,
+        time: impl Fn(&Upstream) -> Span,
     ) -> Span {
         let accepting = self.upstreams.values().filter(|upstream| {
             let is_same = |software: &Software| *software == Software::of(&upstream.entry);
             !upstream.entry.leaving && software.is_none_or(is_same)
         });
-        let left = accepting.map(|upstream| {
-            let until = self.pause_end(upstream).unwrap_or(Timestamp::ZERO);
-            (avoid.contains(&upstream.entry.id), until.since(now))
+        let times = accepting.map(|upstream| {
+            let is_avoided = avoid.contains(&upstream.entry.id);
+            (is_avoided, time(upstream))
         });
         // Upstreams to avoid come last.
-        left.min().map_or(Span::ZERO, |(_, left)| left)
+        times.min().map_or(Span::ZERO, |(_, time)| time)
     }
 }
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -1,5 +1,6 @@
 //! The state of one service.
 
+use indexmap::IndexMap;
 use tsw_base::time::{Span, Timestamp};
 use tsw_route::{table, Name};
 
@@ -10,6 +11,7 @@
     pool::{Choice, Constraints, Pool},
     prompt::Prompt,
     queue::{Queue, QueuedRequest, Standing},
+    rate::MAX_DEMAND,
 };
 
 /// Processing time of the prompts pending at an engine above which further requests wait at the
@@ -42,6 +44,8 @@
     engine: Option<table::Engine>,
     tokens_per_s: Option<u64>,
     connections: u32,
+    /// Requests since [`Service::plan_permits`] was called.
+    arrivals: u32,
 }
 
 impl Service {
@@ -56,6 +60,7 @@
             engine: None,
             tokens_per_s: None,
             connections: u32::MAX,
+            arrivals: 0,
         }
     }
 
@@ -133,6 +138,46 @@
         self.pool.choose(now, &constraints)
     }
 
+    /// Records that a request of a team arrived.
+    pub fn record_request(&mut self, now: Timestamp, team: &Name, work: u64) {
+        self.accounts.record_request(now, team, work);
+        self.arrivals = self.arrivals.saturating_add(1);
+    }
+
+    /// Returns whether permits for upstreams that state a rate are needed now.
+    #[must_use]
+    pub fn needs_permits(&self, now: Timestamp) -> bool {
+        let has_requests = self.arrivals > 0 || !self.queue.is_empty();
+        self.pool.is_limited() && has_requests || self.pool.has_demand(now)
+    }
+
+    /// Returns the number of permits to ask for at each upstream that states a rate, given the upstreams
+    /// and the software that each waiting request excludes or needs.
+    ///
+    /// Each request asks for a permit, also one that another upstream has room for: otherwise the limited
+    /// upstreams would get requests only when the others are full.
+    pub fn plan_permits<'a>(
+        &mut self,
+        now: Timestamp,
+        constraints: impl Fn(u64) -> Option<(&'a [Name], Option<&'a Software>)>,
+    ) -> IndexMap<Name, u32> {
+        let mut planned = IndexMap::new();
+        let fair_share = self.fair_share(now);
+        let order = self.queue.start_order(now, &self.accounts);
+        let due = order.iter().filter(|waiting| {
+            let limit = waiting.standing.share_limit(fair_share);
+            self.may_start(now, &waiting.team, waiting.work, limit)
+        });
+        let due = due.filter_map(|waiting| constraints(waiting.number));
+        for (avoid, software) in due.take(MAX_DEMAND as usize) {
+            self.pool.plan_permit(now, avoid, software, &mut planned);
+        }
+        for _ in 0..std::mem::take(&mut self.arrivals).min(MAX_DEMAND) {
+            self.pool.plan_permit(now, &[], None, &mut planned);
+        }
+        planned
+    }
+
     /// Returns the work per second that all upstreams of the service can do.
     fn work_per_s(&self) -> f64 {
         match self.engine {
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -17,7 +17,8 @@
 
 use crate::{
     origin_batch::Batch,
-    origin_sync,
+    origin_sync, permit_exchange,
+    permit_message::{self, Permits, StatedRate},
     report::{self, Activity, Reassembler, MAX_DATAGRAM},
     state::{Phase, State},
 };
@@ -39,16 +40,42 @@
     /// Where streams began. They follow findings, where routers that do not know them ignore them.
     #[serde(skip)]
     origins: Batch,
+    /// Questions and answers about permits. They follow the origins of streams.
+    #[serde(skip)]
+    permits: Permits,
+    /// Rates that upstreams state. They follow activities.
+    #[serde(skip)]
+    rates: Vec<StatedRate>,
+}
+
+impl Datagram {
+    fn new(from: &str, message: Message) -> Self {
+        Self {
+            from: from.to_owned(),
+            message,
+            origins: Batch::default(),
+            permits: Permits::default(),
+            rates: Vec::new(),
+        }
+    }
 }
 
-/// Encodes a datagram. The eras of members and the origins of streams follow it.
+/// Encodes a datagram. What older routers do not know follows it: the eras of members, the origins of
+/// streams and permits, or the rates that upstreams state.
 fn encode(datagram: &Datagram) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_allocvec(datagram)?;
     match &datagram.message {
         Message::Members(update) => postcard::to_extend(&update.eras(), bytes),
+        Message::Findings(_) if !datagram.permits.is_empty() => {
+            let bytes = postcard::to_extend(&datagram.origins, bytes)?;
+            postcard::to_extend(&datagram.permits, bytes)
+        }
         Message::Findings(_) if !datagram.origins.is_empty() => {
             postcard::to_extend(&datagram.origins, bytes)
         }
+        Message::Activities(..) if !datagram.rates.is_empty() => {
+            postcard::to_extend(&datagram.rates, bytes)
+        }
         Message::Activities(..) | Message::Findings(_) => Ok(bytes),
     }
 }
@@ -59,8 +86,14 @@
     if !rest.is_empty() {
         match &mut datagram.message {
             Message::Members(update) => update.set_eras(&postcard::from_bytes::<Vec<_>>(rest)?),
-            Message::Findings(_) => datagram.origins = postcard::from_bytes(rest)?,
-            Message::Activities(..) => {}
+            Message::Findings(_) => {
+                let (origins, permits) = postcard::take_from_bytes(rest)?;
+                datagram.origins = origins;
+                if !permits.is_empty() {
+                    datagram.permits = postcard::from_bytes(permits)?;
+                }
+            }
+            Message::Activities(..) => datagram.rates = postcard::from_bytes(rest)?,
         }
     }
     Ok(datagram)
@@ -74,29 +107,36 @@
 }
 
 async fn send(state: &State, socket: &UdpSocket, to: &[SocketAddr], message: Message) {
-    send_datagram(state, socket, to, message, Batch::default()).await;
+    let datagram = Datagram::new(&host(state), message);
+    send_datagram(state, socket, to, &datagram).await;
+}
+
+fn host(state: &State) -> String {
+    state.settings.borrow().host.clone()
 }
 
 /// Sends records of where streams began to a router.
 pub async fn send_origins(state: &State, socket: &UdpSocket, to: SocketAddr, origins: Batch) {
     let message = Message::Findings(Findings::default());
-    send_datagram(state, socket, &[to], message, origins).await;
+    let datagram = Datagram {
+        origins,
+        ..Datagram::new(&host(state), message)
+    };
+    send_datagram(state, socket, &[to], &datagram).await;
 }
 
-async fn send_datagram(
-    state: &State,
-    socket: &UdpSocket,
-    to: &[SocketAddr],
-    message: Message,
-    origins: Batch,
-) {
-    let from = state.settings.borrow().host.clone();
+/// Sends questions and answers about permits to a router.
+pub async fn send_permits(state: &State, socket: &UdpSocket, to: SocketAddr, permits: Permits) {
+    let message = Message::Findings(Findings::default());
     let datagram = Datagram {
-        from,
-        message,
-        origins,
+        permits,
+        ..Datagram::new(&host(state), message)
     };
-    let bytes = match encode(&datagram) {
+    send_datagram(state, socket, &[to], &datagram).await;
+}
+
+async fn send_datagram(state: &State, socket: &UdpSocket, to: &[SocketAddr], datagram: &Datagram) {
+    let bytes = match encode(datagram) {
         Ok(bytes) => bytes,
         Err(error) => return emit(Event::InternalFailed, &[("cause", &error)]),
     };
@@ -169,8 +209,14 @@
         let activities = activities.iter().map(Activity::from).collect();
         match report::split(now.as_micros(), activities) {
             Ok(fragments) => {
+                let mut rates = permit_message::recent_rates(&state.router);
                 for fragment in fragments {
-                    send(&state, &socket, &to, Message::Activities(load, fragment)).await;
+                    let message = Message::Activities(load, fragment);
+                    let datagram = Datagram {
+                        rates: std::mem::take(&mut rates),
+                        ..Datagram::new(&host(&state), message)
+                    };
+                    send_datagram(&state, &socket, &to, &datagram).await;
                 }
             }
             Err(error) => emit(Event::InternalFailed, &[("cause", &error)]),
@@ -287,12 +333,19 @@
             }
             Message::Findings(findings) => {
                 origin_sync::receive(&state, &datagram.origins);
+                if !datagram.permits.is_empty() {
+                    let permits = datagram.permits;
+                    permit_exchange::receive(&state, &socket, &datagram.from, permits).await;
+                }
                 if !findings.findings.is_empty() {
                     state.router.apply_findings(findings);
                 }
             }
             Message::Activities(load, fragment) => {
                 let from: Name = datagram.from.as_str().into();
+                for rate in &datagram.rates {
+                    rate.apply(&state.router, &datagram.from);
+                }
                 let Some(activities) = reassembler.add(&from, fragment) else {
                     continue;
                 };
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -24,7 +24,10 @@
 use tsw_relay::router::Router;
 use tsw_route::{table::Limits, Name};
 
-use crate::{connection_reuse::ReuseTracker, origin_sync::Queries, store_copy::StoreCopy};
+use crate::{
+    connection_reuse::ReuseTracker, origin_sync::Queries, permit_exchange::ReadyRouters,
+    store_copy::StoreCopy,
+};
 
 /// Maximum number of routers in a fleet in which every router watches the store.
 const SMALL_FLEET: usize = 8;
@@ -75,6 +78,8 @@
     pub reuse: ReuseTracker,
     /// Queries to other routers for where streams began.
     pub origin_queries: Queries,
+    /// The ready routers, and when they last changed.
+    pub ready_routers: RefCell<ReadyRouters>,
 }
 
 impl State {
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -402,6 +402,30 @@
         live
     }
 
+    /// Returns the ready router of the highest rendezvous weight for a key; this router if none is ready.
+    ///
+    /// Routers that know the same members return the same one.
+    ///
+    /// ```
+    /// use tsw_base::time::Timestamp;
+    /// use tsw_member::roster::{Member, Roster};
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let me = Member {
+    ///     host: "r0".to_owned(), domain: "north".to_owned(), incarnation: 1, heartbeat: 1,
+    ///     client: address, gossip: address, control: address, processor: 250, ready: true,
+    ///     reads_store: true, read_for_ms: 0, version: 0, revision: 0, era: None,
+    /// };
+    /// let roster = Roster::new(me, Vec::new());
+    /// assert_eq!(roster.ready_owner(Timestamp::from_micros(1), 7).host, "r0");
+    /// ```
+    #[must_use]
+    pub fn ready_owner(&self, now: Timestamp, key: u64) -> &Member {
+        let all = std::iter::once(&self.me).chain(self.live(now));
+        let ready = all.filter(|member| member.ready);
+        let weight = |member: &&Member| rendezvous::weight(key, &member.host);
+        ready.max_by_key(weight).unwrap_or(&self.me)
+    }
+
     /// Returns the routers that clients should use, in an order that is the same at all routers.
     ///
     /// These are the strong routers: the ready ones with at least half of the processor time of the
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -157,7 +157,7 @@
         // It may be a late copy of an earlier response.
         let unidentified = info.matches_request.is_none();
         if !(unidentified && (reused || skipped)) {
-            self.record_statements(request, &reservation, info);
+            self.record_statements(request, &reservation, info, now);
         }
         if unidentified && (reused || skipped || (200..300).contains(&status)) {
             return Err(AttemptError::new(
--- a/crates/relay/src/local_response.rs
+++ b/crates/relay/src/local_response.rs
@@ -17,6 +17,8 @@
     NoUpstream,
     /// All upstreams asked for a pause that is longer than it can wait.
     Paused,
+    /// All upstreams state a request rate, and none has a permit for it while it can wait.
+    Limited,
     /// The router is about to exit.
     Stopping,
     /// Equal requests, or others with the same prompt parts, crashed several upstreams.
@@ -35,6 +37,7 @@
             Self::Late => "late",
             Self::NoUpstream => "no-upstream",
             Self::Paused => "paused",
+            Self::Limited => "limited",
             Self::Stopping => "stopping",
             Self::Poison => "crashed-upstreams",
             Self::UnknownOrigin => "unknown-origin",
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -29,6 +29,10 @@
     pub stated_leaving: IntCounterVec,
     /// Pauses that upstreams asked for, by service.
     pub pauses: IntCounterVec,
+    /// Upstreams that state a request rate.
+    pub limited: IntGauge,
+    /// Permits for requests to such upstreams, by service and step: asked for, granted.
+    pub permits: IntCounterVec,
     /// Open connections of clients.
     pub clients: IntGauge,
     /// Age of the oldest report of a busy router when an upstream was chosen, in seconds.
@@ -125,6 +129,17 @@
                 ),
                 &["service"],
             )?,
+            limited: IntGauge::new(
+                "relay_upstreams_limited",
+                "Upstreams that state the request rate that they take",
+            )?,
+            permits: IntCounterVec::new(
+                Opts::new(
+                    "relay_permits_total",
+                    "Permits for requests to upstreams that state a rate, by service and step",
+                ),
+                &["service", "step"],
+            )?,
             clients: IntGauge::new("relay_clients", "Open connections of clients")?,
             report_age: histogram(
                 "relay_statement_age_seconds",
@@ -177,6 +192,8 @@
         registry.register(Box::new(metrics.upstreams.clone()))?;
         registry.register(Box::new(metrics.stated_leaving.clone()))?;
         registry.register(Box::new(metrics.pauses.clone()))?;
+        registry.register(Box::new(metrics.limited.clone()))?;
+        registry.register(Box::new(metrics.permits.clone()))?;
         registry.register(Box::new(metrics.clients.clone()))?;
         registry.register(Box::new(metrics.report_age.clone()))?;
         registry.register(Box::new(metrics.message_bytes.clone()))?;
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 use tsw_base::time::Span;
-use tsw_flow::pool::Choice;
+use tsw_flow::{pool::Choice, rate::Rate};
 use tsw_http::{field::Fields, head};
 
 use crate::request::Request;
 
 /// What the header fields of a response state besides its status.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// The upstream did not run the request and never will.
     pub not_run: bool,
@@ -19,6 +19,17 @@
     pub leaving: bool,
     /// The pause that the upstream asks for.
     pub pause: Option<Pause>,
+    /// The request rate that the upstream takes from all routers together.
+    pub rate: Option<StatedRate>,
+}
+
+/// A request rate that an upstream states in a response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StatedRate {
+    /// It takes this rate.
+    Usable(Rate),
+    /// What it states cannot be used, or it states different rates, the lowest of which is given.
+    Unusable(Option<Rate>),
 }
 
 /// A pause that an upstream asks for in a response.
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -104,6 +104,18 @@
 #[derive(Default)]
 pub struct Waiters(IndexMap<(Name, u64), Waiter>);
 
+impl Waiters {
+    /// Returns the upstreams that a queued request must not use, and the software that it needs.
+    pub(crate) fn constraints(
+        &self,
+        service: &Name,
+        number: u64,
+    ) -> Option<(&[Name], Option<&Software>)> {
+        let waiter = self.0.get(&(service.clone(), number))?;
+        Some((&waiter.avoid, waiter.software.as_ref()))
+    }
+}
+
 /// When a service's free slots were last assigned to queued requests.
 #[derive(Clone, Copy, Default)]
 pub struct StartState {
@@ -194,9 +206,7 @@
                 return Err((Refusal::NoUpstream, fair_share));
             }
             let team = request.team();
-            service
-                .accounts
-                .record_request(now, &team.into(), request_work(request));
+            service.record_request(now, &team.into(), request_work(request));
             let limit = standing.share_limit(fair_share);
             let may_start = service.may_start(now, team, request_work(request), limit)
                 && !service.is_held(now, team, standing, fair_share);
@@ -217,20 +227,25 @@
             if now + wait >= until {
                 return Err((late(wait), fair_share));
             }
-            let pause = service.pool.shortest_pause(now, avoid, software);
-            if now + pause >= until {
-                return Ok(Err(Err(pause)));
+            let wait = service.pool.shortest_wait(now, avoid, software);
+            if now + wait >= until {
+                let pause = service.pool.shortest_pause(now, avoid, software);
+                return Ok(Err(Err((pause, wait))));
             }
             let queued = queued(request, standing, until, false);
             Ok(Err(Ok((service.queue.push(queued), until))))
         });
+        let limited = self.with_service(&request.service, |service| service.pool.is_limited());
+        if limited == Some(true) {
+            self.permits_needed.notify_one();
+        }
         let (number, until) = match wait {
             None => return Err(Refused::new(Refusal::NoUpstream, MIN_RETRY_AFTER)),
             Some(Err((refusal, fair_share))) => {
                 return Err(self.refuse(request, standing, refusal, fair_share))
             }
             Some(Ok(Ok(choice))) => return Ok(self.reservation(request, choice)),
-            Some(Ok(Err(Err(pause)))) => return Err(Refused::new(Refusal::Paused, pause)),
+            Some(Ok(Err(Err((pause, wait))))) => return Err(self.refuse_wait(request, pause, wait)),
             Some(Ok(Err(Ok(queued)))) => queued,
         };
         self.wait_in_queue(request, needs, number, until).await
@@ -294,12 +309,13 @@
             _ => {
                 let now = self.now();
                 let team = request.team();
-                let pause = self.with_service(&request.service, |service| {
-                    let pool = &service.pool;
-                    pool.shortest_pause(now, needs.avoid, needs.software)
+                let waits = self.with_service(&request.service, |service| {
+                    let (pool, avoid, software) = (&service.pool, needs.avoid, needs.software);
+                    let pause = pool.shortest_pause(now, avoid, software);
+                    (pause, pool.shortest_wait(now, avoid, software))
                 });
-                if let Some(pause) = pause.filter(|pause| *pause > Span::ZERO) {
-                    return Err(Refused::new(Refusal::Paused, pause));
+                if let Some((pause, wait)) = waits.filter(|(_, wait)| *wait > Span::ZERO) {
+                    return Err(self.refuse_wait(request, pause, wait));
                 }
                 let share = self.with_service(&request.service, |service| {
                     let fair_share = service.fair_share(now);
@@ -313,14 +329,33 @@
         }
     }
 
-    /// Ends the wait of the queued requests of a service whose upstreams all pause for longer.
-    pub(crate) fn refuse_paused(&self, name: &Name) {
+    /// Refuses a request whose upstreams pause, or have no permit, for longer than it can wait. Upstreams
+    /// state when a pause ends; a permit goes to whichever request comes first, so that the clients'
+    /// returns are spread.
+    fn refuse_wait(&self, request: &Request, pause: Span, wait: Span) -> Refused {
+        if pause >= wait {
+            return Refused::new(Refusal::Paused, pause);
+        }
+        let now = self.now();
+        let longest = request.deadline.since(now).as_micros() / RETRY_AFTER_DIVISOR;
+        let shortest = MIN_RETRY_AFTER.as_micros().min(longest);
+        let spread = 1.0 + rand::random::<f64>();
+        let after = (wait.as_micros() as f64 * spread) as u64;
+        Refused::new(
+            Refusal::Limited,
+            Span::from_micros(after.clamp(shortest, longest)),
+        )
+    }
+
+    /// Ends the wait of the queued requests of a service whose upstreams all pause, or have no permit, for
+    /// longer.
+    pub(crate) fn refuse_waiting(&self, name: &Name) {
         let now = self.now();
         self.with_service(name, |service| {
             self.waiters.borrow_mut().0.retain(|(of, _), waiter| {
                 let software = waiter.software.as_ref();
                 let pool = &service.pool;
-                of != name || now + pool.shortest_pause(now, &waiter.avoid, software) < waiter.until
+                of != name || now + pool.shortest_wait(now, &waiter.avoid, software) < waiter.until
             });
         });
     }
@@ -473,6 +508,7 @@
     service
         .accounts
         .record_start(now, &request.team().into(), request_work(request));
+    service.pool.use_permit(now, &choice);
     service.pool.begin(&choice, request.prompt.as_ref());
     choice
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -101,6 +101,8 @@
     pub(crate) reminded_at: Cell<Timestamp>,
     /// Notified when there are findings for the other routers.
     pub findings_ready: Notify,
+    /// Notified when a request arrives for a service with an upstream that states a rate.
+    pub permits_needed: Notify,
     /// When the last report of each other router that has work arrived, and whether it is busy.
     peer_reports: RefCell<IndexMap<Name, (Timestamp, bool)>>,
     pub(crate) origins: RefCell<Origins>,
@@ -145,6 +147,7 @@
             messages_to_peers: RefCell::default(),
             reminded_at: Cell::default(),
             findings_ready: Notify::new(),
+            permits_needed: Notify::new(),
             peer_reports: RefCell::default(),
             origins: RefCell::default(),
             software: RefCell::default(),
--- a/crates/relay/src/statements.rs
+++ b/crates/relay/src/statements.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 
 use tokio::time;
-use tsw_base::time::Span;
+use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
+use tsw_flow::{pool::Statement, rate::Rate};
 
 use crate::{
-    protocol::{Pause, ResponseInfo},
+    permits::Target,
+    protocol::{Pause, ResponseInfo, StatedRate},
     request::Request,
     reservation::Reservation,
     router::Router,
@@ -20,7 +22,9 @@
         request: &Request,
         reservation: &Reservation,
         info: ResponseInfo,
+        sent_at: Timestamp,
     ) {
+        self.record_rate(request, reservation, info.rate, sent_at);
         if info.leaving {
             self.record_leaving(request, reservation);
         }
@@ -49,6 +53,50 @@
         }
     }
 
+    fn record_rate(
+        self: &Rc<Self>,
+        request: &Request,
+        reservation: &Reservation,
+        stated: Option<StatedRate>,
+        sent_at: Timestamp,
+    ) {
+        let (name, choice) = (reservation.service(), reservation.choice());
+        let now = self.now();
+        let (rate, is_unusable) = match stated {
+            None => (None, false),
+            Some(StatedRate::Usable(rate)) => (Some(rate), false),
+            Some(StatedRate::Unusable(rate)) => (rate, true),
+        };
+        let changes = self.with_service(name, |service| {
+            let is_first = is_unusable && service.pool.record_unusable_rate(choice);
+            // A value that cannot be used states nothing, neither a limit nor its end.
+            let is_stated = !is_unusable || rate.is_some();
+            let changed = is_stated && service.pool.record_rate(now, choice, sent_at, rate);
+            (is_first, changed)
+        });
+        let (is_first, changed) = changes.unwrap_or_default();
+        if is_first {
+            emit(
+                Event::RateUnusable,
+                &[
+                    ("request", &request.id),
+                    ("upstream", &choice.id),
+                    ("service", name),
+                    ("per_s", &rate.map_or(-1.0, Rate::per_s)),
+                ],
+            );
+        }
+        if changed {
+            let (service, upstream) = (name.clone(), choice.id.clone());
+            let statement = Statement {
+                run: choice.started_at,
+                rate,
+                age: Span::ZERO,
+            };
+            self.log_rate(&Target { service, upstream }, statement, &request.id);
+        }
+    }
+
     fn record_pause(self: &Rc<Self>, reservation: &Reservation, length: Span) {
         let (name, now) = (reservation.service().clone(), self.now());
         self.with_service(&name, |service| {
@@ -56,7 +104,7 @@
         });
         let pauses = &self.metrics.pauses;
         pauses.with_label_values(&[&*name]).inc();
-        self.refuse_paused(&name);
+        self.refuse_waiting(&name);
         let router = self.clone();
         actix_rt::spawn(async move {
             time::sleep(length.as_duration()).await;
