Let upstreams of the soak state rates, and check the sum that they get

A part of the upstreams of each plain run states a rate between 0.3 and 10 requests a second for most of the run. The other faults of a seed stay the same.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -25,6 +25,10 @@
 const MAX_DURATION_MS: u64 = 3_000;
 /// Delay of a slow link in each direction.
 const SLOW_DELAY: Duration = Duration::from_millis(150);
+/// Rates that upstreams state, in requests per 10 s.
+const RATE_PER_10_S: std::ops::RangeInclusive<u32> = 3..=100;
+/// Distinguishes the random numbers of statements from those of faults.
+const STATEMENT_SEED: u64 = 0x7374_6174;
 /// Ages of the copies from which the store returns.
 const COPY_AGE_MS: std::ops::RangeInclusive<u64> = 500..=24_000;
 
@@ -52,6 +56,8 @@
     ResetUpstream(usize),
     /// An upstream changes its behaviour.
     ChangeBehaviour(usize, Behaviour),
+    /// An upstream states that it takes this many requests in 10 s from all routers together.
+    StateRate(usize, u32),
     /// An upstream is drained and replaced by another one.
     ReplaceUpstream(usize),
     /// An upstream is drained and replaced by one of this software version.
@@ -141,7 +147,12 @@
     #[must_use]
     pub fn draw(self, seed: u64, length: Duration) -> Vec<ScheduledFault> {
         match self {
-            Self::Faults => draw(seed, length, self.routers(), self.upstreams()),
+            Self::Faults => {
+                let mut faults = draw(seed, length, self.routers(), self.upstreams());
+                faults.extend(draw_statements(seed, length, self.upstreams()));
+                faults.sort_by_key(|fault| fault.start);
+                faults
+            }
             Self::Releases => {
                 let released = DESK_UPSTREAMS..self.upstreams();
                 draw_releases(seed, length, self.routers(), released)
@@ -202,6 +213,24 @@
     faults
 }
 
+/// Draws the rates that a part of the upstreams state for most of the run. They do not change the other
+/// faults of the seed.
+fn draw_statements(seed: u64, length: Duration, upstreams: usize) -> Vec<ScheduledFault> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ STATEMENT_SEED);
+    let count = rng.gen_range(0..=upstreams);
+    let chosen = rand::seq::index::sample(&mut rng, upstreams, count);
+    let statements = chosen.into_iter().map(|upstream| {
+        let start = length.mul_f64(rng.gen_range(0.0..0.3));
+        let duration = (length - start).mul_f64(rng.gen_range(0.5..1.0));
+        ScheduledFault {
+            start,
+            duration,
+            fault: Fault::StateRate(upstream, rng.gen_range(RATE_PER_10_S)),
+        }
+    });
+    statements.collect()
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, routers: usize, upstreams: usize) -> Fault {
     let (router, upstream) = (rng.gen_range(0..routers), rng.gen_range(0..upstreams));
     match rng.gen_range(0..20) {
--- a/crates/soak/src/fleet/injection.rs
+++ b/crates/soak/src/fleet/injection.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     fault::Fault,
-    history::{Disturbance, StoreDisturbance},
+    history::{Disturbance, Stated, Statement, StoreDisturbance},
 };
 
 /// Time for which a replaced upstream is listed as draining.
@@ -90,6 +90,22 @@
                     .set_default(self.plan.behaviour(upstream.service));
                 self.record_upstream_fault(&upstream, start);
             }
+            Fault::StateRate(number, per_10_s) => {
+                let upstream = self.current_upstream(number);
+                let per_s = f64::from(per_10_s) / 10.0;
+                upstream
+                    .worker
+                    .set_fields(&format!("Server-Limit: {per_s}\r\n"));
+                time::sleep(duration).await;
+                upstream.worker.set_fields("");
+                let mut history = self.history.borrow_mut();
+                history.statements.push(Statement {
+                    upstream: upstream.number,
+                    stated: Stated::Rate(per_s),
+                    start,
+                    end: Instant::now(),
+                });
+            }
             Fault::ReplaceUpstream(number) => {
                 let version = self.current_upstream(number).version.get();
                 self.replace_upstream(number, version).await?;
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,7 @@
 //! The history of requests as clients and upstreams observed it, and the checks on it.
 
 mod acknowledged;
+mod statements;
 mod streams;
 
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 use tsw_fake::worker::{Arrival, Behaviour};
 
 use acknowledged::status;
+pub use statements::{Stated, Statement};
 pub use streams::{Event, Run, Shares, Stream, StreamCounts};
 
 use crate::fault::STREAM_EVENTS;
@@ -161,6 +163,8 @@
     pub store_disturbances: Vec<StoreDisturbance>,
     /// Times at which the store acknowledged that an upstream is draining or gone, by its number.
     pub departures: IndexMap<usize, Vec<Instant>>,
+    /// Periods in which upstreams stated something in their responses.
+    pub statements: Vec<Statement>,
     /// Times at which the store acknowledged the versions of the configuration, of which the first
     /// is 1.
     pub configurations: Vec<Instant>,
@@ -201,6 +205,7 @@
         }
         violations.extend(self.late_arrivals());
         violations.extend(self.outdated_refusals());
+        violations.extend(self.exceeded_rates());
         violations.extend(self.joined_streams());
         violations.extend(self.executed_refusals());
         violations.extend(self.lost_resumes());
