--- a/crates/soak/src/fleet/injection.rs
+++ b/crates/soak/src/fleet/injection.rs
@@ -96,11 +96,16 @@
                 upstream
                     .worker
                     .set_fields(&format!("Server-Limit: {per_s}\r\n"));
+                // An upstream that is replaced meanwhile ends when it is dropped.
+                let (weak, upstream_number) = (Rc::downgrade(&upstream), upstream.number);
+                drop(upstream);
                 time::sleep(duration).await;
-                upstream.worker.set_fields("");
+                if let Some(upstream) = weak.upgrade() {
+                    upstream.worker.set_fields("");
+                }
                 let mut history = self.history.borrow_mut();
                 history.statements.push(Statement {
-                    upstream: upstream.number,
+                    upstream: upstream_number,
                     stated: Stated::Rate(per_s),
                     start,
                     end: Instant::now(),
