Let upstreams of the soak state that they leave or pause, and check both

Up to two upstreams of each plain run state that they leave while their entry says that they serve, or reject all requests and ask for a pause of 0.7 to 4 s. The checks are the users' bounds: no request that a client sends more than 2 s after its router forwarded such a response, and no more than two requests of a router in a pause, from half a second after the rejection on.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -27,6 +27,8 @@
 const SLOW_DELAY: Duration = Duration::from_millis(150);
 /// Rates that upstreams state, in requests per 10 s.
 const RATE_PER_10_S: std::ops::RangeInclusive<u32> = 3..=100;
+/// Pauses that upstreams ask for.
+const PAUSE_MS: std::ops::RangeInclusive<u64> = 700..=4_000;
 /// Distinguishes the random numbers of statements from those of faults.
 const STATEMENT_SEED: u64 = 0x7374_6174;
 /// Ages of the copies from which the store returns.
@@ -58,6 +60,10 @@
     ChangeBehaviour(usize, Behaviour),
     /// An upstream states that it takes this many requests in 10 s from all routers together.
     StateRate(usize, u32),
+    /// An upstream states that it leaves, while its entry says that it serves.
+    StateLeaving(usize),
+    /// An upstream rejects all requests and asks for a pause of this length.
+    StatePause(usize, Duration),
     /// An upstream is drained and replaced by another one.
     ReplaceUpstream(usize),
     /// An upstream is drained and replaced by one of this software version.
@@ -213,8 +219,8 @@
     faults
 }
 
-/// Draws the rates that a part of the upstreams state for most of the run. They do not change the other
-/// faults of the seed.
+/// Draws what a part of the upstreams state for most of the run. It does not change the other faults of
+/// the seed.
 fn draw_statements(seed: u64, length: Duration, upstreams: usize) -> Vec<ScheduledFault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ STATEMENT_SEED);
     let count = rng.gen_range(0..=upstreams);
@@ -228,7 +234,22 @@
             fault: Fault::StateRate(upstream, rng.gen_range(RATE_PER_10_S)),
         }
     });
-    statements.collect()
+    let mut statements: Vec<ScheduledFault> = statements.collect();
+    for _ in 0..rng.gen_range(0..=2) {
+        let upstream = rng.gen_range(0..upstreams);
+        let pause = Duration::from_millis(rng.gen_range(PAUSE_MS));
+        statements.push(ScheduledFault {
+            start: length.mul_f64(rng.gen_range(0.0..0.5)),
+            duration: length.mul_f64(rng.gen_range(0.2..0.5)),
+            fault: *[
+                Fault::StateLeaving(upstream),
+                Fault::StatePause(upstream, pause),
+            ]
+            .choose(&mut rng)
+            .expect("not empty"),
+        });
+    }
+    statements
 }
 
 fn draw_fault(rng: &mut Pcg64Mcg, routers: usize, upstreams: usize) -> Fault {
--- a/crates/soak/src/fleet/injection.rs
+++ b/crates/soak/src/fleet/injection.rs
@@ -9,7 +9,7 @@
 use futures_util::future;
 use rustix::process::Signal;
 use tokio::time;
-use tsw_fake::store::Mode;
+use tsw_fake::{store::Mode, worker::Behaviour};
 use tsw_load::relay::Link;
 
 use super::{
@@ -91,25 +91,20 @@
                 self.record_upstream_fault(&upstream, start);
             }
             Fault::StateRate(number, per_10_s) => {
-                let upstream = self.current_upstream(number);
-                let per_s = f64::from(per_10_s) / 10.0;
-                upstream
-                    .worker
-                    .set_fields(&format!("Server-Limit: {per_s}\r\n"));
-                // An upstream that is replaced meanwhile ends when it is dropped.
-                let (weak, upstream_number) = (Rc::downgrade(&upstream), upstream.number);
-                drop(upstream);
-                time::sleep(duration).await;
-                if let Some(upstream) = weak.upgrade() {
-                    upstream.worker.set_fields("");
-                }
-                let mut history = self.history.borrow_mut();
-                history.statements.push(Statement {
-                    upstream: upstream_number,
-                    stated: Stated::Rate(per_s),
-                    start,
-                    end: Instant::now(),
-                });
+                let stated = Stated::Rate(f64::from(per_10_s) / 10.0);
+                self.state(number, stated, duration).await;
+            }
+            Fault::StateLeaving(number) => self.state(number, Stated::Leaving, duration).await,
+            Fault::StatePause(number, length) => {
+                let upstream = Rc::downgrade(&self.current_upstream(number));
+                let set_default = |behaviour| {
+                    if let Some(upstream) = upstream.upgrade() {
+                        upstream.worker.set_default(behaviour);
+                    }
+                };
+                set_default(Behaviour::NotRun);
+                self.state(number, Stated::Pause(length), duration).await;
+                set_default(self.plan.behaviour(self.plan.service(number)));
             }
             Fault::ReplaceUpstream(number) => {
                 let version = self.current_upstream(number).version.get();
@@ -140,6 +135,30 @@
         Ok(())
     }
 
+    /// Lets an upstream state something in all its responses for a time.
+    async fn state(&self, number: usize, stated: Stated, duration: Duration) {
+        // An upstream that is replaced meanwhile ends when it is dropped.
+        let upstream = Rc::downgrade(&self.current_upstream(number));
+        let change = |change: fn(&mut Vec<Stated>, Stated)| {
+            let upstream = upstream.upgrade()?;
+            change(&mut upstream.statements.borrow_mut(), stated);
+            upstream.update_fields();
+            Some(upstream.number)
+        };
+        let start = Instant::now();
+        let Some(upstream) = change(Vec::push) else {
+            return;
+        };
+        time::sleep(duration).await;
+        change(|statements, stated| statements.retain(|other| *other != stated));
+        self.history.borrow_mut().statements.push(Statement {
+            upstream,
+            stated,
+            start,
+            end: Instant::now(),
+        });
+    }
+
     /// Returns the upstream that has this index now; a replacement takes the index of the old one.
     fn current_upstream(&self, number: usize) -> Rc<Upstream> {
         self.upstreams.borrow()[number].clone()
--- a/crates/soak/src/fleet/upstream.rs
+++ b/crates/soak/src/fleet/upstream.rs
@@ -1,7 +1,7 @@
 //! The upstreams of a fleet, with their entries in the store.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -16,7 +16,7 @@
 
 use super::Fleet;
 use crate::{
-    history::{ReceivedRequest, Run},
+    history::{ReceivedRequest, Run, Stated},
     store::HEARTBEAT_INTERVAL,
 };
 
@@ -42,11 +42,24 @@
     pub inbound: Arc<Link>,
     pub outbound: Arc<Link>,
     pub state: Cell<&'static str>,
+    /// What it states in its responses.
+    pub statements: RefCell<Vec<Stated>>,
     sequence: Cell<u64>,
     pub next_heartbeat: Cell<Instant>,
 }
 
 impl Upstream {
+    /// Lets its responses state what it states now.
+    pub fn update_fields(&self) {
+        let statements = self.statements.borrow();
+        let fields = statements.iter().map(|stated| match stated {
+            Stated::Rate(per_s) => format!("Server-Limit: {per_s}\r\n"),
+            Stated::Leaving => "Server-Leaving: 1\r\n".to_owned(),
+            Stated::Pause(length) => format!("Retry-After: {}\r\n", length.as_secs_f64()),
+        });
+        self.worker.set_fields(&fields.collect::<String>());
+    }
+
     fn born_ms(&self) -> u128 {
         let born = self.born.get().duration_since(UNIX_EPOCH);
         born.unwrap_or_default().as_millis()
@@ -79,6 +92,7 @@
             inbound,
             outbound,
             state: Cell::new("ready"),
+            statements: RefCell::default(),
             sequence: Cell::new(0),
             next_heartbeat: Cell::new(Instant::now() + HEARTBEAT_INTERVAL),
         };
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -206,6 +206,8 @@
         violations.extend(self.late_arrivals());
         violations.extend(self.outdated_refusals());
         violations.extend(self.exceeded_rates());
+        violations.extend(self.requests_while_leaving());
+        violations.extend(self.requests_while_paused());
         violations.extend(self.joined_streams());
         violations.extend(self.executed_refusals());
         violations.extend(self.lost_resumes());
--- a/crates/soak/src/history/statements.rs
+++ b/crates/soak/src/history/statements.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use tsw_fake::worker::Arrival;
+use tsw_fake::worker::{Arrival, Behaviour};
 
 use super::{
     acknowledged::{status, CONTACT_TIME},
@@ -20,11 +20,21 @@
 /// specified by the operators.
 const REACTION_TIME: Duration = Duration::from_millis(500);
 
+/// Time after the first response that states that an upstream leaves within which requests may reach it,
+/// as specified by the operators.
+const LEAVING_BOUND: Duration = Duration::from_secs(2);
+/// Requests of a router that may reach an upstream during its pause, as specified by the operators.
+const PAUSE_REQUESTS: usize = 2;
+
 /// What an upstream states in all its responses.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stated {
     /// It takes this many requests a second from all routers together.
     Rate(f64),
+    /// It leaves and takes no further request.
+    Leaving,
+    /// It rejects all requests and wants none from the same router for this time.
+    Pause(Duration),
 }
 
 /// A period in which an upstream stated something in all its responses.
@@ -46,10 +56,70 @@
         let statements = self.statements.iter();
         let exceeded = statements.filter_map(|statement| match statement.stated {
             Stated::Rate(per_s) => self.exceeded_rate(statement, per_s),
+            Stated::Leaving | Stated::Pause(_) => None,
         });
         exceeded.collect()
     }
 
+    /// Returns the requests that reached an upstream from a router to which it had stated that it leaves.
+    pub(super) fn requests_while_leaving(&self) -> Vec<String> {
+        let statements = self.statements.iter();
+        let leaving = statements.filter(|statement| statement.stated == Stated::Leaving);
+        let late = leaving.flat_map(|statement| {
+            let informed = self.informed_routers(statement);
+            let arrivals = self.arrivals_in(statement);
+            let late = arrivals.filter(move |(request, _)| {
+                let since = informed.get(&request.router);
+                since.is_some_and(|since| request.sent > *since + LEAVING_BOUND)
+            });
+            late.map(move |(request, _)| format!("sent in spite of {statement:?}: {request:?}"))
+        });
+        late.collect()
+    }
+
+    /// Returns the pauses in which more requests of a router reached an upstream than allowed.
+    pub(super) fn requests_while_paused(&self) -> Vec<String> {
+        let statements = self.statements.iter();
+        let exceeded = statements.filter_map(|statement| match statement.stated {
+            Stated::Pause(length) => self.exceeded_pause(statement, length),
+            Stated::Rate(_) | Stated::Leaving => None,
+        });
+        exceeded.collect()
+    }
+
+    fn exceeded_pause(&self, statement: &Statement, length: Duration) -> Option<String> {
+        let until = Statement {
+            end: statement.end + length,
+            ..*statement
+        };
+        let arrivals: Vec<(&Request, &Arrival)> = self.arrivals_in(&until).collect();
+        let rejected = arrivals.iter().filter(|(request, arrival)| {
+            let is_rejected = arrival.behaviour == Behaviour::NotRun;
+            is_rejected && !self.is_excused(request.router, &until)
+        });
+        let counts = rejected.map(|(rejected, arrival)| {
+            let (from, to) = (arrival.time + REACTION_TIME, arrival.time + length);
+            let paused = arrivals.iter().filter(|(request, arrival)| {
+                request.router == rejected.router && (from..to).contains(&arrival.time)
+            });
+            paused.count()
+        });
+        let most = counts.max().filter(|most| *most > PAUSE_REQUESTS)?;
+        Some(format!("{most} requests in a pause of {statement:?}"))
+    }
+
+    /// Returns whether a router was started or disturbed in the period of a statement.
+    fn is_excused(&self, router: usize, statement: &Statement) -> bool {
+        let Statement { start, end, .. } = *statement;
+        let is_within = |time: &Instant| (start..=end).contains(time);
+        let starts = self.router_starts.get(router);
+        let is_started = starts.is_some_and(|starts| starts.iter().any(is_within));
+        let mut periods = self.router_disturbances[router].iter();
+        let is_disturbed =
+            periods.any(|period| !period.planned && period.start <= end && period.end >= start);
+        is_started || is_disturbed
+    }
+
     fn exceeded_rate(&self, statement: &Statement, per_s: f64) -> Option<String> {
         let informed = self.informed_routers(statement);
         let counted = self.arrivals_in(statement).filter(|(request, arrival)| {
@@ -80,14 +150,8 @@
     fn informed_routers(&self, statement: &Statement) -> IndexMap<usize, Instant> {
         let mut informed: IndexMap<usize, Instant> = IndexMap::new();
         for (request, _) in self.arrivals_in(statement) {
-            let Statement { start, end, .. } = *statement;
-            let is_within = |time: &Instant| (start..=end).contains(time);
-            let starts = self.router_starts.get(request.router);
-            let is_started = starts.is_some_and(|starts| starts.iter().any(is_within));
-            let mut periods = self.router_disturbances[request.router].iter();
-            let is_disturbed =
-                periods.any(|period| !period.planned && period.start <= end && period.end >= start);
-            if !is_started && !is_disturbed && status(request) == Some(200) {
+            let is_excused = self.is_excused(request.router, statement);
+            if !is_excused && status(request) == Some(200) {
                 let first = informed.entry(request.router).or_insert(request.ended);
                 *first = (*first).min(request.ended);
             }
--- a/crates/soak/tests/statements.rs
+++ b/crates/soak/tests/statements.rs
@@ -80,6 +80,19 @@
         });
     }
 
+    /// Lets the upstream reject the last request.
+    fn reject_last(&mut self) {
+        let last = self.history.received.last_mut().expect("a request");
+        last.arrival.behaviour = Behaviour::NotRun;
+        let request = self.history.requests.values_mut().last();
+        request.expect("a request").end = End::Response {
+            status: 503,
+            complete: true,
+            request_id: None,
+            body: Bytes::new(),
+        };
+    }
+
     fn violations(&self) -> usize {
         self.history.violations().len()
     }
@@ -126,3 +139,42 @@
     (0..40).for_each(|number| case.served(0, 1_600 + number * 50));
     assert_eq!(case.violations(), 0, "the window ends before 4,000 ms");
 }
+
+#[test]
+fn requests_to_an_upstream_that_stated_to_leave_are_reported() {
+    let mut case = Case::new(Stated::Leaving, 1_000, 20_000);
+    case.served(0, 1_100);
+    case.served(0, 3_100);
+    case.served(1, 9_000);
+    assert_eq!(case.violations(), 0, "in time, and not stated to router 1");
+    case.served(0, 3_200);
+    assert_eq!(case.violations(), 1);
+    let restart = case.at(2_000);
+    case.history.router_starts[0].push(restart);
+    assert_eq!(case.violations(), 0, "router 0 was restarted");
+}
+
+#[test]
+fn requests_in_a_pause_are_reported() {
+    let pause = Stated::Pause(Duration::from_secs(3));
+    let mut case = Case::new(pause, 1_000, 2_000);
+    case.served(0, 1_100);
+    case.reject_last();
+    [1_300, 1_500, 4_200, 4_300]
+        .into_iter()
+        .for_each(|sent_ms| case.served(0, sent_ms));
+    [2_000, 2_100, 2_200]
+        .into_iter()
+        .for_each(|sent_ms| case.served(1, sent_ms));
+    assert_eq!(
+        case.violations(),
+        0,
+        "at once, after the end, and another router"
+    );
+    [2_000, 3_000]
+        .into_iter()
+        .for_each(|sent_ms| case.served(0, sent_ms));
+    assert_eq!(case.violations(), 0, "two are allowed");
+    case.served(0, 3_500);
+    assert_eq!(case.violations(), 1);
+}
