--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -13,6 +13,9 @@
     UnframedReset,
     /// A response whose body is shorter than its `Content-Length`.
     Truncated,
+    /// This many bytes of a response with a `Content-Length`, or all but the last byte of its head if that
+    /// is shorter, and then the end of the connection.
+    CutHead(usize),
     /// A correct response, followed by a response to another request.
     ExtraResponse,
     /// A response to another request, followed by the correct response.
--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -46,6 +46,10 @@
         Behaviour::Unframed => (plain_response(id, None, &body), false),
         Behaviour::UnframedReset => (plain_response(id, None, &body), false),
         Behaviour::Truncated => (plain_response(id, Some(body.len() + 9), &body), false),
+        Behaviour::CutHead(bytes) => {
+            let head = complete.len() - body.len();
+            (complete[..bytes.min(head - 1)].to_owned(), false)
+        }
         Behaviour::ExtraResponse => (
             format!("{complete}{}", plain_response("other", Some(5), "wrong")),
             true,
@@ -121,7 +125,10 @@
             return stream::send(state, connection, arrival, id, (behaviour, events)).await;
         }
     };
-    let text = state.with_fields(&text);
+    let text = match behaviour {
+        Behaviour::CutHead(_) => text,
+        _ => state.with_fields(&text),
+    };
     connection.stream.write_all(text.as_bytes()).await?;
     if behaviour == Behaviour::UnframedReset {
         // A reset discards data in flight, so the router is given time to read the body first.
--- a/crates/toucand/tests/stream_origins.rs
+++ b/crates/toucand/tests/stream_origins.rs
@@ -363,3 +363,30 @@
     let refused = refused(&fleet, "a1", began).await;
     assert!(refused.is_empty(), "(router, status): {refused:?}");
 }
+
+/// Guards against streams that go on at the only version that a router knew before it stood still, while
+/// upstreams of another version joined and began them.
+#[actix_rt::test]
+async fn router_that_stood_still_does_not_resume_streams_at_the_old_version() {
+    let fleet = Fleet::start(&["v1", "v2"], 2).await;
+    fleet.list(1, "draining", 1, 24);
+    fleet.wait_accepting(1).await;
+    for (round, id) in ["b1", "b2", "b3"].into_iter().enumerate() {
+        let seq = 30 + 10 * round as u64;
+        fleet.routers[1].signal(rustix::process::Signal::STOP);
+        let accepting = "relay_upstreams";
+        fleet.list(1, "ready", 2 + round as u64, 1);
+        wait_metric(&fleet.routers[0], accepting, |found| found == 2.0).await;
+        fleet.list(0, "draining", 1 + round as u64, seq);
+        wait_metric(&fleet.routers[0], accepting, |found| found == 1.0).await;
+        let began = begin_and_break(&fleet, "a1").await;
+        assert_eq!(began, "v2");
+        fleet.list(0, "ready", 2 + round as u64, 1);
+        fleet.routers[1].signal(rustix::process::Signal::CONT);
+        let response = resume(&fleet.routers[1], id).await;
+        let went_on = fleet.version_of(id);
+        assert_ne!(went_on, Some("v1"), "{response:?}");
+        fleet.list(1, "draining", 2 + round as u64, 24);
+        fleet.wait_accepting(1).await;
+    }
+}
