Ask for no permits for upstreams that are not listed

A limit of an upstream that had left or crashed counted for good, so that each arrival started a round of the permit exchange. Found by reading; the test failed before. relay_upstreams_limited follows the list as well.

--- a/crates/flow/src/pool/limit.rs
+++ b/crates/flow/src/pool/limit.rs
@@ -204,10 +204,11 @@
             .insert(upstream.clone(), Limit::new(run, rate, at));
     }
 
-    /// Returns whether any upstream states a rate.
+    /// Returns whether any listed upstream states a rate.
     #[must_use]
     pub fn is_limited(&self) -> bool {
-        self.limits.values().any(|limit| limit.rate.is_some())
+        let mut upstreams = self.upstreams.values();
+        !self.limits.is_empty() && upstreams.any(|upstream| self.rate(upstream).is_some())
     }
 
     /// Returns the number of upstreams that state a rate.
--- a/crates/flow/tests/rate_limit.rs
+++ b/crates/flow/tests/rate_limit.rs
@@ -337,6 +337,19 @@
     assert_eq!(choose(&pool, at(80)), None);
 }
 
+/// Guards against routers that go on asking for permits for an upstream that is no longer listed.
+#[test]
+fn upstream_that_is_gone_limits_nothing() {
+    let mut pool = pool();
+    let choice = choose(&pool, at(0)).expect("no limit");
+    pool.record_rate(at(0), &choice, at(0), rate(2.0));
+    assert!(pool.is_limited());
+    pool.set_entries(Vec::new(), None);
+    assert!(!pool.is_limited());
+    pool.set_entries(vec![entry(1)], None);
+    assert!(pool.is_limited(), "the same run is listed again");
+}
+
 /// Guards against an old statement that replaces a later one on its way between routers.
 #[test]
 fn latest_statement_counts_whoever_passes_it_on() {
--- a/crates/relay/src/permits.rs
+++ b/crates/relay/src/permits.rs
@@ -130,11 +130,7 @@
                 self.start_queued(service);
             }
         }
-        let services = self.services.borrow();
-        let limited = services
-            .values()
-            .map(|service| service.pool.limited_count());
-        self.metrics.limited.set(limited.sum::<usize>() as i64);
+        self.count_upstreams();
     }
 
     /// Records the question of a router as the allocator of an upstream, see
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -234,18 +234,23 @@
                 service.pool.set_owned(&self.owned.borrow());
             }
         }
-        self.count_accepting();
+        self.count_upstreams();
         self.start_all_queued();
     }
 
-    /// Updates the metric of the upstreams that accept requests.
-    pub(crate) fn count_accepting(&self) {
+    /// Updates the metrics of the upstreams that accept requests, and of those that state a rate.
+    pub(crate) fn count_upstreams(&self) {
         let services = self.services.borrow();
         let accepting: usize = services
             .values()
             .map(|service| service.pool.accepting_count())
             .sum();
         self.metrics.upstreams.set(accepting as i64);
+        let limited: usize = services
+            .values()
+            .map(|service| service.pool.limited_count())
+            .sum();
+        self.metrics.limited.set(limited as i64);
     }
 
     /// Sets the number of running routers, including this one.
--- a/crates/relay/src/statements.rs
+++ b/crates/relay/src/statements.rs
@@ -131,7 +131,7 @@
             .stated_leaving
             .with_label_values(&[&**name])
             .inc();
-        self.count_accepting();
+        self.count_upstreams();
         emit(
             Event::UpstreamStatedLeaving,
             &[
