--- a/crates/flow/tests/leaving.rs
+++ b/crates/flow/tests/leaving.rs
@@ -1,7 +1,10 @@
 //! Guards against requests to an upstream that stated in a response that it leaves.
 
-use tsw_base::time::{Span, Timestamp};
-use tsw_flow::pool::{Choice, Constraints, Entry, Pool};
+#[path = "support/plain.rs"]
+mod plain;
+
+use tsw_base::time::Timestamp;
+use tsw_flow::pool::{Choice, Entry, Pool};
 
 const NOW: Timestamp = Timestamp::from_micros(1_000_000);
 
@@ -19,39 +22,31 @@
     }
 }
 
-fn choose(pool: &Pool) -> Option<Choice> {
-    let constraints = Constraints {
-        domain: "north",
-        prompt: None,
-        avoid: &[],
-        software: None,
-        max_pending_tokens: 0,
-        can_fetch: false,
-        extra_slots: 1,
-        report_age: Span::ZERO,
-    };
-    pool.choose(NOW, &constraints)
-}
-
 /// Guards against an entry, also an older one from a restored store or one that was gone, that ends
 /// the statement of an upstream.
 #[test]
 fn statement_holds_until_a_later_run() {
     let mut pool = Pool::default();
     pool.set_entries(vec![entry("d1", 5, 1)], None);
-    let choice = choose(&pool).expect("room");
+    let choice = plain::choose(&pool, NOW).expect("room");
     assert!(pool.record_leaving(&choice));
     assert!(!pool.record_leaving(&choice), "it is not new");
-    assert_eq!((choose(&pool), pool.accepting_count()), (None, 0));
+    assert_eq!(
+        (plain::choose(&pool, NOW), pool.accepting_count()),
+        (None, 0)
+    );
     assert!(pool.stated_leaving(&choice) && !pool.has_accepting(&[]));
     for entries in [vec![entry("d1", 5, 9)], vec![], vec![entry("d1", 5, 1)]] {
         pool.set_entries(entries, None);
-        assert_eq!(choose(&pool), None);
+        assert_eq!(plain::choose(&pool, NOW), None);
     }
     pool.set_entries(vec![entry("d1", 4, 9)], None);
-    assert_eq!(choose(&pool), None, "an older run");
+    assert_eq!(plain::choose(&pool, NOW), None, "an older run");
     pool.set_entries(vec![entry("d1", 6, 1)], None);
-    assert_eq!(choose(&pool).map(|choice| choice.started_at), Some(6));
+    assert_eq!(
+        plain::choose(&pool, NOW).map(|choice| choice.started_at),
+        Some(6)
+    );
 }
 
 /// Guards against a late response of an earlier run that makes the present one leave.
@@ -59,10 +54,10 @@
 fn statement_of_an_earlier_run_does_not_bind_the_present_one() {
     let mut pool = Pool::default();
     pool.set_entries(vec![entry("d1", 5, 1)], None);
-    let earlier = choose(&pool).expect("room");
+    let earlier = plain::choose(&pool, NOW).expect("room");
     pool.set_entries(vec![entry("d1", 6, 1)], None);
     pool.record_leaving(&earlier);
-    assert!(choose(&pool).is_some());
+    assert!(plain::choose(&pool, NOW).is_some());
 }
 
 /// Guards against statements that use more and more memory, and against forgetting those of upstreams
@@ -71,7 +66,7 @@
 fn statements_of_listed_upstreams_are_kept_longest() {
     let mut pool = Pool::default();
     pool.set_entries(vec![entry("d1", 5, 1)], None);
-    let listed = choose(&pool).expect("room");
+    let listed = plain::choose(&pool, NOW).expect("room");
     pool.record_leaving(&listed);
     let gone = |number: u32| Choice {
         id: format!("gone-{number}").into(),
--- a/crates/flow/tests/pause.rs
+++ b/crates/flow/tests/pause.rs
@@ -1,7 +1,10 @@
 //! Guards against requests to an upstream that asked for a pause.
 
+#[path = "support/plain.rs"]
+mod plain;
+
 use tsw_base::time::{Span, Timestamp};
-use tsw_flow::pool::{Choice, Constraints, Entry, Pool};
+use tsw_flow::pool::{Entry, Pool};
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::ZERO + Span::from_millis(1_000 + millis)
@@ -22,24 +25,10 @@
     vec![entry(1), entry(2)]
 }
 
-fn choose(pool: &Pool, now: Timestamp) -> Option<Choice> {
-    let constraints = Constraints {
-        domain: "north",
-        prompt: None,
-        avoid: &[],
-        software: None,
-        max_pending_tokens: 0,
-        can_fetch: false,
-        extra_slots: 1,
-        report_age: Span::ZERO,
-    };
-    pool.choose(now, &constraints)
-}
-
 /// Starts requests until no upstream has room, and returns their number.
 fn fill(pool: &mut Pool, now: Timestamp) -> usize {
     let start = || {
-        let choice = choose(pool, now)?;
+        let choice = plain::choose(pool, now)?;
         pool.begin(&choice, None);
         Some(())
     };
@@ -47,9 +36,9 @@
 }
 
 fn pause_both(pool: &mut Pool) {
-    let first = choose(pool, at(0)).expect("room");
+    let first = plain::choose(pool, at(0)).expect("room");
     pool.record_pause(at(0), &first, Span::from_millis(2_000));
-    let second = choose(pool, at(0)).expect("room");
+    let second = plain::choose(pool, at(0)).expect("room");
     assert_ne!(first.id, second.id);
     pool.record_pause(at(0), &second, Span::from_millis(3_000));
     pool.record_pause(at(100), &second, Span::from_millis(1));
@@ -90,5 +79,5 @@
     assert_eq!((left(""), each), (1_500, [1_500, 2_500]));
     pool.set_entries(entries(6), None);
     assert_eq!(pool.shortest_pause(at(500), &[], None), Span::ZERO);
-    assert!(choose(&pool, at(500)).is_some());
+    assert!(plain::choose(&pool, at(500)).is_some());
 }
--- a/crates/flow/tests/rate_limit.rs
+++ b/crates/flow/tests/rate_limit.rs
@@ -1,10 +1,13 @@
 //! Guards against routers that together send more than an upstream takes, or much less.
 
+#[path = "support/plain.rs"]
+mod plain;
+
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tsw_base::time::{Span, Timestamp};
 use tsw_flow::{
-    pool::{Choice, Constraints, Entry, Pool, Statement},
+    pool::{Entry, Pool, Statement},
     rate::{Rate, WINDOW},
 };
 use tsw_route::Name;
@@ -37,20 +40,6 @@
     pool
 }
 
-fn choose(pool: &Pool, now: Timestamp) -> Option<Choice> {
-    let constraints = Constraints {
-        domain: "north",
-        prompt: None,
-        avoid: &[],
-        software: None,
-        max_pending_tokens: 0,
-        can_fetch: false,
-        extra_slots: 1,
-        report_age: Span::ZERO,
-    };
-    pool.choose(now, &constraints)
-}
-
 fn rate(per_s: f64) -> Option<Rate> {
     Some(Rate::new(per_s).expect("usable"))
 }
@@ -101,7 +90,7 @@
             sent: Vec::new(),
         };
         for pool in &mut fleet.pools {
-            let choice = choose(pool, at(0)).expect("no limit is known");
+            let choice = plain::choose(pool, at(0)).expect("no limit is known");
             pool.record_rate(at(0), &choice, at(0), rate(per_s));
         }
         fleet
@@ -151,7 +140,7 @@
         self.receive(now);
         for router in 0..self.pools.len() {
             let pool = &mut self.pools[router];
-            while let Some(choice) = choose(pool, now) {
+            while let Some(choice) = plain::choose(pool, now) {
                 pool.use_permit(now, &choice);
                 self.sent.push(now);
             }
@@ -250,14 +239,18 @@
 #[test]
 fn answers_to_old_questions_count_for_nothing() {
     let mut pool = pool();
-    let choice = choose(&pool, at(0)).expect("no limit");
+    let choice = plain::choose(&pool, at(0)).expect("no limit");
     pool.record_rate(at(0), &choice, at(0), rate(2.0));
     let (id, permit) = ("e1".into(), [Span::ZERO]);
     pool.record_answer(at(1_000), &id, at(600), &permit, Span::ZERO);
-    assert_eq!(choose(&pool, at(1_000)), None);
+    assert_eq!(plain::choose(&pool, at(1_000)), None);
     pool.record_answer(at(1_000), &id, at(800), &permit, Span::ZERO);
-    assert!(choose(&pool, at(1_000)).is_some());
-    assert_eq!(choose(&pool, at(1_250)), None, "the permit has expired");
+    assert!(plain::choose(&pool, at(1_000)).is_some());
+    assert_eq!(
+        plain::choose(&pool, at(1_250)),
+        None,
+        "the permit has expired"
+    );
 }
 
 /// Guards against two allocators at the same time, when routers start or leave and the others learn of it
@@ -311,7 +304,7 @@
 #[test]
 fn limit_ends_with_a_later_response_or_another_run() {
     let mut pool = pool();
-    let choice = choose(&pool, at(0)).expect("no limit");
+    let choice = plain::choose(&pool, at(0)).expect("no limit");
     assert!(!pool.record_rate(at(0), &choice, at(0), None));
     assert!(pool.record_rate(at(10), &choice, at(5), rate(2.0)));
     assert!(
@@ -322,26 +315,26 @@
         !pool.record_rate(at(30), &choice, at(8), None),
         "sent before"
     );
-    assert_eq!(choose(&pool, at(30)), None);
+    assert_eq!(plain::choose(&pool, at(30)), None);
     assert!(pool.record_rate(at(40), &choice, at(25), None));
-    assert!(choose(&pool, at(40)).is_some());
+    assert!(plain::choose(&pool, at(40)).is_some());
 
     pool.record_rate(at(50), &choice, at(45), rate(2.0));
     pool.set_entries(vec![entry(2)], None);
-    let later = choose(&pool, at(60)).expect("the later run states no rate");
+    let later = plain::choose(&pool, at(60)).expect("the later run states no rate");
     assert!(
         !pool.record_rate(at(70), &choice, at(65), rate(2.0)),
         "earlier run"
     );
     assert!(pool.record_rate(at(80), &later, at(75), rate(2.0)));
-    assert_eq!(choose(&pool, at(80)), None);
+    assert_eq!(plain::choose(&pool, at(80)), None);
 }
 
 /// Guards against routers that go on asking for permits for an upstream that is no longer listed.
 #[test]
 fn upstream_that_is_gone_limits_nothing() {
     let mut pool = pool();
-    let choice = choose(&pool, at(0)).expect("no limit");
+    let choice = plain::choose(&pool, at(0)).expect("no limit");
     pool.record_rate(at(0), &choice, at(0), rate(2.0));
     assert!(pool.is_limited());
     pool.set_entries(Vec::new(), None);
@@ -361,7 +354,7 @@
         age: Span::from_millis(age_ms),
     };
     assert!(pool.merge_rate(at(1_000), &id, statement(rate(2.0), 100)));
-    assert_eq!(choose(&pool, at(1_000)), None);
+    assert_eq!(plain::choose(&pool, at(1_000)), None);
     assert!(
         !pool.merge_rate(at(1_010), &id, statement(None, 500)),
         "older"
@@ -371,7 +364,7 @@
         !pool.merge_rate(at(1_030), &id, statement(rate(2.0), 200)),
         "older"
     );
-    assert!(choose(&pool, at(1_030)).is_some());
+    assert!(plain::choose(&pool, at(1_030)).is_some());
     let expired = statement(rate(2.0), 31_000);
     assert!(!pool.merge_rate(at(90_000), &"e2".into(), expired));
 }
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -16,18 +16,19 @@
 
 use crate::{local_response::Refusal, request::Request, router::Router};
 
+mod refuse;
+
+pub use refuse::Refused;
+pub(crate) use refuse::RETRY_AFTER_DIVISOR;
+use refuse::{late, MIN_RETRY_AFTER};
+
 /// Maximum number of queued requests for which no upstream is found in one round. Those behind them
 /// would need the same slots.
 const MAX_BLOCKED: usize = 8;
-/// The retry delay is at most the time until the client's deadline divided by this. Clients ignore a
-/// longer delay.
-pub(crate) const RETRY_AFTER_DIVISOR: u64 = 4;
 /// Minimum time between two rounds that assign a service's free slots to its queued requests. With a
 /// long queue a round costs about 0.1 ms, and each event of a request would start one; the delay is
 /// small compared with the shortest objective, 150 ms.
 const MIN_START_INTERVAL: Span = Span::from_millis(5);
-/// Minimum retry delay stated to a client.
-const MIN_RETRY_AFTER: Span = Span::from_millis(100);
 
 /// A slot at an upstream reserved for one request. Dropping it frees the slot.
 pub struct Reservation {
@@ -141,39 +142,6 @@
     }
 }
 
-/// A request that got no slot.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Refused {
-    /// Reason.
-    pub refusal: Refusal,
-    /// Time after which the client may retry.
-    pub retry_after: Span,
-    /// Fair share of each team at that time, if the refusal depends on it.
-    pub fair_share: Option<f64>,
-}
-
-impl Refused {
-    /// Creates a refusal that does not depend on the fair share.
-    #[must_use]
-    pub const fn new(refusal: Refusal, retry_after: Span) -> Self {
-        Self {
-            refusal,
-            retry_after,
-            fair_share: None,
-        }
-    }
-}
-
-/// Returns why a request that cannot start in time is refused, given the time for which its team is above
-/// its fair share.
-fn late(above_share: Span) -> Refusal {
-    if above_share > Span::ZERO {
-        Refusal::OverShare
-    } else {
-        Refusal::Late
-    }
-}
-
 fn request_work(request: &Request) -> u64 {
     request.prompt.as_ref().map_or(1, |prompt| prompt.work())
 }
@@ -329,37 +297,6 @@
         }
     }
 
-    /// Refuses a request whose upstreams pause, or have no permit, for longer than it can wait. Upstreams
-    /// state when a pause ends; a permit goes to whichever request comes first, so that the clients'
-    /// returns are spread.
-    fn refuse_wait(&self, request: &Request, pause: Span, wait: Span) -> Refused {
-        if pause >= wait {
-            return Refused::new(Refusal::Paused, pause);
-        }
-        let now = self.now();
-        let longest = request.deadline.since(now).as_micros() / RETRY_AFTER_DIVISOR;
-        let shortest = MIN_RETRY_AFTER.as_micros().min(longest);
-        let spread = 1.0 + rand::random::<f64>();
-        let after = (wait.as_micros() as f64 * spread) as u64;
-        Refused::new(
-            Refusal::Limited,
-            Span::from_micros(after.clamp(shortest, longest)),
-        )
-    }
-
-    /// Ends the wait of the queued requests of a service whose upstreams all pause, or have no permit, for
-    /// longer.
-    pub(crate) fn refuse_waiting(&self, name: &Name) {
-        let now = self.now();
-        self.with_service(name, |service| {
-            self.waiters.borrow_mut().0.retain(|(of, _), waiter| {
-                let software = waiter.software.as_ref();
-                let pool = &service.pool;
-                of != name || now + pool.shortest_wait(now, &waiter.avoid, software) < waiter.until
-            });
-        });
-    }
-
     fn reservation(self: &Rc<Self>, request: &Request, choice: Choice) -> Reservation {
         Reservation {
             router: self.clone(),
@@ -369,35 +306,6 @@
         }
     }
 
-    /// Refuses a request, given the fair share. The client is asked to retry when the requests queued
-    /// now have started, with a random addition so that clients refused together do not retry
-    /// together.
-    fn refuse(
-        &self,
-        request: &Request,
-        standing: Standing,
-        refusal: Refusal,
-        fair_share: f64,
-    ) -> Refused {
-        let now = self.now();
-        let estimated_wait = self.with_service(&request.service, |service| {
-            service.estimated_wait(now, request.team(), standing, fair_share)
-        });
-        let longest = request.deadline.since(now).as_micros() / RETRY_AFTER_DIVISOR;
-        let shortest = MIN_RETRY_AFTER.as_micros();
-        let wait = estimated_wait
-            .unwrap_or(MIN_RETRY_AFTER)
-            .as_micros()
-            .max(shortest);
-        let spread = 1.0 + rand::random::<f64>();
-        let after = (wait as f64 * spread) as u64;
-        Refused {
-            refusal,
-            retry_after: Span::from_micros(after.min(longest).max(shortest.min(longest))),
-            fair_share: Some(fair_share),
-        }
-    }
-
     /// Assigns free slots of a service to its queued requests, at once or when the minimum interval
     /// since the last round has passed.
     pub fn start_queued(self: &Rc<Self>, name: &Name) {
--- a/crates/toucand/tests/broken_responses.rs
+++ b/crates/toucand/tests/broken_responses.rs
@@ -18,7 +18,7 @@
     for bytes in (0..HEAD_BYTES).step_by(7).chain([HEAD_BYTES]) {
         let cut = Behaviour::CutHead(bytes);
         site.desk.set_default(cut);
-        site.models.each_ref().map(|model| model.set_default(cut));
+        site.models.iter().for_each(|model| model.set_default(cut));
         for call in [
             Call::valid("GET", "/lookup/1", "a1"),
             Call::valid("POST", "/book/1", "a2").body("truck"),
@@ -84,7 +84,7 @@
         let site = Site::start(Behaviour::Plain, Behaviour::ResetStream(2)).await;
         let first = Call::prompt("/draft/1", "a1").send(&site.router).await;
         assert!(!first.whole, "{next:?}: {first:?}");
-        site.models.each_ref().map(|model| model.set_default(next));
+        site.models.iter().for_each(|model| model.set_default(next));
         let last = first.events().last().copied().expect("an event");
         let mut call = Call::prompt("/draft/1", "a2");
         call.head.fields.push("Last-Event-Id", last.to_string());
