--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -330,7 +330,7 @@
             let is_same = |software: &Software| *software == Software::of(&upstream.entry);
             !upstream.entry.leaving
                 && self.pause_permits(now, upstream)
-                && self.limit_permits(now, upstream)
+                && self.limit_allows(now, upstream)
                 && !constraints.avoid.contains(&upstream.entry.id)
                 && constraints.software.is_none_or(is_same)
         };
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -14,8 +14,8 @@
 /// Minimum number of tokens to fetch. A fetch delays an engine about as much as processing these
 /// tokens does.
 const MIN_FETCH_TOKENS: u64 = 60;
-/// Cost of a permit that expires unused: the engine that states a rate idles.
-const UNUSED_PERMIT_COST: u64 = 3_000;
+/// Cost of a credit that expires unused: the engine that states a rate idles.
+const UNUSED_CREDIT_COST: u64 = 3_000;
 /// Number of tokens whose transfer between engines costs as much as processing one.
 const TRANSFERRED_PER_PROCESSED: u64 = 15;
 
@@ -103,12 +103,12 @@
         };
         let concurrent = CONCURRENT_PREFILL_WEIGHT * pending.min(uncached);
         let cost = pending + uncached + concurrent + running + fetching + remote + unreported;
-        let permit = if pool.is_rate_limited(upstream) {
-            UNUSED_PERMIT_COST
+        let credit = if pool.is_rate_limited(upstream) {
+            UNUSED_CREDIT_COST
         } else {
             0
         };
-        let cost = cost.saturating_sub(cached.preferred_tokens + permit) as f64;
+        let cost = cost.saturating_sub(cached.preferred_tokens + credit) as f64;
         let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, upstream, uncached, fetch))
     });
--- a/crates/flow/src/pool/limit.rs
+++ b/crates/flow/src/pool/limit.rs
@@ -1,4 +1,4 @@
-//! Request rates that upstreams state, and the permits of this router to send requests to them.
+//! Request rates that upstreams state, and the credits of this router to send requests to them.
 
 use indexmap::IndexMap;
 use tsw_base::time::{Span, Timestamp};
@@ -7,7 +7,7 @@
 use super::{Choice, Pool, Upstream};
 use crate::{
     origin::Software,
-    rate::{Allocator, Grant, Rate, MAX_DEMAND, PERMIT_LIFETIME},
+    rate::{Allocator, Grant, Rate, CREDIT_LIFETIME, MAX_DEMAND},
 };
 
 /// Maximum number of limits kept. It exceeds the upstreams of a service.
@@ -36,36 +36,36 @@
     pub age: Span,
 }
 
-/// An upstream that this router needs permits for.
+/// An upstream that this router needs credits for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Question {
     /// The upstream.
     pub upstream: Name,
     /// What it last stated.
     pub statement: Statement,
-    /// Number of permits.
-    pub permits: u32,
+    /// Number of credits.
+    pub credits: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Permit {
+struct Credit {
     from: Timestamp,
     until: Timestamp,
 }
 
-/// The rate that an upstream states, and the permits for it.
+/// The rate that an upstream states, and the credits for it.
 #[derive(Clone, Debug)]
 pub(super) struct Limit {
     run: u64,
     rate: Option<Rate>,
     stated_at: Timestamp,
-    permits: Vec<Permit>,
-    /// Time and number of the permits of the last question.
+    credits: Vec<Credit>,
+    /// Time and number of the credits of the last question.
     asked_at: Timestamp,
     asked: u32,
     /// First question without an answer since.
     unanswered_since: Option<Timestamp>,
-    /// Start of the next permit that the allocator has, for whichever router.
+    /// Start of the next credit that the allocator has, for whichever router.
     expected_at: Timestamp,
     /// Earliest start of the next request without an allocator.
     alone_at: Timestamp,
@@ -79,7 +79,7 @@
             run,
             rate,
             stated_at,
-            permits: Vec::new(),
+            credits: Vec::new(),
             asked_at: Timestamp::ZERO,
             asked: 0,
             unanswered_since: None,
@@ -98,14 +98,14 @@
     }
 
     fn usable(&self, now: Timestamp) -> impl Iterator<Item = usize> + '_ {
-        let permits = self.permits.iter().enumerate();
-        let usable = permits.filter(move |(_, permit)| permit.from <= now && now < permit.until);
+        let credits = self.credits.iter().enumerate();
+        let usable = credits.filter(move |(_, credit)| credit.from <= now && now < credit.until);
         usable.map(|(index, _)| index)
     }
 
-    /// Returns the number of permits that this router has or may still get for its last question.
+    /// Returns the number of credits that this router has or may still get for its last question.
     fn expected(&self, now: Timestamp) -> u32 {
-        let held = self.permits.iter().filter(|permit| now < permit.until);
+        let held = self.credits.iter().filter(|credit| now < credit.until);
         let is_asked = now.since(self.asked_at) < ASK_INTERVAL;
         held.count() as u32 + if is_asked { self.asked } else { 0 }
     }
@@ -124,7 +124,7 @@
     }
 
     /// Returns whether an upstream may get a request as far as the rate that it states is concerned.
-    pub(super) fn limit_permits(&self, now: Timestamp, upstream: &Upstream) -> bool {
+    pub(super) fn limit_allows(&self, now: Timestamp, upstream: &Upstream) -> bool {
         let limit = self.limit(upstream);
         limit.is_none_or(|limit| limit.usable(now).next().is_some())
     }
@@ -242,22 +242,22 @@
         statements.filter(move |(_, statement)| statement.age < max_age)
     }
 
-    /// Uses a permit for a request to the chosen upstream, if it states a rate.
-    pub fn use_permit(&mut self, now: Timestamp, choice: &Choice) {
+    /// Uses a credit for a request to the chosen upstream, if it states a rate.
+    pub fn use_credit(&mut self, now: Timestamp, choice: &Choice) {
         let Some(limit) = self.limits.get_mut(&choice.id) else {
             return;
         };
-        limit.permits.retain(|permit| now < permit.until);
+        limit.credits.retain(|credit| now < credit.until);
         let usable = limit.usable(now);
-        let first = usable.min_by_key(|index| limit.permits[*index].until);
+        let first = usable.min_by_key(|index| limit.credits[*index].until);
         if let Some(index) = first {
-            limit.permits.swap_remove(index);
+            limit.credits.swap_remove(index);
         }
     }
 
-    /// Plans a permit for a request: one that this router has or has just asked for, or else a further one
+    /// Plans a credit for a request: one that this router has or has just asked for, or else a further one
     /// for the limited upstream that is expected to have one first. `planned` counts them by upstream.
-    pub fn plan_permit(
+    pub fn plan_credit(
         &self,
         now: Timestamp,
         avoid: &[Name],
@@ -282,7 +282,7 @@
             let wait =
                 limit.expected_at.since(now).as_micros() + interval * further.saturating_sub(1);
             let is_failing = upstream.unavailable_until > now;
-            // Routers that ask for the same permits take turns at the upstreams.
+            // Routers that ask for the same credits take turns at the upstreams.
             let order = (further > 0, is_failing, wait, limit.asked_at);
             (count < MAX_DEMAND).then_some((order, id))
         });
@@ -291,29 +291,29 @@
         }
     }
 
-    /// Returns the questions for planned permits, and records that they are asked now. Permits that this
+    /// Returns the questions for planned credits, and records that they are asked now. Credits that this
     /// router has, or has just asked for, are not asked for again.
     pub fn questions(&mut self, now: Timestamp, planned: IndexMap<Name, u32>) -> Vec<Question> {
-        let questions = planned.into_iter().filter_map(|(upstream, permits)| {
+        let questions = planned.into_iter().filter_map(|(upstream, credits)| {
             let limit = self.limits.get_mut(&upstream)?;
-            if permits <= limit.expected(now) {
+            if credits <= limit.expected(now) {
                 return None;
             }
             let held = limit.expected(now);
             limit.asked_at = now;
-            limit.asked = permits - held.min(permits);
+            limit.asked = credits - held.min(credits);
             limit.unanswered_since = limit.unanswered_since.or(Some(now));
             Some(Question {
                 upstream,
                 statement: limit.statement(now),
-                permits: limit.asked,
+                credits: limit.asked,
             })
         });
         questions.collect()
     }
 
     /// Takes a part of the rate of an upstream whose allocator does not answer, in a fleet of `routers`.
-    pub fn permit_unanswered(&mut self, now: Timestamp, upstream: &Name, routers: usize) {
+    pub fn credit_unanswered(&mut self, now: Timestamp, upstream: &Name, routers: usize) {
         let Some(limit) = self.limits.get_mut(upstream) else {
             return;
         };
@@ -326,16 +326,16 @@
         let parts = routers.max(1) as f64 / UNALLOCATED_FRACTION;
         let micros = rate.interval().as_micros() as f64 * parts;
         if limit.alone_at > Timestamp::ZERO {
-            limit.permits.push(Permit {
+            limit.credits.push(Credit {
                 from: now,
-                until: now + PERMIT_LIFETIME,
+                until: now + CREDIT_LIFETIME,
             });
         }
         limit.alone_at = now + Span::from_micros(micros as u64);
     }
 
     /// Applies the answer of an allocator to a question that was asked at `asked_at`: the times until
-    /// its permits start, and until the next one is expected.
+    /// its credits start, and until the next one is expected.
     pub fn record_answer(
         &mut self,
         now: Timestamp,
@@ -353,16 +353,16 @@
         limit.unanswered_since = None;
         limit.alone_at = Timestamp::ZERO;
         limit.expected_at = now + wait;
-        limit.permits.retain(|permit| now < permit.until);
+        limit.credits.retain(|credit| now < credit.until);
         limit.asked = limit.asked.saturating_sub(starts_in.len() as u32);
         for starts_in in starts_in {
             let from = now + *starts_in;
-            let until = from + PERMIT_LIFETIME;
-            limit.permits.push(Permit { from, until });
+            let until = from + CREDIT_LIFETIME;
+            limit.credits.push(Credit { from, until });
         }
     }
 
-    /// Records the question of a router as the allocator of an upstream, see [`Allocator::ask`]. Permits start at `since` at the earliest if this router was not the allocator
+    /// Records the question of a router as the allocator of an upstream, see [`Allocator::ask`]. Credits start at `since` at the earliest if this router was not the allocator
     /// before.
     pub fn ask_allocator(
         &mut self,
@@ -370,7 +370,7 @@
         since: Timestamp,
         router: &Name,
         upstream: &Name,
-        (permits, asked_us): (u32, u64),
+        (credits, asked_us): (u32, u64),
     ) {
         let limit = self.limits.get_mut(upstream);
         let Some(limit) = limit.filter(|limit| limit.rate.is_some()) else {
@@ -378,17 +378,17 @@
         };
         let new = || Allocator::new(since.max(now));
         let allocator = limit.allocator.get_or_insert_with(new);
-        allocator.ask(now, router, permits, asked_us);
+        allocator.ask(now, router, credits, asked_us);
     }
 
-    /// Returns the time until the next permit for an upstream starts, if this router is its allocator.
+    /// Returns the time until the next credit for an upstream starts, if this router is its allocator.
     #[must_use]
-    pub fn next_permit_in(&self, now: Timestamp, upstream: &str) -> Option<Span> {
+    pub fn next_credit_in(&self, now: Timestamp, upstream: &str) -> Option<Span> {
         let allocator = self.limits.get(upstream)?.allocator.as_ref();
         allocator.map(|allocator| allocator.next_in(now))
     }
 
-    /// Returns the permits that this router hands out now as an allocator, by upstream.
+    /// Returns the credits that this router hands out now as an allocator, by upstream.
     pub fn allocate(&mut self, now: Timestamp) -> Vec<(Name, Grant)> {
         let limits = self.limits.iter_mut().filter_map(|(id, limit)| {
             let (rate, allocator) = (limit.rate?, limit.allocator.as_mut()?);
@@ -401,7 +401,7 @@
         grants.collect()
     }
 
-    /// Returns whether any router waits for a permit of this allocator.
+    /// Returns whether any router waits for a credit of this allocator.
     #[must_use]
     pub fn has_demand(&self, now: Timestamp) -> bool {
         let allocators = self
@@ -433,8 +433,8 @@
         self.shortest(avoid, software, |upstream| {
             let limit = self.limit(upstream);
             let limit = limit.filter(|limit| limit.usable(now).next().is_none());
-            let permit = limit.map_or(Span::ZERO, |limit| limit.expected_at.since(now));
-            permit.max(self.pause_left(now, upstream))
+            let credit = limit.map_or(Span::ZERO, |limit| limit.expected_at.since(now));
+            credit.max(self.pause_left(now, upstream))
         })
     }
 }
--- a/crates/flow/src/rate.rs
+++ b/crates/flow/src/rate.rs
@@ -1,7 +1,7 @@
 //! Divides the request rate that an upstream states among the routers.
 //!
 //! An upstream that states a rate takes that many requests from all routers together. One router, its
-//! allocator, hands out permits for single requests, which the others ask for while requests wait. So the
+//! allocator, hands out credits for single requests, which the others ask for while requests wait. So the
 //! sum does not depend on the number of routers, and a router without requests takes nothing from others.
 
 use indexmap::IndexMap;
@@ -10,17 +10,17 @@
 
 /// Window in which an upstream counts its requests.
 pub const WINDOW: Span = Span::from_millis(4_000);
-/// Time for which a permit may be used.
-pub const PERMIT_LIFETIME: Span = Span::from_millis(200);
-/// Time before its start at which a permit is handed out at the earliest.
+/// Time for which a credit may be used.
+pub const CREDIT_LIFETIME: Span = Span::from_millis(200);
+/// Time before its start at which a credit is handed out at the earliest.
 const MAX_AHEAD: Span = Span::from_millis(100);
 /// Time for which the demand of a router counts if it is not repeated.
 pub const DEMAND_LIFETIME: Span = Span::from_millis(200);
-/// Maximum time between two permits, so that the end of every limit is noticed.
+/// Maximum time between two credits, so that the end of every limit is noticed.
 const MAX_INTERVAL: Span = Span::from_millis(10_000);
 /// Maximum rate in requests per second; a higher one limits nothing.
 const MAX_PER_S: f64 = 100_000.0;
-/// Maximum number of permits that a router may ask for at once.
+/// Maximum number of credits that a router may ask for at once.
 pub const MAX_DEMAND: u32 = 16;
 
 /// A request rate that an upstream states.
@@ -49,9 +49,9 @@
         self.0
     }
 
-    /// Returns the time between the starts of two permits.
+    /// Returns the time between the starts of two credits.
     ///
-    /// Requests of a window started up to the lifetime of a permit before it, and no more may start than
+    /// Requests of a window started up to the lifetime of a credit before it, and no more may start than
     /// the upstream takes in a window. A rate of less than one request in a window gets one request now
     /// and then.
     ///
@@ -65,7 +65,7 @@
     pub fn interval(self) -> Span {
         let in_window = (self.0 * WINDOW.as_secs_f64()).floor();
         let micros = if in_window >= 1.0 {
-            let window = WINDOW.as_micros() + PERMIT_LIFETIME.as_micros();
+            let window = WINDOW.as_micros() + CREDIT_LIFETIME.as_micros();
             window as f64 / in_window
         } else {
             1e6 / self.0
@@ -80,32 +80,32 @@
     /// Time of the latest question, by the clock of the router that asked.
     asked_us: u64,
     expires_at: Timestamp,
-    permits: u32,
-    /// When the router last got a permit. The one that waited longest is next.
+    credits: u32,
+    /// When the router last got a credit. The one that waited longest is next.
     served_at: Timestamp,
 }
 
-/// A permit that an allocator hands out.
+/// A credit that an allocator hands out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Grant {
     /// The router that gets it.
     pub router: Name,
     /// Time of the question that it answers, by the clock of that router.
     pub asked_us: u64,
-    /// Time until the permit starts.
+    /// Time until the credit starts.
     pub starts_in: Span,
 }
 
-/// Hands out the permits for one upstream.
+/// Hands out the credits for one upstream.
 #[derive(Clone, Debug)]
 pub struct Allocator {
-    /// Start of the next permit at the earliest.
+    /// Start of the next credit at the earliest.
     next_at: Timestamp,
     demands: IndexMap<Name, Demand>,
 }
 
 impl Allocator {
-    /// Creates an allocator whose first permit starts at `next_at` at the earliest.
+    /// Creates an allocator whose first credit starts at `next_at` at the earliest.
     #[must_use]
     pub fn new(next_at: Timestamp) -> Self {
         Self {
@@ -115,18 +115,18 @@
     }
 
     /// Replaces the demand of a router, which asked at `asked_us` by its own clock.
-    pub fn ask(&mut self, now: Timestamp, router: &Name, permits: u32, asked_us: u64) {
+    pub fn ask(&mut self, now: Timestamp, router: &Name, credits: u32, asked_us: u64) {
         let served_at = self.demands.get(router).map(|demand| demand.served_at);
         let demand = Demand {
             asked_us,
             expires_at: now + DEMAND_LIFETIME,
-            permits: permits.min(MAX_DEMAND),
+            credits: credits.min(MAX_DEMAND),
             served_at: served_at.unwrap_or(Timestamp::ZERO),
         };
         self.demands.insert(router.clone(), demand);
     }
 
-    /// Hands out the permits that are due at a rate.
+    /// Hands out the credits that are due at a rate.
     ///
     /// ```
     /// use tsw_base::time::Timestamp;
@@ -135,7 +135,7 @@
     /// let mut allocator = Allocator::new(now);
     /// allocator.ask(now, &"r1".into(), 2, 7);
     /// let grants = allocator.allocate(now, Rate::new(5.0).unwrap());
-    /// assert_eq!(grants.len(), 1, "the second permit starts 0.2 s later");
+    /// assert_eq!(grants.len(), 1, "the second credit starts 0.2 s later");
     /// ```
     pub fn allocate(&mut self, now: Timestamp, rate: Rate) -> Vec<Grant> {
         let interval = rate.interval();
@@ -144,12 +144,12 @@
         let mut grants = Vec::new();
         while self.next_at <= now + MAX_AHEAD {
             let open = self.demands.iter_mut();
-            let open = open.filter(|(_, demand)| demand.permits > 0 && now < demand.expires_at);
+            let open = open.filter(|(_, demand)| demand.credits > 0 && now < demand.expires_at);
             let Some((router, demand)) = open.min_by_key(|(_, demand)| demand.served_at) else {
                 break;
             };
             let start = self.next_at.max(now);
-            demand.permits -= 1;
+            demand.credits -= 1;
             demand.served_at = start;
             self.next_at = start + interval;
             grants.push(Grant {
@@ -161,16 +161,16 @@
         grants
     }
 
-    /// Returns the time until the next permit starts. A router may get a later one, if others wait too.
+    /// Returns the time until the next credit starts. A router may get a later one, if others wait too.
     #[must_use]
     pub fn next_in(&self, now: Timestamp) -> Span {
         self.next_at.since(now)
     }
 
-    /// Returns whether a router waits for permits.
+    /// Returns whether a router waits for credits.
     #[must_use]
     pub fn has_demand(&self, now: Timestamp) -> bool {
         let mut demands = self.demands.values();
-        demands.any(|demand| demand.permits > 0 && now < demand.expires_at)
+        demands.any(|demand| demand.credits > 0 && now < demand.expires_at)
     }
 }
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -44,7 +44,7 @@
     engine: Option<table::Engine>,
     tokens_per_s: Option<u64>,
     connections: u32,
-    /// Requests since [`Service::plan_permits`] was called.
+    /// Requests since [`Service::plan_credits`] was called.
     arrivals: u32,
 }
 
@@ -144,19 +144,19 @@
         self.arrivals = self.arrivals.saturating_add(1);
     }
 
-    /// Returns whether permits for upstreams that state a rate are needed now.
+    /// Returns whether credits for upstreams that state a rate are needed now.
     #[must_use]
-    pub fn needs_permits(&self, now: Timestamp) -> bool {
+    pub fn needs_credits(&self, now: Timestamp) -> bool {
         let has_requests = self.arrivals > 0 || !self.queue.is_empty();
         self.pool.is_limited() && has_requests || self.pool.has_demand(now)
     }
 
-    /// Returns the number of permits to ask for at each upstream that states a rate, given the upstreams
+    /// Returns the number of credits to ask for at each upstream that states a rate, given the upstreams
     /// and the software that each waiting request excludes or needs.
     ///
-    /// Each request asks for a permit, also one that another upstream has room for: otherwise the limited
+    /// Each request asks for a credit, also one that another upstream has room for: otherwise the limited
     /// upstreams would get requests only when the others are full.
-    pub fn plan_permits<'a>(
+    pub fn plan_credits<'a>(
         &mut self,
         now: Timestamp,
         constraints: impl Fn(u64) -> Option<(&'a [Name], Option<&'a Software>)>,
@@ -170,10 +170,10 @@
         });
         let due = due.filter_map(|waiting| constraints(waiting.number));
         for (avoid, software) in due.take(MAX_DEMAND as usize) {
-            self.pool.plan_permit(now, avoid, software, &mut planned);
+            self.pool.plan_credit(now, avoid, software, &mut planned);
         }
         for _ in 0..std::mem::take(&mut self.arrivals).min(MAX_DEMAND) {
-            self.pool.plan_permit(now, &[], None, &mut planned);
+            self.pool.plan_credit(now, &[], None, &mut planned);
         }
         planned
     }
--- a/crates/flow/tests/rate_limit.rs
+++ b/crates/flow/tests/rate_limit.rs
@@ -54,7 +54,7 @@
 enum Message {
     Ask {
         from: usize,
-        permits: u32,
+        credits: u32,
         asked_at: Timestamp,
     },
     Answer {
@@ -71,7 +71,7 @@
     network: Network,
     /// The allocator that each router knows.
     allocators: Vec<usize>,
-    /// When permits of each router as an allocator start at the earliest.
+    /// When credits of each router as an allocator start at the earliest.
     since: Vec<Timestamp>,
     messages: Vec<(Timestamp, usize, Message)>,
     /// Times at which requests were sent.
@@ -113,12 +113,12 @@
             match message {
                 Message::Ask {
                     from,
-                    permits,
+                    credits,
                     asked_at,
                 } => {
                     if self.allocators[to] == to {
                         let router: Name = from.to_string().into();
-                        let question = (permits, asked_at.as_micros());
+                        let question = (credits, asked_at.as_micros());
                         let since = self.since[to];
                         let pool = &mut self.pools[to];
                         pool.ask_allocator(now, since, &router, &"e1".into(), question);
@@ -141,19 +141,19 @@
         for router in 0..self.pools.len() {
             let pool = &mut self.pools[router];
             while let Some(choice) = plain::choose(pool, now) {
-                pool.use_permit(now, &choice);
+                pool.use_credit(now, &choice);
                 self.sent.push(now);
             }
             let mut planned = Default::default();
-            pool.plan_permit(now, &[], None, &mut planned);
+            pool.plan_credit(now, &[], None, &mut planned);
             let (questions, routers) = (pool.questions(now, planned), self.pools.len());
             for question in questions {
                 let allocator = self.allocators[router];
-                self.pools[router].permit_unanswered(now, &"e1".into(), routers);
-                let (permits, asked_at) = (question.permits, now);
+                self.pools[router].credit_unanswered(now, &"e1".into(), routers);
+                let (credits, asked_at) = (question.credits, now);
                 let ask = Message::Ask {
                     from: router,
-                    permits,
+                    credits,
                     asked_at,
                 };
                 self.send(now, allocator, ask);
@@ -165,7 +165,7 @@
                 continue;
             }
             for (upstream, grant) in self.pools[allocator].allocate(now) {
-                let next_in = self.pools[allocator].next_permit_in(now, &upstream);
+                let next_in = self.pools[allocator].next_credit_in(now, &upstream);
                 let answer = Message::Answer {
                     asked_at: Timestamp::from_micros(grant.asked_us),
                     starts_in: vec![grant.starts_in],
@@ -216,7 +216,7 @@
     }
 }
 
-/// Guards against late or repeated permits after messages were lost.
+/// Guards against late or repeated credits after messages were lost.
 #[test]
 fn late_and_lost_messages_do_not_exceed_a_rate() {
     let network = Network {
@@ -235,21 +235,21 @@
     }
 }
 
-/// Guards against permits that come so late that the upstream may have been promised to others since.
+/// Guards against credits that come so late that the upstream may have been promised to others since.
 #[test]
 fn answers_to_old_questions_count_for_nothing() {
     let mut pool = pool();
     let choice = plain::choose(&pool, at(0)).expect("no limit");
     pool.record_rate(at(0), &choice, at(0), rate(2.0));
-    let (id, permit) = ("e1".into(), [Span::ZERO]);
-    pool.record_answer(at(1_000), &id, at(600), &permit, Span::ZERO);
+    let (id, credit) = ("e1".into(), [Span::ZERO]);
+    pool.record_answer(at(1_000), &id, at(600), &credit, Span::ZERO);
     assert_eq!(plain::choose(&pool, at(1_000)), None);
-    pool.record_answer(at(1_000), &id, at(800), &permit, Span::ZERO);
+    pool.record_answer(at(1_000), &id, at(800), &credit, Span::ZERO);
     assert!(plain::choose(&pool, at(1_000)).is_some());
     assert_eq!(
         plain::choose(&pool, at(1_250)),
         None,
-        "the permit has expired"
+        "the credit has expired"
     );
 }
 
@@ -330,7 +330,7 @@
     assert_eq!(plain::choose(&pool, at(80)), None);
 }
 
-/// Guards against routers that go on asking for permits for an upstream that is no longer listed.
+/// Guards against routers that go on asking for credits for an upstream that is no longer listed.
 #[test]
 fn upstream_that_is_gone_limits_nothing() {
     let mut pool = pool();
--- a/crates/gate/src/permit_exchange.rs
+++ b/crates/gate/src/credit_exchange.rs
@@ -1,7 +1,7 @@
-//! Asks other routers for permits for requests to upstreams that state a rate, and hands them out.
+//! Asks other routers for credits for requests to upstreams that state a rate, and hands them out.
 //!
 //! The allocator of an upstream is the ready router of the highest rendezvous weight for it. A router hands
-//! out permits only if it is the allocator by its own list of routers, so that two lists that differ lead
+//! out credits only if it is the allocator by its own list of routers, so that two lists that differ lead
 //! to no answer rather than to two.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -10,21 +10,21 @@
 use tokio::{net::UdpSocket, time};
 use tsw_base::time::{Span, Timestamp};
 use tsw_member::rendezvous;
-use tsw_relay::permits::{Answer, Target};
+use tsw_relay::credits::{Answer, Target};
 use tsw_route::Name;
 
 use crate::{
+    credit_message::{Ask, Credits, StatedAnswer, MAX_ITEMS},
     gossip,
-    permit_message::{Ask, Permits, StatedAnswer, MAX_ITEMS},
     state::State,
 };
 
-/// Time between two rounds while requests wait for permits.
+/// Time between two rounds while requests wait for credits.
 const INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two rounds otherwise.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after a change of the ready routers in which a new allocator hands out nothing: others may still
-/// ask the previous one, and its last permits are still in use.
+/// ask the previous one, and its last credits are still in use.
 const HANDOVER: Span = Span::from_millis(1_000);
 /// Seed of the rendezvous hash for the choice of allocators; the same at all routers.
 const ALLOCATOR_SEED: u64 = 0x7065_726d;
@@ -36,11 +36,11 @@
     changed_at: Timestamp,
 }
 
-/// Permits to hand out, by router and upstream.
+/// Credits to hand out, by router and upstream.
 #[derive(Default)]
 struct Outgoing(IndexMap<(Name, Target), Handout>);
 
-/// The permits that answer a question.
+/// The credits that answer a question.
 #[derive(Default)]
 struct Handout {
     /// Time of the question by the clock of the router that asked.
@@ -53,18 +53,18 @@
     fn record_ask(&mut self, state: &State, since: Timestamp, from: &Name, ask: &Ask) {
         let target = ask.rate.target();
         let Ask {
-            permits, asked_us, ..
+            credits, asked_us, ..
         } = *ask;
         state
             .router
-            .ask_allocator(since, from, &target, permits, asked_us);
+            .ask_allocator(since, from, &target, credits, asked_us);
         let handout = self.0.entry((from.clone(), target)).or_default();
         handout.asked_us = asked_us;
     }
 
-    /// Adds the permits that this router hands out now.
+    /// Adds the credits that this router hands out now.
     fn allocate(&mut self, state: &State) {
-        for (target, grant) in state.router.allocate_permits() {
+        for (target, grant) in state.router.allocate_credits() {
             let handout = self.0.entry((grant.router, target)).or_default();
             handout.asked_us = grant.asked_us;
             handout.starts_in.push(grant.starts_in);
@@ -78,7 +78,7 @@
             let Some(statement) = state.router.statement(&target) else {
                 continue;
             };
-            let next_in = state.router.next_permit_in(&target);
+            let next_in = state.router.next_credit_in(&target);
             let answer = Answer {
                 target,
                 asked_us: handout.asked_us,
@@ -105,7 +105,7 @@
 }
 
 /// Ends the allocation for upstreams that have another allocator since the ready routers changed, and
-/// returns when permits of new allocators start at the earliest.
+/// returns when credits of new allocators start at the earliest.
 fn update_ready_routers(state: &State) -> Timestamp {
     let now = state.router.now();
     let incarnations: IndexSet<u64> = {
@@ -125,17 +125,17 @@
     ready.changed_at + HANDOVER
 }
 
-/// Asks for the permits that waiting requests need, and hands out permits, until the process ends.
+/// Asks for the credits that waiting requests need, and hands out credits, until the process ends.
 pub async fn run(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut wait = IDLE_INTERVAL;
     loop {
         // The timeout only ends the wait.
-        let _ = time::timeout(wait, state.router.permits_needed.notified()).await;
+        let _ = time::timeout(wait, state.router.credits_needed.notified()).await;
         let since = update_ready_routers(&state);
         let mut outgoing = ask(&state, &socket, since).await;
         outgoing.allocate(&state);
         send_answers(&state, &socket, outgoing).await;
-        if state.router.needs_permits() {
+        if state.router.needs_credits() {
             wait = INTERVAL;
             // Requests that arrive together are asked for together.
             time::sleep(INTERVAL / 2).await;
@@ -145,18 +145,18 @@
     }
 }
 
-/// Asks for the permits that waiting requests need, and records those to this router itself.
+/// Asks for the credits that waiting requests need, and records those to this router itself.
 async fn ask(state: &Rc<State>, socket: &UdpSocket, since: Timestamp) -> Outgoing {
     let asked_us = state.router.now().as_micros();
     let mut outgoing = Outgoing::default();
     let mut asks: IndexMap<SocketAddr, Vec<Ask>> = IndexMap::new();
-    for (service, question) in state.router.permit_questions() {
+    for (service, question) in state.router.credit_questions() {
         let Some(ask) = Ask::new(&service, &question, asked_us) else {
             continue;
         };
         match allocator(state, &ask.rate.target()) {
             Some(address) => {
-                state.router.permit_unanswered(&ask.rate.target());
+                state.router.credit_unanswered(&ask.rate.target());
                 asks.entry(address).or_default().push(ask);
             }
             None => {
@@ -167,11 +167,11 @@
     }
     for (address, asks) in asks {
         for asks in asks.chunks(MAX_ITEMS) {
-            let permits = Permits {
+            let credits = Credits {
                 asks: asks.to_vec(),
-                ..Permits::default()
+                ..Credits::default()
             };
-            gossip::send_permits(state, socket, address, permits).await;
+            gossip::send_credits(state, socket, address, credits).await;
         }
     }
     outgoing
@@ -192,31 +192,31 @@
             let found = live.find(|peer| *peer.host == *router);
             found.map(|peer| peer.gossip)
         };
-        // A router that is not live has no use for permits.
+        // A router that is not live has no use for credits.
         let Some(address) = address else { continue };
         for answers in answers.chunks(MAX_ITEMS) {
-            let permits = Permits {
+            let credits = Credits {
                 answers: answers.to_vec(),
-                ..Permits::default()
+                ..Credits::default()
             };
-            gossip::send_permits(state, socket, address, permits).await;
+            gossip::send_credits(state, socket, address, credits).await;
         }
     }
 }
 
 /// Applies questions and answers of another router, and answers its questions.
-pub async fn receive(state: &Rc<State>, socket: &UdpSocket, from: &str, permits: Permits) {
-    for answer in &permits.answers {
+pub async fn receive(state: &Rc<State>, socket: &UdpSocket, from: &str, credits: Credits) {
+    for answer in &credits.answers {
         answer.rate.apply(&state.router, from);
         state.router.apply_answer(&answer.answer());
     }
-    if permits.asks.is_empty() {
+    if credits.asks.is_empty() {
         return;
     }
     let since = update_ready_routers(state);
     let router = from.into();
     let mut outgoing = Outgoing::default();
-    for ask in &permits.asks {
+    for ask in &credits.asks {
         ask.rate.apply(&state.router, from);
         if allocator(state, &ask.rate.target()).is_none() {
             outgoing.record_ask(state, since, &router, ask);
@@ -224,5 +224,5 @@
     }
     outgoing.allocate(state);
     send_answers(state, socket, outgoing).await;
-    state.router.permits_needed.notify_one();
+    state.router.credits_needed.notify_one();
 }
--- a/crates/gate/src/permit_message.rs
+++ b/crates/gate/src/credit_message.rs
@@ -1,4 +1,4 @@
-//! Encodes questions and answers about permits, and the rates that upstreams state.
+//! Encodes questions and answers about credits, and the rates that upstreams state.
 
 use std::rc::Rc;
 
@@ -9,7 +9,7 @@
     rate::Rate,
 };
 use tsw_relay::{
-    permits::{Answer, Target},
+    credits::{Answer, Target},
     router::Router,
 };
 use tsw_route::Name;
@@ -96,8 +96,8 @@
 pub struct Ask {
     /// What the upstream stated to the router that asks.
     pub rate: StatedRate,
-    /// Number of permits.
-    pub permits: u32,
+    /// Number of credits.
+    pub credits: u32,
     /// Time of the question by the clock of the router that asks.
     pub asked_us: u64,
 }
@@ -110,7 +110,7 @@
         let rate = StatedRate::new(&Target { service, upstream }, &question.statement);
         (rate.bytes() <= MAX_NAMES + RATE_BYTES).then_some(Self {
             rate,
-            permits: question.permits,
+            credits: question.credits,
             asked_us,
         })
     }
@@ -152,16 +152,16 @@
     }
 }
 
-/// Questions and answers about permits.
+/// Questions and answers about credits.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Permits {
+pub struct Credits {
     /// Questions to the receiver as an allocator.
     pub asks: Vec<Ask>,
     /// Answers to questions of the receiver.
     pub answers: Vec<StatedAnswer>,
 }
 
-impl Permits {
+impl Credits {
     /// Returns whether there are no questions and no answers.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -16,9 +16,10 @@
 use tsw_route::Name;
 
 use crate::{
+    credit_exchange,
+    credit_message::{self, Credits, StatedRate},
     origin_batch::Batch,
-    origin_sync, permit_exchange,
-    permit_message::{self, Permits, StatedRate},
+    origin_sync,
     report::{self, Activity, Reassembler, MAX_DATAGRAM},
     state::{Phase, State},
 };
@@ -40,9 +41,9 @@
     /// Where streams began. They follow findings, where routers that do not know them ignore them.
     #[serde(skip)]
     origins: Batch,
-    /// Questions and answers about permits. They follow the origins of streams.
+    /// Questions and answers about credits. They follow the origins of streams.
     #[serde(skip)]
-    permits: Permits,
+    credits: Credits,
     /// Rates that upstreams state. They follow activities.
     #[serde(skip)]
     rates: Vec<StatedRate>,
@@ -54,21 +55,21 @@
             from: from.to_owned(),
             message,
             origins: Batch::default(),
-            permits: Permits::default(),
+            credits: Credits::default(),
             rates: Vec::new(),
         }
     }
 }
 
 /// Encodes a datagram. What older routers do not know follows it: the eras of members, the origins of
-/// streams and permits, or the rates that upstreams state.
+/// streams and credits, or the rates that upstreams state.
 fn encode(datagram: &Datagram) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_allocvec(datagram)?;
     match &datagram.message {
         Message::Members(update) => postcard::to_extend(&update.eras(), bytes),
-        Message::Findings(_) if !datagram.permits.is_empty() => {
+        Message::Findings(_) if !datagram.credits.is_empty() => {
             let bytes = postcard::to_extend(&datagram.origins, bytes)?;
-            postcard::to_extend(&datagram.permits, bytes)
+            postcard::to_extend(&datagram.credits, bytes)
         }
         Message::Findings(_) if !datagram.origins.is_empty() => {
             postcard::to_extend(&datagram.origins, bytes)
@@ -87,10 +88,10 @@
         match &mut datagram.message {
             Message::Members(update) => update.set_eras(&postcard::from_bytes::<Vec<_>>(rest)?),
             Message::Findings(_) => {
-                let (origins, permits) = postcard::take_from_bytes(rest)?;
+                let (origins, credits) = postcard::take_from_bytes(rest)?;
                 datagram.origins = origins;
-                if !permits.is_empty() {
-                    datagram.permits = postcard::from_bytes(permits)?;
+                if !credits.is_empty() {
+                    datagram.credits = postcard::from_bytes(credits)?;
                 }
             }
             Message::Activities(..) => datagram.rates = postcard::from_bytes(rest)?,
@@ -125,11 +126,11 @@
     send_datagram(state, socket, &[to], &datagram).await;
 }
 
-/// Sends questions and answers about permits to a router.
-pub async fn send_permits(state: &State, socket: &UdpSocket, to: SocketAddr, permits: Permits) {
+/// Sends questions and answers about credits to a router.
+pub async fn send_credits(state: &State, socket: &UdpSocket, to: SocketAddr, credits: Credits) {
     let message = Message::Findings(Findings::default());
     let datagram = Datagram {
-        permits,
+        credits,
         ..Datagram::new(&host(state), message)
     };
     send_datagram(state, socket, &[to], &datagram).await;
@@ -209,7 +210,7 @@
         let activities = activities.iter().map(Activity::from).collect();
         match report::split(now.as_micros(), activities) {
             Ok(fragments) => {
-                let mut rates = permit_message::recent_rates(&state.router);
+                let mut rates = credit_message::recent_rates(&state.router);
                 for fragment in fragments {
                     let message = Message::Activities(load, fragment);
                     let datagram = Datagram {
@@ -333,9 +334,9 @@
             }
             Message::Findings(findings) => {
                 origin_sync::receive(&state, &datagram.origins);
-                if !datagram.permits.is_empty() {
-                    let permits = datagram.permits;
-                    permit_exchange::receive(&state, &socket, &datagram.from, permits).await;
+                if !datagram.credits.is_empty() {
+                    let credits = datagram.credits;
+                    credit_exchange::receive(&state, &socket, &datagram.from, credits).await;
                 }
                 if !findings.findings.is_empty() {
                     state.router.apply_findings(findings);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,8 +8,8 @@
 //! - [`store_watch`]: reads the platform's store; [`peer_sync`]: reads newer store content from
 //!   peers; [`store_history`]: reads at the start which upstreams left before; [`store_copy`]: the local copy of the store's content, and the difference to a peer's.
 //! - [`origin_sync`]: shares with other routers where streams began; [`origin_batch`]: the encoding.
-//! - [`permit_exchange`]: asks other routers for permits for requests to upstreams that state a rate, and
-//!   hands them out; [`permit_message`]: the encoding.
+//! - [`credit_exchange`]: asks other routers for credits for requests to upstreams that state a rate, and
+//!   hands them out; [`credit_message`]: the encoding.
 //! - [`gossip`]: exchanges membership and load with other routers; [`report`]: splits activity
 //!   reports into fragments that fit into datagrams.
 //!
@@ -19,13 +19,13 @@
 pub mod authorize;
 pub mod client;
 pub mod connection_reuse;
+pub mod credit_exchange;
+pub mod credit_message;
 pub mod endpoints;
 pub mod gossip;
 pub mod origin_batch;
 pub mod origin_sync;
 pub mod peer_sync;
-pub mod permit_exchange;
-pub mod permit_message;
 pub mod report;
 pub mod serve;
 pub mod state;
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -31,7 +31,7 @@
 use crate::{
     client,
     connection_reuse::ReuseTracker,
-    endpoints, gossip, origin_sync, peer_sync, permit_exchange,
+    credit_exchange, endpoints, gossip, origin_sync, peer_sync,
     state::{Phase, State},
     store_copy::StoreCopy,
     store_watch::{self, Subject},
@@ -146,7 +146,7 @@
     actix_rt::spawn(gossip::send_members(state.clone(), socket.clone()));
     actix_rt::spawn(gossip::send_findings(state.clone(), socket.clone()));
     actix_rt::spawn(origin_sync::send_records(state.clone(), socket.clone()));
-    actix_rt::spawn(permit_exchange::run(state.clone(), socket.clone()));
+    actix_rt::spawn(credit_exchange::run(state.clone(), socket.clone()));
     actix_rt::spawn(gossip::send_activities(state.clone(), socket));
     actix_rt::spawn(peer_sync::run(state.clone()));
     actix_rt::spawn(store_watch::run(state.clone(), Subject::Configuration));
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -25,7 +25,7 @@
 use tsw_route::{table::Limits, Name};
 
 use crate::{
-    connection_reuse::ReuseTracker, origin_sync::Queries, permit_exchange::ReadyRouters,
+    connection_reuse::ReuseTracker, credit_exchange::ReadyRouters, origin_sync::Queries,
     store_copy::StoreCopy,
 };
 
--- a/crates/relay/src/permits.rs
+++ b/crates/relay/src/credits.rs
@@ -1,4 +1,4 @@
-//! Permits for requests to upstreams that state the request rate that they take.
+//! Credits for requests to upstreams that state the request rate that they take.
 
 use std::rc::Rc;
 
@@ -29,15 +29,15 @@
     pub target: Target,
     /// When the question was asked, by the clock of the router that asked.
     pub asked_us: u64,
-    /// Times until the permits start.
+    /// Times until the credits start.
     pub starts_in: Vec<Span>,
-    /// Time until the next permit of the upstream starts, for whichever router.
+    /// Time until the next credit of the upstream starts, for whichever router.
     pub next_in: Span,
 }
 
 impl Router {
-    /// Returns the questions for the permits that requests need now.
-    pub fn permit_questions(&self) -> Vec<(Name, Question)> {
+    /// Returns the questions for the credits that requests need now.
+    pub fn credit_questions(&self) -> Vec<(Name, Question)> {
         let now = self.now();
         let waiters = self.waiters.borrow();
         let mut services = self.services.borrow_mut();
@@ -46,23 +46,23 @@
             .filter(|(_, service)| service.pool.is_limited());
         let questions = limited.flat_map(|(name, service)| {
             let constraints = |number: u64| waiters.constraints(name, number);
-            let planned = service.plan_permits(now, constraints);
+            let planned = service.plan_credits(now, constraints);
             let questions = service.pool.questions(now, planned).into_iter();
             questions.map(|question| (name.clone(), question))
         });
         let questions: Vec<(Name, Question)> = questions.collect();
         for (service, question) in &questions {
-            self.count_permits(service, "asked", question.permits.into());
+            self.count_credits(service, "asked", question.credits.into());
         }
         questions
     }
 
-    /// Returns whether this router needs permits, or others wait for permits of this one.
+    /// Returns whether this router needs credits, or others wait for credits of this one.
     #[must_use]
-    pub fn needs_permits(&self) -> bool {
+    pub fn needs_credits(&self) -> bool {
         let now = self.now();
         let services = self.services.borrow();
-        services.values().any(|service| service.needs_permits(now))
+        services.values().any(|service| service.needs_credits(now))
     }
 
     /// Returns what an upstream last stated about its rate, if anything is known.
@@ -140,30 +140,30 @@
         since: Timestamp,
         router: &Name,
         target: &Target,
-        permits: u32,
+        credits: u32,
         asked_us: u64,
     ) {
         let now = self.now();
         self.with_service(&target.service, |service| {
-            let (pool, question) = (&mut service.pool, (permits, asked_us));
+            let (pool, question) = (&mut service.pool, (credits, asked_us));
             pool.ask_allocator(now, since, router, &target.upstream, question);
         });
     }
 
-    /// Returns the time until the next permit for an upstream starts if this router is its allocator, and
+    /// Returns the time until the next credit for an upstream starts if this router is its allocator, and
     /// zero otherwise.
     #[must_use]
-    pub fn next_permit_in(&self, target: &Target) -> Span {
+    pub fn next_credit_in(&self, target: &Target) -> Span {
         let now = self.now();
         let next_in = self.with_service(&target.service, |service| {
-            service.pool.next_permit_in(now, &target.upstream)
+            service.pool.next_credit_in(now, &target.upstream)
         });
         next_in.flatten().unwrap_or(Span::ZERO)
     }
 
-    /// Returns the permits that this router hands out now as an allocator.
+    /// Returns the credits that this router hands out now as an allocator.
     #[must_use]
-    pub fn allocate_permits(&self) -> Vec<(Target, Grant)> {
+    pub fn allocate_credits(&self) -> Vec<(Target, Grant)> {
         let now = self.now();
         let mut services = self.services.borrow_mut();
         let grants = services.iter_mut().flat_map(|(name, service)| {
@@ -186,7 +186,7 @@
         }
     }
 
-    /// Applies the answer of an allocator, and starts waiting requests when its permits start.
+    /// Applies the answer of an allocator, and starts waiting requests when its credits start.
     pub fn apply_answer(self: &Rc<Self>, answer: &Answer) {
         let Answer {
             target,
@@ -201,7 +201,7 @@
             let (pool, upstream) = (&mut service.pool, &target.upstream);
             pool.record_answer(now, upstream, asked_at, starts_in, *next_in);
         });
-        self.count_permits(name, "granted", starts_in.len() as u64);
+        self.count_credits(name, "granted", starts_in.len() as u64);
         if starts_in.is_empty() {
             self.refuse_waiting(name);
         }
@@ -219,17 +219,17 @@
     }
 
     /// Uses a part of the rate of an upstream if its allocator does not answer.
-    pub fn permit_unanswered(self: &Rc<Self>, target: &Target) {
+    pub fn credit_unanswered(self: &Rc<Self>, target: &Target) {
         let (now, routers) = (self.now(), self.router_count());
         self.with_service(&target.service, |service| {
             let pool = &mut service.pool;
-            pool.permit_unanswered(now, &target.upstream, routers);
+            pool.credit_unanswered(now, &target.upstream, routers);
         });
         self.start_queued(&target.service);
     }
 
-    pub(crate) fn count_permits(&self, service: &Name, step: &str, count: u64) {
-        let permits = &self.metrics.permits;
-        permits.with_label_values(&[&**service, step]).inc_by(count);
+    pub(crate) fn count_credits(&self, service: &Name, step: &str, count: u64) {
+        let credits = &self.metrics.credits;
+        credits.with_label_values(&[&**service, step]).inc_by(count);
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,7 +13,7 @@
 //! 7. [`responder`]: writes the response to the client.
 //! 8. [`origins`]: remembers at which software streams began; [`assignment`]: assigns new ones to software, and
 //!    derives where they began if no router remembers it.
-//! 9. [`statements`]: applies what upstreams state about themselves in their responses; [`permits`]: permits
+//! 9. [`statements`]: applies what upstreams state about themselves in their responses; [`credits`]: credits
 //!    for requests to upstreams that state the request rate that they take.
 //!
 //! [`router`] is the state that all requests share; [`local_response`] lists the responses that the
@@ -22,11 +22,11 @@
 pub mod assignment;
 pub mod attempt;
 pub mod crash_detector;
+pub mod credits;
 pub mod event;
 pub mod local_response;
 pub mod metrics;
 pub mod origins;
-pub mod permits;
 pub mod protocol;
 pub mod request;
 pub mod reservation;
--- a/crates/relay/src/local_response.rs
+++ b/crates/relay/src/local_response.rs
@@ -17,7 +17,7 @@
     NoUpstream,
     /// All upstreams asked for a pause that is longer than it can wait.
     Paused,
-    /// All upstreams state a request rate, and none has a permit for it while it can wait.
+    /// All upstreams state a request rate, and none has a credit for it while it can wait.
     Limited,
     /// The router is about to exit.
     Stopping,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -31,8 +31,8 @@
     pub pauses: IntCounterVec,
     /// Upstreams that state a request rate.
     pub limited: IntGauge,
-    /// Permits for requests to such upstreams, by service and step: asked for, granted.
-    pub permits: IntCounterVec,
+    /// Credits for requests to such upstreams, by service and step: asked for, granted.
+    pub credits: IntCounterVec,
     /// Open connections of clients.
     pub clients: IntGauge,
     /// Age of the oldest report of a busy router when an upstream was chosen, in seconds.
@@ -133,10 +133,10 @@
                 "relay_upstreams_limited",
                 "Upstreams that state the request rate that they take",
             )?,
-            permits: IntCounterVec::new(
+            credits: IntCounterVec::new(
                 Opts::new(
-                    "relay_permits_total",
-                    "Permits for requests to upstreams that state a rate, by service and step",
+                    "relay_credits_total",
+                    "Credits for requests to upstreams that state a rate, by service and step",
                 ),
                 &["service", "step"],
             )?,
@@ -193,7 +193,7 @@
         registry.register(Box::new(metrics.stated_leaving.clone()))?;
         registry.register(Box::new(metrics.pauses.clone()))?;
         registry.register(Box::new(metrics.limited.clone()))?;
-        registry.register(Box::new(metrics.permits.clone()))?;
+        registry.register(Box::new(metrics.credits.clone()))?;
         registry.register(Box::new(metrics.clients.clone()))?;
         registry.register(Box::new(metrics.report_age.clone()))?;
         registry.register(Box::new(metrics.message_bytes.clone()))?;
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -205,7 +205,7 @@
         });
         let limited = self.with_service(&request.service, |service| service.pool.is_limited());
         if limited == Some(true) {
-            self.permits_needed.notify_one();
+            self.credits_needed.notify_one();
         }
         let (number, until) = match wait {
             None => return Err(Refused::new(Refusal::NoUpstream, MIN_RETRY_AFTER)),
@@ -416,7 +416,7 @@
     service
         .accounts
         .record_start(now, &request.team().into(), request_work(request));
-    service.pool.use_permit(now, &choice);
+    service.pool.use_credit(now, &choice);
     service.pool.begin(&choice, request.prompt.as_ref());
     choice
 }
--- a/crates/relay/src/reservation/refuse.rs
+++ b/crates/relay/src/reservation/refuse.rs
@@ -75,8 +75,8 @@
         }
     }
 
-    /// Refuses a request whose upstreams pause, or have no permit, for longer than it can wait. Upstreams
-    /// state when a pause ends; a permit goes to whichever request comes first, so that the clients'
+    /// Refuses a request whose upstreams pause, or have no credit, for longer than it can wait. Upstreams
+    /// state when a pause ends; a credit goes to whichever request comes first, so that the clients'
     /// returns are spread.
     pub(super) fn refuse_wait(&self, request: &Request, pause: Span, wait: Span) -> Refused {
         if pause >= wait {
@@ -93,7 +93,7 @@
         )
     }
 
-    /// Ends the wait of the queued requests of a service whose upstreams all pause, or have no permit, for
+    /// Ends the wait of the queued requests of a service whose upstreams all pause, or have no credit, for
     /// longer.
     pub(crate) fn refuse_waiting(&self, name: &Name) {
         let now = self.now();
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -102,7 +102,7 @@
     /// Notified when there are findings for the other routers.
     pub findings_ready: Notify,
     /// Notified when a request arrives for a service with an upstream that states a rate.
-    pub permits_needed: Notify,
+    pub credits_needed: Notify,
     /// When the last report of each other router that has work arrived, and whether it is busy.
     peer_reports: RefCell<IndexMap<Name, (Timestamp, bool)>>,
     pub(crate) origins: RefCell<Origins>,
@@ -147,7 +147,7 @@
             messages_to_peers: RefCell::default(),
             reminded_at: Cell::default(),
             findings_ready: Notify::new(),
-            permits_needed: Notify::new(),
+            credits_needed: Notify::new(),
             peer_reports: RefCell::default(),
             origins: RefCell::default(),
             software: RefCell::default(),
--- a/crates/relay/src/statements.rs
+++ b/crates/relay/src/statements.rs
@@ -8,7 +8,7 @@
 use tsw_flow::{pool::Statement, rate::Rate};
 
 use crate::{
-    permits::Target,
+    credits::Target,
     protocol::{Pause, ResponseInfo, StatedRate},
     request::Request,
     reservation::Reservation,
