Let a question for credits state the whole demand

A question replaces the one before it at the allocator, but stated only what was planned since, so that a demand that was not answered yet was lost when the next request arrived.

--- a/crates/flow/src/pool/limit.rs
+++ b/crates/flow/src/pool/limit.rs
@@ -103,11 +103,16 @@
         usable.map(|(index, _)| index)
     }
 
+    /// Returns the number of credits that this router has.
+    fn held(&self, now: Timestamp) -> u32 {
+        let held = self.credits.iter().filter(|credit| now < credit.until);
+        held.count() as u32
+    }
+
     /// Returns the number of credits that this router has or may still get for its last question.
     fn expected(&self, now: Timestamp) -> u32 {
-        let held = self.credits.iter().filter(|credit| now < credit.until);
         let is_asked = now.since(self.asked_at) < ASK_INTERVAL;
-        held.count() as u32 + if is_asked { self.asked } else { 0 }
+        self.held(now) + if is_asked { self.asked } else { 0 }
     }
 }
 
@@ -118,11 +123,6 @@
         (entry.started_at <= limit.run && limit.rate.is_some()).then_some(limit)
     }
 
-    /// Returns whether an upstream states a rate.
-    pub(super) fn is_rate_limited(&self, upstream: &Upstream) -> bool {
-        self.limit(upstream).is_some()
-    }
-
     /// Returns whether an upstream may get a request as far as the rate that it states is concerned.
     pub(super) fn limit_allows(&self, now: Timestamp, upstream: &Upstream) -> bool {
         let limit = self.limit(upstream);
@@ -227,7 +227,7 @@
     }
 
     /// Returns the rate that an upstream states.
-    fn rate(&self, upstream: &Upstream) -> Option<Rate> {
+    pub(super) fn rate(&self, upstream: &Upstream) -> Option<Rate> {
         self.limit(upstream).and_then(|limit| limit.rate)
     }
 
@@ -291,17 +291,17 @@
         }
     }
 
-    /// Returns the questions for planned credits, and records that they are asked now. Credits that this
-    /// router has, or has just asked for, are not asked for again.
+    /// Returns the questions for planned credits that this router neither has nor has just asked for, and
+    /// records that they are asked now.
     pub fn questions(&mut self, now: Timestamp, planned: IndexMap<Name, u32>) -> Vec<Question> {
         let questions = planned.into_iter().filter_map(|(upstream, credits)| {
             let limit = self.limits.get_mut(&upstream)?;
             if credits <= limit.expected(now) {
                 return None;
             }
-            let held = limit.expected(now);
             limit.asked_at = now;
-            limit.asked = credits - held.min(credits);
+            // It replaces the last question, which may not be answered yet.
+            limit.asked = credits - limit.held(now);
             limit.unanswered_since = limit.unanswered_since.or(Some(now));
             Some(Question {
                 upstream,
@@ -362,8 +362,8 @@
         }
     }
 
-    /// Records the question of a router as the allocator of an upstream, see [`Allocator::ask`]. Credits start at `since` at the earliest if this router was not the allocator
-    /// before.
+    /// Records the question of a router as the allocator of an upstream, see [`Allocator::ask`]. Credits
+    /// start at `since` at the earliest if this router was not the allocator before.
     pub fn ask_allocator(
         &mut self,
         now: Timestamp,
@@ -404,11 +404,8 @@
     /// Returns whether any router waits for a credit of this allocator.
     #[must_use]
     pub fn has_demand(&self, now: Timestamp) -> bool {
-        let allocators = self
-            .limits
-            .values()
-            .filter_map(|limit| limit.allocator.as_ref());
-        let mut allocators = allocators;
+        let limits = self.limits.values();
+        let mut allocators = limits.filter_map(|limit| limit.allocator.as_ref());
         allocators.any(|allocator| allocator.has_demand(now))
     }
 
