--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,182 +1,141 @@
-//! A request whose server crashes after the first event of its stream is never refused.
+//! A server's statement about idle channels ends every router that reads it.
 #[path = "../common/harness.rs"]
 mod harness;
 
 use harness::*;
 use std::{
+    collections::HashSet,
     env,
     io::Write,
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc, Mutex,
-    },
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
 
-/// `contactMs` of the small sites.
-const CONTACT_S: f64 = 3.0;
-/// Retries that may still reach a server later than that after the third crash.
+/// Requests that may be passed on and get no answer.
 const ALLOWED: usize = 3;
-/// Time after which a crashed server is back: "some seconds".
-const BACK_AFTER: Duration = Duration::from_secs(3);
-/// How often the deadly request comes again, and for how long.
-const POISON_INTERVAL: Duration = Duration::from_millis(700);
-const RUN: Duration = Duration::from_secs(25);
+/// The release of one server, in seconds after the load begins.
+const RELEASE_AT: f64 = 5.0;
+const RUN: f64 = 25.0;
+/// Requests a second, as on the sheet for bookings.
+const PER_S: f64 = 24.0;
+/// `drainMs`.
+const DRAIN: Duration = Duration::from_millis(2_000);
 
 fn main() {
     let arguments: Vec<String> = env::args().collect();
     if arguments.get(1).map(String::as_str) == Some("server") {
-        server(&arguments[2], &arguments[3], &arguments[4]);
+        server(&arguments[2], &arguments[4]);
     }
     std::process::exit(run());
 }
 
-/// A model server. It reads the prompt, then sends events. A deadly request crashes it when it has begun
-/// to run it: with the first event (`begun`), or before anything was sent (`before`, for comparison).
-fn server(address: &str, _id: &str, crash: &str) -> ! {
-    let crash = crash.to_owned();
+/// A plain server that answers each request, and states how long it keeps idle channels open.
+fn server(address: &str, idle_s: &str) -> ! {
+    let idle_s = idle_s.to_owned();
     serve(address.parse().expect("address"), move |mut peer| {
         while let Ok(Some(request)) = peer.read_request() {
             let id = request.header("Attempt-Id").to_owned();
-            if request.method == "GET" {
+            if request.target == "/health" {
                 let _ = peer.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
-            let deadly = request.body.starts_with(b"deadly");
-            tell(&format!("got {} {id}", if deadly { "deadly" } else { "sound" }));
-            thread::sleep(Duration::from_millis(40));
-            if deadly && crash == "before" {
-                std::process::abort();
-            }
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s.{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            thread::sleep(Duration::from_millis(30));
+            tell(&format!("ran {id}"));
+            let body = format!("answer to {id}\n");
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s.{id}\r\nKeep-Alive: timeout={idle_s}\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
             );
-            let _ = peer.stream.write_all(head.as_bytes());
-            for number in 1..=5 {
-                let event = format!("id: {number}\ndata: token\n\n");
-                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-                if peer.stream.write_all(chunk.as_bytes()).is_err() {
-                    return;
-                }
-                thread::sleep(Duration::from_millis(20));
-                if deadly {
-                    std::process::abort();
-                }
-            }
-            if peer.stream.write_all(b"0\r\n\r\n").is_err() {
+            if peer.stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
-            tell(&format!("ended sound {id}"));
         }
     })
 }
 
 const CONFIGURATION: &str = r#"{"version":3,"routes":[
-{"name":"r-1","hostname":"shop.example","pathPrefix":"/review/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":1000,"priority":1,"service":"model","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":400}],
-"services":[{"name":"model","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":404820}}],
+{"name":"r-1","hostname":"shop.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":800,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"public":false,"resumable":false}],
+"services":[{"name":"desk","healthPath":"/health","maxConnections":100,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":440000},
-"tenants":[{"name":"north","apiKeys":["key-north"]},{"name":"south","apiKeys":["key-south"]}]}"#;
+"tenants":[{"name":"north","apiKeys":["key-north"]}]}"#;
 
 fn run() -> i32 {
     let setup = Setup::from_env();
     let record = setup.record.clone();
-    let crash = env::var("CRASH").unwrap_or_else(|_| "begun".to_owned());
     let store = Store::start(loopback(1));
     store.put("op/config", CONFIGURATION);
-    let servers = Servers::start(&setup, &store, BACK_AFTER);
-    for index in 0..6u8 {
-        let zone = ["heredia", "cartago", "alajuela"][usize::from(index % 3)];
-        servers.add("model", zone, free_port(loopback(10 + index)), 64, &[&crash]);
+    let servers = Servers::start(&setup, &store, Duration::from_secs(3));
+    for (index, zone) in ["heredia", "cartago", "alajuela"].iter().enumerate() {
+        servers.add("desk", zone, free_port(loopback(10 + index as u8)), 6, &["5"]);
     }
     let routers = start_routers(&setup, &store, &["heredia", "cartago", "alajuela"]);
     let fronts: Vec<_> = routers.iter().map(|router| router.front).collect();
     thread::sleep(Duration::from_secs(2));
 
-    let ended = Arc::new(AtomicBool::new(false));
-    let outcomes = Arc::new(Mutex::new(Vec::new()));
-    let mut threads = Vec::new();
-    for client in 0..3usize {
-        // Sound requests of another tenant, one after the other, on kept channels.
-        let (ended, outcomes, record) = (ended.clone(), outcomes.clone(), record.clone());
-        let front = fronts[client % fronts.len()];
-        threads.push(thread::spawn(move || {
-            let mut peer = None;
-            let mut number = 0;
-            while !ended.load(Ordering::Relaxed) {
-                number += 1;
-                let channel = match peer.take() {
-                    Some(channel) => channel,
-                    None => Peer::connect(front).unwrap_or_else(|_| cannot_run("no connection")),
-                };
-                let (channel, answer) = send(channel, "sound", client * 1_000 + number);
-                record.line(&format!("consumer sound request answered {} {:?}", answer.status, answer.end));
-                outcomes.lock().unwrap().push((answer.status, answer.end));
-                let keeps = answer.end == End::Complete
-                    && !answer.header("connection").eq_ignore_ascii_case("close");
-                peer = keeps.then_some(channel);
-                thread::sleep(Duration::from_millis(200));
-            }
-        }));
-    }
+    // Consumers on kept channels, one request after the other, each at one router until its channel ends.
+    let lost = Arc::new(Mutex::new(Vec::new()));
+    let good = Arc::new(Mutex::new(0));
     let begin = record.now();
-    let mut turn = 0;
-    while record.now() - begin < RUN.as_secs_f64() {
-        if setup.trouble {
-            // The same path, caller and body, at any machine, as an attempt of its own.
-            let front = fronts[turn % fronts.len()];
-            turn += 1;
-            let record = record.clone();
+    let consumers = 12usize;
+    let threads: Vec<_> = (0..consumers)
+        .map(|consumer| {
+            let (record, lost, good, fronts) = (record.clone(), lost.clone(), good.clone(), fronts.clone());
             thread::spawn(move || {
-                let Ok(channel) = Peer::connect(front) else { return };
-                let (_, answer) = send(channel, "deadly", 0);
-                record.line(&format!("consumer deadly request answered {} {:?}", answer.status, answer.end));
-            });
-        }
-        thread::sleep(POISON_INTERVAL);
-    }
-    ended.store(true, Ordering::Relaxed);
+                let mut turn = consumer;
+                let mut channel: Option<Peer> = None;
+                let mut number = 0;
+                while record.now() - begin < RUN {
+                    thread::sleep(Duration::from_secs_f64(consumers as f64 / PER_S));
+                    let mut peer = match channel.take().map(Ok).unwrap_or_else(|| Peer::connect(fronts[turn % fronts.len()])) {
+                        Ok(peer) => peer,
+                        Err(_) => {
+                            turn += 1;
+                            continue;
+                        }
+                    };
+                    number += 1;
+                    let id = attempt_id();
+                    let head = request_head("POST", &format!("/book/{consumer}-{number}"), &id, "key-north", "Deadline-Ms: 1500\r\n", 11);
+                    let kept = peer.count > 0;
+                    let answer = peer.call(&head, b"one booking", Duration::from_millis(1_500));
+                    record.line(&format!("consumer booking {id} kept-channel {kept} answered {} {:?}", answer.status, answer.end));
+                    if answer.end == End::Complete {
+                        *good.lock().unwrap() += usize::from(answer.status == 200);
+                        channel = (!answer.header("connection").eq_ignore_ascii_case("close")).then_some(peer);
+                        continue;
+                    }
+                    turn += 1;
+                    if kept && matches!(answer.end, End::NoAnswer | End::Cut) {
+                        lost.lock().unwrap().push(id);
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs_f64((begin + RELEASE_AT - record.now()).max(0.0)));
+    // The release states a number in both cases: 5, or the largest of 64 bits, for "never".
+    let idle_s = if setup.trouble { u64::MAX.to_string() } else { "5".to_owned() };
+    servers.release(0, free_port(loopback(20)), &[&idle_s], DRAIN + Duration::from_secs(1));
     threads.into_iter().for_each(|thread| drop(thread.join()));
+    thread::sleep(Duration::from_secs(1));
     let seen = servers.seen.lock().unwrap().clone();
+    let ends: usize = routers.iter().map(|router| router.ends.lock().unwrap().len()).sum();
     routers.iter().for_each(Router::end);
     servers.end();
 
-    let outcomes = outcomes.lock().unwrap();
-    let complete = outcomes.iter().filter(|(status, end)| *status == 200 && *end == End::Complete);
-    let complete = complete.count();
-    if complete < 30 {
-        cannot_run("too few sound requests were answered");
+    let ran: HashSet<&str> = seen.iter().filter_map(|seen| seen.text.strip_prefix("ran ")).collect();
+    let lost = lost.lock().unwrap();
+    let lost = lost.iter().filter(|id| ran.contains(id.as_str())).count();
+    let good = *good.lock().unwrap();
+    if good < 60 {
+        cannot_run("too few answers");
     }
-    let got: Vec<f64> = seen.iter().filter(|seen| seen.text.starts_with("got deadly")).map(|seen| seen.at).collect();
-    let crashes: Vec<f64> = seen.iter().filter(|seen| seen.text == "crashed").map(|seen| seen.at).collect();
-    let late = match crashes.get(2) {
-        Some(third) => got.iter().filter(|at| **at > third + CONTACT_S).count(),
-        None => 0,
-    };
     verdict(
         &record,
-        late > ALLOWED,
+        lost > ALLOWED,
         &format!(
-            "BUDGET: the deadly request reached servers {} times and crashed {}; {late} times later than {CONTACT_S} s after the third crash ({ALLOWED} allowed); {} of {} sound requests were cut or refused",
-            got.len(),
-            crashes.len(),
-            outcomes.len() - complete,
-            outcomes.len(),
+            "LOST: {lost} bookings from kept channels ran at a sound server and their channel ended without an answer ({ALLOWED} allowed); routers ended by themselves {ends} times; {good} bookings were answered"
         ),
     )
 }
-
-fn send(mut channel: Peer, body: &str, number: usize) -> (Peer, Answer) {
-    let (key, own) = match body {
-        "deadly" => ("key-north", "deadd00d".to_owned()),
-        _ => ("key-south", format!("50{number:06x}")),
-    };
-    let fields = format!(
-        "Model-Name: m\r\nToken-Count: 1460,25\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410,{own}:250\r\nDeadline-Ms: 15000\r\n"
-    );
-    let target = if body == "deadly" { "/review/7f".to_owned() } else { format!("/review/{number:x}") };
-    let body = format!("{body} {own}");
-    let head = request_head("POST", &target, &attempt_id(), key, &fields, body.len());
-    let answer = channel.call(&head, body.as_bytes(), Duration::from_secs(15));
-    (channel, answer)
-}
