--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -108,11 +108,13 @@
     events: Vec<(u64, String, Option<(Vec<u8>, u64)>)>,
 }
 
-/// The platform's store: linearizable, never impaired.
+/// The platform's store: linearizable, and sound unless a case makes it `busy`.
 pub struct Store {
     pub address: SocketAddr,
     items: Mutex<Items>,
     changed: Condvar,
+    /// Whether all calls get 503.
+    pub busy: AtomicBool,
 }
 
 impl Store {
@@ -122,6 +124,7 @@
             address: listener.local_addr().unwrap(),
             items: Mutex::default(),
             changed: Condvar::new(),
+            busy: AtomicBool::new(false),
         });
         let serving = store.clone();
         thread::spawn(move || {
@@ -182,6 +185,7 @@
                 _ => None,
             };
             let (status, body) = match body {
+                _ if self.busy.load(Ordering::Relaxed) => ("503 Service Unavailable", "{}".to_owned()),
                 Some(body) => ("200 OK", body),
                 None => ("404 Not Found", "{}".to_owned()),
             };
@@ -535,6 +539,10 @@
     address: SocketAddr,
     slots: u32,
     arguments: Vec<String>,
+    /// Version of its software.
+    version: String,
+    /// Whether it comes back under the same id after a crash.
+    keeps_id: bool,
     id: String,
     born: u64,
     seq: u64,
@@ -580,7 +588,7 @@
         servers
     }
 
-    /// Starts a server. `arguments` are passed to this program after `server ADDRESS ID`.
+    /// Starts a server. `arguments` and its version are passed to this program after `server ADDRESS ID`.
     pub fn add(&self, service: &str, zone: &str, address: SocketAddr, slots: u32, arguments: &[&str]) {
         let mut server = Server {
             service: service.to_owned(),
@@ -588,6 +596,8 @@
             address,
             slots,
             arguments: arguments.iter().map(|text| (*text).to_owned()).collect(),
+            version: "v1".to_owned(),
+            keeps_id: false,
             id: String::new(),
             born: 0,
             seq: 0,
@@ -601,13 +611,16 @@
     }
 
     fn launch(&self, server: &mut Server) {
-        server.id = format!("i-{:04x}", self.next.fetch_add(1, Ordering::Relaxed));
+        if !server.keeps_id {
+            server.id = format!("i-{:04x}", self.next.fetch_add(1, Ordering::Relaxed));
+        }
         let program = env::current_exe().expect("own program");
         let mut child = Command::new(program)
             .arg("server")
             .arg(server.address.to_string())
             .arg(&server.id)
             .args(&server.arguments)
+            .arg(&server.version)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
@@ -635,18 +648,23 @@
         server.seq = 0;
         server.child = Some(child);
         self.record.line(&format!(
-            "platform server {} of {} runs at {}",
-            server.id, server.service, server.address
+            "platform server {} of {} {} runs at {}",
+            server.id, server.service, server.version, server.address
         ));
         self.beat(server);
     }
 
     fn beat(&self, server: &mut Server) {
+        if self.store.busy.load(Ordering::Relaxed) {
+            // The store takes no write; the server tries again soon.
+            server.beat = Instant::now() + Duration::from_millis(100) - HEARTBEAT;
+            return;
+        }
         server.seq += 1;
         server.beat = Instant::now();
         let entry = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"ready\",\"coldRemainingMs\":0,\"seqNo\":{},\"born\":{}}}",
-            server.service, server.address, server.zone, server.slots, server.seq, server.born
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"ready\",\"coldRemainingMs\":0,\"seqNo\":{},\"born\":{}}}",
+            server.service, server.address, server.zone, server.version, server.slots, server.seq, server.born
         );
         self.store.put(&format!("servers/{}", server.id), &entry);
     }
@@ -672,11 +690,13 @@
                 self.launch(server);
             }
             let store = &self.store;
+            let (own, alive) = (server.id.clone(), server.child.is_some());
             server.expires.retain(|(id, at)| {
-                if *at <= now {
+                let expired = *at <= now && !store.busy.load(Ordering::Relaxed);
+                if expired && !(alive && *id == own) {
                     store.remove(&format!("servers/{id}"));
                 }
-                *at > now
+                !expired
             });
         }
     }
@@ -692,6 +712,16 @@
         }
     }
 
+    /// Crashes a server, which comes back under its id with another version of its software.
+    pub fn crash_to(&self, index: usize, version: &str) {
+        let server = &mut self.servers.lock().unwrap()[index];
+        server.keeps_id = true;
+        server.version = version.to_owned();
+        if let Some(child) = &mut server.child {
+            let _ = child.kill();
+        }
+    }
+
     /// Replaces a server: a new one starts first at another address, the old one drains and leaves.
     pub fn release(&self, index: usize, address: SocketAddr, arguments: &[&str], drain: Duration) {
         let (service, zone, slots, entry) = {
