--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -19,6 +19,8 @@
 
 /// Interval of a server's writes to the store (`heartbeatMs`).
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time after which a case is given up; run.sh ends what it started.
+const LIMIT: Duration = Duration::from_secs(110);
 /// Host of all routes.
 pub const HOST: &str = "shop.example";
 
@@ -60,6 +62,10 @@
 impl Setup {
     /// Reads `CASE_DIR`, `CASE_TEMP` and `TROUBLE`.
     pub fn from_env() -> Self {
+        thread::spawn(|| {
+            thread::sleep(LIMIT);
+            cannot_run("it takes too long");
+        });
         let folder = |name: &str| PathBuf::from(env::var(name).unwrap_or_else(|_| cannot_run(name)));
         let case = folder("CASE_DIR");
         Self {
--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -11,12 +11,13 @@
 fi
 temp=$(mktemp -d) || exit 2
 cleanup() {
-  # Only processes that this case started: the program lists each of them, and ends them itself
-  # unless it was ended.
-  if [ -f "$temp/processes" ] && [ -n "${pid:-}" ] && kill -0 "$pid" 2>/dev/null; then
-    kill -9 "$pid" 2>/dev/null
-    xargs -r kill -9 <"$temp/processes" 2>/dev/null
-  fi
+  [ -n "${pid:-}" ] && kill -9 "$pid" 2>/dev/null
+  # The program lists each process that it starts and ends it itself, unless it was ended before.
+  while read -r started; do
+    if grep -qsaE "$temp|review/case" "/proc/$started/cmdline"; then
+      kill -9 "$started" 2>/dev/null
+    fi
+  done < <(cat "$temp/processes" 2>/dev/null)
   [ -n "${KEEP_TEMP:-}" ] || rm -rf "$temp"
 }
 trap cleanup EXIT
@@ -24,13 +25,8 @@
 export CASE_DIR=$case_dir CASE_TEMP=$temp TROUBLE=${TROUBLE:-1}
 "$program" &
 pid=$!
-(sleep 115; kill -9 "$pid" 2>/dev/null) >/dev/null 2>&1 &
-guard=$!
 wait "$pid"
 status=$?
-kill "$guard" 2>/dev/null
-if [ "$status" -gt 2 ]; then
-  xargs -r kill -9 <"$temp/processes" 2>/dev/null
-  status=2
-fi
+pid=
+[ "$status" -gt 2 ] && status=2
 exit "$status"
