Limit the numbers that other parties state, and contain the panic of a request

Callers lost their connections without a response, again and again: an upstream stated "Keep-Alive: timeout=", and each router that read it ended with all requests that it carried.

Cause: the time was added to an Instant, which panics beyond its range (log: "overflow when adding duration to instant", 107 panicked), and the panic hook ends the process on each panic.

Change: the decoders limit what others state (base::stated), so that later arithmetic cannot overflow.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,6 +1,7 @@
 //! Basic types shared by the other crates: names, time, and the identity of a router process.
 //!
 //! - [`name`]: validated names of hosts, failure domains, teams, services and upstreams.
+//! - [`stated`]: limits of numbers that another party states.
 //! - [`time`]: monotonic timestamps and durations, both in microseconds.
 //! - [`host`]: the identity of one run of a router process.
 //!
@@ -16,4 +17,5 @@
 
 pub mod host;
 pub mod name;
+pub mod stated;
 pub mod time;
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -6,6 +6,9 @@
 
 use crate::settings::{Error, Log};
 
+/// Maximum of a bound. As a number of seconds it is a week and a half.
+const MAX_BOUND: f64 = 1e6;
+
 /// Settings of `toucand` on the users' platform.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -142,17 +145,25 @@
             ("bounds.grace_s", bounds.grace_s, 0.5),
             ("processor", settings.processor, 0.001),
         ];
-        match minimums
-            .into_iter()
-            .find(|(_, value, minimum)| value < minimum)
-        {
-            Some((key, value, minimum)) => Err(Error::BoundTooSmall {
-                path: path.to_owned(),
-                key,
-                value: value.to_string(),
-                minimum: minimum.to_string(),
-            }),
-            None => Ok(settings),
+        for (key, value, minimum) in minimums {
+            if value < minimum {
+                return Err(Error::BoundTooSmall {
+                    path: path.to_owned(),
+                    key,
+                    value: value.to_string(),
+                    minimum: minimum.to_string(),
+                });
+            }
+            // Not a number is in no range.
+            if !(minimum..=MAX_BOUND).contains(&value) {
+                return Err(Error::BoundTooLarge {
+                    path: path.to_owned(),
+                    key,
+                    value: value.to_string(),
+                    maximum: MAX_BOUND.to_string(),
+                });
+            }
         }
+        Ok(settings)
     }
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -217,6 +217,18 @@
         /// The minimum.
         minimum: String,
     },
+    /// A bound is above its maximum, or not a number.
+    #[error("settings {}: {key} is {value}, it must be at most {maximum}", path.display())]
+    BoundTooLarge {
+        /// The file.
+        path: PathBuf,
+        /// The key.
+        key: &'static str,
+        /// The value.
+        value: String,
+        /// The maximum.
+        maximum: String,
+    },
     /// A URL does not start with `http://`.
     #[error("settings {}: platform.{key} is {url:?}, it must start with http://", path.display())]
     InvalidUrl {
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -68,7 +68,7 @@
     DrainOverdue = 105 Error "drain-overdue";
     /// A connection cannot be accepted.
     AcceptFailed = 106 Error "accept-failed";
-    /// A decision or a task panicked; the process ends.
+    /// A task panicked; unless the panic is contained the process ends.
     Panicked = 107 Error "panicked";
     /// Changed settings are in use.
     SettingsReloaded = 108 Info "settings-reloaded";
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`Event`]: all events with their numbers, levels and names. `docs/events.md` describes them.
 //! - [`emit`]: logs an event with its fields.
 //! - [`bounded`]: a non-blocking, rate-limited log.
+//! - [`contained`]: futures whose panics end only themselves.
 //! - [`setup`]: initializes the log: text or JSON lines, to standard output or a file.
 //!
 //! # Example
@@ -27,6 +28,7 @@
 
 pub mod bounded;
 mod catalogue;
+pub mod contained;
 mod emit;
 pub mod setup;
 
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -8,7 +8,10 @@
     net::{tcp::ReadHalf, TcpStream},
     time,
 };
-use tsw_event::{emit, Event};
+use tsw_event::{
+    contained::{self, Panicked},
+    emit, Event,
+};
 use tsw_http::{
     body,
     connection::{self, Connection},
@@ -18,7 +21,7 @@
 use tsw_relay::{
     local_response::LocalResponse,
     request::Request,
-    responder::Responder,
+    responder::{Progress, Responder},
     run::{self, Outcome},
 };
 use tsw_route::table::Limits;
@@ -226,12 +229,16 @@
     }
     let request = Rc::new(request);
     let end = tokio::select! {
-        end = run::run(&state.router, &request, &mut responder) => end,
+        end = contained::run(run::run(&state.router, &request, &mut responder)) => end,
         () = client_closed(&mut reader, &mut connection.buffer) => {
             log_disconnect(state, &request);
             return Ok(false);
         }
     };
+    let end = match end {
+        Ok(end) => end,
+        Err(Panicked) => return respond_after_panic(state, &request, &mut responder).await,
+    };
     match end {
         Ok(Outcome::Complete) => Ok(responder.is_reusable()),
         Ok(Outcome::Truncated) => {
@@ -249,6 +256,20 @@
     }
 }
 
+/// Responds to a request whose task panicked, and closes the connection. The request may have run.
+async fn respond_after_panic(
+    state: &State,
+    request: &Request,
+    responder: &mut Responder<'_>,
+) -> io::Result<bool> {
+    responder.close_after_response();
+    if responder.progress() == Progress::NotStarted {
+        let response = LocalResponse::OutcomeUnknown;
+        run::send_local_response(&state.router, responder, Some(&request.id), response).await?;
+    }
+    Ok(false)
+}
+
 /// Logs that a connection ended before a request was read, of which the head may be known.
 fn log_lost(connection: &Connection, head: Option<&head::Request>, cause: impl Display) {
     let parsed = head.map(client_request::parse);
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -18,7 +18,7 @@
 };
 use tsw_base::time::Span;
 use tsw_config::{gateway, settings};
-use tsw_event::{emit, Event};
+use tsw_event::{contained, emit, Event};
 use tsw_flow::registry::Registry;
 use tsw_http::connection;
 use tsw_member::roster::{Member, Roster};
@@ -225,7 +225,7 @@
 {
     let served = serve(state.clone(), stream);
     // The error is dropped: the request that the connection carried reports the failure.
-    actix_rt::spawn(async move { drop(served.await) });
+    actix_rt::spawn(async move { drop(contained::run(served).await) });
 }
 
 /// Accepts client connections until [`Phase::Closing`]. Connections that are in the listener's
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -1,9 +1,10 @@
 //! One request and its response on a connection to an upstream.
 
-use std::{io, time::Duration};
+use std::io;
 
 use bytes::{buf::Chain, Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tsw_base::stated;
 
 use crate::{body, connection::Connection, field::Fields, head};
 
@@ -62,7 +63,7 @@
     /// The connection, without buffered bytes.
     pub connection: Connection,
     /// How long the upstream keeps an idle connection open, if its `Keep-Alive` field states it.
-    pub idle_timeout: Option<Duration>,
+    pub idle_timeout: Option<stated::Time>,
 }
 
 impl Exchange {
@@ -221,11 +222,11 @@
     }
 }
 
-fn keep_alive_timeout(fields: &Fields) -> Option<Duration> {
+fn keep_alive_timeout(fields: &Fields) -> Option<stated::Time> {
     let text = fields.text("keep-alive")?;
     let parts = text.split(',').map(str::trim);
     let seconds = parts
         .filter_map(|part| part.strip_prefix("timeout="))
         .next();
-    Some(Duration::from_secs(seconds?.trim().parse().ok()?))
+    Some(stated::Time::from_secs(seconds?.trim().parse().ok()?))
 }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,19 +1,17 @@
 //! A pool of idle keep-alive connections to upstreams.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, time::Instant};
 
 use indexmap::IndexMap;
+use tsw_base::time::Span;
 
 use crate::{connection::Connection, exchange::ReusableConnection};
 
 /// Idle timeout of a connection if the upstream states none.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Fraction of the upstream's stated idle timeout for which a connection is kept, so that the upstream
+const DEFAULT_IDLE_TIMEOUT: Span = Span::from_secs(4);
+/// Percentage of the upstream's stated idle timeout for which a connection is kept, so that the upstream
 /// does not close it while a request is in flight.
-const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
+const IDLE_TIMEOUT_PERCENT: u64 = 60;
 /// Maximum number of idle connections to one upstream, whatever its own limit: an upstream rarely has
 /// more requests in progress.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
@@ -57,12 +55,12 @@
     ) {
         let idle_timeout = reusable
             .idle_timeout
-            .map(|timeout| timeout.mul_f64(IDLE_TIMEOUT_FRACTION));
+            .map(|timeout| timeout.as_span() * IDLE_TIMEOUT_PERCENT / 100);
         let idle = self.0.entry(address).or_default();
         if idle.len() < max_idle.min(MAX_IDLE_PER_UPSTREAM) {
             idle.push(IdleConnection {
                 connection: reusable.connection,
-                expires_at: now + idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT),
+                expires_at: now + idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).as_duration(),
             });
         }
     }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -9,6 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{watch, Notify};
 use tsw_base::time::{Span, Timestamp};
+use tsw_event::contained;
 use tsw_flow::{
     account::{self, Work},
     budget::RetryBudget,
@@ -379,6 +380,7 @@
         name: &Name,
         action: impl FnOnce(&mut Service) -> R,
     ) -> Option<R> {
+        let _ends_on_panic = contained::suspend();
         self.services.borrow_mut().get_mut(name).map(action)
     }
 }
--- a/crates/toucand/src/accept.rs
+++ b/crates/toucand/src/accept.rs
@@ -4,14 +4,18 @@
 //! connections are refused and their callers use another router, while requests on open connections
 //! are still served.
 
-use std::{net::TcpListener, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::TcpListener, rc::Rc, time::Duration};
 
-use actix_http::{HttpService, KeepAlive, Request};
+use actix_http::{HttpMessage as _, HttpService, KeepAlive, Request};
 use actix_rt::time;
 use actix_service::{Service, ServiceFactory};
-use tsw_event::{emit, Event};
+use tsw_event::{contained, emit, Event};
 
-use crate::{caller, router::Router};
+use crate::{
+    call, caller,
+    reply::{self, Outcome, Reply},
+    router::Router,
+};
 
 /// Pause after `accept` fails, for example because no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -26,7 +30,7 @@
         .client_request_timeout(Duration::from_secs(10))
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
-        .finish(move |request: Request| caller::handle(handler.clone(), request))
+        .finish(move |request: Request| handle(handler.clone(), request))
         .tcp_auto_h2c();
     let Ok(service) = factory.new_service(()).await else {
         return;
@@ -49,7 +53,7 @@
                 let guard = ConnectionGuard::new(&router);
                 actix_rt::spawn(async move {
                     // Ignored: the error affects only this connection, and its caller sees it too.
-                    let _ = serving.await;
+                    let _ = contained::run(serving).await;
                     drop(guard);
                 });
             }
@@ -61,6 +65,21 @@
     }
 }
 
+/// Answers a request. After a panic of its task, the request may have run.
+async fn handle(router: Rc<Router>, request: Request) -> Result<Reply, Infallible> {
+    let id = call::request_id(request.headers()).ok().flatten();
+    let handled = contained::run(caller::handle(router, request)).await;
+    handled.unwrap_or_else(|error| {
+        let id = id.unwrap_or_default();
+        Ok(reply::failed(
+            Outcome::Unknown,
+            "panicked",
+            &error.to_string(),
+            &id,
+        ))
+    })
+}
+
 /// Counts an open connection until it is dropped.
 struct ConnectionGuard(Rc<Router>);
 
--- a/crates/toucand/src/main.rs
+++ b/crates/toucand/src/main.rs
@@ -5,19 +5,27 @@
 use std::{fs, panic, process};
 
 use tsw_config::{gateway, settings::Settings};
+use tsw_event::contained;
 
 /// Exit status after a panic, the same as that of the standard library.
 const PANIC_STATUS: i32 = 101;
 
-/// Installs a panic hook that exits the process. By default a panic ends only its task, and a router
-/// that has lost one of its timers would not work, but its peers would not replace it either.
+/// Installs a panic hook that exits the process unless the panic is contained. By default a panic ends
+/// only its task, and a router that has lost one of its timers would not work, but its peers would not
+/// replace it either.
 fn end_on_panic() {
     let print = panic::take_hook();
     panic::set_hook(Box::new(move |info| {
         print(info);
-        tsw_event::emit(tsw_event::Event::Panicked, &[("cause", info)]);
-        tsw_event::bounded::flush();
-        process::exit(PANIC_STATUS);
+        let contained = contained::is_contained();
+        tsw_event::emit(
+            tsw_event::Event::Panicked,
+            &[("cause", info), ("contained", &contained)],
+        );
+        if !contained {
+            tsw_event::bounded::flush();
+            process::exit(PANIC_STATUS);
+        }
     }));
 }
 
--- a/crates/toucand/src/router.rs
+++ b/crates/toucand/src/router.rs
@@ -14,7 +14,7 @@
     time::{Span, Timestamp},
 };
 use tsw_config::settings;
-use tsw_event::{emit, Event};
+use tsw_event::{contained, emit, Event};
 use tsw_wire::message::Message;
 
 use crate::{
@@ -159,6 +159,7 @@
     /// the resulting tasks. `update` must not call this function again, since the state is borrowed.
     pub fn update_state<R>(&self, update: impl FnOnce(&mut State, Timestamp) -> R) -> R {
         let now = self.now();
+        let ends_on_panic = contained::suspend();
         let mut state = self.state.borrow_mut();
         let result = update(&mut state, now);
         for _ in 0..MAX_LOCAL_MESSAGES {
@@ -169,7 +170,7 @@
             state.receive(now, &me, message);
         }
         let tasks = state.out.take_tasks();
-        drop(state);
+        drop((state, ends_on_panic));
         for task in tasks {
             if let Some(router) = self.weak_self.upgrade() {
                 (self.spawner)(router, task);
