Take only whole, valid heads

Clients got "HTTP/1.1 0 Other" and 96 empty header lines from an upstream that sent only empty lines and text.

Cause: the parser's result was taken for a head although it was partial, since leading empty lines are skipped and the default values stood for what was missing. Evidence: status 0 and the number of fields are those of the empty array. Of the same class: requests that begin with a bare line feed, heads that a bare empty line cuts, status codes below 100, 101, interim responses on the own interface, messages with more than 96 fields.

Change: a head is taken only if the parser has used all of its bytes; else the attempt is broken, and the at-most-once rules decide whether it is repeated.

--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -16,6 +16,8 @@
     /// This many bytes of a response with a `Content-Length`, or all but the last byte of its head if that
     /// is shorter, and then the end of the connection.
     CutHead(usize),
+    /// These bytes, in which `{id}` stands for the identifier of the request. The connection stays open.
+    Bytes(&'static str),
     /// A correct response, followed by a response to another request.
     ExtraResponse,
     /// A response to another request, followed by the correct response.
--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -50,6 +50,7 @@
             let head = complete.len() - body.len();
             (complete[..bytes.min(head - 1)].to_owned(), false)
         }
+        Behaviour::Bytes(text) => (text.replace("{id}", id), true),
         Behaviour::ExtraResponse => (
             format!("{complete}{}", plain_response("other", Some(5), "wrong")),
             true,
@@ -126,7 +127,7 @@
         }
     };
     let text = match behaviour {
-        Behaviour::CutHead(_) => text,
+        Behaviour::CutHead(_) | Behaviour::Bytes(_) => text,
         _ => state.with_fields(&text),
     };
     connection.stream.write_all(text.as_bytes()).await?;
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -123,7 +123,9 @@
         match head::Request::take(&mut connection.buffer, limits.head_bytes) {
             Ok(Some(head)) => return Ok(Ok(head)),
             Ok(None) => {}
-            Err(head::Error::TooLong { .. }) => return Ok(Err(LocalResponse::HeadTooLarge)),
+            Err(head::Error::TooLong { .. } | head::Error::TooManyFields { .. }) => {
+                return Ok(Err(LocalResponse::HeadTooLarge));
+            }
             Err(_) => return Ok(Err(LocalResponse::Malformed)),
         }
         let read = match time::timeout_at(deadline, connection.fill()).await {
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -13,6 +13,8 @@
 /// Maximum number of interim responses before the final one. A single `100 Continue` is usual; more
 /// serve no purpose.
 const MAX_INTERIM_RESPONSES: usize = 8;
+/// Status of a response after which the connection no longer carries HTTP.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Maximum number of body bytes of a skipped response. A duplicate response usually has a few
 /// kilobytes.
 const MAX_SKIPPED_BYTES: usize = 1 << 20;
@@ -31,6 +33,9 @@
     /// The upstream sent too many interim responses, or too long a response to another request.
     #[error("too many interim responses, or too long a response to another request")]
     TooMuchSkipped,
+    /// The upstream changes to another protocol, for which no request asks.
+    #[error("the upstream changed to another protocol")]
+    Upgrade,
     /// The head of the response is malformed.
     #[error(transparent)]
     Head(#[from] head::Error),
@@ -213,6 +218,9 @@
 
 impl InterimCount {
     fn is_final(&mut self, head: &head::Response) -> Result<bool, Error> {
+        if head.status == SWITCHING_PROTOCOLS {
+            return Err(Error::Upgrade);
+        }
         let is_final = !(100..200).contains(&head.status);
         self.0 += usize::from(!is_final);
         if self.0 > MAX_INTERIM_RESPONSES {
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -1,11 +1,17 @@
 //! Request and response heads.
 
+use std::ops::RangeInclusive;
+
 use bytes::{BufMut, Bytes, BytesMut};
+use httparse::Status;
 
 use crate::{body::Length, field::Fields};
 
-/// Maximum number of header fields of a message. Requests through the platform have about 15.
-const MAX_FIELDS: usize = 96;
+/// Maximum number of header fields of a message. Requests through the platform have about 15. It limits
+/// the memory of fields that are far shorter than usual.
+const MAX_FIELDS: usize = 1_024;
+/// Valid status codes. Recipients treat a code from 600 on like a server error.
+const STATUS_CODES: RangeInclusive<u16> = 100..=999;
 
 /// Why a head is rejected. The connection cannot be used further.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -13,6 +19,19 @@
     /// The head is malformed.
     #[error("malformed head: {0}")]
     Malformed(httparse::Error),
+    /// The empty line that ends the head comes before its first line, or within it in the eyes of
+    /// another recipient.
+    #[error("the head is incomplete")]
+    Incomplete,
+    /// The status code of a response is none.
+    #[error("status code {0} is invalid")]
+    InvalidStatus(u16),
+    /// There are more header fields than allowed.
+    #[error("the head has more than {max} fields")]
+    TooManyFields {
+        /// Maximum number of fields.
+        max: usize,
+    },
     /// The head is longer than allowed.
     #[error("the head exceeds {max} bytes")]
     TooLong {
@@ -67,6 +86,23 @@
     }
 }
 
+/// Returns space for the fields of a head: it has at most one on each line.
+fn space_for_fields(head: &[u8]) -> Result<Vec<httparse::Header<'_>>, Error> {
+    let lines = head.iter().filter(|byte| **byte == b'\n').count();
+    if lines > MAX_FIELDS {
+        return Err(Error::TooManyFields { max: MAX_FIELDS });
+    }
+    Ok(vec![httparse::EMPTY_HEADER; lines])
+}
+
+/// Checks that a parser found a head that is as long as the given bytes.
+fn check_whole(parsed: httparse::Result<usize>, bytes: &Bytes) -> Result<(), Error> {
+    match parsed.map_err(Error::Malformed)? {
+        Status::Complete(length) if length == bytes.len() => Ok(()),
+        Status::Complete(_) | Status::Partial => Err(Error::Incomplete),
+    }
+}
+
 fn fields(bytes: &Bytes, headers: &[httparse::Header<'_>]) -> Fields {
     let mut fields = Fields::default();
     for header in headers {
@@ -121,9 +157,9 @@
         let Some(bytes) = take_head(buffer, max)? else {
             return Ok(None);
         };
-        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut headers = space_for_fields(&bytes)?;
         let mut request = httparse::Request::new(&mut headers);
-        request.parse(&bytes).map_err(Error::Malformed)?;
+        check_whole(request.parse(&bytes), &bytes)?;
         Ok(Some(Self {
             method: bytes.slice_ref(request.method.unwrap_or_default().as_bytes()),
             target: bytes.slice_ref(request.path.unwrap_or_default().as_bytes()),
@@ -179,16 +215,24 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the head is malformed or exceeds `max` bytes.
+    /// Returns an error if the head is malformed or exceeds `max` bytes, or if the status code is invalid.
     pub fn take(buffer: &mut BytesMut, max: usize) -> Result<Option<Self>, Error> {
         let Some(bytes) = take_head(buffer, max)? else {
             return Ok(None);
         };
-        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        // The parser skips empty lines, which only a request may have before it.
+        if bytes.starts_with(b"\r") || bytes.starts_with(b"\n") {
+            return Err(Error::Incomplete);
+        }
+        let mut headers = space_for_fields(&bytes)?;
         let mut response = httparse::Response::new(&mut headers);
-        response.parse(&bytes).map_err(Error::Malformed)?;
+        check_whole(response.parse(&bytes), &bytes)?;
+        let status = response.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&status) {
+            return Err(Error::InvalidStatus(status));
+        }
         Ok(Some(Self {
-            status: response.code.unwrap_or_default(),
+            status,
             http10: response.version == Some(0),
             fields: fields(&bytes, response.headers),
         }))
--- a/crates/toucand/src/exchange.rs
+++ b/crates/toucand/src/exchange.rs
@@ -12,13 +12,16 @@
     body::BodySize,
     error::{ParseError, PayloadError},
     h1::{ClientCodec, Message, MessageType},
-    RequestHead, RequestHeadType, ResponseHead,
+    RequestHead, RequestHeadType, ResponseHead, StatusCode,
 };
 use actix_rt::time;
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 
+/// Maximum number of interim responses before the final one.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
 /// Why an exchange gave no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -31,6 +34,9 @@
     /// The head of the response is malformed.
     #[error("cannot read the head of the response: {0}")]
     Head(ParseError),
+    /// The server changed to another protocol, or sent too many interim responses.
+    #[error("status {0} in place of a final response")]
+    NotFinal(StatusCode),
     /// The body of the response is malformed.
     #[error("cannot read the body of the response: {0}")]
     Body(PayloadError),
@@ -77,11 +83,7 @@
     ) -> Result<(ResponseHead, Bytes), Error> {
         let mut framed = Framed::new(self.0, ClientCodec::default());
         send(&mut framed, head, body).await.map_err(Error::Send)?;
-        let head = match framed.next().await {
-            Some(Ok(head)) => head,
-            Some(Err(error)) => return Err(Error::Head(error)),
-            None => return Err(Error::Truncated { bytes: 0 }),
-        };
+        let head = final_head(&mut framed).await?;
         if framed.codec_ref().message_type() == MessageType::None {
             return Ok((head, Bytes::new()));
         }
@@ -101,6 +103,25 @@
     }
 }
 
+/// Reads heads until that of the final response.
+async fn final_head(framed: &mut Framed<TcpStream, ClientCodec>) -> Result<ResponseHead, Error> {
+    let mut interim = 0;
+    loop {
+        let head = match framed.next().await {
+            Some(Ok(head)) => head,
+            Some(Err(error)) => return Err(Error::Head(error)),
+            None => return Err(Error::Truncated { bytes: 0 }),
+        };
+        if !head.status.is_informational() {
+            return Ok(head);
+        }
+        interim += 1;
+        if head.status == StatusCode::SWITCHING_PROTOCOLS || interim > MAX_INTERIM_RESPONSES {
+            return Err(Error::NotFinal(head.status));
+        }
+    }
+}
+
 async fn send(
     framed: &mut Framed<TcpStream, ClientCodec>,
     head: RequestHead,
--- a/crates/toucand/tests/broken_responses.rs
+++ b/crates/toucand/tests/broken_responses.rs
@@ -34,6 +34,53 @@
     }
 }
 
+/// Guards against bytes without a head that reach clients as a response, for example with status 0.
+#[actix_rt::test]
+async fn bytes_that_are_no_response_do_not_reach_clients() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Plain).await;
+    for text in [
+        "\r\n\r\n",
+        "\r\n\r\ntext\r\nmore text",
+        "\n\r\n\r\ntext",
+        "text\r\n\r\ntext",
+        "HTTP/1.1\r\n\r\n",
+        "HTTP/1.1 000 None\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 099 Low\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: {id}\r\nUpgrade: x\r\n\r\n",
+        "HTTP/1.1 200 OK\nAttempt-Id: {id}\n\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n\r\n\r\ntext",
+    ] {
+        let odd = Behaviour::Bytes(text);
+        site.desk.set_default(odd);
+        site.models.iter().for_each(|model| model.set_default(odd));
+        for call in [
+            Call::valid("GET", "/lookup/1", "a1"),
+            Call::valid("POST", "/book/1", "a2").body("truck"),
+            Call::prompt("/note/1", "a3"),
+            Call::prompt("/draft/1", "a4"),
+        ] {
+            let response = call.send(&site.router).await;
+            assert_eq!(response.status, 502, "{text:?}: {response:?}");
+        }
+    }
+}
+
+/// Guards against a proper request or response that fails because it has many header fields.
+#[actix_rt::test]
+async fn messages_with_many_fields_are_forwarded() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Plain).await;
+    site.desk.set_fields(&"X-Field: v\r\n".repeat(200));
+    let mut call = Call::valid("POST", "/book/1", "a1").body("truck");
+    for number in 0..200 {
+        call.head.fields.push("X-Field", number.to_string());
+    }
+    let response = call.send(&site.router).await;
+    assert_eq!(response.status, 200);
+    assert_eq!(response.fields.get_all("x-field").count(), 200);
+    let arrived = &site.desk.arrivals()[0].head.fields;
+    assert_eq!(arrived.get_all("x-field").count(), 200);
+}
+
 /// Guards against the head or the text of an error in the middle of a stream, and against a stream that
 /// looks complete, when the upstream that is to continue it fails.
 #[actix_rt::test]
--- a/crates/toucand/tests/exchange.rs
+++ b/crates/toucand/tests/exchange.rs
@@ -69,6 +69,25 @@
     assert_eq!(empty.expect("complete response"), "");
 }
 
+/// Guards against bytes without a whole, valid head, or an interim response, that are taken for the response.
+#[actix_rt::test]
+async fn refuses_what_is_no_final_response() {
+    for text in [
+        "\r\n\r\n",
+        "\r\n\r\ntext",
+        "text\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 099 Low\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+    ] {
+        let result = run(text).await;
+        assert!(result.is_err(), "{text:?}: {result:?}");
+    }
+    let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+    assert_eq!(run(text).await.expect("the final response"), "whole");
+}
+
 /// Guards against a response that exhausts the memory of the router.
 #[actix_rt::test]
 async fn refuses_a_large_body() {
