Count crashes of upstreams as evidence until the response is whole

Two bookings that crash upstreams excused each other.

Cause: only breaks before the first event counted, the first event cleared the request, and breaks of others in the same 2 s excused it.

Change: an upstream that breaks a connection and refuses the next one has crashed. That is found out for each broken connection, on both interfaces and until the response is whole, and counts whatever else broke. Only a whole response clears.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -42,6 +42,14 @@
     }
 }
 
+impl Timestamp {
+    /// Returns the timestamp that is `span` earlier, at the earliest the start of the clock.
+    #[must_use]
+    pub const fn before(self, span: Span) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
+
 impl ops::Add<Span> for Timestamp {
     type Output = Self;
 
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -191,6 +191,8 @@
     UpstreamUnlimited = 422 Info "upstream-unlimited";
     /// An upstream states a request rate that is ignored, or several, the lowest of which is used.
     RateUnusable = 423 Warn "rate-unusable";
+    /// It is unknown whether an upstream that broke a connection has crashed.
+    CrashUnknown = 425 Info "crash-unknown";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -51,6 +51,9 @@
     /// Crashes after the head of the response if a prompt part other than the last has this
     /// identifier. The response to other requests is a stream of this many events.
     CrashOnPart(&'static str, u64),
+    /// Crashes after this many events, with a pause after each, if the body of the request begins with this
+    /// text. The response to other requests is a slow stream of events, the number of which comes last.
+    CrashOnBody(&'static str, u64, u64),
     /// No response; the connection stays open.
     Silent,
     /// A complete stream of this many events. It starts after the event that `Last-Event-Id` names.
--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -11,6 +11,9 @@
     stream, Arrival, Behaviour, State,
 };
 
+/// Pause before an event, and before a crash, of a response that crashes on a request.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+
 fn plain_response(id: &str, length: Option<usize>, body: &str) -> String {
     let length = length.map_or(String::new(), |length| {
         format!("Content-Length: {length}\r\n")
@@ -100,6 +103,18 @@
             state.crash();
             return std::future::pending().await;
         }
+        Behaviour::CrashOnBody(body, events, others) => {
+            let behaviour = |events| (Behaviour::SlowStream(events, EVENT_PAUSE), events);
+            if !arrival.body.starts_with(body.as_bytes()) {
+                return stream::send(state, connection, arrival, id, behaviour(others)).await;
+            }
+            if events > 0 {
+                stream::send_unfinished(state, connection, arrival, id, behaviour(events)).await?;
+            }
+            time::sleep(EVENT_PAUSE).await;
+            state.crash();
+            return std::future::pending().await;
+        }
         Behaviour::Silent => {
             wait_for_close(connection).await;
             state.abandoned.borrow_mut().push(id.to_owned());
--- a/crates/fake/src/worker/stream.rs
+++ b/crates/fake/src/worker/stream.rs
@@ -65,13 +65,14 @@
     Ok(false)
 }
 
-pub(super) async fn send(
+/// Sends the head and the events of a stream without its end.
+pub(super) async fn send_unfinished(
     state: &State,
     connection: &mut Connection,
     arrival: &Arrival,
     id: &str,
     (behaviour, events): (Behaviour, u64),
-) -> io::Result<bool> {
+) -> io::Result<()> {
     let first = first_event(arrival);
     let version = state.version.borrow().clone();
     let head = state.with_fields(&head(id));
@@ -86,6 +87,17 @@
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         connection.stream.write_all(chunk.as_bytes()).await?;
     }
+    Ok(())
+}
+
+pub(super) async fn send(
+    state: &State,
+    connection: &mut Connection,
+    arrival: &Arrival,
+    id: &str,
+    (behaviour, events): (Behaviour, u64),
+) -> io::Result<bool> {
+    send_unfinished(state, connection, arrival, id, (behaviour, events)).await?;
     match behaviour {
         Behaviour::ResetStream(_) => {
             let partial_event = format!("id: {events}\nda");
--- a/crates/poison/src/candidates.rs
+++ b/crates/poison/src/candidates.rs
@@ -27,15 +27,18 @@
     Remaining = 0x7465_726d,
     /// Marks a report about candidates that are no cause.
     Answered = 0x616e_7377,
+    /// The time in microseconds for which a request ran before its upstream crashed.
+    RanFor = 0x7261_6e66,
 }
 
 impl Tag {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Cause,
         Self::Team,
         Self::Upstream,
         Self::Remaining,
         Self::Answered,
+        Self::RanFor,
     ];
 }
 
--- a/crates/poison/src/cause.rs
+++ b/crates/poison/src/cause.rs
@@ -12,9 +12,13 @@
     message::{Findings, Fingerprint},
 };
 
+mod evidence;
 mod report;
+mod rule;
 
+use evidence::{Crash, InFlight};
 use report::Report;
+use rule::Rule;
 
 /// Time after which a crash is forgotten, and a rule after its last match.
 pub const MEMORY_PERIOD: Span = Span::from_secs(3_600);
@@ -27,20 +31,19 @@
 pub const MAX_REQUESTS: usize = 32;
 /// Maximum number of rules.
 pub const MAX_RULES: usize = 256;
-/// Number of teams whose requests match a rule from which on it applies to all teams.
-const TEAMS_TO_APPLY_TO_ALL: usize = 2;
-
 /// Input of the finder.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Event {
-    /// An upstream crashed before it began its response to a request.
+    /// An upstream crashed before its response to a request was whole.
     Crashed {
         /// The upstream.
         upstream: name::Upstream,
         /// The candidates of the request.
         request: Candidates,
+        /// Time for which the upstream had the request.
+        ran_for: Span,
     },
-    /// An upstream began its response to a request, so none of its candidates is a cause.
+    /// An upstream responded to a request in full, so none of its candidates is a cause.
     Answered {
         /// The candidates of the request.
         request: Candidates,
@@ -63,71 +66,16 @@
     Allowed(Vec<Fingerprint>),
 }
 
-/// A crash of an upstream, with the requests that had no response yet.
-#[derive(Clone, Debug)]
-struct Crash {
-    upstream: Fingerprint,
-    at: Timestamp,
-    observed_here: bool,
-    /// Whether rules were derived from it.
-    settled: bool,
-    requests: Vec<Candidates>,
-}
-
-impl Crash {
-    fn is_explained_by(&self, rule: &Rule) -> bool {
-        self.requests.iter().any(|request| rule.matches(request))
-    }
-
-    /// Returns the teams of the requests that match a rule.
-    fn teams_matching(&self, rule: &Rule) -> Vec<Fingerprint> {
-        let requests = self.requests.iter().filter(|request| rule.matches(request));
-        let mut teams: Vec<Fingerprint> = requests.map(|request| request.team).collect();
-        teams.sort_unstable();
-        teams.dedup();
-        teams
-    }
-}
-
-/// Candidates of which one is the cause of crashes. Requests that have all of them are refused.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Rule {
-    causes: Vec<Fingerprint>,
-    /// Teams whose requests crashed upstreams.
-    teams: Vec<Fingerprint>,
-    until: Timestamp,
-}
-
-impl Rule {
-    fn matches(&self, request: &Candidates) -> bool {
-        request.contains_all(&self.causes)
-    }
-
-    /// Returns whether the rule applies to a team. One team must not be able to cause the refusal of
-    /// another team's requests.
-    fn applies_to(&self, team: Fingerprint) -> bool {
-        self.teams.len() >= TEAMS_TO_APPLY_TO_ALL || self.teams.contains(&team)
-    }
-
-    fn add_team(&mut self, team: Fingerprint) -> bool {
-        let is_new = !self.applies_to(team);
-        if is_new {
-            self.teams.push(team);
-        }
-        is_new
-    }
-}
-
 /// Finds what the requests that crash upstreams have in common, and refuses requests that have it.
 ///
-/// Each crash is recorded with the candidates of the requests that had no response yet. A candidate
-/// of a request to which an upstream responds is not the cause and is removed. A candidate that is
+/// Each crash is recorded with the candidates of the requests that had no whole response yet. A candidate
+/// of a request to which an upstream responds in full is not the cause and is removed. A candidate that is
 /// left in [`CRASHES_TO_CONFIRM`] crashes leads to a rule: requests are refused that have it and
 /// all candidates that occurred with it in each of these crashes. A request that lacks one of them is
 /// sound, or narrows the rule.
 ///
 /// ```
-/// use tsw_base::time::Timestamp;
+/// use tsw_base::time::{Span, Timestamp};
 /// use tsw_poison::{cause::{self, Event, Finder}, Candidates, Fingerprint};
 ///
 /// let now = Timestamp::from_micros(1);
@@ -138,7 +86,8 @@
 /// let mut finder = Finder::default();
 /// for number in 0..3 {
 ///     let upstream = format!("engine-{number}").parse()?;
-///     finder.handle(now, Event::Crashed { upstream, request: request(number, &[1, 2, 3]) });
+///     let ran_for = Span::ZERO;
+///     finder.handle(now, Event::Crashed { upstream, request: request(number, &[1, 2, 3]), ran_for });
 /// }
 /// let now = now + cause::SETTLE_TIME;
 /// finder.handle(now, Event::Tick);
@@ -207,10 +156,21 @@
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Command> {
         let mut commands = Vec::new();
         match event {
-            Event::Crashed { upstream, request } => {
+            Event::Crashed {
+                upstream,
+                request,
+                ran_for,
+            } => {
                 let upstream = report::upstream(&upstream);
-                commands.push(Command::Broadcast(report::crash(upstream, &request)));
-                self.record_crash(now, upstream, request, true);
+                commands.push(Command::Broadcast(report::crash(
+                    upstream, &request, ran_for,
+                )));
+                let request = InFlight {
+                    candidates: request,
+                    sent: now.before(ran_for),
+                    sent_here: true,
+                };
+                self.record_crash(now, upstream, request);
             }
             Event::Answered { request } => {
                 let cleared = self.clear(&request.causes, &mut commands);
@@ -219,8 +179,17 @@
                 }
             }
             Event::Message(findings) => match Report::parse(&findings) {
-                Some(Report::Crash { upstream, request }) => {
-                    self.record_crash(now, upstream, request, false);
+                Some(Report::Crash {
+                    upstream,
+                    request,
+                    ran_for,
+                }) => {
+                    let request = InFlight {
+                        candidates: request,
+                        sent: now.before(ran_for),
+                        sent_here: false,
+                    };
+                    self.record_crash(now, upstream, request);
                 }
                 Some(Report::Answered(causes)) => {
                     self.clear(&causes, &mut commands);
@@ -266,7 +235,7 @@
         for crash in &mut self.crashes {
             crash
                 .requests
-                .retain_mut(|request| retain(&mut request.causes));
+                .retain_mut(|request| retain(&mut request.candidates.causes));
         }
         self.crashes.retain(|crash| !crash.requests.is_empty());
         self.rules.retain_mut(|rule| {
@@ -280,13 +249,7 @@
         cleared
     }
 
-    fn record_crash(
-        &mut self,
-        now: Timestamp,
-        upstream: Fingerprint,
-        request: Candidates,
-        observed_here: bool,
-    ) {
+    fn record_crash(&mut self, now: Timestamp, upstream: Fingerprint, request: InFlight) {
         let known = self.crashes.iter().position(|crash| {
             // Several routers report the same crash.
             crash.upstream == upstream && now.since(crash.at) <= CRASH_WINDOW
@@ -298,16 +261,16 @@
             self.crashes.push(Crash {
                 upstream,
                 at: now,
-                observed_here: false,
                 settled: false,
                 requests: Vec::new(),
             });
             self.crashes.len() - 1
         });
-        let crash = &mut self.crashes[index];
-        crash.observed_here |= observed_here;
-        if crash.requests.len() < MAX_REQUESTS && !crash.requests.contains(&request) {
-            crash.requests.push(request);
+        let requests = &mut self.crashes[index].requests;
+        let mut known = requests.iter();
+        let is_known = known.any(|known| known.candidates == request.candidates);
+        if requests.len() < MAX_REQUESTS && !is_known {
+            requests.push(request);
         }
     }
 
@@ -349,7 +312,7 @@
             }
             if had_expired || !is_known_team {
                 commands.push(Command::Refused(rule.causes.clone()));
-                if crash.observed_here {
+                if crash.is_observed_here() {
                     commands.push(Command::Broadcast(report::rule(rule, now)));
                 }
             }
@@ -357,15 +320,32 @@
         is_explained
     }
 
-    /// Returns the rule that explains a crash and most others, if there are enough.
-    fn derive_rule(&self, now: Timestamp, index: usize) -> Option<Rule> {
-        // The crashes in which each candidate occurs, as bits.
+    /// Returns the crashes in which each candidate occurs, as bits. The crashes that a rule explains are no
+    /// evidence against other candidates if there is more evidence for the rule: a crash without them.
+    fn occurrences(&self) -> IndexMap<Fingerprint, u64> {
         let mut occurrences: IndexMap<Fingerprint, u64> = IndexMap::new();
         for (bit, crash) in self.crashes.iter().enumerate() {
-            for cause in crash.requests.iter().flat_map(|request| &request.causes) {
+            let requests = crash.requests.iter();
+            for cause in requests.flat_map(|request| &request.candidates.causes) {
                 *occurrences.entry(*cause).or_default() |= 1 << bit;
             }
         }
+        for rule in &self.rules {
+            let crashes = self.crashes.iter().enumerate();
+            let explained = crashes.filter(|(_, crash)| crash.is_explained_by(rule));
+            let explained = explained.fold(0, |bits, (bit, _)| bits | 1 << bit);
+            for (cause, found) in &mut occurrences {
+                if !rule.causes.contains(cause) && explained & !*found != 0 {
+                    *found &= !explained;
+                }
+            }
+        }
+        occurrences
+    }
+
+    /// Returns the rule that explains a crash and most others, if there are enough.
+    fn derive_rule(&self, now: Timestamp, index: usize) -> Option<Rule> {
+        let occurrences = self.occurrences();
         let mut sets: Vec<u64> = occurrences.values().copied().collect();
         sets.sort_unstable();
         sets.dedup();
@@ -374,27 +354,29 @@
             let all = occurrences.iter().filter(|(_, found)| *found & set == set);
             all.map(|(cause, _)| *cause).collect()
         };
+        let crashes = |set: u64| {
+            let crashes = self.crashes.iter().enumerate();
+            crashes.filter_map(move |(bit, crash)| (set & (1 << bit) != 0).then_some(crash))
+        };
         // Of rules that explain as many crashes, the one with the most candidates refuses the fewest
         // requests.
         let rules = sets.into_iter().map(|set| (set, companions(set)));
         let (set, causes) = rules.max_by_key(|(set, causes)| (set.count_ones(), causes.len()))?;
-        let crashes = self.crashes.iter().enumerate();
-        let crashes = crashes.filter(|(bit, _)| set & (1 << bit) != 0);
         let causes = narrow(&causes, &self.crashes[index]);
-        let until = now + REFUSAL_PERIOD;
         let mut rule = Rule {
             causes,
             teams: Vec::new(),
-            until,
+            until: now + REFUSAL_PERIOD,
         };
-        for (_, crash) in crashes {
+        for crash in crashes(set) {
             let teams = crash.teams_matching(&rule);
             if let [team] = teams[..] {
                 rule.add_team(team);
             }
         }
+        let latest = &self.crashes[index];
         if rule.teams.is_empty() {
-            rule.teams = self.crashes[index].teams_matching(&rule);
+            rule.teams = latest.teams_matching(&rule);
         }
         Some(rule)
     }
@@ -405,7 +387,7 @@
         let is_observed_here = self
             .crashes
             .iter()
-            .any(|crash| crash.observed_here && crash.is_explained_by(&rule));
+            .any(|crash| crash.is_observed_here() && crash.is_explained_by(&rule));
         self.remove_superseded(&rule, commands);
         self.add_rule(rule, now, commands);
         if is_observed_here {
@@ -481,7 +463,7 @@
 fn narrow(causes: &[Fingerprint], latest: &Crash) -> Vec<Fingerprint> {
     let of_requests = latest.requests.iter().map(|request| {
         let causes = causes.iter().copied();
-        let causes = causes.filter(|cause| request.contains(*cause));
+        let causes = causes.filter(|cause| request.candidates.contains(*cause));
         causes.collect::<Vec<Fingerprint>>()
     });
     // If another request is at fault, the next crash shows it: this one is no longer in flight then.
--- a/crates/poison/src/cause/report.rs
+++ b/crates/poison/src/cause/report.rs
@@ -21,10 +21,11 @@
 
 /// What a peer found out about causes.
 pub(super) enum Report {
-    /// An upstream crashed before it began its response to a request.
+    /// An upstream crashed before its response to a request was whole.
     Crash {
         upstream: Fingerprint,
         request: Candidates,
+        ran_for: Span,
     },
     /// Requests of these teams with all of these candidates crash upstreams.
     Rule {
@@ -54,13 +55,14 @@
             Some(Self::Crash {
                 upstream: first,
                 request: Candidates::from_causes(*teams.first()?, causes),
+                // Routers of older versions do not state it.
+                ran_for: with_tag(Tag::RanFor).next().map_or(Span::ZERO, tagged_span),
             })
         } else if first.has_tag(Tag::Remaining) && !teams.is_empty() {
-            let micros = u64::try_from(first.untagged()).unwrap_or(u64::MAX);
             Some(Self::Rule {
                 causes,
                 teams,
-                remaining: Span::from_micros(micros),
+                remaining: tagged_span(first),
             })
         } else {
             None
@@ -88,13 +90,27 @@
     }
 }
 
-pub(super) fn crash(upstream: Fingerprint, request: &Candidates) -> Findings {
-    findings(upstream, &[request.team], &request.causes)
+fn tagged_span(fingerprint: Fingerprint) -> Span {
+    Span::from_micros(u64::try_from(fingerprint.untagged()).unwrap_or(u64::MAX))
+}
+
+fn span(tag: Tag, span: Span) -> Fingerprint {
+    Fingerprint(u128::from(span.as_micros())).with_tag(tag)
+}
+
+pub(super) fn crash(upstream: Fingerprint, request: &Candidates, ran_for: Span) -> Findings {
+    let mut report = findings(upstream, &[request.team], &request.causes);
+    if ran_for > Span::ZERO {
+        report.findings.push(Finding {
+            fingerprint: span(Tag::RanFor, ran_for),
+            verdict: Verdict::Cleared,
+        });
+    }
+    report
 }
 
 pub(super) fn rule(rule: &Rule, now: Timestamp) -> Findings {
-    let remaining = u128::from(rule.until.since(now).as_micros());
-    let kind = Fingerprint(remaining).with_tag(Tag::Remaining);
+    let kind = span(Tag::Remaining, rule.until.since(now));
     findings(kind, &rule.teams, &rule.causes)
 }
 
--- a/crates/poison/tests/cause.rs
+++ b/crates/poison/tests/cause.rs
@@ -35,7 +35,15 @@
 /// Reports a crash with one of the requests in flight.
 fn report(finder: &mut Finder, now: u64, on: u64, request: Candidates) -> Vec<Command> {
     let upstream = upstream(on);
-    finder.handle(at(now), Event::Crashed { upstream, request })
+    let ran_for = Span::ZERO;
+    finder.handle(
+        at(now),
+        Event::Crashed {
+            upstream,
+            request,
+            ran_for,
+        },
+    )
 }
 
 /// Lets the routers derive rules from the crashes at `now`.
--- a/crates/relay/src/crash_detector.rs
+++ b/crates/relay/src/crash_detector.rs
@@ -1,9 +1,19 @@
 //! Detects requests that crash the upstreams that run them, and what such requests have in common.
 
-use std::{io, net::SocketAddr, time::Instant};
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use tsw_base::{name, time::Span};
-use tsw_event::{emit, Event};
+use tokio::time;
+use tsw_base::{
+    name,
+    time::{Span, Timestamp},
+};
+use tsw_event::{contained, emit, Event};
+use tsw_flow::prompt::Prompt;
 use tsw_http::{connection::Connection, exchange::ReusableConnection};
 use tsw_poison::{
     cause, detector, Candidates, Command, Finding, Findings, Fingerprint, Treatment, Verdict,
@@ -18,6 +28,9 @@
 
 /// Interval at which crashes are checked whose reports are still arriving.
 const SETTLE_CHECK_INTERVAL: Span = Span::from_millis(25);
+/// Maximum time for which a retry waits to learn whether an upstream has crashed. A response takes one
+/// round trip.
+const MAX_CHECK_WAIT: Duration = Duration::from_millis(50);
 /// Maximum number of findings in one message. A finding has at most 60 bytes.
 const MAX_FINDINGS: usize = 128;
 
@@ -30,16 +43,14 @@
     Fingerprint::of_parts(&parts, &request.body)
 }
 
-/// Returns the candidates of a request, or `None` if its prompt has no parts that other prompts may
-/// have as well.
-fn candidates(request: &Request) -> Option<Candidates> {
+/// Returns the candidates of a request: the request itself, and the parts of its prompt that other prompts
+/// may have as well.
+fn candidates(request: &Request) -> Candidates {
     let service = request.service.as_bytes();
-    let parts = request.prompt.as_ref()?.shared_parts().iter();
-    let parts: Vec<Fingerprint> = parts
-        .map(|part| Fingerprint::of_part(service, part.id))
-        .collect();
+    let parts = request.prompt.iter().flat_map(Prompt::shared_parts);
+    let parts = parts.map(|part| Fingerprint::of_part(service, part.id));
     let team = request.team().as_bytes();
-    (!parts.is_empty()).then(|| Candidates::new(team, fingerprint(request), parts))
+    Candidates::new(team, fingerprint(request), parts.collect())
 }
 
 /// Returns the crash detector's name for an upstream: a hash of the platform's name, since that may
@@ -59,6 +70,17 @@
     )
 }
 
+/// A connection that broke before the response to a request was whole.
+#[derive(Clone, Debug)]
+pub(crate) struct BrokenConnection {
+    pub(crate) upstream: Name,
+    pub(crate) address: SocketAddr,
+    /// When the request was sent.
+    pub(crate) sent: Timestamp,
+    /// Whether a part of the response was forwarded.
+    pub(crate) has_begun: bool,
+}
+
 /// Splits findings into messages that fit into a datagram.
 fn split(findings: Vec<Finding>) -> impl Iterator<Item = Findings> {
     let messages: Vec<Findings> = findings
@@ -129,7 +151,7 @@
         if finder.is_empty() {
             return None;
         }
-        let (now, request) = (self.now(), candidates(request)?);
+        let (now, request) = (self.now(), candidates(request));
         Some(PoisonRefusal {
             remaining: finder.refusal(now, &request)?,
             reminder: finder.reminder(now, &request),
@@ -146,16 +168,67 @@
         messages
     }
 
-    /// Records that the connection to an upstream broke before the upstream began its response.
-    pub(crate) fn record_broken_connection(&self, request: &Request, upstream: &Name) {
-        let (fingerprint, upstream) = (fingerprint(request), detector_name(upstream));
-        let mut broken_connections = self.broken_connections.borrow_mut();
-        let is_evidence = broken_connections.record_and_check(self.now(), &upstream, fingerprint);
-        let outcome = if is_evidence { "counted" } else { "ignored" };
+    /// Checks whether an upstream that broke the connection of a request has crashed. Returns when that is
+    /// known, but does not hold up a retry for long.
+    pub(crate) async fn check_crash(
+        self: &Rc<Self>,
+        request: &Rc<Request>,
+        broken: BrokenConnection,
+    ) {
+        let (router, request) = (self.clone(), request.clone());
+        let check = async move { router.find_crash(&request, &broken).await };
+        let check = actix_rt::spawn(contained::run(check));
+        // Otherwise the check goes on.
+        let _ = time::timeout(MAX_CHECK_WAIT, check).await;
+    }
+
+    /// An upstream that accepts another connection has not crashed, but may close connections because of a
+    /// request. One that refuses it has crashed.
+    async fn find_crash(&self, request: &Request, broken: &BrokenConnection) {
+        let ran_for = self.now().since(broken.sent);
+        let outcome = match Connection::open(broken.address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                self.keep_checked(&request.service, broken.address, connection);
+                if broken.has_begun {
+                    return;
+                }
+                self.record_broken_connection(request, broken)
+            }
+            Err(error) if is_down(&error) => {
+                self.handle_cause_event(cause::Event::Crashed {
+                    upstream: detector_name(&broken.upstream),
+                    request: candidates(request),
+                    ran_for,
+                });
+                "crash"
+            }
+            Err(error) => {
+                emit(
+                    Event::CrashUnknown,
+                    &[
+                        ("request", &request.id),
+                        ("upstream", &broken.upstream),
+                        ("cause", &error),
+                    ],
+                );
+                "unknown"
+            }
+        };
         self.metrics.breaks.with_label_values(&[outcome]).inc();
-        if !is_evidence {
+    }
+
+    /// Records that an upstream that has not crashed broke the connection of a request before it began its
+    /// response. Returns whether this counts against the request.
+    fn record_broken_connection(
+        &self,
+        request: &Request,
+        broken: &BrokenConnection,
+    ) -> &'static str {
+        let (fingerprint, upstream) = (fingerprint(request), detector_name(&broken.upstream));
+        let mut broken_connections = self.broken_connections.borrow_mut();
+        if !broken_connections.record_and_check(self.now(), &upstream, fingerprint) {
             emit(Event::BreakIgnored, &[("request", &request.id)]);
-            return;
+            return "ignored";
         }
         drop(broken_connections);
         self.handle_detector_event(detector::Event::Started {
@@ -163,30 +236,7 @@
             upstream: upstream.clone(),
         });
         self.handle_detector_event(detector::Event::Crashed { upstream });
-    }
-
-    /// Checks whether an upstream that broke the connection of a request accepts another one. If it
-    /// does not, it has crashed.
-    pub(crate) async fn check_crash(
-        &self,
-        request: &Request,
-        upstream: &Name,
-        address: SocketAddr,
-    ) {
-        let Some(candidates) = candidates(request) else {
-            return;
-        };
-        match Connection::open(address, CONNECT_TIMEOUT).await {
-            Ok(connection) => self.keep_checked(&request.service, address, connection),
-            Err(error) if is_down(&error) => self.handle_cause_event(cause::Event::Crashed {
-                upstream: detector_name(upstream),
-                request: candidates,
-            }),
-            Err(error) => emit(
-                Event::InternalFailed,
-                &[("upstream", upstream), ("cause", &error)],
-            ),
-        }
+        "counted"
     }
 
     /// Keeps the connection of a check for later requests.
@@ -206,25 +256,27 @@
         );
     }
 
-    /// Records that an upstream began its response to a request.
-    pub(crate) fn record_response_start(&self, request: &Request, upstream: &Name) {
+    /// Records that an upstream began its response to a request, so that it has not crashed.
+    pub(crate) fn record_response_start(&self, upstream: &Name) {
+        if !self.crash_detector.borrow().is_empty() {
+            let upstream = detector_name(upstream);
+            self.handle_detector_event(detector::Event::Responded { upstream });
+        }
+    }
+
+    /// Records that an upstream responded to a request in full, so that the request crashes no upstream.
+    pub(crate) fn record_whole_response(&self, request: &Request, upstream: &Name) {
         if !self.cause_finder.borrow().is_empty() {
-            if let Some(request) = candidates(request) {
-                self.handle_cause_event(cause::Event::Answered { request });
-            }
+            let request = candidates(request);
+            self.handle_cause_event(cause::Event::Answered { request });
         }
-        if self.crash_detector.borrow().is_empty() {
-            return;
+        if !self.crash_detector.borrow().is_empty() {
+            self.handle_detector_event(detector::Event::Ended {
+                fingerprint: fingerprint(request),
+                upstream: detector_name(upstream),
+                completed: true,
+            });
         }
-        let upstream = detector_name(upstream);
-        self.handle_detector_event(detector::Event::Responded {
-            upstream: upstream.clone(),
-        });
-        self.handle_detector_event(detector::Event::Ended {
-            fingerprint: fingerprint(request),
-            upstream,
-            completed: true,
-        });
     }
 
     fn handle_detector_event(&self, event: detector::Event) {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     attempt::AttemptError,
+    crash_detector::BrokenConnection,
     local_response::{LocalResponse, Refusal},
     origins::RunningStream,
     request::Request,
@@ -56,6 +57,8 @@
     timing: EventTiming,
     /// The last progress before the most recent stall, so that each stall is recorded once.
     stalled_since: Cell<Option<Timestamp>>,
+    /// When the latest attempt began.
+    attempted_at: Timestamp,
     /// The error response of an upstream, sent to the client if no attempt succeeds.
     failure: Option<(head::Response, Bytes)>,
 }
@@ -108,6 +111,7 @@
         running_stream: None,
         timing: EventTiming::default(),
         stalled_since: Cell::default(),
+        attempted_at: router.now(),
         failure: None,
     };
     let left = request.due().since(router.now()).as_duration();
@@ -185,10 +189,15 @@
                 }
             };
             self.record_failure(&upstream, &error);
-            if self.is_crash_suspect(&error) {
+            if error.kind == FailureKind::Broken && !error.timed_out {
                 // Reported before the retry, which may crash another upstream.
-                let router = self.router;
-                router.check_crash(self.request, &upstream, address).await;
+                let broken = BrokenConnection {
+                    upstream: upstream.clone(),
+                    address,
+                    sent: self.attempted_at,
+                    has_begun: self.timing.first_event.is_some(),
+                };
+                self.router.check_crash(self.request, broken).await;
             }
             let max_attempts = self.request.route.max_attempts;
             if error.timed_out {
@@ -262,12 +271,6 @@
         self.finish_without_slot(refused).await.map(Some)
     }
 
-    /// Returns whether the upstream may have crashed when it began its response to the request.
-    fn is_crash_suspect(&self, error: &AttemptError) -> bool {
-        let is_broken = error.kind == FailureKind::Broken && !error.timed_out;
-        is_broken && self.timing.first_event.is_none()
-    }
-
     fn record_failure(&mut self, upstream: &Name, error: &AttemptError) {
         let (router, now) = (self.router, self.router.now());
         let kind = error.kind;
@@ -283,9 +286,6 @@
             FailureKind::Broken | FailureKind::Failed => service.pool.record_failure(now, upstream),
             FailureKind::NotRun => {}
         });
-        if self.is_crash_suspect(error) {
-            router.record_broken_connection(self.request, upstream);
-        }
         self.log_failure(upstream, error);
     }
 
@@ -326,6 +326,7 @@
     async fn attempt(&mut self, reservation: Reservation) -> Result<Outcome, AttemptFailure> {
         // From here on the request may run. The count is decremented if it certainly did not.
         self.attempts.runs += 1;
+        self.attempted_at = self.router.now();
         let upstream = reservation.choice().id.clone();
         let (router, request) = (self.router, self.request);
         let sent = self
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -23,8 +23,10 @@
 const MAX_BUFFERED: usize = 1 << 20;
 
 impl RequestRun<'_, '_> {
+    /// Records that an upstream responded in full.
     fn record_success(&self, upstream: &Name) {
         let (router, now) = (self.router, self.router.now());
+        router.record_whole_response(self.request, upstream);
         router.with_service(&self.request.service, |service| {
             service.pool.record_success(now, upstream);
         });
@@ -34,7 +36,7 @@
     fn record_forwarded(&mut self, upstream: &Name, events: u64) {
         let now = self.router.now();
         if self.timing.first_event.is_none() {
-            self.router.record_response_start(self.request, upstream);
+            self.router.record_response_start(upstream);
             if self.request.is_resume() {
                 self.router
                     .count_resume_outcome(&self.request.service, "began");
--- a/crates/toucand/src/engine.rs
+++ b/crates/toucand/src/engine.rs
@@ -12,6 +12,7 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 
+use tsw_base::time::Timestamp;
 use tsw_board::hosts::Version;
 
 use crate::{call::Call, router::Router, running::Running, slot::Slot};
@@ -96,7 +97,6 @@
     response: Box<ClientResponse>,
     buffer: BytesMut,
     id: Box<str>,
-    has_tokens: bool,
     version: Version,
 }
 
@@ -164,9 +164,9 @@
         }
         Ok(Err(error)) => {
             if let Some(slot) = attempt.slot.take() {
-                attempt.router.record_crash(slot.upstream());
-                let router = &attempt.router;
-                router.record_crash_before_token(&call, slot.upstream());
+                let (router, sent) = (&attempt.router, attempt.running.as_ref());
+                router.record_crash(slot.upstream());
+                router.check_crash(&call, &slot, sent.map_or(call.arrived, Running::sent));
             }
             return Err(AttemptError::Connection(error.to_string()));
         }
@@ -183,7 +183,6 @@
         response: Box::new(response),
         buffer: BytesMut::new(),
         id: std::mem::take(&mut attempt.id),
-        has_tokens: false,
         version,
     })
 }
@@ -228,10 +227,10 @@
         &self.version
     }
 
-    /// Returns whether the engine has produced a token in this attempt.
+    /// Returns when the request was sent.
     #[must_use]
-    pub const fn has_tokens(&self) -> bool {
-        self.has_tokens
+    pub fn sent(&self) -> Option<Timestamp> {
+        self.running.as_ref().map(Running::sent)
     }
 
     /// Waits for the next lines. This is cancel-safe: no data is lost.
@@ -249,7 +248,6 @@
             self.buffer.extend_from_slice(&part);
             let lines = parse_lines(&mut self.buffer)?;
             if !lines.is_empty() {
-                self.has_tokens |= lines.iter().any(|line| matches!(line, Line::Token { .. }));
                 return Ok(lines);
             }
         }
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -189,7 +189,7 @@
 
     /// Logs a failed attempt on an engine and reports a possible crash.
     pub fn record_engine_failure(
-        &self,
+        self: &Rc<Self>,
         call: &Call,
         attempt: Option<&Attempt>,
         broken: &AttemptError,
@@ -203,9 +203,8 @@
         );
         if let (Some(slot), true) = (slot, broken.is_crash()) {
             self.record_crash(slot.upstream());
-            if !attempt.is_some_and(Attempt::has_tokens) {
-                self.record_crash_before_token(call, slot.upstream());
-            }
+            let sent = attempt.and_then(Attempt::sent);
+            self.check_crash(call, slot, sent.unwrap_or(call.arrived));
         }
     }
 
@@ -307,7 +306,6 @@
             health.first_token_seen = true;
         });
         if first {
-            self.record_first_token(call);
             let since_arrival = self.age(call).as_secs_f64();
             self.metrics.first_token.observe(since_arrival);
         }
--- a/crates/toucand/src/running.rs
+++ b/crates/toucand/src/running.rs
@@ -1,12 +1,16 @@
 //! Tracks requests that run on an upstream, for the crash detector.
 
-use std::rc::Rc;
+use std::{io, rc::Rc, time::Duration};
 
-use tsw_base::name;
-use tsw_event::Event;
+use actix_rt::{net::TcpStream, time};
+use tsw_base::{name, time::Timestamp};
+use tsw_event::{emit, Event};
 use tsw_poison::{cause, Fingerprint, Treatment};
 
-use crate::{call::Call, crash_detector, router::Router};
+use crate::{call::Call, crash_detector, router::Router, slot::Slot};
+
+/// Timeout for the connection that shows whether an upstream has crashed.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A request that runs on an upstream. Dropping it reports the end of the run to the crash
 /// detector.
@@ -14,10 +18,17 @@
     router: Rc<Router>,
     fingerprint: Fingerprint,
     upstream: name::Upstream,
+    sent: Timestamp,
     completed: bool,
 }
 
 impl Running {
+    /// Returns when the request was sent.
+    #[must_use]
+    pub const fn sent(&self) -> Timestamp {
+        self.sent
+    }
+
     /// Marks the run as completed by the upstream.
     pub fn complete(mut self) {
         self.completed = true;
@@ -76,6 +87,7 @@
             router: self.clone(),
             fingerprint,
             upstream: upstream.clone(),
+            sent: self.now(),
             completed: false,
         }
     }
@@ -87,16 +99,39 @@
         });
     }
 
-    /// Records that an upstream may have crashed before it produced a token for a call.
-    pub fn record_crash_before_token(&self, call: &Call, upstream: &name::Upstream) {
-        if let Some(request) = crash_detector::candidates(call) {
-            let upstream = upstream.clone();
-            self.notify_cause_finder(cause::Event::Crashed { upstream, request });
-        }
+    /// Checks whether an upstream that broke the connection of a call has crashed: it refuses another
+    /// connection then.
+    pub fn check_crash(self: &Rc<Self>, call: &Call, slot: &Slot, sent: Timestamp) {
+        let Some(request) = crash_detector::candidates(call) else {
+            return;
+        };
+        let (upstream, address) = (slot.upstream().clone(), slot.address());
+        let (router, ran_for) = (self.clone(), self.now().since(sent));
+        actix_rt::spawn(async move {
+            let opened = time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+            match opened {
+                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    router.notify_cause_finder(cause::Event::Crashed {
+                        upstream,
+                        request,
+                        ran_for,
+                    });
+                }
+                Ok(Err(error)) => emit(
+                    Event::CrashUnknown,
+                    &[("upstream", &upstream), ("cause", &error)],
+                ),
+                Err(error) => emit(
+                    Event::CrashUnknown,
+                    &[("upstream", &upstream), ("cause", &error)],
+                ),
+                Ok(Ok(_)) => {}
+            }
+        });
     }
 
-    /// Records that an upstream produced its first token for a call.
-    pub fn record_first_token(&self, call: &Call) {
+    /// Records that an upstream responded to a call in full.
+    pub fn record_whole_response(&self, call: &Call) {
         if self.read_state(|state| state.board.cause_finder.is_empty()) {
             return;
         }
--- a/crates/toucand/src/stream/end.rs
+++ b/crates/toucand/src/stream/end.rs
@@ -43,6 +43,7 @@
         self.finished = true;
         self.candidate = None;
         if let Some(attempt) = self.active.take() {
+            self.router.record_whole_response(&self.call);
             attempt.finish(self.latency.mean_gap(self.router.now()));
         }
         self.router.record_end(
--- a/crates/toucand/tests/crashes.rs
+++ b/crates/toucand/tests/crashes.rs
@@ -31,13 +31,17 @@
 
 impl Site {
     async fn start() -> Self {
+        Self::with_engines(6, Behaviour::CrashOnPart(CRASHING, 3)).await
+    }
+
+    async fn with_engines(count: usize, behaviour: Behaviour) -> Self {
         let store = Store::bind().await.expect("a store");
         let mut engines = Vec::new();
-        for _ in 0..6 {
-            let engine = Worker::bind(Behaviour::CrashOnPart(CRASHING, 3)).await;
+        for _ in 0..count {
+            let engine = Worker::bind(behaviour).await;
             engines.push(engine.expect("an engine"));
         }
-        let names: Vec<String> = (1..=6).map(|number| format!("m{number}")).collect();
+        let names: Vec<String> = (1..=count).map(|number| format!("m{number}")).collect();
         let upstreams: Vec<(&str, &str, &Worker)> = names
             .iter()
             .zip(&engines)
@@ -70,23 +74,61 @@
 
     /// Sends a request that no other equals. Its prompt has the part `middle` between the others.
     async fn send(&mut self, router: usize, middle: &str) -> Response {
+        let own = self.sent + 1;
+        let body = format!("{{\"prompt\":\"request {own}\"}}");
+        let parts = format!("aa:300,{middle}:300,bb:300,f{own:x}:100");
+        let call = self.prompt("/draft/1", &parts, body);
+        call.send(&self.routers[router]).await
+    }
+
+    /// Returns a request with a new identifier.
+    fn prompt(&mut self, target: &str, parts: &str, body: String) -> Call {
         self.sent += 1;
-        let id = format!("a{}", self.sent);
-        let mut call = Call::valid("POST", "/draft/1", &id);
+        let mut call = Call::valid("POST", target, &format!("a{}", self.sent));
         let fields = &mut call.head.fields;
         fields.push("Model-Name", "m");
         fields.push("Token-Count", "1000,50");
-        let own = self.sent;
-        fields.push(
-            "Prompt-Prefix",
-            format!("aa:300,{middle}:300,bb:300,f{own:x}:100"),
-        );
-        let body = format!("{{\"prompt\":\"request {own}\"}}");
-        call.head
-            .fields
-            .push("Content-Length", body.len().to_string());
+        fields.push("Prompt-Prefix", parts.to_owned());
+        fields.push("Content-Length", body.len().to_string());
         call.body = body.into();
-        call.send(&self.routers[router]).await
+        call
+    }
+
+    /// Returns the times at which requests with a body reached engines.
+    fn arrival_times(&self, body: &str) -> Vec<Instant> {
+        let arrivals = self.engines.iter().flat_map(Worker::arrivals);
+        let arrivals = arrivals.filter(|found| found.body == body);
+        let mut times: Vec<Instant> = arrivals.map(|found| found.time).collect();
+        times.sort_unstable();
+        times
+    }
+
+    /// Sends requests that crash engines again and again, at some routers in turn, and sound ones. Checks
+    /// that few reach engines late, and that sound requests of the same team are served.
+    async fn check_deadly(&mut self, routers: usize, target: &str, deadly: &[&str]) {
+        let mut served = 0;
+        for turn in 0..24 {
+            for body in deadly {
+                let call = self.prompt(target, "aa:300,bb:300,dd:100", (*body).to_owned());
+                call.send(&self.routers[turn % routers]).await;
+            }
+            let sound = self.send(turn % routers, "sound").await;
+            served += usize::from(sound.status == 200 && sound.whole);
+            time::sleep(Duration::from_millis(400)).await;
+        }
+        for body in deadly {
+            let times = self.arrival_times(body);
+            assert!(times.len() >= 3, "{body}: {} arrivals", times.len());
+            // The crash follows the arrival of the request within moments.
+            let late = times.iter().filter(|at| **at > times[2] + CONTACT_TIME);
+            let late = late.count();
+            assert!(
+                late <= MAX_LATE_REQUESTS,
+                "{body}: {late} late, {}",
+                times.len()
+            );
+        }
+        assert!(served >= 16, "{served} of 24 sound requests were served");
     }
 
     fn crashes(&self) -> u64 {
@@ -165,3 +207,53 @@
     assert!(late <= MAX_LATE_REQUESTS, "{late} requests reached engines");
     assert_eq!(site.send(1, "sound").await.status, 200);
 }
+
+/// Events before the crash of an engine, and events of a sound stream.
+const EVENTS: u64 = 5;
+
+/// Guards against a request that is never refused although it crashes one engine after the other, because
+/// each sends an event before it crashes.
+#[actix_rt::test]
+async fn request_that_crashes_engines_after_its_first_event_is_refused() {
+    let mut site = Site::with_engines(6, Behaviour::CrashOnBody("deadly", 1, EVENTS)).await;
+    site.check_deadly(2, "/note/1", &["deadly"]).await;
+}
+
+/// Guards against the same at the last event of a stream that may be resumed.
+#[actix_rt::test]
+async fn resumable_request_that_crashes_engines_at_its_last_event_is_refused() {
+    let mut site = Site::with_engines(6, Behaviour::CrashOnBody("deadly", EVENTS, EVENTS)).await;
+    site.check_deadly(2, "/draft/1", &["deadly"]).await;
+}
+
+/// Guards against two requests that crash engines and excuse each other, before an event.
+#[actix_rt::test]
+async fn two_requests_that_crash_engines_are_refused() {
+    let mut site = Site::with_engines(12, Behaviour::CrashOnBody("deadly", 0, EVENTS)).await;
+    site.check_deadly(2, "/note/1", &["deadly one", "deadly two"])
+        .await;
+}
+
+/// Guards against the same after the first event.
+#[actix_rt::test]
+async fn two_requests_that_crash_engines_after_their_first_events_are_refused() {
+    let mut site = Site::with_engines(12, Behaviour::CrashOnBody("deadly", 1, EVENTS)).await;
+    site.check_deadly(2, "/note/1", &["deadly one", "deadly two"])
+        .await;
+}
+
+/// Guards against two requests of a plain service that crash upstreams and excuse each other.
+#[actix_rt::test]
+async fn two_bookings_that_crash_upstreams_are_refused() {
+    let mut site = Site::with_engines(1, Behaviour::Stream(3)).await;
+    for number in 0..12 {
+        let behaviour = Behaviour::CrashOnBody("deadly", 0, EVENTS);
+        let desk = Worker::bind(behaviour).await.expect("an upstream");
+        let entry = fleet::entry("desk", &desk, "ready", 1);
+        site.store.set(&format!("servers/d{number}"), Some(&entry));
+        site.engines.push(desk);
+    }
+    time::sleep(Duration::from_millis(500)).await;
+    site.check_deadly(1, "/book/1", &["deadly one", "deadly two"])
+        .await;
+}
