Weigh crashes that have a common cause as one, and try refused requests again

Cause: three crashes confirmed a prompt part whatever their moment, and a verdict had no way back, since nothing that is refused can be responded to.

Change: a crash is independent of an earlier one only if the request was sent after it, or 500 ms later. A crash that a better supported rule explains is no evidence against others. One refused request may run after 1 s and one after 30 s, at the router that sent the latest request to the last crash; a whole response ends the refusal everywhere.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -191,6 +191,8 @@
     UpstreamUnlimited = 422 Info "upstream-unlimited";
     /// An upstream states a request rate that is ignored, or several, the lowest of which is used.
     RateUnusable = 423 Warn "rate-unusable";
+    /// A request that is refused because it crashes upstreams runs once more, to find out whether it does.
+    PoisonTrial = 424 Warn "poison-trial";
     /// It is unknown whether an upstream that broke a connection has crashed.
     CrashUnknown = 425 Info "crash-unknown";
     /// A session with a peer is open.
--- a/crates/poison/src/cause.rs
+++ b/crates/poison/src/cause.rs
@@ -1,5 +1,7 @@
 //! Finds what the requests that crash upstreams have in common.
 
+use std::{cmp::Reverse, collections::VecDeque};
+
 use indexmap::IndexMap;
 use tsw_base::{
     name,
@@ -16,7 +18,7 @@
 mod report;
 mod rule;
 
-use evidence::{Crash, InFlight};
+use evidence::{count_independent, Crash, InFlight};
 use report::Report;
 use rule::Rule;
 
@@ -31,6 +33,11 @@
 pub const MAX_REQUESTS: usize = 32;
 /// Maximum number of rules.
 pub const MAX_RULES: usize = 256;
+/// Times after the confirmation of a rule from which on one request that matches it may run, to find out
+/// whether the rule is wrong. Upstreams that crash then still count for operators as unavoidable after the
+/// first one.
+const TRIAL_DELAYS: [Span; 2] = [Span::from_secs(1), Span::from_secs(30)];
+
 /// Input of the finder.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -70,10 +77,15 @@
 ///
 /// Each crash is recorded with the candidates of the requests that had no whole response yet. A candidate
 /// of a request to which an upstream responds in full is not the cause and is removed. A candidate that is
-/// left in [`CRASHES_TO_CONFIRM`] crashes leads to a rule: requests are refused that have it and
+/// left in [`CRASHES_TO_CONFIRM`] independent crashes leads to a rule: requests are refused that have it and
 /// all candidates that occurred with it in each of these crashes. A request that lacks one of them is
 /// sound, or narrows the rule.
 ///
+/// Upstreams that crash at the same time may have a common cause apart from requests, such as a loss of
+/// power in a failure domain. Their crashes count as one. A rule that is wrong all the same ends when a
+/// request that matches it is responded to in full: one that was already running, or one of the few that
+/// [`Finder::start_trial`] lets run.
+///
 /// ```
 /// use tsw_base::time::{Span, Timestamp};
 /// use tsw_poison::{cause::{self, Event, Finder}, Candidates, Fingerprint};
@@ -138,6 +150,23 @@
         remaining.max()
     }
 
+    /// Returns whether a request may run although it is refused, to find out whether the rules are wrong. It
+    /// must not be repeated if its upstream fails. Returns true once for each trial that is due.
+    pub fn start_trial(&mut self, now: Timestamp, request: &Candidates) -> bool {
+        if !self.matching(now, request).all(|rule| rule.has_trial(now)) {
+            return false;
+        }
+        let mut found = false;
+        for rule in &mut self.rules {
+            let applies = rule.applies_to(request.team) && rule.matches(request);
+            if rule.until > now && applies {
+                rule.trials.pop_front();
+                found = true;
+            }
+        }
+        found
+    }
+
     /// Returns the rules by which a request is refused as findings, to remind other routers.
     #[must_use]
     pub fn reminder(&self, now: Timestamp, request: &Candidates) -> Vec<Findings> {
@@ -204,6 +233,7 @@
                         causes,
                         teams,
                         until,
+                        trials: VecDeque::new(),
                     };
                     self.add_rule(rule, now, &mut commands);
                 }
@@ -360,13 +390,19 @@
         };
         // Of rules that explain as many crashes, the one with the most candidates refuses the fewest
         // requests.
-        let rules = sets.into_iter().map(|set| (set, companions(set)));
-        let (set, causes) = rules.max_by_key(|(set, causes)| (set.count_ones(), causes.len()))?;
-        let causes = narrow(&causes, &self.crashes[index]);
+        let mut rules: Vec<(u64, Vec<Fingerprint>)> =
+            sets.into_iter().map(|set| (set, companions(set))).collect();
+        rules.sort_by_key(|(set, causes)| Reverse((set.count_ones(), causes.len())));
+        let (set, causes) = rules.into_iter().find_map(|(set, causes)| {
+            let causes = narrow(&causes, &self.crashes[index]);
+            let independent = count_independent(crashes(set), &causes);
+            (independent >= CRASHES_TO_CONFIRM as usize).then_some((set, causes))
+        })?;
         let mut rule = Rule {
             causes,
             teams: Vec::new(),
             until: now + REFUSAL_PERIOD,
+            trials: VecDeque::new(),
         };
         for crash in crashes(set) {
             let teams = crash.teams_matching(&rule);
@@ -378,6 +414,9 @@
         if rule.teams.is_empty() {
             rule.teams = latest.teams_matching(&rule);
         }
+        if latest.is_latest_sent_here(&rule) {
+            rule.trials = TRIAL_DELAYS.map(|delay| now + delay).into();
+        }
         Some(rule)
     }
 
@@ -427,6 +466,9 @@
         if let Some(known) = rules.find(|known| is_subset(&known.causes, &rule.causes)) {
             let had_expired = known.until <= now;
             known.until = known.until.max(rule.until);
+            if known.trials.is_empty() {
+                known.trials = rule.trials;
+            }
             let mut has_new_team = false;
             for team in &rule.teams {
                 has_new_team |= known.add_team(*team);
--- a/crates/poison/src/cause/evidence.rs
+++ b/crates/poison/src/cause/evidence.rs
@@ -1,15 +1,14 @@
-//! Crashes of upstreams.
+//! Crashes of upstreams, and how many of them are independent evidence against a cause.
 
-use tsw_base::time::Timestamp;
+use tsw_base::time::{Span, Timestamp};
 
-use super::Rule;
-use crate::{candidates::Candidates, message::Fingerprint};
+use super::{Rule, SETTLE_TIME};
+use crate::{candidates::Candidates, detector::COMMON_CRASH_SPREAD, message::Fingerprint};
 
 /// A request that had no whole response when its upstream crashed.
 #[derive(Clone, Debug)]
 pub(super) struct InFlight {
     pub(super) candidates: Candidates,
-    #[expect(dead_code, reason = "for the weighing of common crashes")]
     pub(super) sent: Timestamp,
     /// Whether this router sent it.
     pub(super) sent_here: bool,
@@ -48,4 +47,51 @@
         teams.dedup();
         teams
     }
+
+    /// Returns whether this router sent the latest request that matches a rule. This is so at few routers,
+    /// mostly at one.
+    pub(super) fn is_latest_sent_here(&self, rule: &Rule) -> bool {
+        let latest = self.matching(rule).max_by_key(|request| request.sent);
+        latest.is_some_and(|request| request.sent_here)
+    }
+
+    /// Returns the latest request with one of the causes, which most likely is at fault if any is.
+    fn latest_with(&self, causes: &[Fingerprint]) -> Option<&InFlight> {
+        let requests = self.requests.iter().filter(|request| {
+            let mut causes = causes.iter();
+            causes.any(|cause| request.candidates.contains(*cause))
+        });
+        requests.max_by_key(|request| request.sent)
+    }
+}
+
+/// Returns how many of some crashes, in the order of their times, are independent evidence against causes.
+///
+/// A crash is independent of an earlier one if the request was sent after that one, or if it is too late to
+/// have the same cause apart from requests.
+pub(super) fn count_independent<'a>(
+    crashes: impl Iterator<Item = &'a Crash>,
+    causes: &[Fingerprint],
+) -> usize {
+    let mut count = 0;
+    let mut last: Option<(Timestamp, bool)> = None;
+    for crash in crashes {
+        let Some(request) = crash.latest_with(causes) else {
+            continue;
+        };
+        let is_independent = last.is_none_or(|(at, seen_here)| {
+            // Reports of other routers arrive late.
+            let delay = if seen_here && request.sent_here {
+                Span::ZERO
+            } else {
+                SETTLE_TIME
+            };
+            request.sent >= at + delay || crash.at >= at + COMMON_CRASH_SPREAD
+        });
+        if is_independent {
+            count += 1;
+            last = Some((crash.at, request.sent_here));
+        }
+    }
+    count
 }
--- a/crates/poison/src/cause/rule.rs
+++ b/crates/poison/src/cause/rule.rs
@@ -1,5 +1,7 @@
 //! Rules: which requests are refused.
 
+use std::collections::VecDeque;
+
 use tsw_base::time::Timestamp;
 
 use crate::{candidates::Candidates, message::Fingerprint};
@@ -14,6 +16,9 @@
     /// Teams whose requests crashed upstreams.
     pub(super) teams: Vec<Fingerprint>,
     pub(super) until: Timestamp,
+    /// From when on one request each that matches may run at this router, to find out whether the rule is
+    /// wrong.
+    pub(super) trials: VecDeque<Timestamp>,
 }
 
 impl Rule {
@@ -34,4 +39,8 @@
         }
         is_new
     }
+
+    pub(super) fn has_trial(&self, now: Timestamp) -> bool {
+        self.trials.front().is_some_and(|at| *at <= now)
+    }
 }
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -18,6 +18,9 @@
 /// the same crash.
 pub const CRASH_WINDOW: Span = Span::from_secs(2);
 
+/// Time within which upstreams crash that have a common cause apart from requests.
+pub(crate) const COMMON_CRASH_SPREAD: Span = Span::from_millis(500);
+
 /// Time after a crash in which responses that the upstream sent before the crash may still arrive.
 pub const SETTLE_TIME: Span = Span::from_millis(50);
 
@@ -87,6 +90,13 @@
     },
 }
 
+/// A request that runs on an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    fingerprint: Fingerprint,
+    started: Timestamp,
+}
+
 #[derive(Clone, Debug)]
 enum Record {
     Suspect {
@@ -130,7 +140,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
     without_isolation: bool,
-    running: IndexMap<name::Upstream, Vec<Fingerprint>>,
+    running: IndexMap<name::Upstream, Vec<Run>>,
     records: IndexMap<Fingerprint, Record>,
 }
 
@@ -198,7 +208,10 @@
             Event::Started {
                 fingerprint,
                 upstream,
-            } => self.running.entry(upstream).or_default().push(fingerprint),
+            } => self.running.entry(upstream).or_default().push(Run {
+                fingerprint,
+                started: now,
+            }),
             Event::Ended {
                 fingerprint,
                 upstream,
@@ -212,8 +225,10 @@
             Event::Responded { upstream } => self.clear_refuted(now, &upstream, &mut commands),
             Event::Crashed { upstream } => {
                 let in_flight = self.running.swap_remove(&upstream).unwrap_or_default();
-                let in_flight: IndexSet<Fingerprint> = in_flight.into_iter().collect();
-                self.crash(now, &upstream, &in_flight, true, &mut commands);
+                // Of several equal requests the latest counts.
+                let in_flight = in_flight.into_iter();
+                let in_flight = in_flight.map(|run| (run.fingerprint, Some(run.started)));
+                self.crash(now, &upstream, &in_flight.collect(), true, &mut commands);
             }
             Event::Message(message) => self.apply_findings(now, message, &mut commands),
             Event::Tick => self.records.retain(|_, record| record.expires_at() > now),
@@ -249,7 +264,10 @@
 
     fn remove_running(&mut self, upstream: &name::Upstream, fingerprint: Fingerprint) {
         if let Some(running) = self.running.get_mut(upstream) {
-            if let Some(index) = running.iter().position(|other| *other == fingerprint) {
+            if let Some(index) = running
+                .iter()
+                .position(|run| run.fingerprint == fingerprint)
+            {
                 running.swap_remove(index);
             }
             if running.is_empty() {
@@ -276,17 +294,19 @@
         &mut self,
         now: Timestamp,
         upstream: &name::Upstream,
-        in_flight: &IndexSet<Fingerprint>,
+        in_flight: &IndexMap<Fingerprint, Option<Timestamp>>,
         observed_here: bool,
         commands: &mut Vec<Command>,
     ) {
         let repeated: IndexSet<Fingerprint> = in_flight
             .iter()
-            .filter(|fingerprint| self.is_repeat_crash(now, upstream, **fingerprint))
-            .copied()
+            .filter(|(fingerprint, started)| {
+                self.is_repeat_crash(now, upstream, **fingerprint, **started)
+            })
+            .map(|(fingerprint, _)| *fingerprint)
             .collect();
         let mut findings = Vec::new();
-        for fingerprint in in_flight {
+        for (fingerprint, started) in in_flight {
             let crashes =
                 self.crash_count(*fingerprint) + u32::from(repeated.contains(fingerprint));
             let only_suspect =
@@ -298,7 +318,11 @@
                     remaining: REFUSAL_PERIOD,
                 }
             } else {
-                self.suspect(now, upstream, *fingerprint, crashes, reported);
+                let run = Run {
+                    fingerprint: *fingerprint,
+                    started: started.unwrap_or(now),
+                };
+                self.suspect(now, upstream, run, crashes, reported);
                 Verdict::Suspected {
                     upstream: upstream.clone(),
                 }
@@ -318,16 +342,21 @@
         }
     }
 
-    /// Returns whether a request is already a suspect because of an earlier, different crash.
+    /// Returns whether a request is already a suspect because of an earlier, different crash. Upstreams that
+    /// crash while copies of it run on each may have a common cause apart from it. `started` is known only
+    /// of crashes observed here.
     fn is_repeat_crash(
         &self,
         now: Timestamp,
         crashed: &name::Upstream,
         fingerprint: Fingerprint,
+        started: Option<Timestamp>,
     ) -> bool {
         match self.records.get(&fingerprint) {
             Some(Record::Suspect { upstream, at, .. }) => {
-                upstream != crashed || now.since(*at) > CRASH_WINDOW
+                let is_other = upstream != crashed || now.since(*at) > CRASH_WINDOW;
+                let is_later = started.is_none_or(|started| started >= *at);
+                is_other && (is_later || now.since(*at) >= COMMON_CRASH_SPREAD)
             }
             _ => false,
         }
@@ -356,17 +385,21 @@
         &mut self,
         now: Timestamp,
         upstream: &name::Upstream,
-        fingerprint: Fingerprint,
+        run: Run,
         crashes: u32,
         observed_here: bool,
     ) {
+        let Run {
+            fingerprint,
+            started,
+        } = run;
         let mut record = Record::Suspect {
             upstream: upstream.clone(),
             at: now,
             crashes,
             observed_here,
         };
-        if !self.is_repeat_crash(now, upstream, fingerprint) {
+        if !self.is_repeat_crash(now, upstream, fingerprint, Some(started)) {
             if let Some(Record::Suspect { at: first, .. }) = self.records.get(&fingerprint) {
                 // Another report of the same crash does not extend its window.
                 record = Record::Suspect {
@@ -415,12 +448,16 @@
     }
 
     fn apply_findings(&mut self, now: Timestamp, message: Findings, commands: &mut Vec<Command>) {
-        let mut crashes: IndexMap<name::Upstream, IndexSet<Fingerprint>> = IndexMap::new();
+        let mut crashes: IndexMap<name::Upstream, IndexMap<Fingerprint, Option<Timestamp>>> =
+            IndexMap::new();
         for finding in message.findings {
             let fingerprint = finding.fingerprint;
             match finding.verdict {
                 Verdict::Suspected { upstream } => {
-                    crashes.entry(upstream).or_default().insert(fingerprint);
+                    crashes
+                        .entry(upstream)
+                        .or_default()
+                        .insert(fingerprint, None);
                 }
                 Verdict::Confirmed { remaining } => {
                     self.confirm(now, fingerprint, remaining, commands);
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -153,6 +153,27 @@
     assert_eq!(treatment(&a, at(2), 2), Treatment::Solo);
 }
 
+/// Guards against a request that is refused because copies of it ran on upstreams that crashed at the same
+/// time, as when a failure domain loses power.
+#[test]
+fn copies_of_a_request_in_a_common_crash_count_once() {
+    for mut detector in [CrashDetector::default(), CrashDetector::without_isolation()] {
+        for on in 1..=4 {
+            start(&mut detector, at(1), 1, on);
+        }
+        for on in 1..=4 {
+            crash(&mut detector, at(2) + Span::from_millis(on as u64), on);
+        }
+        assert!(!is_refused(&detector, at(3), 1));
+        // Further crashes are not excused.
+        for turn in 2..=3 {
+            let now = at(10 * turn);
+            run_and_crash(&mut detector, now, &[1], 10 + turn as usize);
+        }
+        assert!(is_refused(&detector, at(31), 1));
+    }
+}
+
 /// Guards against a refusal that never ends, or that lasts longer than 10 min because a peer
 /// reports a longer remaining time.
 #[test]
--- a/crates/relay/src/crash_detector.rs
+++ b/crates/relay/src/crash_detector.rs
@@ -61,12 +61,13 @@
     name.parse().expect("hexadecimal digits are allowed")
 }
 
-/// Returns whether a failure to connect shows that nothing accepts connections at the address. Others
-/// are failures of this router, such as a lack of file descriptors.
+/// Returns whether a failure to connect shows that nothing accepts connections at the address. Without a
+/// response, the host or the network may have failed, which no request causes. Others are failures of this
+/// router, such as a lack of file descriptors.
 fn is_down(error: &io::Error) -> bool {
     matches!(
         error.kind(),
-        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset | io::ErrorKind::TimedOut
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
     )
 }
 
@@ -158,6 +159,20 @@
         })
     }
 
+    /// Returns whether a request may run although it is refused, to find out whether it crashes upstreams.
+    pub(crate) fn start_poison_trial(&self, request: &Request) -> bool {
+        if self.request_refusal(request).is_some() {
+            return false;
+        }
+        let candidates = candidates(request);
+        let mut finder = self.cause_finder.borrow_mut();
+        let starts = finder.start_trial(self.now(), &candidates);
+        if starts {
+            emit(Event::PoisonTrial, &[("request", &request.id)]);
+        }
+        starts
+    }
+
     /// Returns what is refused as messages for a router that has just started.
     #[must_use]
     pub fn refusals(&self) -> Vec<Findings> {
@@ -231,10 +246,14 @@
             return "ignored";
         }
         drop(broken_connections);
-        self.handle_detector_event(detector::Event::Started {
+        let started = detector::Event::Started {
             fingerprint,
             upstream: upstream.clone(),
-        });
+        };
+        let mut detector = self.crash_detector.borrow_mut();
+        // Has no commands.
+        detector.handle(broken.sent, started);
+        drop(detector);
         self.handle_detector_event(detector::Event::Crashed { upstream });
         "counted"
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -59,6 +59,8 @@
     stalled_since: Cell<Option<Timestamp>>,
     /// When the latest attempt began.
     attempted_at: Timestamp,
+    /// Whether the next attempt is a trial of a request that is refused otherwise.
+    on_trial: bool,
     /// The error response of an upstream, sent to the client if no attempt succeeds.
     failure: Option<(head::Response, Bytes)>,
 }
@@ -112,6 +114,7 @@
         timing: EventTiming::default(),
         stalled_since: Cell::default(),
         attempted_at: router.now(),
+        on_trial: false,
         failure: None,
     };
     let left = request.due().since(router.now()).as_duration();
@@ -189,6 +192,7 @@
                 }
             };
             self.record_failure(&upstream, &error);
+            self.on_trial = false;
             if error.kind == FailureKind::Broken && !error.timed_out {
                 // Reported before the retry, which may crash another upstream.
                 let broken = BrokenConnection {
@@ -264,9 +268,16 @@
 
     /// Refuses the request if it crashes upstreams.
     async fn refuse_poison(&mut self) -> io::Result<Option<Outcome>> {
+        if self.on_trial {
+            return Ok(None);
+        }
         let Some(retry_after) = self.router.poison_refusal(self.request) else {
             return Ok(None);
         };
+        self.on_trial = self.router.start_poison_trial(self.request);
+        if self.on_trial {
+            return Ok(None);
+        }
         let refused = Refused::new(Refusal::Poison, retry_after);
         self.finish_without_slot(refused).await.map(Some)
     }
--- a/crates/toucand/src/call.rs
+++ b/crates/toucand/src/call.rs
@@ -1,6 +1,6 @@
 //! Parses and validates a call from an HTTP request.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::Cell, sync::Arc, time::Duration};
 
 use actix_http::{
     error::PayloadError,
@@ -57,6 +57,8 @@
     pub key: Option<Arc<str>>,
     /// Request body.
     pub body: Bytes,
+    /// Whether the call runs once although it is refused because it crashes upstreams.
+    pub on_trial: Cell<bool>,
 }
 
 /// Configuration that calls are validated against.
@@ -191,6 +193,7 @@
         content_type,
         key,
         body,
+        on_trial: Cell::default(),
     })
 }
 
--- a/crates/toucand/src/crash_detector.rs
+++ b/crates/toucand/src/crash_detector.rs
@@ -57,6 +57,16 @@
         board.crash_detector.treatment(now, fingerprint(call))
     }
 
+    /// Returns whether a call may run although it is refused because of its candidates. A call that is
+    /// refused as such has no trial.
+    pub fn start_trial(&self, turn: &mut Turn<'_>, call: &Call, candidates: &Candidates) -> bool {
+        let (now, detector) = (turn.now, &turn.board.crash_detector);
+        let treatment = detector.treatment(now, fingerprint(call));
+        let is_refused = matches!(treatment, Treatment::Refused { .. });
+        let finder = turn.board.cause_finder.write(&self.finder);
+        !is_refused && finder.start_trial(now, candidates)
+    }
+
     /// Returns what is refused as the first messages of a session to a peer, which may have started
     /// after it was found.
     #[must_use]
--- a/crates/toucand/src/non_idempotent.rs
+++ b/crates/toucand/src/non_idempotent.rs
@@ -200,6 +200,7 @@
         content_type: request.content_type.clone(),
         key: request.key.clone(),
         body: request.body.clone(),
+        on_trial: std::cell::Cell::default(),
     })
 }
 
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -56,7 +56,7 @@
         if call.deadline <= self.now() {
             return Err(Refusal::Deadline);
         }
-        if self.is_poison(call) {
+        if self.is_poison(call) && !self.start_poison_trial(call) {
             return Err(Refusal::Poison);
         }
         let rules = self.rules().ok_or(Refusal::Starting)?;
--- a/crates/toucand/src/running.rs
+++ b/crates/toucand/src/running.rs
@@ -143,12 +143,34 @@
     /// Returns whether a call is refused because it crashes upstreams.
     #[must_use]
     pub fn is_poison(&self, call: &Call) -> bool {
+        if call.on_trial.get() {
+            return false;
+        }
         let now = self.now();
         let treatment =
             self.read_state(|state| crash_detector::Controller::treatment(&state.board, now, call));
         matches!(treatment, Treatment::Refused { .. })
     }
 
+    /// Returns whether a call may run although it is refused, to find out whether it crashes upstreams.
+    #[must_use]
+    pub fn start_poison_trial(&self, call: &Call) -> bool {
+        let Some(candidates) = crash_detector::candidates(call) else {
+            return false;
+        };
+        let starts = self.update_state(|state, now| {
+            let (mut turn, control) = state.split(now);
+            control
+                .crash_detector
+                .start_trial(&mut turn, call, &candidates)
+        });
+        if starts {
+            self.record_event(Event::PoisonTrial, &call.request_id, &[]);
+            call.on_trial.set(true);
+        }
+        starts
+    }
+
     fn notify_cause_finder(&self, event: cause::Event) {
         self.update_state(|state, now| {
             let (mut turn, control) = state.split(now);
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -457,6 +457,7 @@
 
     /// Requests another slot after a failure, if the retry budget allows it.
     fn retry(&mut self) -> Result<Option<Output>, Failure> {
+        self.call.on_trial.set(false);
         let unreachable = matches!(self.last_error, Some(AttemptError::Unreachable(_)));
         self.unreachable_attempts += u32::from(unreachable);
         // An attempt that was not sent does not load the upstreams, so it has a limit of its own.
--- a/crates/toucand/tests/crashes.rs
+++ b/crates/toucand/tests/crashes.rs
@@ -9,7 +9,7 @@
 use fleet::{publish, Call, Response, Router, TIMEOUT};
 use tsw_fake::{
     store::Store,
-    worker::{Behaviour, Worker},
+    worker::{Behaviour, Worker, CRASH_DOWNTIME},
 };
 
 /// Identifier of the prompt part that crashes engines.
@@ -242,6 +242,78 @@
         .await;
 }
 
+/// Pause between the events of streams that run when their engines crash.
+const SLOW: Duration = Duration::from_millis(100);
+
+impl Site {
+    /// Crashes all engines at once while they run prompts with common parts, before or after the first
+    /// events.
+    async fn crash_all(&mut self, has_events: bool) {
+        let mut running = Vec::new();
+        for number in 0..6 {
+            let own = self.sent + 1;
+            let parts = format!("aa:300,bb:300,f{own:x}:100");
+            let call = self.prompt("/note/1", &parts, format!("request {own}"));
+            let client = self.routers[number % 2].client;
+            running.push(actix_rt::spawn(async move { call.send_to(client).await }));
+        }
+        let run_for = if has_events { 4 * SLOW } else { SLOW / 2 };
+        time::sleep(run_for).await;
+        self.engines.iter().for_each(Worker::crash);
+        for request in running {
+            let response = request.await.expect("no panic").expect("a response");
+            assert!(!response.whole || response.status != 200, "it ended before");
+        }
+        time::sleep(2 * CRASH_DOWNTIME).await;
+    }
+
+    /// Waits until both routers serve prompts with the common parts.
+    async fn wait_served(&mut self) {
+        let deadline = Instant::now() + CONTACT_TIME;
+        let mut served = 0;
+        while served < 4 {
+            assert!(Instant::now() < deadline, "prompts are refused");
+            let response = self.send(self.sent as usize % 2, "cc").await;
+            served = if response.status == 200 {
+                served + 1
+            } else {
+                0
+            };
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// Guards against refusing all prompts of a team because of a common crash of the engines that run some of
+/// them.
+#[actix_rt::test]
+async fn common_crash_of_engines_leads_to_no_refusal() {
+    for has_events in [false, true] {
+        let mut site = Site::with_engines(6, Behaviour::SlowStream(10, SLOW)).await;
+        site.crash_all(has_events).await;
+        for router in [0, 1, 0, 1] {
+            let response = site.send(router, "cc").await;
+            assert_eq!(response.status, 200, "{}", response.text());
+        }
+    }
+}
+
+/// Guards against a refusal that does not end although it is wrong, after three such crashes in a row.
+#[actix_rt::test]
+async fn refusal_after_common_crashes_in_a_row_ends_soon() {
+    for has_events in [false, true] {
+        let mut site = Site::with_engines(6, Behaviour::SlowStream(10, SLOW)).await;
+        for _ in 0..3 {
+            site.crash_all(has_events).await;
+        }
+        let quick = Behaviour::Stream(3);
+        site.engines
+            .iter()
+            .for_each(|engine| engine.set_default(quick));
+        site.wait_served().await;
+    }
+}
+
 /// Guards against two requests of a plain service that crash upstreams and excuse each other.
 #[actix_rt::test]
 async fn two_bookings_that_crash_upstreams_are_refused() {
