Take the software of an upstream as unknown once its listed run has ended

Cause: the version of an upstream was that of its last entry, though routers had seen the run end.

Change: a crash that is found ends the run that the entry names, here and at peers. Until a later run is listed, streams may begin there, but none goes on there or from there. Late or restored entries of that run change nothing.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -195,6 +195,8 @@
     PoisonTrial = 424 Warn "poison-trial";
     /// It is unknown whether an upstream that broke a connection has crashed.
     CrashUnknown = 425 Info "crash-unknown";
+    /// The listed run of an upstream has ended in a crash, so that its software is unknown.
+    UpstreamRunEnded = 426 Warn "upstream-run-ended";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/flow/src/origin.rs
+++ b/crates/flow/src/origin.rs
@@ -46,6 +46,21 @@
 }
 
 impl Software {
+    /// Returns the software of an upstream whose run is unknown. It equals that of no listed run.
+    #[must_use]
+    pub fn unknown(upstream: &Name) -> Self {
+        Self::Process {
+            upstream: upstream.clone(),
+            started_at: u64::MAX,
+        }
+    }
+
+    /// Returns whether this is [`Software::unknown`].
+    #[must_use]
+    pub const fn is_unknown(&self) -> bool {
+        matches!(self, Self::Process { started_at, .. } if *started_at == u64::MAX)
+    }
+
     /// Returns the software of an upstream.
     #[must_use]
     pub fn of(entry: &Entry) -> Self {
@@ -219,8 +234,18 @@
     /// Records that an upstream was listed at a time, whether or not it was leaving. What was last
     /// listed more than `lifetime` before is dropped when other software appears.
     pub fn record(&mut self, at: Timestamp, lifetime: Span, entry: &Entry) {
-        let software = Software::of(entry);
-        let known = self.listed.get_mut(&entry.service);
+        self.record_software(at, lifetime, &entry.service, Software::of(entry));
+    }
+
+    /// Like [`SoftwareHistory::record`], for software that serves without being listed.
+    pub fn record_software(
+        &mut self,
+        at: Timestamp,
+        lifetime: Span,
+        service: &Name,
+        software: Software,
+    ) {
+        let known = self.listed.get_mut(service);
         if let Some(last) = known.and_then(|service| service.get_mut(&software)) {
             *last = at.max(*last);
             return;
@@ -229,7 +254,7 @@
             service.retain(|_, last| at.since(*last) <= lifetime);
             !service.is_empty()
         });
-        let service = self.listed.entry(entry.service.clone()).or_default();
+        let service = self.listed.entry(service.clone()).or_default();
         service.insert(software, at);
     }
 
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -1,5 +1,6 @@
 //! The upstreams of a service and the selection of one for a request.
 
+mod ended;
 mod engine;
 mod limit;
 mod pause;
@@ -84,6 +85,8 @@
     /// Current backoff; zero after a complete response.
     backoff: Span,
     unavailable_until: Timestamp,
+    /// Whether the listed run has ended.
+    has_ended: bool,
 }
 
 impl Upstream {
@@ -97,6 +100,7 @@
             rated_at: Timestamp::ZERO,
             backoff: Span::ZERO,
             unavailable_until: Timestamp::ZERO,
+            has_ended: false,
         }
     }
 
@@ -105,7 +109,7 @@
             id: self.entry.id.clone(),
             address: self.entry.address,
             started_at: self.entry.started_at,
-            software: Software::of(&self.entry),
+            software: self.software(),
             uncached_tokens,
             fetch_from,
         }
@@ -183,6 +187,8 @@
     peer_reports: IndexMap<Name, Vec<(Name, Usage)>>,
     /// Upstreams that stated that they leave, with the start of the run that did.
     leaving: IndexMap<Name, u64>,
+    /// Latest run of each upstream that has ended.
+    ended: IndexMap<Name, ended::Ended>,
     /// Latest pause of each upstream.
     pauses: IndexMap<Name, pause::Pause>,
     /// Rates that upstreams state.
@@ -203,10 +209,12 @@
             let same = kept.filter(|kept| {
                 kept.entry.started_at == entry.started_at && kept.entry.address == entry.address
             });
-            let upstream = match same {
+            let has_ended = self.has_ended(&entry.id, entry.started_at);
+            let mut upstream = match same {
                 Some(kept) => Upstream { entry, ..kept },
                 None => Upstream::new(entry, engine),
             };
+            upstream.has_ended = has_ended;
             self.upstreams.insert(upstream.entry.id.clone(), upstream);
         }
         self.sum_peer_reports();
@@ -300,9 +308,10 @@
     /// Returns whether an upstream of a software, other than `avoid`, accepts new requests.
     #[must_use]
     pub fn accepts_at(&self, software: &Software, avoid: &[Name]) -> bool {
-        let entries = self.upstreams.values().map(|upstream| &upstream.entry);
-        let mut entries = entries.filter(|entry| !entry.leaving && !avoid.contains(&entry.id));
-        entries.any(|entry| Software::of(entry) == *software)
+        let accepts =
+            |upstream: &Upstream| !upstream.entry.leaving && !avoid.contains(&upstream.entry.id);
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|upstream| accepts(upstream) && upstream.runs(software))
     }
 
     /// Returns whether an upstream other than `avoid` accepts new requests.
@@ -327,7 +336,7 @@
     #[must_use]
     pub fn choose(&self, now: Timestamp, constraints: &Constraints<'_>) -> Option<Choice> {
         let eligible = |upstream: &&Upstream| {
-            let is_same = |software: &Software| *software == Software::of(&upstream.entry);
+            let is_same = |software: &Software| upstream.runs(software);
             !upstream.entry.leaving
                 && self.pause_permits(now, upstream)
                 && self.limit_allows(now, upstream)
--- a/crates/flow/src/pool/limit.rs
+++ b/crates/flow/src/pool/limit.rs
@@ -264,9 +264,8 @@
         software: Option<&Software>,
         planned: &mut IndexMap<Name, u32>,
     ) {
-        let is_same = |upstream: &&Upstream| {
-            software.is_none_or(|software| *software == Software::of(&upstream.entry))
-        };
+        let is_same =
+            |upstream: &&Upstream| software.is_none_or(|software| upstream.runs(software));
         let accepting = self.upstreams.values().filter(|upstream| {
             !upstream.entry.leaving
                 && self.pause_permits(now, upstream)
--- a/crates/flow/src/pool/pause.rs
+++ b/crates/flow/src/pool/pause.rs
@@ -87,7 +87,7 @@
         time: impl Fn(&Upstream) -> Span,
     ) -> Span {
         let accepting = self.upstreams.values().filter(|upstream| {
-            let is_same = |software: &Software| *software == Software::of(&upstream.entry);
+            let is_same = |software: &Software| upstream.runs(software);
             !upstream.entry.leaving && software.is_none_or(is_same)
         });
         let times = accepting.map(|upstream| {
--- /dev/null
+++ b/crates/flow/tests/ended_runs.rs
@@ -0,0 +1,71 @@
+//! Guards against streams that go on at, or from, an upstream whose listed run has ended.
+
+#[path = "support/plain.rs"]
+mod plain;
+
+use tsw_base::time::{Span, Timestamp};
+use tsw_flow::{
+    origin::Software,
+    pool::{Entry, Pool},
+};
+
+const NOW: Timestamp = Timestamp::from_micros(1_000_000);
+
+fn entry(started_at: u64, seq: u64) -> Entry {
+    Entry {
+        id: "d1".into(),
+        service: "desk".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "north".into(),
+        slots: 8,
+        leaving: false,
+        started_at,
+        seq,
+        version: Some("v1".into()),
+    }
+}
+
+#[test]
+fn software_is_unknown_until_a_later_run_is_listed() {
+    let (mut pool, v1) = (Pool::default(), Software::Version("v1".into()));
+    pool.set_entries(vec![entry(5, 1)], None);
+    assert!(pool.accepts_at(&v1, &[]));
+    assert!(pool.record_run_ended(NOW, &"d1".into(), 5));
+    assert!(
+        !pool.record_run_ended(NOW, &"d1".into(), 5),
+        "it is not new"
+    );
+    // Late heartbeats of the run, and a restored store, change nothing.
+    for entries in [vec![entry(5, 9)], vec![], vec![entry(4, 1)]] {
+        pool.set_entries(entries, None);
+        assert!(!pool.accepts_at(&v1, &[]));
+    }
+    let choice = plain::choose(&pool, NOW).expect("a stream may begin there");
+    assert!(choice.software.is_unknown());
+    pool.set_entries(vec![entry(6, 1)], None);
+    assert!(pool.accepts_at(&v1, &[]));
+}
+
+/// Guards against the news of a peer about an earlier run that makes the present one unknown.
+#[test]
+fn end_of_an_earlier_run_does_not_affect_the_present_one() {
+    let (mut pool, v1) = (Pool::default(), Software::Version("v1".into()));
+    pool.set_entries(vec![entry(6, 1)], None);
+    pool.record_run_ended(NOW, &"d1".into(), 5);
+    assert!(pool.accepts_at(&v1, &[]));
+}
+
+/// Guards against an upstream that stays unknown although it refused a connection for another reason.
+#[test]
+fn response_to_an_earlier_request_shows_that_the_run_goes_on() {
+    let (mut pool, v1) = (Pool::default(), Software::Version("v1".into()));
+    pool.set_entries(vec![entry(5, 1)], None);
+    pool.record_run_ended(NOW, &"d1".into(), 5);
+    pool.record_running(&"d1".into(), NOW + Span::from_millis(1));
+    assert!(
+        !pool.accepts_at(&v1, &[]),
+        "a later request may reach a later run"
+    );
+    pool.record_running(&"d1".into(), Timestamp::ZERO);
+    assert!(pool.accepts_at(&v1, &[]));
+}
--- a/crates/poison/src/candidates.rs
+++ b/crates/poison/src/candidates.rs
@@ -29,16 +29,19 @@
     Answered = 0x616e_7377,
     /// The time in microseconds for which a request ran before its upstream crashed.
     RanFor = 0x7261_6e66,
+    /// The start of a run of an upstream that has ended.
+    EndedRun = 0x656e_6465,
 }
 
 impl Tag {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Cause,
         Self::Team,
         Self::Upstream,
         Self::Remaining,
         Self::Answered,
         Self::RanFor,
+        Self::EndedRun,
     ];
 }
 
--- a/crates/poison/src/cause.rs
+++ b/crates/poison/src/cause.rs
@@ -19,6 +19,7 @@
 mod rule;
 
 use evidence::{count_independent, Crash, InFlight};
+pub(crate) use report::upstream;
 use report::Report;
 use rule::Rule;
 
--- a/crates/poison/src/cause/report.rs
+++ b/crates/poison/src/cause/report.rs
@@ -71,7 +71,7 @@
 }
 
 /// Returns the fingerprint by which crashes of the same upstream are recognized.
-pub(super) fn upstream(name: &name::Upstream) -> Fingerprint {
+pub(crate) fn upstream(name: &name::Upstream) -> Fingerprint {
     Fingerprint::of_parts(&[name.as_str().as_bytes()], b"").with_tag(Tag::Upstream)
 }
 
--- /dev/null
+++ b/crates/poison/src/ended_run.rs
@@ -0,0 +1,68 @@
+//! Message between routers about runs of upstreams that have ended.
+
+use tsw_base::name;
+
+use crate::{
+    candidates::Tag,
+    cause,
+    message::{Finding, Findings, Fingerprint, Verdict},
+};
+
+/// A run of an upstream that ended in a crash, so that another process may answer at its address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EndedRun {
+    upstream: Fingerprint,
+    /// Start of the run, in milliseconds since 1970.
+    pub started_at: u64,
+}
+
+impl EndedRun {
+    /// Creates the message about a run of an upstream.
+    #[must_use]
+    pub fn new(upstream: &name::Upstream, started_at: u64) -> Self {
+        Self {
+            upstream: cause::upstream(upstream),
+            started_at,
+        }
+    }
+
+    /// Returns whether the run is one of this upstream.
+    #[must_use]
+    pub fn is_of(&self, upstream: &name::Upstream) -> bool {
+        self.upstream == cause::upstream(upstream)
+    }
+
+    /// Returns the run as findings, which routers of older versions ignore.
+    ///
+    /// ```
+    /// use tsw_poison::ended_run::EndedRun;
+    /// let run = EndedRun::new(&"engine-1".parse()?, 1_700_000_000_000);
+    /// assert_eq!(EndedRun::parse(&run.findings()), Some(run));
+    /// # Ok::<(), tsw_base::name::Error>(())
+    /// ```
+    #[must_use]
+    pub fn findings(&self) -> Findings {
+        let start = Fingerprint(u128::from(self.started_at)).with_tag(Tag::EndedRun);
+        let findings = [self.upstream, start].map(|fingerprint| Finding {
+            fingerprint,
+            verdict: Verdict::Cleared,
+        });
+        Findings {
+            findings: findings.to_vec(),
+        }
+    }
+
+    /// Returns the run that findings are about, if they are about one.
+    #[must_use]
+    pub fn parse(findings: &Findings) -> Option<Self> {
+        let [upstream, start] = &findings.findings[..] else {
+            return None;
+        };
+        let (upstream, start) = (upstream.fingerprint, start.fingerprint);
+        let is_run = upstream.has_tag(Tag::Upstream) && start.has_tag(Tag::EndedRun);
+        is_run.then_some(Self {
+            upstream,
+            started_at: u64::try_from(start.untagged()).unwrap_or(u64::MAX),
+        })
+    }
+}
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -6,6 +6,7 @@
 //!   common, such as a part of their prompts.
 //! - [`candidates`]: what may be the cause if a request crashes an upstream.
 //! - [`broken_connections`]: decides whether a broken connection is evidence against its request.
+//! - [`ended_run`]: [`EndedRun`], a message about a run of an upstream that has ended.
 //! - [`fingerprint`]: the hash that identifies a request.
 //! - [`message`]: [`Findings`], which routers send each other.
 //!
@@ -53,9 +54,11 @@
 pub mod candidates;
 pub mod cause;
 pub mod detector;
+pub mod ended_run;
 pub mod fingerprint;
 pub mod message;
 
 pub use candidates::Candidates;
 pub use detector::{Command, CrashDetector, Event, Treatment};
+pub use ended_run::EndedRun;
 pub use message::{Finding, Findings, Fingerprint, Verdict};
--- a/crates/relay/src/crash_detector.rs
+++ b/crates/relay/src/crash_detector.rs
@@ -16,7 +16,8 @@
 use tsw_flow::prompt::Prompt;
 use tsw_http::{connection::Connection, exchange::ReusableConnection};
 use tsw_poison::{
-    cause, detector, Candidates, Command, Finding, Findings, Fingerprint, Treatment, Verdict,
+    cause, detector, Candidates, Command, EndedRun, Finding, Findings, Fingerprint, Treatment,
+    Verdict,
 };
 use tsw_route::Name;
 
@@ -76,6 +77,8 @@
 pub(crate) struct BrokenConnection {
     pub(crate) upstream: Name,
     pub(crate) address: SocketAddr,
+    /// Start of the run of the upstream.
+    pub(crate) started_at: u64,
     /// When the request was sent.
     pub(crate) sent: Timestamp,
     /// Whether a part of the response was forwarded.
@@ -100,6 +103,17 @@
     reminder: Vec<Findings>,
 }
 
+fn log_ended_run(upstream: &Name, started_at: u64, source: &str) {
+    emit(
+        Event::UpstreamRunEnded,
+        &[
+            ("upstream", upstream),
+            ("run", &started_at),
+            ("source", &source),
+        ],
+    );
+}
+
 fn log_finding(finding: &Finding) {
     let text = format!("{:032x}", finding.fingerprint.0);
     match &finding.verdict {
@@ -210,6 +224,7 @@
                 self.record_broken_connection(request, broken)
             }
             Err(error) if is_down(&error) => {
+                self.record_ended_run(request, broken);
                 self.handle_cause_event(cause::Event::Crashed {
                     upstream: detector_name(&broken.upstream),
                     request: candidates(request),
@@ -232,6 +247,34 @@
         self.metrics.breaks.with_label_values(&[outcome]).inc();
     }
 
+    /// Records that the run of an upstream has ended, and tells the other routers.
+    fn record_ended_run(&self, request: &Request, broken: &BrokenConnection) {
+        let (now, id, started_at) = (self.now(), &broken.upstream, broken.started_at);
+        let is_new = self.with_service(&request.service, |service| {
+            service.pool.record_run_ended(now, id, started_at)
+        });
+        if is_new == Some(true) {
+            let run = EndedRun::new(&detector_name(id), started_at);
+            self.messages_to_peers.borrow_mut().push(run.findings());
+            self.findings_ready.notify_one();
+            log_ended_run(id, started_at, "seen");
+        }
+    }
+
+    /// Applies that another router has seen the run of an upstream end.
+    fn apply_ended_run(&self, run: &EndedRun) {
+        let now = self.now();
+        for service in self.services.borrow_mut().values_mut() {
+            let found = service.pool.find(|id| run.is_of(&detector_name(id)));
+            let Some(id) = found.cloned() else {
+                continue;
+            };
+            if service.pool.record_run_ended(now, &id, run.started_at) {
+                log_ended_run(&id, run.started_at, "told");
+            }
+        }
+    }
+
     /// Records that an upstream that has not crashed broke the connection of a request before it began its
     /// response. Returns whether this counts against the request.
     fn record_broken_connection(
@@ -353,6 +396,9 @@
 
     /// Applies the findings of another router.
     pub fn apply_findings(&self, findings: Findings) {
+        if let Some(run) = EndedRun::parse(&findings) {
+            return self.apply_ended_run(&run);
+        }
         let (requests, causes) = findings.split();
         self.handle_detector_event(detector::Event::Message(requests));
         self.handle_cause_event(cause::Event::Message(causes));
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -173,6 +173,17 @@
         self.software.borrow_mut().record(at, lifetime, entry);
     }
 
+    /// Records that a stream began at an upstream whose run is unknown. Other software than that of its entry
+    /// may have written it.
+    pub(crate) fn record_unknown_software(&self, origin: &Origin) {
+        if origin.software.is_unknown() {
+            let (now, lifetime) = (self.now(), self.origin_lifetime());
+            let (service, software) = (&origin.service, origin.software.clone());
+            let mut history = self.software.borrow_mut();
+            history.record_software(now, lifetime, service, software);
+        }
+    }
+
     /// Records that all upstreams that any router can use now were recorded.
     pub fn set_software_complete(&self) {
         self.software.borrow_mut().set_complete(self.now());
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -178,6 +178,7 @@
             self.router.metrics.wait.observe(waited);
             let choice = reservation.choice();
             let (upstream, address) = (choice.id.clone(), choice.address);
+            let started_at = choice.started_at;
             let error = match self.attempt(reservation).await {
                 Ok(outcome) => return Ok(outcome),
                 Err(AttemptFailure::Client(error)) => return Err(error),
@@ -198,6 +199,7 @@
                 let broken = BrokenConnection {
                     upstream: upstream.clone(),
                     address,
+                    started_at,
                     sent: self.attempted_at,
                     has_begun: self.timing.first_event.is_some(),
                 };
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -25,10 +25,11 @@
 impl RequestRun<'_, '_> {
     /// Records that an upstream responded in full.
     fn record_success(&self, upstream: &Name) {
-        let (router, now) = (self.router, self.router.now());
+        let (router, now, sent) = (self.router, self.router.now(), self.attempted_at);
         router.record_whole_response(self.request, upstream);
         router.with_service(&self.request.service, |service| {
             service.pool.record_success(now, upstream);
+            service.pool.record_running(upstream, sent);
         });
     }
 
@@ -201,6 +202,7 @@
             service: request.service.clone(),
             software: software.clone(),
         });
+        router.record_unknown_software(origin);
         let resumed = request.resumed_key();
         for key in resumed.into_iter().chain([request.key()]) {
             router.record_origin(key, origin.clone());
--- a/crates/toucand/tests/software_versions.rs
+++ b/crates/toucand/tests/software_versions.rs
@@ -372,3 +372,61 @@
     unknown.head.fields.push("Last-Event-Id", "1");
     assert_eq!(unknown.send(&versions.router).await.status, 503);
 }
+
+/// Guards against streams joined from two versions because an upstream crashed and returned under its name
+/// with other software, while its entry still states the version that it had.
+#[actix_rt::test]
+async fn no_stream_goes_on_at_or_from_an_upstream_that_returned_before_its_entry_says_so() {
+    let slow = Behaviour::SlowStream(6, Duration::from_millis(100));
+    let versions = Versions::start(&[(Some("v1"), slow); 3]).await;
+    versions
+        .engines
+        .iter()
+        .for_each(|engine| engine.set_version(Some("v1")));
+    let send = |number: usize| {
+        let call = separate_prompt(number);
+        let router = &versions.router;
+        async move { call.send(router).await }
+    };
+    let crash = async {
+        wait_until("a stream runs at the first engine", || {
+            !versions.engines[0].arrivals().is_empty()
+        })
+        .await;
+        versions.engines[0].crash();
+        versions.engines[0].set_version(Some("v2"));
+    };
+    future::join(future::join_all((10..19).map(send)), crash).await;
+    let seen = "relay_breaks_total{outcome=\"crash\"}";
+    assert!(versions.metrics().await.contains(seen), "no crash was seen");
+    actix_rt::time::sleep(tsw_fake::worker::CRASH_DOWNTIME).await;
+    for round in 2..6 {
+        for engine in &versions.engines {
+            engine.set_default(Behaviour::Stream(6));
+            engine.clear_script();
+            engine.script(&[Behaviour::ResetStream(2); 2]);
+        }
+        let responses = future::join_all((10 * round..10 * round + 9).map(send)).await;
+        for response in responses {
+            let text = response.text();
+            let is_joined = text.contains("v1 piece") && text.contains("v2 piece");
+            assert!(!is_joined, "{text}");
+        }
+    }
+    let arrivals = versions.arrivals(0);
+    let began = arrivals.iter().filter(|(_, after)| after.is_none()).count();
+    assert!(began > 1, "no stream began at the engine that returned");
+    // The entry of the next run ends the uncertainty.
+    versions.list(0, "ready", 2, Some("v2"));
+    versions.list(1, "draining", 1, Some("v1"));
+    versions.list(2, "draining", 1, Some("v1"));
+    versions.wait_accepting(1).await;
+    versions.engines[0].set_default(Behaviour::Stream(6));
+    versions.engines[0].clear_script();
+    versions.engines[0].script(&[Behaviour::ResetStream(2)]);
+    assert_eq!(send(90).await.events(), [0, 1], "no other engine has it");
+    let mut call = Call::prompt("/draft/1", "a91");
+    call.head.fields.push("Last-Event-Id", "1");
+    call.head.fields.push("Resumes", "a90");
+    assert_eq!(call.send(&versions.router).await.events(), [2, 3, 4, 5]);
+}
