End a request at its deadline although its upstream always has data

Cause: the timer was polled after the branch that forwards, which uses up what a task may do at once. Change: the timer and the signal to stop are polled first.

--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -101,6 +101,8 @@
     Trailers,
     /// A body without a stated length.
     Body,
+    /// The body of a failure.
+    Failure,
     /// The body of a response to another request.
     ForeignResponse,
     /// An event of a stream.
@@ -111,7 +113,7 @@
 
 impl Endless {
     /// All variants.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::StatusLine,
         Self::InterimResponses,
         Self::HeaderField,
@@ -119,6 +121,7 @@
         Self::ChunkExtension,
         Self::Trailers,
         Self::Body,
+        Self::Failure,
         Self::ForeignResponse,
         Self::Event,
         Self::TrailingData,
@@ -141,6 +144,10 @@
                 "X-Field: value\r\n".repeat(64),
             ),
             Self::Body => (format!("{named}\r\n"), filler),
+            Self::Failure => (
+                format!("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: {id}\r\n\r\n"),
+                filler,
+            ),
             Self::ForeignResponse => (
                 "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Stamp: of-other\r\n\r\n".to_owned(),
                 filler,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -124,9 +124,10 @@
     } else {
         tokio::select! {
             biased;
-            outcome = request_run.run_attempts() => Ok(outcome?),
+            // First, since an upstream that always has data uses up what the task may do at once.
             () = time::sleep(left) => Err(Refusal::Late),
             _ = stopping.changed() => Err(Refusal::Stopping),
+            outcome = request_run.run_attempts() => Ok(outcome?),
         }
     };
     let outcome = match end {
--- a/crates/toucand/tests/broken_responses.rs
+++ b/crates/toucand/tests/broken_responses.rs
@@ -4,8 +4,16 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
-use fleet::{Call, Site};
-use tsw_fake::worker::Behaviour;
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use fleet::{Call, Site, HOST};
+use serde_json::Value;
+use tsw_fake::worker::{Behaviour, Endless};
 
 /// Longer than the head of a response of the stand-in.
 const HEAD_BYTES: usize = 120;
@@ -96,6 +104,7 @@
         Behaviour::Unframed,
         Behaviour::CutHead(40),
         Behaviour::Reset,
+        Behaviour::Endless(Endless::Failure),
     ] {
         let site = Site::start(Behaviour::Plain, Behaviour::Stream(4)).await;
         // An engine that has the prompt is chosen again.
@@ -113,7 +122,7 @@
         assert!(!first.whole, "{next:?}: {first:?}");
         assert_eq!(first.events(), [0, 1], "{next:?}: {first:?}");
         let text = first.text();
-        for foreign in ["HTTP/1.1", "fail", "answer to", "Attempt-Id"] {
+        for foreign in ["HTTP/1.1", "fail", "answer to", "Attempt-Id", "xxxx"] {
             assert!(!text.contains(foreign), "{next:?}: {text:?}");
         }
     }
@@ -140,3 +149,66 @@
         assert_ne!(response.status, 200, "{next:?}: {response:?}");
     }
 }
+
+/// Serves a response without end on each connection, as fast as it is read.
+fn serve_without_end(listener: TcpListener) {
+    for stream in listener.incoming().flatten() {
+        thread::spawn(move || {
+            let mut stream = stream;
+            let mut request = vec![0; 4_096];
+            let read = stream.read(&mut request).unwrap_or_default();
+            let text = String::from_utf8_lossy(&request[..read]).into_owned();
+            let id = text
+                .lines()
+                .find_map(|line| line.strip_prefix("Attempt-Id: "));
+            let id = id.unwrap_or_default();
+            let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\n\r\n");
+            let filler = vec![b'x'; 65_536];
+            let mut sent = stream.write_all(head.as_bytes());
+            while sent.is_ok() {
+                sent = stream.write_all(&filler);
+            }
+        });
+    }
+}
+
+/// Returns how long a client reads a response until the router ends it.
+fn read_to_end(router: SocketAddr, id: usize) -> Duration {
+    let mut stream = TcpStream::connect(router).expect("connected");
+    let request = format!(
+        "GET /open/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: b{id}\r\nDeadline-Ms: 1500\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).expect("sent");
+    let (started, mut buffer) = (Instant::now(), vec![0; 1 << 20]);
+    while started.elapsed() < Duration::from_secs(6) {
+        if stream.read(&mut buffer).unwrap_or_default() == 0 {
+            break;
+        }
+    }
+    started.elapsed()
+}
+
+/// Guards against a response without end that is forwarded after the time limit of its request, because
+/// neither the upstream nor the client makes the router wait.
+#[actix_rt::test]
+async fn response_without_end_ends_at_the_deadline() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Plain).await;
+    site.router.set_descriptors(4_000).await;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let entry = fleet::entry("desk", &site.desk, "ready", 2);
+    let mut entry: Value = serde_json::from_slice(&entry).expect("JSON");
+    entry["address"] = listener.local_addr().expect("bound").to_string().into();
+    entry["born"] = 2_000.into();
+    entry["slots"] = 100.into();
+    thread::spawn(move || serve_without_end(listener));
+    site.store
+        .set("servers/d1", Some(entry.to_string().as_bytes()));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let router = site.router.client;
+    let clients = (0..8).map(|id| thread::spawn(move || read_to_end(router, id)));
+    for client in clients.collect::<Vec<_>>() {
+        let took = client.join().expect("no panic");
+        assert!(took < Duration::from_secs(4), "it goes on: {took:?}");
+        assert!(took > Duration::from_millis(1_000), "it was cut: {took:?}");
+    }
+}
