Never pass a plain response on in the middle of a stream

A client got the whole head of a failure among the chunks of its stream: a stream broke, and the next upstream answered with status 500 and a body of over 1 MiB (a finding of the review without a case).

Cause: a response that is too long to be held back was passed on without a look at what had been written before. Change: it is a broken attempt then. Test: head_of_a_long_failure_is_not_among_the_bytes_of_a_stream finds two heads on, one now.

--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -65,6 +65,10 @@
             match self.next_data(&mut exchange, &upstream, now).await? {
                 None => break,
                 Some(data) if body.len() + data.len() > MAX_BUFFERED => {
+                    if self.responder.progress() != Progress::NotStarted {
+                        let cause = "a plain response instead of the rest of a stream";
+                        return Err(AttemptError::new(FailureKind::Broken, cause).into());
+                    }
                     body.extend_from_slice(&data);
                     return self.forward_rest(exchange, body.freeze()).await;
                 }
--- a/crates/toucand/tests/broken_responses.rs
+++ b/crates/toucand/tests/broken_responses.rs
@@ -212,3 +212,36 @@
         assert!(took > Duration::from_millis(1_000), "it was cut: {took:?}");
     }
 }
+
+/// Guards against the head of a failure without end among the bytes of a stream that has begun. A client that
+/// decodes chunks fails at it and so hides it.
+#[actix_rt::test]
+async fn head_of_a_long_failure_is_not_among_the_bytes_of_a_stream() {
+    let site = Site::start(Behaviour::Plain, Behaviour::Stream(4)).await;
+    Call::prompt("/draft/1", "a0").send(&site.router).await;
+    let [one, two] = &site.models;
+    let (first_model, next_model) = if one.arrivals().is_empty() {
+        (two, one)
+    } else {
+        (one, two)
+    };
+    first_model.set_default(Behaviour::ResetStream(2));
+    next_model.set_default(Behaviour::Endless(Endless::Failure));
+    let call = Call::prompt("/draft/1", "a1");
+    let mut bytes = bytes::BytesMut::new();
+    call.head.write(&mut bytes);
+    bytes.extend_from_slice(&call.body);
+    let router = site.router.client;
+    let client = thread::spawn(move || {
+        let mut stream = TcpStream::connect(router).expect("connected");
+        stream.write_all(&bytes).expect("sent");
+        let mut read = Vec::new();
+        let limit = (&mut stream).take(4 << 20).read_to_end(&mut read);
+        limit.map(|_| read).expect("read")
+    });
+    fleet::wait_until("the end of the response", || client.is_finished()).await;
+    let read = client.join().expect("no panic");
+    assert_eq!(next_model.arrivals().len(), 1, "not continued");
+    let heads = String::from_utf8_lossy(&read).matches("HTTP/1.1 ").count();
+    assert_eq!(heads, 1, "{} bytes", read.len());
+}
