Keep what all requests buffer in one account of the process's memory

60 clients that each send almost all of a body of 4 MiB took 255 MB of a router, and 244 MB without a valid key, where hosts have 110 MB.

Cause: what one request buffers was limited, what all of them do was not. Bodies of denied requests were read. Failures were kept up to 1 MiB and passed on from there.

Change: one account for the router (relay::memory), from the memory that the deployment grants. Denied requests are answered without their body. Of a failure at most 64 KiB are kept.

--- a/crates/gate/src/authorize.rs
+++ b/crates/gate/src/authorize.rs
@@ -95,6 +95,14 @@
 }
 
 impl Allowed {
+    /// Returns the name of the team, or `-` without one.
+    #[must_use]
+    pub fn team_name(&self) -> Name {
+        self.team
+            .as_ref()
+            .map_or_else(|| "-".into(), |team| team.name.clone())
+    }
+
     /// Builds the request once its body has arrived.
     #[must_use]
     pub fn into_request(self, head: head::Request, body: Bytes, arrived: Timestamp) -> Request {
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -8,6 +8,7 @@
     net::{tcp::ReadHalf, TcpStream},
     time,
 };
+use tsw_base::time::Span;
 use tsw_event::{
     contained::{self, Panicked},
     emit, Event,
@@ -19,7 +20,8 @@
 };
 use tsw_platform::client_request;
 use tsw_relay::{
-    local_response::LocalResponse,
+    local_response::{LocalResponse, Refusal},
+    memory,
     request::Request,
     responder::{Progress, Responder},
     run::{self, Outcome},
@@ -27,7 +29,8 @@
 use tsw_route::table::Limits;
 
 use crate::{
-    authorize, origin_sync,
+    authorize::{self, Denied},
+    origin_sync,
     state::{Phase, State},
 };
 
@@ -40,6 +43,9 @@
 /// response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Response to a request whose body finds no memory. Bodies that are being sent take a moment.
+const OUT_OF_MEMORY: LocalResponse = LocalResponse::NotRun(Refusal::Memory, Span::from_millis(500));
+
 /// Increments a counter of requests or connections until it is dropped.
 struct CountGuard<'a>(&'a Cell<usize>);
 
@@ -179,7 +185,15 @@
 ) -> io::Result<bool> {
     let table = state.router.table();
     let checked = authorize::check(&head, table.as_ref());
-    let body = match read_body(connection, &head, &state.limits()).await {
+    let allowed = match checked {
+        Ok(allowed) => allowed,
+        Err(denied) => {
+            let version = table.as_ref().map_or(0, |table| table.version);
+            return deny(state, connection, &head, &denied, version).await;
+        }
+    };
+    let mut share = state.router.memory.share(allowed.team_name());
+    let body = match read_body(connection, &head, &state.limits(), &mut share).await {
         Ok(Ok(body)) => body,
         Err(error) => {
             log_lost(connection, Some(&head), &error);
@@ -201,23 +215,6 @@
     if state.reuse.is_rare() {
         responder.close_if_not_run();
     }
-    let allowed = match checked {
-        Ok(allowed) => allowed,
-        Err(denied) => {
-            let id = denied.id.as_deref();
-            let version = table.as_ref().map_or(0, |table| table.version);
-            emit(
-                Event::Refused,
-                &[
-                    ("request", &id.unwrap_or("-")),
-                    ("cause", &denied.response),
-                    ("version", &version),
-                ],
-            );
-            run::send_local_response(&state.router, &mut responder, id, denied.response).await?;
-            return Ok(responder.is_reusable());
-        }
-    };
     let http10 = head.http10;
     let mut request = allowed.into_request(head, body, arrived);
     state.router.bind_known(&mut request);
@@ -258,6 +255,52 @@
     }
 }
 
+/// Answers a request that is denied, without reading a body that has not arrived yet. Returns whether the
+/// connection can be reused.
+async fn deny(
+    state: &State,
+    connection: &mut Connection,
+    head: &head::Request,
+    denied: &Denied,
+    version: u64,
+) -> io::Result<bool> {
+    let id = denied.id.as_deref();
+    emit(
+        Event::Refused,
+        &[
+            ("request", &id.unwrap_or("-")),
+            ("cause", &denied.response),
+            ("version", &version),
+        ],
+    );
+    let has_whole_body = match head.length() {
+        Ok(body::Length::Exact(bytes)) => skip_arrived(connection, bytes),
+        _ => false,
+    };
+    let close = !has_whole_body || state.closes_after_response();
+    let (_, writer) = connection.stream.split();
+    let mut responder = Responder::new(writer, head, close);
+    if state.reuse.is_rare() {
+        responder.close_if_not_run();
+    }
+    run::send_local_response(&state.router, &mut responder, id, denied.response).await?;
+    let is_reusable = responder.is_reusable();
+    if !has_whole_body {
+        linger(connection).await;
+    }
+    Ok(is_reusable)
+}
+
+/// Discards a body if all of it has arrived, and returns whether it has.
+fn skip_arrived(connection: &mut Connection, bytes: u64) -> bool {
+    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+    let has_arrived = connection.buffer.len() >= bytes;
+    if has_arrived {
+        drop(connection.buffer.split_to(bytes));
+    }
+    has_arrived
+}
+
 /// Responds to a request whose task panicked, and closes the connection. The request may have run.
 async fn respond_after_panic(
     state: &State,
@@ -317,6 +360,7 @@
     connection: &mut Connection,
     head: &head::Request,
     limits: &Limits,
+    share: &mut memory::Share,
 ) -> io::Result<Result<Bytes, LocalResponse>> {
     let length = match head.length() {
         Ok(body::Length::Exact(bytes)) if bytes > limits.body_bytes as u64 => {
@@ -332,9 +376,9 @@
     match length {
         body::Length::Exact(bytes) => {
             let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
-            read_exact(connection, bytes).await
+            read_exact(connection, bytes, share).await
         }
-        _ => read_chunked(connection, body::Decoder::new(length), limits).await,
+        _ => read_chunked(connection, body::Decoder::new(length), limits, share).await,
     }
 }
 
@@ -342,12 +386,16 @@
 async fn read_exact(
     connection: &mut Connection,
     bytes: usize,
+    share: &mut memory::Share,
 ) -> io::Result<Result<Bytes, LocalResponse>> {
     while connection.buffer.len() < bytes {
         let missing = bytes - connection.buffer.len();
         if let Err(response) = read_more(connection, missing).await? {
             return Ok(Err(response));
         }
+        if share.resize(connection.buffer.capacity()).is_err() {
+            return Ok(Err(OUT_OF_MEMORY));
+        }
     }
     Ok(Ok(connection.buffer.split_to(bytes).freeze()))
 }
@@ -357,6 +405,7 @@
     connection: &mut Connection,
     mut decoder: body::Decoder,
     limits: &Limits,
+    share: &mut memory::Share,
 ) -> io::Result<Result<Bytes, LocalResponse>> {
     let mut body = BytesMut::new();
     loop {
@@ -364,7 +413,12 @@
             Ok(Some(data)) if body.len() + data.len() > limits.body_bytes => {
                 return Ok(Err(LocalResponse::BodyTooLarge));
             }
-            Ok(Some(data)) => body.extend_from_slice(&data),
+            Ok(Some(data)) => {
+                body.extend_from_slice(&data);
+                if share.resize(body.capacity()).is_err() {
+                    return Ok(Err(OUT_OF_MEMORY));
+                }
+            }
             Ok(None) if decoder.is_done() => return Ok(Ok(body.freeze())),
             Ok(None) => {
                 if let Err(response) = read_more(connection, 0).await? {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -51,6 +51,15 @@
 /// Pause after a failure to accept a connection, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Variable with the memory that the deployment grants the process, in megabytes.
+const MEMORY_VARIABLE: &str = "TOUCAN_MEMORY_MB";
+/// Memory of the process in megabytes if the deployment does not state it.
+const DEFAULT_MEMORY_MB: f64 = 110.0;
+/// Maximum of the stated memory in megabytes.
+const MAX_MEMORY_MB: f64 = 65_536.0;
+/// Part of the memory that requests may buffer. The kernel's buffers of the connections count as well.
+const REQUEST_MEMORY_PART: f64 = 0.35;
+
 /// An error that prevents the start of the process.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -175,6 +184,7 @@
         },
         protocol: Box::new(PlatformProtocol),
         metrics: Metrics::new()?,
+        memory_bytes: memory_bytes(),
     });
     let own_member = Member {
         host: settings.host.clone(),
@@ -210,6 +220,15 @@
     }))
 }
 
+/// Returns the number of bytes that all requests may buffer.
+fn memory_bytes() -> usize {
+    let granted = std::env::var(MEMORY_VARIABLE).ok();
+    let granted = granted.and_then(|text| text.trim().parse::<f64>().ok());
+    let granted = granted.filter(|megabytes| *megabytes > 0.0);
+    let megabytes = granted.unwrap_or(DEFAULT_MEMORY_MB).min(MAX_MEMORY_MB);
+    (megabytes * REQUEST_MEMORY_PART * 1e6) as usize
+}
+
 async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
     let bound = connection::listen(address).await;
     bound.map_err(|source| Error::Bind {
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -45,6 +45,12 @@
 }
 
 impl Splitter {
+    /// Returns the number of bytes that are buffered.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Adds data to the buffer.
     ///
     /// # Errors
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod credits;
 pub mod event;
 pub mod local_response;
+pub mod memory;
 pub mod metrics;
 pub mod origins;
 pub mod protocol;
--- a/crates/relay/src/local_response.rs
+++ b/crates/relay/src/local_response.rs
@@ -21,6 +21,8 @@
     Limited,
     /// The router is about to exit.
     Stopping,
+    /// The memory for the bodies and responses of all requests is used up.
+    Memory,
     /// Equal requests, or others with the same prompt parts, crashed several upstreams.
     Poison,
     /// It resumes a stream, and it is not known which software began the stream.
@@ -39,6 +41,7 @@
             Self::Paused => "paused",
             Self::Limited => "limited",
             Self::Stopping => "stopping",
+            Self::Memory => "memory",
             Self::Poison => "crashed-upstreams",
             Self::UnknownOrigin => "unknown-origin",
         }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     assignment::Assignments,
+    memory,
     metrics::Metrics,
     origins::Running,
     protocol::Protocol,
@@ -55,6 +56,8 @@
     pub protocol: Box<dyn Protocol>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Maximum number of bytes that all requests buffer.
+    pub memory_bytes: usize,
 }
 
 /// A router's load and recent work for one service, as reported to other routers.
@@ -82,6 +85,8 @@
     pub(crate) protocol: Box<dyn Protocol>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// The bytes that requests buffer.
+    pub memory: Rc<memory::Account>,
     pub(crate) connections: RefCell<pool::Pool>,
     pub(crate) services: RefCell<IndexMap<Name, Service>>,
     pub(crate) waiters: RefCell<Waiters>,
@@ -134,6 +139,7 @@
             domain: options.domain,
             protocol: options.protocol,
             metrics: options.metrics,
+            memory: memory::Account::new(options.memory_bytes),
             connections: RefCell::default(),
             services: RefCell::default(),
             waiters: RefCell::default(),
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -21,6 +21,8 @@
 /// Maximum number of bytes of a plain response that are buffered until it is complete, so that a
 /// retry can replace a response that breaks off.
 const MAX_BUFFERED: usize = 1 << 20;
+/// Maximum number of bytes of the body of a failure, which is kept while the request is tried elsewhere.
+const MAX_FAILURE_BYTES: usize = 65_536;
 
 impl RequestRun<'_, '_> {
     /// Records that an upstream responded in full.
@@ -59,20 +61,32 @@
             reservation,
         } = attempt;
         let upstream = reservation.choice().id.clone();
+        let has_failed = exchange.head().status >= 500;
+        let max = if has_failed {
+            MAX_FAILURE_BYTES
+        } else {
+            MAX_BUFFERED
+        };
+        let mut share = self.router.memory.share(self.request.team().into());
         let mut body = BytesMut::new();
         loop {
             let now = self.router.now();
-            match self.next_data(&mut exchange, &upstream, now).await? {
-                None => break,
-                Some(data) if body.len() + data.len() > MAX_BUFFERED => {
-                    if self.responder.progress() != Progress::NotStarted {
-                        let cause = "a plain response instead of the rest of a stream";
-                        return Err(AttemptError::new(FailureKind::Broken, cause).into());
-                    }
-                    body.extend_from_slice(&data);
-                    return self.forward_rest(exchange, body.freeze()).await;
-                }
-                Some(data) => body.extend_from_slice(&data),
+            let Some(data) = self.next_data(&mut exchange, &upstream, now).await? else {
+                break;
+            };
+            body.extend_from_slice(&data);
+            let fits = body.len() <= max && share.resize(body.capacity()).is_ok();
+            if !fits && has_failed {
+                let cause = format!("status {} with a long body", exchange.head().status);
+                return Err(AttemptError::new(FailureKind::Failed, cause).into());
+            }
+            if !fits && self.responder.progress() != Progress::NotStarted {
+                let cause = "a plain response instead of the rest of a stream";
+                return Err(AttemptError::new(FailureKind::Broken, cause).into());
+            }
+            if !fits {
+                drop(share);
+                return self.forward_rest(exchange, body.freeze()).await;
             }
         }
         let head = exchange.head().clone();
@@ -143,6 +157,7 @@
                 ],
             );
         }
+        let mut share = self.router.memory.share(self.request.team().into());
         let mut splitter = Splitter::default();
         let mut events = Vec::new();
         let mut since = self.router.now();
@@ -150,6 +165,9 @@
             splitter
                 .add(&data)
                 .map_err(|error| AttemptError::new(FailureKind::Broken, error))?;
+            share
+                .resize(splitter.buffered())
+                .map_err(|error| AttemptError::new(FailureKind::Broken, error))?;
             let mut count = 0;
             while let Some(event) = splitter.take() {
                 if is_after(event.id.as_ref(), self.last_event_id.as_ref()) {
