--- a/crates/toucand/tests/planned_stop.rs
+++ b/crates/toucand/tests/planned_stop.rs
@@ -146,3 +146,55 @@
     );
     assert_eq!(site.desk.arrivals().len(), 0, "the request was started");
 }
+
+/// Guards against requests that are cut without a response because they wait in the queue, stream, or arrive
+/// late when the router is told to stop.
+#[actix_rt::test]
+async fn queued_streaming_and_late_requests_are_answered_in_a_planned_stop() {
+    let slow = Behaviour::SlowStream(10, Duration::from_millis(300));
+    let mut site = Site::start(Behaviour::LatePlain(Duration::from_millis(100)), slow).await;
+    site.router.set_descriptors(4_000).await;
+    let client = site.router.client;
+    // More than the slots of both engines.
+    let prompts = (0..20).map(|number| {
+        let call = Call::prompt("/note/1", &format!("p{number}"));
+        actix_rt::spawn(async move { call.send_to(client).await })
+    });
+    let prompts: Vec<_> = prompts.collect();
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    site.router.signal(Signal::TERM);
+    let mut answered = 0;
+    for number in 0..60 {
+        let call = Call::valid("POST", "/book/1", &format!("b{number}")).body("truck");
+        match call.send_to(client).await {
+            Ok(response) => {
+                assert!([200, 503].contains(&response.status) && response.whole);
+                answered += usize::from(response.status == 200);
+            }
+            // The listener is closed, or closes the connection before it has read the request.
+            Err(_) => actix_rt::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+    let bookings = site
+        .desk
+        .arrivals()
+        .iter()
+        .filter(|arrival| arrival.body == "truck")
+        .count();
+    assert_eq!(
+        answered, bookings,
+        "each booking that was passed on is answered"
+    );
+    let mut outcomes = Vec::new();
+    for prompt in prompts {
+        let response = prompt.await.expect("no panic").expect("a response");
+        assert!(response.whole, "{response:?}");
+        outcomes.push(response.status);
+    }
+    assert!(
+        outcomes.iter().all(|status| [200, 503].contains(status)),
+        "{outcomes:?}"
+    );
+    assert!(outcomes.contains(&200));
+    check_exit(&mut site).await;
+}
