Decide once at each router whether it tries a refused request

Cause: a router that got the rule from a peer a moment before it derived it itself took it as one of the peer, without trials, and the peer took another router to have them. Each also saw the requests of others later than its own, so that the latest request is no common choice.

Change: each router decides for each rule once, when it first settles a crash that the rule explains. The one that sent the request with the smallest candidates in the latest crashes has the trials.

--- a/crates/poison/src/cause.rs
+++ b/crates/poison/src/cause.rs
@@ -1,6 +1,6 @@
 //! Finds what the requests that crash upstreams have in common.
 
-use std::{cmp::Reverse, collections::VecDeque};
+use std::cmp::Reverse;
 
 use indexmap::IndexMap;
 use tsw_base::{
@@ -18,7 +18,7 @@
 mod report;
 mod rule;
 
-use evidence::{count_independent, Crash, InFlight};
+use evidence::{count_independent, is_tried_here, Crash, InFlight};
 pub(crate) use report::upstream;
 use report::Report;
 use rule::Rule;
@@ -34,11 +34,6 @@
 pub const MAX_REQUESTS: usize = 32;
 /// Maximum number of rules.
 pub const MAX_RULES: usize = 256;
-/// Times after the confirmation of a rule from which on one request that matches it may run, to find out
-/// whether the rule is wrong. Upstreams that crash then still count for operators as unavoidable after the
-/// first one.
-const TRIAL_DELAYS: [Span; 2] = [Span::from_secs(1), Span::from_secs(30)];
-
 /// Input of the finder.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -161,7 +156,9 @@
         for rule in &mut self.rules {
             let applies = rule.applies_to(request.team) && rule.matches(request);
             if rule.until > now && applies {
-                rule.trials.pop_front();
+                rule.trials.iter_mut().for_each(|trials| {
+                    trials.pop_front();
+                });
                 found = true;
             }
         }
@@ -234,7 +231,7 @@
                         causes,
                         teams,
                         until,
-                        trials: VecDeque::new(),
+                        trials: None,
                     };
                     self.add_rule(rule, now, &mut commands);
                 }
@@ -334,6 +331,9 @@
                 continue;
             }
             is_explained = true;
+            // A peer may have derived it from the same crashes a moment earlier.
+            let is_tried_here = is_tried_here(self.crashes.iter(), rule);
+            rule.decide_trials(now, is_tried_here);
             let had_expired = rule.until <= now;
             rule.until = now + REFUSAL_PERIOD;
             // Requests of other teams were in flight beside those of a team to which the rule applies.
@@ -403,7 +403,7 @@
             causes,
             teams: Vec::new(),
             until: now + REFUSAL_PERIOD,
-            trials: VecDeque::new(),
+            trials: None,
         };
         for crash in crashes(set) {
             let teams = crash.teams_matching(&rule);
@@ -415,9 +415,8 @@
         if rule.teams.is_empty() {
             rule.teams = latest.teams_matching(&rule);
         }
-        if latest.is_latest_sent_here(&rule) {
-            rule.trials = TRIAL_DELAYS.map(|delay| now + delay).into();
-        }
+        let is_tried_here = is_tried_here(crashes(set), &rule);
+        rule.decide_trials(now, is_tried_here);
         Some(rule)
     }
 
@@ -467,7 +466,7 @@
         if let Some(known) = rules.find(|known| is_subset(&known.causes, &rule.causes)) {
             let had_expired = known.until <= now;
             known.until = known.until.max(rule.until);
-            if known.trials.is_empty() {
+            if known.trials.is_none() {
                 known.trials = rule.trials;
             }
             let mut has_new_team = false;
--- a/crates/poison/src/cause/evidence.rs
+++ b/crates/poison/src/cause/evidence.rs
@@ -48,13 +48,6 @@
         teams
     }
 
-    /// Returns whether this router sent the latest request that matches a rule. This is so at few routers,
-    /// mostly at one.
-    pub(super) fn is_latest_sent_here(&self, rule: &Rule) -> bool {
-        let latest = self.matching(rule).max_by_key(|request| request.sent);
-        latest.is_some_and(|request| request.sent_here)
-    }
-
     /// Returns the latest request with one of the causes, which most likely is at fault if any is.
     fn latest_with(&self, causes: &[Fingerprint]) -> Option<&InFlight> {
         let requests = self.requests.iter().filter(|request| {
@@ -65,6 +58,22 @@
     }
 }
 
+/// Returns whether this router tries one of the requests that match a rule: it sent the one with the smallest
+/// candidates in the latest of some crashes, and in those at the same time. All routers that know the same
+/// crashes find the same one. Times would not do, since reports arrive late.
+pub(super) fn is_tried_here<'a>(
+    crashes: impl DoubleEndedIterator<Item = &'a Crash>,
+    rule: &'a Rule,
+) -> bool {
+    let explained = crashes.filter(|crash| crash.is_explained_by(rule));
+    let mut crashes = explained.rev().peekable();
+    let latest = crashes.peek().map(|crash| crash.at).unwrap_or_default();
+    let common = crashes.take_while(|crash| crash.at + COMMON_CRASH_SPREAD >= latest);
+    let requests = common.flat_map(|crash| crash.matching(rule));
+    let first = requests.min_by(|a, b| a.candidates.causes.cmp(&b.candidates.causes));
+    first.is_some_and(|request| request.sent_here)
+}
+
 /// Returns how many of some crashes, in the order of their times, are independent evidence against causes.
 ///
 /// A crash is independent of an earlier one if the request was sent after that one, or if it is too late to
--- a/crates/poison/tests/evidence.rs
+++ b/crates/poison/tests/evidence.rs
@@ -437,3 +437,48 @@
     assert_eq!(crashes, 3 + trials.len());
     assert!((1..=2).contains(&trials.len()), "{trials:?}");
 }
+
+/// Guards against a wrong refusal that lasts because no router tries a request: each takes another one to have
+/// the trial, or the one that has it got the rule from a peer before it derived it.
+#[test]
+fn one_of_the_routers_has_the_trial() {
+    for first in 0..20u128 {
+        let mut routers = [Finder::default(), Finder::default()];
+        for turn in 1..=3u64 {
+            let (sent, crashed) = (1_000 * turn, 1_000 * turn + 300);
+            for upstream in 0..4usize {
+                let request = candidates(
+                    "north",
+                    first + 100 * u128::from(turn) + upstream as u128,
+                    &[1],
+                );
+                let (own, other) = (upstream % 2, 1 - upstream % 2);
+                let event = Event::Crashed {
+                    upstream: format!("engine-{upstream}{turn}").parse().unwrap(),
+                    request,
+                    ran_for: Span::from_millis(crashed - sent),
+                };
+                for command in routers[own].handle(at(crashed), event) {
+                    if let Command::Broadcast(findings) = command {
+                        routers[other].handle(at(crashed + LATENCY), Event::Message(findings));
+                    }
+                }
+            }
+            // One router is earlier than the other, which gets the rule of that one.
+            let order = if first % 2 == 0 { [0, 1] } else { [1, 0] };
+            for router in order {
+                for command in routers[router].handle(at(crashed + 150), Event::Tick) {
+                    if let Command::Broadcast(findings) = command {
+                        routers[1 - router].handle(at(crashed + 150), Event::Message(findings));
+                    }
+                }
+            }
+        }
+        let (now, request) = (at(5_000), candidates("north", 9_999, &[1]));
+        let trials = routers.iter_mut().map(|router| {
+            assert!(router.refusal(now, &request).is_some());
+            usize::from(router.start_trial(now, &request))
+        });
+        assert_eq!(trials.sum::<usize>(), 1, "{first}");
+    }
+}
