--- a/crates/toucand/tests/broken_responses.rs
+++ b/crates/toucand/tests/broken_responses.rs
@@ -13,11 +13,33 @@
 
 use fleet::{Call, Site, HOST};
 use serde_json::Value;
-use tsw_fake::worker::{Behaviour, Endless};
+use tsw_fake::worker::{Behaviour, Endless, Worker};
 
 /// Longer than the head of a response of the stand-in.
 const HEAD_BYTES: usize = 120;
 
+/// Returns a request on a route of each kind.
+fn one_of_each_kind() -> [Call; 4] {
+    [
+        Call::valid("GET", "/lookup/1", "a1"),
+        Call::valid("POST", "/book/1", "a2").body("truck"),
+        Call::prompt("/note/1", "a3"),
+        Call::prompt("/draft/1", "a4"),
+    ]
+}
+
+/// Returns the engine that gets the first attempt of a prompt, and the one that gets the next.
+async fn in_order(site: &Site) -> (&Worker, &Worker) {
+    // An engine that has the prompt is chosen again.
+    Call::prompt("/draft/1", "a0").send(&site.router).await;
+    let [one, two] = &site.models;
+    if one.arrivals().is_empty() {
+        (two, one)
+    } else {
+        (one, two)
+    }
+}
+
 /// Guards against a response that ended within its head and reaches the client as a whole success with an
 /// empty or short body.
 #[actix_rt::test]
@@ -27,12 +49,7 @@
         let cut = Behaviour::CutHead(bytes);
         site.desk.set_default(cut);
         site.models.iter().for_each(|model| model.set_default(cut));
-        for call in [
-            Call::valid("GET", "/lookup/1", "a1"),
-            Call::valid("POST", "/book/1", "a2").body("truck"),
-            Call::prompt("/note/1", "a3"),
-            Call::prompt("/draft/1", "a4"),
-        ] {
+        for call in one_of_each_kind() {
             let response = call.send(&site.router).await;
             let target = String::from_utf8_lossy(&call.head.target);
             let what = format!("{bytes} bytes at {target}: {response:?}");
@@ -61,12 +78,7 @@
         let odd = Behaviour::Bytes(text);
         site.desk.set_default(odd);
         site.models.iter().for_each(|model| model.set_default(odd));
-        for call in [
-            Call::valid("GET", "/lookup/1", "a1"),
-            Call::valid("POST", "/book/1", "a2").body("truck"),
-            Call::prompt("/note/1", "a3"),
-            Call::prompt("/draft/1", "a4"),
-        ] {
+        for call in one_of_each_kind() {
             let response = call.send(&site.router).await;
             assert_eq!(response.status, 502, "{text:?}: {response:?}");
         }
@@ -107,14 +119,7 @@
         Behaviour::Endless(Endless::Failure),
     ] {
         let site = Site::start(Behaviour::Plain, Behaviour::Stream(4)).await;
-        // An engine that has the prompt is chosen again.
-        Call::prompt("/draft/1", "a0").send(&site.router).await;
-        let [one, two] = &site.models;
-        let (first_model, next_model) = if one.arrivals().is_empty() {
-            (two, one)
-        } else {
-            (one, two)
-        };
+        let (first_model, next_model) = in_order(&site).await;
         first_model.set_default(Behaviour::ResetStream(2));
         next_model.set_default(next);
         let first = Call::prompt("/draft/1", "a1").send(&site.router).await;
@@ -218,13 +223,7 @@
 #[actix_rt::test]
 async fn head_of_a_long_failure_is_not_among_the_bytes_of_a_stream() {
     let site = Site::start(Behaviour::Plain, Behaviour::Stream(4)).await;
-    Call::prompt("/draft/1", "a0").send(&site.router).await;
-    let [one, two] = &site.models;
-    let (first_model, next_model) = if one.arrivals().is_empty() {
-        (two, one)
-    } else {
-        (one, two)
-    };
+    let (first_model, next_model) = in_order(&site).await;
     first_model.set_default(Behaviour::ResetStream(2));
     next_model.set_default(Behaviour::Endless(Endless::Failure));
     let call = Call::prompt("/draft/1", "a1");
