Let a single request use the memory of more than half of the requests

A request with a body of 24 MiB, which the configuration allowed, was always refused for lack of memory, although the router had nothing else to do.

Cause: half of the account of requests was the limit of a team also if it had one request. Change: a single request of a team may take what is left.

--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -12,7 +12,8 @@
 use indexmap::IndexMap;
 use tsw_route::Name;
 
-/// Part of all bytes that the requests of one team may take, so that no team takes them all.
+/// Part of all bytes that the requests of one team may take, so that no team takes them all. A single
+/// request may take more, since it could never be served otherwise.
 const MAX_TEAM_PART: f64 = 0.5;
 /// Unit in bytes in which a share grows, so that small buffers cost little.
 const UNIT_BYTES: usize = 4_096;
@@ -45,11 +46,13 @@
     /// let account = tsw_relay::memory::Account::new(1 << 20);
     /// let mut share = account.share("north".into());
     /// assert!(share.resize(400_000).is_ok());
-    /// assert!(share.resize(600_000).is_err(), "more than half for one team");
+    /// let mut second = account.share("north".into());
+    /// assert!(second.resize(200_000).is_err(), "more than half for one team");
     /// let mut other = account.share("south".into());
-    /// assert!(other.resize(500_000).is_ok());
+    /// assert!(other.resize(600_000).is_ok(), "a single request");
+    /// assert!(other.resize(700_000).is_err(), "more than all");
     /// drop(share);
-    /// assert!(account.used() < 600_000);
+    /// assert!(account.used() < 700_000);
     /// ```
     #[must_use]
     pub fn new(limit: usize) -> Rc<Self> {
@@ -98,9 +101,10 @@
         let (account, before) = (&self.account, self.bytes);
         if bytes > before {
             let of_team = account.by_team.borrow().get(&self.team).copied();
-            let of_team = of_team.unwrap_or_default() - before + bytes;
-            let max_of_team = account.limit as f64 * MAX_TEAM_PART;
-            if account.used.get() - before + bytes > account.limit || of_team as f64 > max_of_team {
+            let others_of_team = of_team.unwrap_or_default() - before;
+            let max_of_team = (account.limit as f64 * MAX_TEAM_PART) as usize;
+            let exceeds_part = others_of_team > 0 && others_of_team + bytes > max_of_team;
+            if account.used.get() - before + bytes > account.limit || exceeds_part {
                 return Err(Exhausted);
             }
         }
