Limit the numbers that peers state

A router ended (in builds with overflow checks; others computed nonsense) when the datagram of a peer stated a processor of 2^31 or more, or when sums of requests and tokens of load reports overflowed.

Found in the review of the change. Change: they are limited where they are decoded. What is no number counts as no work. Tests: numbers_of_a_peer_end_no_router fails on ("attempt to multiply with overflow" in roster.rs). The test of whole reports compares with the limited numbers now; it still sends the largest ones, which are the longest.

--- a/crates/base/src/stated.rs
+++ b/crates/base/src/stated.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Deserializer};
+
 use crate::time::Span;
 
 /// Maximum of a stated count. The sum of four thousand such counts fits into a `u32`.
@@ -75,3 +77,34 @@
 pub fn amount(stated: u64) -> u64 {
     stated.min(MAX_AMOUNT)
 }
+
+/// Decodes a count for `#[serde(deserialize_with)]` and limits it to [`MAX_COUNT`].
+///
+/// # Errors
+///
+/// Returns an error if there is no number.
+pub fn deserialize_count<'de, D: Deserializer<'de>>(from: D) -> Result<u32, D::Error> {
+    u32::deserialize(from).map(|stated| count(u64::from(stated)))
+}
+
+/// Decodes an amount for `#[serde(deserialize_with)]` and limits it to [`MAX_AMOUNT`].
+///
+/// # Errors
+///
+/// Returns an error if there is no number.
+pub fn deserialize_amount<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    u64::deserialize(from).map(amount)
+}
+
+/// Limits an amount that may be fractional to the range from 0 to [`MAX_AMOUNT`]. What is no number is 0.
+///
+/// ```
+/// use tsw_base::stated;
+/// assert_eq!(stated::fraction(2.5), 2.5);
+/// assert_eq!([f64::NAN, -1.0].map(stated::fraction), [0.0; 2]);
+/// assert_eq!(stated::fraction(f64::INFINITY), stated::MAX_AMOUNT as f64);
+/// ```
+#[must_use]
+pub fn fraction(stated: f64) -> f64 {
+    stated.max(0.0).min(MAX_AMOUNT as f64)
+}
--- a/crates/gate/src/report.rs
+++ b/crates/gate/src/report.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use tsw_base::stated;
 use tsw_flow::{account::Work, pool::Usage, prompt::Part};
 use tsw_relay::router;
 use tsw_route::Name;
@@ -77,7 +78,10 @@
         let usage = activity.usage.into_iter();
         let teams = activity.teams.into_iter();
         let prompt_parts = activity.prompt_parts.into_iter().map(|(id, parts)| {
-            let parts = parts.into_iter().map(|(id, tokens)| Part { id, tokens });
+            let parts = parts.into_iter().map(|(id, tokens)| Part {
+                id,
+                tokens: stated::amount(tokens),
+            });
             (id.into(), parts.collect())
         });
         Self {
@@ -87,8 +91,8 @@
                     (
                         id.into(),
                         Usage {
-                            requests,
-                            pending_tokens,
+                            requests: stated::count(u64::from(requests)),
+                            pending_tokens: stated::amount(pending_tokens),
                         },
                     )
                 })
@@ -96,8 +100,11 @@
             prefills: prompt_parts.collect(),
             teams: teams
                 .map(|(team, requested, served)| {
-                    let (requested, served) = (f64::from(requested), f64::from(served));
-                    (team.into(), Work { requested, served })
+                    let work = Work {
+                        requested: stated::fraction(f64::from(requested)),
+                        served: stated::fraction(f64::from(served)),
+                    };
+                    (team.into(), work)
                 })
                 .collect(),
         }
--- a/crates/gate/tests/report.rs
+++ b/crates/gate/tests/report.rs
@@ -4,12 +4,18 @@
 
 use proptest::prelude::*;
 use rand::{rngs::StdRng, SeedableRng as _};
-use tsw_base::time::Timestamp;
+use tsw_base::{stated, time::Timestamp};
 use tsw_flow::{account::Work, pool::Usage, prompt::Part};
 use tsw_gate::report::{split, Activity, Error, Reassembler, MAX_DATAGRAM};
 use tsw_member::roster::{Member, Roster, RosterUpdate};
 use tsw_relay::router;
 
+/// The largest usage of an upstream that a router accepts from another one.
+const MAX_USAGE: Usage = Usage {
+    requests: stated::MAX_COUNT,
+    pending_tokens: stated::MAX_AMOUNT,
+};
+
 fn activity(service: &str, upstreams: usize, reads: usize, teams: usize) -> router::ServiceReport {
     let part = Part {
         id: u64::MAX,
@@ -66,6 +72,10 @@
         whole.sort_by(|a, b| a.service.cmp(&b.service));
         for (found, expected) in whole.iter_mut().zip(&activities) {
             let mut expected = expected.clone();
+            // The receiver limits numbers.
+            for (_, usage) in &mut expected.usage {
+                *usage = MAX_USAGE;
+            }
             for activity in [&mut *found, &mut expected] {
                 activity.usage.sort_by(|a, b| a.0.cmp(&b.0));
                 activity.teams.sort_by(|a, b| a.0.cmp(&b.0));
@@ -77,6 +87,27 @@
     }
 }
 
+/// Guards against sums that overflow, or that are no numbers from then on, because of the report of one router.
+#[test]
+fn numbers_in_a_report_are_limited() {
+    for number in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, 1e300] {
+        let mut sent = activity("s", 3, 1, 1);
+        sent.teams[0].1 = Work {
+            requested: number,
+            served: number,
+        };
+        let fragment = split(1, vec![Activity::from(&sent)]).expect("short names");
+        let whole = Reassembler::default().add(&"r1".into(), fragment[0].clone());
+        let received: router::ServiceReport = whole.expect("whole").remove(0).into();
+        assert!(received.usage.iter().all(|(_, usage)| *usage == MAX_USAGE));
+        let Work { requested, served } = received.teams[0].1;
+        for work in [requested, served] {
+            let range = 0.0..=stated::MAX_AMOUNT as f64;
+            assert!(range.contains(&work), "{number}: {work}");
+        }
+    }
+}
+
 /// Guards against a reassembled report that mixes the content of two consecutive ones.
 #[test]
 fn incomplete_report_is_replaced_by_the_next_one() {
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -11,7 +11,10 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::{seq::SliceRandom, Rng};
 use serde::{Deserialize, Serialize};
-use tsw_base::time::{Span, Timestamp};
+use tsw_base::{
+    stated,
+    time::{Span, Timestamp},
+};
 
 use crate::rendezvous;
 
@@ -69,12 +72,14 @@
     /// Address for reads by other routers.
     pub control: SocketAddr,
     /// Processor time available to it, in thousandths of a core.
+    #[serde(deserialize_with = "stated::deserialize_count")]
     pub processor: u32,
     /// Whether it accepts clients.
     pub ready: bool,
     /// Whether it has read the platform's store recently.
     pub reads_store: bool,
     /// Time for which it has read the store without interruption, in milliseconds.
+    #[serde(deserialize_with = "stated::deserialize_amount")]
     pub read_for_ms: u64,
     /// Version of the active configuration there.
     pub version: u64,
@@ -113,6 +118,7 @@
     heartbeat: u64,
     ready: bool,
     reads_store: bool,
+    #[serde(deserialize_with = "stated::deserialize_amount")]
     read_for_ms: u64,
     version: u64,
     revision: u64,
--- a/crates/toucand/tests/stated_numbers.rs
+++ b/crates/toucand/tests/stated_numbers.rs
@@ -3,9 +3,13 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
+use std::{net::UdpSocket, time::Duration};
+
+use actix_rt::time;
 use fleet::{configuration, Call, Site};
 use serde_json::Value;
 use tsw_fake::worker::Behaviour;
+use tsw_member::roster::{Member, RosterUpdate};
 
 /// Numbers at the limits of common types, and text that is no number.
 const NUMBERS: [&str; 12] = [
@@ -142,3 +146,44 @@
         }
     }
 }
+
+/// Guards against a router that ends because of a number that a peer states.
+#[actix_rt::test]
+async fn numbers_of_a_peer_end_no_router() {
+    let mut site = site().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    for (processor, read_for_ms) in [(u32::MAX, u64::MAX), (1 << 31, u64::MAX / 1_000 + 1)] {
+        let member = Member {
+            host: "r9".to_owned(),
+            domain: "north".to_owned(),
+            incarnation: u64::MAX,
+            heartbeat: u64::MAX - 1,
+            client: site.router.client,
+            gossip: socket.local_addr().expect("bound"),
+            control: site.router.control,
+            processor,
+            ready: true,
+            reads_store: true,
+            read_for_ms,
+            version: u64::MAX,
+            revision: u64::MAX,
+            era: None,
+        };
+        let update = RosterUpdate {
+            members: vec![member],
+            ..RosterUpdate::default()
+        };
+        // The first kind of message that a datagram holds.
+        let datagram = postcard::to_allocvec(&("r9", 0u32, update)).expect("encoded");
+        socket.send_to(&datagram, site.router.gossip).expect("sent");
+        time::sleep(Duration::from_millis(600)).await;
+        let locate = "/api/resolution?name=h&region=r&zone=north";
+        let located = site.router.get(site.router.locate, locate).await;
+        assert_runs(&mut site, "numbers of a peer");
+        assert!(located.expect("a response").text().contains("addresses"));
+        let after = Call::valid("GET", "/lookup/1", "a1")
+            .send(&site.router)
+            .await;
+        assert_eq!(after.status, 200);
+    }
+}
