Report the first parts of a prompt with many parts

A router dropped all of its load reports while a prompt with more than some 200 shared parts was among them (a finding of the review without a case): other routers took it for idle.

Cause: a list of parts that fits into no fragment failed the whole report. Change: the first 180 parts are reported, which are the ones that other prompts have as well. Test: prompt_with_many_parts_is_reported_in_part; before, split returned an error for such a report.

--- a/crates/gate/src/report.rs
+++ b/crates/gate/src/report.rs
@@ -18,6 +18,8 @@
 const MAX_FRAGMENT_ITEMS: usize = 12_288;
 /// Maximum size of an item in bytes: no name of an upstream or team is longer.
 const MAX_ITEM: usize = 4_096;
+/// Maximum number of parts of a prompt that are reported, so that they fit into an item.
+const MAX_PARTS: usize = 180;
 /// Maximum encoded size of a 32-bit integer in bytes.
 const VARINT_32: usize = 5;
 /// Maximum encoded size of a 64-bit integer in bytes.
@@ -26,7 +28,7 @@
 /// An error of the encoding of a message.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
-    /// A name or a list of prompt parts is too long.
+    /// A name is too long.
     #[error("an item of {bytes} bytes exceeds the maximum of {MAX_ITEM} bytes")]
     Item {
         /// Its size in bytes.
@@ -164,7 +166,9 @@
             let bytes = usage.0.len() + 2 * VARINT_32 + VARINT_64;
             self.reserve(service, bytes)?.usage.push(usage);
         }
-        for parts in activity.prompt_parts {
+        for mut parts in activity.prompt_parts {
+            // The first parts of a prompt are the ones that others have as well.
+            parts.1.truncate(MAX_PARTS);
             let bytes = parts.0.len() + 2 * VARINT_32 + parts.1.len() * 2 * VARINT_64;
             self.reserve(service, bytes)?.prompt_parts.push(parts);
         }
@@ -180,7 +184,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if a name or a list of prompt parts is too long.
+/// Returns an error if a name is too long.
 pub fn split(report: u64, activities: Vec<Activity>) -> Result<Vec<Fragment>, Error> {
     let mut splitter = Splitter::default();
     for activity in activities {
--- a/crates/gate/tests/report.rs
+++ b/crates/gate/tests/report.rs
@@ -141,6 +141,25 @@
     );
 }
 
+/// Guards against a prompt with many parts that suppresses all reports.
+#[test]
+fn prompt_with_many_parts_is_reported_in_part() {
+    let mut long = activity("s", 400, 1, 3);
+    let part = long.prefills[0].1[0];
+    long.prefills[0].1 = vec![part; 5_000];
+    let mut reassembler = Reassembler::default();
+    let fragments = split(1, vec![Activity::from(&long)]).expect("no name is long");
+    let mut whole = None;
+    for fragment in fragments {
+        let bytes = postcard::to_allocvec(&fragment).expect("encoded").len();
+        assert!(bytes + 1_024 <= MAX_DATAGRAM, "{bytes}");
+        whole = whole.or(reassembler.add(&"r1".into(), fragment));
+    }
+    let whole: router::ServiceReport = whole.expect("complete").remove(0).into();
+    assert_eq!((whole.usage.len(), whole.teams.len()), (400, 3));
+    assert!(whole.prefills[0].1.len() > 100);
+}
+
 /// Guards against roster updates of a large fleet that exceed a datagram, so that the routers never
 /// learn of each other.
 #[test]
