Check whole responses without end, and more of a planned stop

For a planned stop: requests behind one another on a connection, a response without end, and two routers that stop in turn.

--- a/crates/toucand/tests/memory.rs
+++ b/crates/toucand/tests/memory.rs
@@ -3,14 +3,18 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time;
 use fleet::{configuration, Call, Site};
 use serde_json::Value;
 use tokio::io::AsyncWriteExt;
 use tsw_fake::worker::{Behaviour, Endless};
-use tsw_http::{connection::Connection, head};
+use tsw_http::{
+    connection::Connection,
+    exchange::{self, Exchange},
+    head,
+};
 
 /// Memory of the smallest hosts that operators state.
 const HOST_KB: u64 = 110_000;
@@ -115,3 +119,32 @@
     let grown = site.router.peak_kb() - before;
     assert!(grown < 40_000, "{grown} kB");
 }
+
+/// Guards against the same by whole responses of a plain service: what cannot be held back is passed on, until
+/// the time limit.
+#[actix_rt::test]
+async fn responses_without_end_of_many_requests_are_bounded_in_memory_and_time() {
+    let site = site(Behaviour::Endless(Endless::Body)).await;
+    let before = site.router.peak_kb();
+    let calls = (0..100).map(|number| {
+        let mut call = Call::valid("GET", "/open/1", &format!("a{number}"));
+        call.head.fields.remove("Deadline-Ms");
+        call.head.fields.push("Deadline-Ms", "2000");
+        let router = site.router.client;
+        actix_rt::spawn(async move {
+            let started = Instant::now();
+            let connection = Connection::open(router, fleet::TIMEOUT).await?;
+            let mut exchange = Exchange::open(connection, &call.head, call.body).await?;
+            let status = exchange.head().status;
+            while let Ok(Some(_)) = exchange.data().await {}
+            Ok::<_, exchange::Error>((status, started.elapsed()))
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let (status, took) = call.await.expect("no panic").expect("a response");
+        assert!([200, 429, 502, 503, 504].contains(&status), "{status}");
+        assert!(took < Duration::from_secs(6), "{took:?}");
+    }
+    let grown = site.router.peak_kb() - before;
+    assert!(grown < 70_000, "{grown} kB");
+}
--- a/crates/toucand/tests/planned_stop.rs
+++ b/crates/toucand/tests/planned_stop.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use fleet::{configuration, Call, Site, TIMEOUT};
+use fleet::{configuration, Call, Router, Site, TIMEOUT};
 use rustix::process::Signal;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
 };
-use tsw_fake::worker::Behaviour;
+use tsw_fake::worker::{Behaviour, Endless};
 
 /// Longer than the time for which a router that was told to stop accepts new requests.
 const PAST_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
@@ -198,3 +198,90 @@
     assert!(outcomes.contains(&200));
     check_exit(&mut site).await;
 }
+
+/// Guards against a request that is passed on and not answered because it arrived behind another one on the same
+/// connection when the router was told to stop.
+#[actix_rt::test]
+async fn pipelined_requests_are_answered_or_not_passed_on_in_a_planned_stop() {
+    let slow = Behaviour::LatePlain(Duration::from_millis(700));
+    let mut site = Site::start(slow, Behaviour::Stream(3)).await;
+    site.router.set_descriptors(4_000).await;
+    let mut bytes = BytesMut::new();
+    for id in ["a1", "a2", "a3"] {
+        let call = Call::valid("POST", "/book/1", id).body("truck");
+        call.head.write(&mut bytes);
+        bytes.extend_from_slice(&call.body);
+    }
+    let stream = TcpStream::connect(site.router.client).await;
+    let mut stream = stream.expect("a connection");
+    stream.write_all(&bytes).await.expect("sent");
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    site.router.signal(Signal::TERM);
+    let text = read_to_end(stream).await;
+    let answered = text.matches("answer to a").count();
+    assert!(answered >= 1, "{text}");
+    assert_eq!(answered, site.desk.arrivals().len(), "{text}");
+    check_exit(&mut site).await;
+}
+
+/// Guards against a planned stop that a response without end delays beyond its time, or that cuts others then.
+#[actix_rt::test]
+async fn response_without_end_does_not_delay_a_planned_stop() {
+    let mut site = Site::start(Behaviour::Plain, Behaviour::Stream(3)).await;
+    site.desk.script(&[
+        Behaviour::Endless(Endless::Body),
+        Behaviour::LatePlain(Duration::from_secs(4)),
+    ]);
+    let client = site.router.client;
+    let send = |call: Call| actix_rt::spawn(async move { call.send_to(client).await });
+    let endless = send(Call::valid("GET", "/open/1", "a1"));
+    fleet::wait_until("the first request", || site.desk.arrivals().len() == 1).await;
+    let other = send(Call::valid("POST", "/book/1", "a2").body("truck"));
+    fleet::wait_until("the second request", || site.desk.arrivals().len() == 2).await;
+    site.router.signal(Signal::TERM);
+    let signalled = std::time::Instant::now();
+    let other = other.await.expect("no panic").expect("a response");
+    assert_eq!((other.status, other.whole), (200, true));
+    check_exit(&mut site).await;
+    // The grace time of the settings is 8 s.
+    assert!(signalled.elapsed() < Duration::from_secs(9));
+    let endless = endless.await.expect("no panic").expect("a response");
+    assert!(!endless.whole);
+}
+
+/// Guards against requests that are lost when one router after the other is told to stop.
+#[actix_rt::test]
+async fn routers_that_stop_in_turn_lose_no_request() {
+    let pause = Duration::from_millis(50);
+    let mut site = Site::start(Behaviour::LatePlain(pause), Behaviour::Stream(3)).await;
+    let second = Router::start("r2", site.store.address(), &[site.router.control]);
+    second.wait_ready().await;
+    let mut answered = 0;
+    for number in 0..160 {
+        match number {
+            40 => site.router.signal(Signal::TERM),
+            100 => second.signal(Signal::TERM),
+            _ => {}
+        }
+        for router in [site.router.client, second.client] {
+            let id = format!("a{number}-{}", router.port());
+            let call = Call::valid("POST", "/book/1", &id).body("truck");
+            // A refused connection, or one that is closed before the request is read.
+            let Ok(response) = call.send_to(router).await else {
+                continue;
+            };
+            assert!(
+                response.whole && [200, 503].contains(&response.status),
+                "{response:?}"
+            );
+            answered += usize::from(response.status == 200);
+        }
+    }
+    assert!(answered > 100, "{answered}");
+    assert_eq!(
+        answered,
+        site.desk.arrivals().len(),
+        "passed on and answered"
+    );
+    check_exit(&mut site).await;
+}
