Ask an upstream for the start of its run after a connection to it broke

Cause: only a refused connection showed that a run may have ended, and all else relied on the state of the store. Change: a connection that broke, or an idle one that the peer closed, makes a router ask as well. Without an answer the upstream is unreachable then.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -44,6 +44,14 @@
         None
     }
 
+    /// Returns whether the peer has closed the most recently used idle connection to an address, although it
+    /// has not expired. A peer that ended has closed all of them.
+    #[must_use]
+    pub fn has_closed(&self, address: SocketAddr, now: Instant) -> bool {
+        let last = self.0.get(&address).and_then(|idle| idle.last());
+        last.is_some_and(|idle| idle.expires_at > now && !idle.connection.is_idle())
+    }
+
     /// Adds a connection to the pool unless it already holds `max_idle` connections to the address. The
     /// upstream resets connections beyond its limit, which all routers share.
     pub fn put(
--- a/crates/relay/src/crash_detector.rs
+++ b/crates/relay/src/crash_detector.rs
@@ -205,6 +205,7 @@
         request: &Rc<Request>,
         broken: BrokenConnection,
     ) {
+        self.runs.record_broken(&broken.upstream);
         let (router, request) = (self.clone(), request.clone());
         let check = async move { router.find_crash(&request, &broken).await };
         let check = actix_rt::spawn(contained::run(check));
@@ -216,7 +217,6 @@
     /// request. One that refuses it has crashed.
     async fn find_crash(&self, request: &Request, broken: &BrokenConnection) {
         let ran_for = self.now().since(broken.sent);
-        self.runs.forget(&broken.upstream);
         let outcome = match Connection::open(broken.address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 self.keep_checked(&request.service, broken.address, connection);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -24,6 +24,7 @@
     responder::{Progress, Responder},
     router::Router,
     timing::EventTiming,
+    upstream_run::Confirmation,
 };
 
 mod finish;
@@ -174,8 +175,9 @@
             if let Some(outcome) = self.refuse_poison().await? {
                 return Ok(outcome);
             }
-            if !self.confirms_run(&reservation).await {
-                // Another upstream is chosen, or the same one for a stream that begins.
+            let confirmation = self.confirm_run(&reservation).await;
+            if confirmation == Confirmation::Ended {
+                // Another upstream is chosen, or the same one if any software will do.
                 continue;
             }
             let now = self.router.now();
@@ -184,7 +186,12 @@
             let choice = reservation.choice();
             let (upstream, address) = (choice.id.clone(), choice.address);
             let started_at = choice.started_at;
-            let error = match self.attempt(reservation).await {
+            let attempt = if confirmation == Confirmation::Silent {
+                Err(AttemptError::new(FailureKind::Unreachable, "no report").into())
+            } else {
+                self.attempt(reservation).await
+            };
+            let error = match attempt {
                 Ok(outcome) => return Ok(outcome),
                 Err(AttemptFailure::Client(error)) => return Err(error),
                 Err(AttemptFailure::Upstream(error)) => error,
@@ -247,11 +254,14 @@
         }
     }
 
-    /// Returns whether the upstream of a reservation runs the software that is recorded for the stream.
-    async fn confirms_run(&self, reservation: &Reservation) -> bool {
+    /// Finds out whether the upstream of a reservation runs the software that is recorded for the stream.
+    /// For requests that never go on elsewhere this does not matter.
+    async fn confirm_run(&self, reservation: &Reservation) -> Confirmation {
         let (service, choice) = (reservation.service(), reservation.choice());
-        let is_resumable = self.request.route.kind == Kind::Stream { resumable: true };
-        !is_resumable || self.router.confirms_run(service, choice).await
+        match self.request.route.kind {
+            Kind::Stream { resumable: true } => self.router.confirm_run(service, choice).await,
+            _ => Confirmation::Given,
+        }
     }
 
     /// Returns the software that has to continue the stream, or to begin it now.
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -1,9 +1,9 @@
 //! Finds out whether an upstream still runs the process that its entry describes.
 //!
-//! For a while after the platform's store was unavailable, or after the start of this router, an entry may be
-//! older than the process: the upstream crashed and returned with other software, and has not renewed its entry.
-//! The upstream states the start of its run itself, and is asked before it gets a stream that may go on
-//! elsewhere.
+//! An entry may be older than the process: the upstream crashed and returned with other software, and has not
+//! renewed its entry. The upstream states the start of its run itself. It is asked before it gets a stream that
+//! may go on elsewhere, if the platform's store was unavailable lately or this router has just started, and if a
+//! connection to it broke.
 
 use std::{
     cell::{Cell, RefCell},
@@ -11,7 +11,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::time;
 use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
@@ -28,16 +28,25 @@
 /// Maximum length of an answer in bytes. It lists some details of each request that the upstream runs.
 const MAX_ANSWER_BYTES: usize = 1 << 18;
 
+/// Maximum number of upstreams that are remembered because connections to them broke.
+const MAX_BROKEN: usize = 4_096;
+
 /// What is known of the runs of upstreams beside their entries.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
-    /// Whether entries may be older than the processes.
+    /// Whether all entries may be older than the processes.
     may_be_outdated: Cell<bool>,
+    /// Upstreams to which connections broke, so that they may have restarted since.
+    broken: RefCell<IndexSet<Name>>,
     /// Start of the run that each upstream has confirmed, and when it did.
     confirmed: RefCell<IndexMap<Name, (u64, Timestamp)>>,
 }
 
 impl Runs {
+    fn is_broken(&self, id: &Name) -> bool {
+        self.broken.borrow().contains(id)
+    }
+
     fn is_confirmed(&self, now: Timestamp, choice: &Choice) -> bool {
         let confirmed = self.confirmed.borrow();
         confirmed.get(&choice.id).is_some_and(|(started_at, at)| {
@@ -49,50 +58,90 @@
         let mut confirmed = self.confirmed.borrow_mut();
         confirmed.retain(|_, (_, at)| now.since(*at) <= LIFETIME);
         confirmed.insert(choice.id.clone(), (choice.started_at, now));
+        self.broken.borrow_mut().swap_remove(&choice.id);
     }
 
-    /// Forgets what an upstream has confirmed, since a connection to it broke.
-    pub(crate) fn forget(&self, id: &Name) {
+    /// Records that a connection to an upstream broke.
+    pub(crate) fn record_broken(&self, id: &Name) {
         self.confirmed.borrow_mut().swap_remove(id);
+        let mut broken = self.broken.borrow_mut();
+        if broken.len() >= MAX_BROKEN {
+            broken.shift_remove_index(0);
+        }
+        broken.insert(id.clone());
     }
 }
 
+/// Whether an upstream runs what its entry says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Confirmation {
+    /// It does, as far as can be found out.
+    Given,
+    /// It does not: the run of the entry has ended.
+    Ended,
+    /// It does not answer, after a connection to it broke.
+    Silent,
+}
+
+/// An answer of an upstream.
+enum Answer {
+    /// Start of its run, in milliseconds since 1970, if it states one.
+    Start(Option<u64>),
+    /// No answer in time.
+    Missing,
+}
+
 impl Router {
     /// Sets whether the entries of upstreams may be older than their processes.
     pub fn set_entries_may_be_outdated(&self, may_be_outdated: bool) {
         self.runs.may_be_outdated.set(may_be_outdated);
     }
 
-    /// Returns whether the chosen upstream runs what its entry says, as far as can be found out. If it does
-    /// not, the run of the entry has ended, and this and the other routers no longer rely on it.
-    pub(crate) async fn confirms_run(&self, service: &Name, choice: &Choice) -> bool {
-        let now = self.now();
-        if !self.runs.may_be_outdated.get()
-            || choice.software.is_unknown()
-            || self.runs.is_confirmed(now, choice)
+    /// Finds out whether the chosen upstream runs what its entry says. If it does not, this and the other
+    /// routers no longer rely on the entry.
+    pub(crate) async fn confirm_run(&self, service: &Name, choice: &Choice) -> Confirmation {
+        let (now, address) = (self.now(), choice.address);
+        if self
+            .connections
+            .borrow()
+            .has_closed(address, Instant::now())
         {
-            return true;
+            self.runs.record_broken(&choice.id);
+        }
+        let is_broken = self.runs.is_broken(&choice.id);
+        let is_asked =
+            is_broken || self.runs.may_be_outdated.get() && !self.runs.is_confirmed(now, choice);
+        if !is_asked || choice.software.is_unknown() {
+            return Confirmation::Given;
         }
-        let answer = time::timeout(TIMEOUT, self.ask_run(service, choice)).await;
-        match answer.ok().flatten() {
-            Some(started_at) if started_at > choice.started_at => {
+        match self.ask_run(service, choice).await {
+            Answer::Start(Some(started_at)) if started_at > choice.started_at => {
                 self.record_ended_run(service, &choice.id, choice.started_at);
-                false
+                Confirmation::Ended
             }
-            Some(_) => {
+            Answer::Start(_) => {
                 self.runs.confirm(self.now(), choice);
-                true
+                Confirmation::Given
             }
-            // The attempt itself shows whether the upstream can be used.
-            None => {
+            Answer::Missing => {
                 emit(Event::RunUnknown, &[("upstream", &choice.id)]);
-                true
+                if is_broken {
+                    Confirmation::Silent
+                } else {
+                    Confirmation::Given
+                }
             }
         }
     }
 
     /// Asks an upstream for the start of its run.
-    async fn ask_run(&self, service: &Name, choice: &Choice) -> Option<u64> {
+    async fn ask_run(&self, service: &Name, choice: &Choice) -> Answer {
+        let answer = time::timeout(TIMEOUT, self.ask_run_without_limit(service, choice)).await;
+        answer.ok().flatten().map_or(Answer::Missing, Answer::Start)
+    }
+
+    /// Returns the start that an upstream states, which may be none, or nothing if it does not answer.
+    async fn ask_run_without_limit(&self, service: &Name, choice: &Choice) -> Option<Option<u64>> {
         let pooled = {
             let mut connections = self.connections.borrow_mut();
             connections.take(choice.address, Instant::now(), "")
@@ -114,10 +163,13 @@
                 return None;
             }
         }
-        let started_at = (exchange.head().status == 200).then(|| self.protocol.run_start(&answer));
+        let is_report = exchange.head().status == 200;
+        let started_at = is_report
+            .then(|| self.protocol.run_start(&answer))
+            .flatten();
         if let Some(reusable) = exchange.finish() {
             self.keep_connection(service, choice.address, reusable);
         }
-        started_at.flatten()
+        Some(started_at)
     }
 }
