Let streams begin at upstreams whose software is unknown

Clients got 503 "no-upstream" for all streams that may be resumed, although all upstreams were sound: each had crashed, and its entry had not been renewed.

Cause: new streams were assigned to the version of the entries, which no upstream was known to run any more. Seen in the test of crashing prompt parts, once all of its engines had crashed. Change: the assignment sees an upstream whose run has ended as one that states no version, so that any upstream may begin a stream.

--- a/crates/flow/src/assignment.rs
+++ b/crates/flow/src/assignment.rs
@@ -65,13 +65,25 @@
 impl Assignment {
     /// Records the upstreams of the service that are listed at a time.
     pub fn record<'a>(&mut self, now: Timestamp, entries: impl IntoIterator<Item = &'a Entry>) {
+        let entries = entries.into_iter();
+        self.record_software(now, entries.map(|entry| (entry, Software::of(entry))));
+    }
+
+    /// Like [`Assignment::record`], with the software of each upstream, which its entry may not state.
+    pub fn record_software<'a>(
+        &mut self,
+        now: Timestamp,
+        entries: impl IntoIterator<Item = (&'a Entry, Software)>,
+    ) {
         let before = std::mem::replace(&mut self.listed_at, now);
-        for entry in entries.into_iter().filter(|entry| !entry.leaving) {
+        let entries = entries.into_iter();
+        for (entry, software) in entries.filter(|(entry, _)| !entry.leaving) {
             let new = Accepting {
                 since: now,
                 until: now,
             };
-            let known = self.upstreams.entry(run(entry)).or_insert(new.clone());
+            let run = (entry.id.clone(), entry.started_at, software);
+            let known = self.upstreams.entry(run).or_insert(new.clone());
             if known.until < before {
                 *known = new;
             }
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -352,7 +352,10 @@
             Some(prompt) => engine::choose(now, self, &candidates, constraints, prompt),
             None => choose_plain(now, &candidates, constraints),
         };
-        choice.map(|choice| self.with_known_software(choice))
+        choice.map(|choice| Choice {
+            software: self.software(&self.upstreams[&choice.id].entry),
+            ..choice
+        })
     }
 
     /// Records that a request is sent to the chosen upstream.
--- a/crates/flow/src/pool/ended.rs
+++ b/crates/flow/src/pool/ended.rs
@@ -2,13 +2,12 @@
 //!
 //! While the platform's store is unavailable, an upstream may return under its name and with other
 //! software before its entry says so. Until a later run is listed, it is unknown what answers at the
-//! address: it gets no stream that has to be at a certain software, which includes new ones that are
-//! assigned to one, see [`crate::assignment`].
+//! address: a stream may begin there, but none may go on there or from there.
 
 use tsw_base::time::Timestamp;
 use tsw_route::Name;
 
-use super::{Choice, Pool, Upstream};
+use super::{Entry, Pool, Upstream};
 use crate::origin::Software;
 
 /// Maximum number of ended runs that are remembered.
@@ -62,18 +61,19 @@
         self.upstreams.keys().find(|id| is_wanted(id))
     }
 
-    /// Returns whether an upstream is known to run a software.
-    pub(super) fn runs(&self, upstream: &Upstream, software: &Software) -> bool {
-        let entry = &upstream.entry;
-        Software::of(entry) == *software && !self.has_ended(&entry.id, entry.started_at)
+    /// Returns the software of the upstream that an entry describes.
+    #[must_use]
+    pub fn software(&self, entry: &Entry) -> Software {
+        if self.has_ended(&entry.id, entry.started_at) {
+            Software::unknown(&entry.id)
+        } else {
+            Software::of(entry)
+        }
     }
 
-    /// Sets the software of a choice to unknown if the run of its entry has ended.
-    pub(super) fn with_known_software(&self, mut choice: Choice) -> Choice {
-        if self.has_ended(&choice.id, choice.started_at) {
-            choice.software = Software::unknown(&choice.id);
-        }
-        choice
+    /// Returns whether an upstream is known to run a software.
+    pub(super) fn runs(&self, upstream: &Upstream, software: &Software) -> bool {
+        !software.is_unknown() && self.software(&upstream.entry) == *software
     }
 
     fn has_ended(&self, id: &Name, started_at: u64) -> bool {
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -31,8 +31,15 @@
             }
         }
         for (service, assignment) in assignments.iter_mut() {
+            let services = self.services.borrow();
+            let pool = services.get(service).map(|service| &service.pool);
             let listed = entries.iter().filter(|entry| entry.service == *service);
-            assignment.record(now, listed);
+            let listed = listed.map(|entry| {
+                let software =
+                    pool.map_or_else(|| Software::of(entry), |pool| pool.software(entry));
+                (entry, software)
+            });
+            assignment.record_software(now, listed);
         }
     }
 
