Log which software a stream is assigned to, and why none is derived

Cause: the log could not tell whether a joined stream began outside its assignment or at an upstream whose entry was outdated, nor why a resume was refused as of unknown origin. Change: 304 states the software at which a new stream has to begin, and the new event 510 why none follows for a resumed one.

Measured: nothing changes but the log; the tests of tsw-event check the page of events against the code.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -217,6 +217,8 @@
     OriginKnown = 508 Info "origin-known";
     /// No router that was asked knows where a stream began that a client resumes.
     OriginUnknown = 509 Info "origin-unknown";
+    /// Where a stream began that a client resumes does not follow from what is known.
+    OriginNotDerived = 510 Info "origin-not-derived";
     /// An intent was sent to the witnesses.
     IntentSent = 601 Info "intent-sent";
     /// A witness accepted an intent.
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use tsw_base::time::{Span, Timestamp};
+use tsw_event::{emit, Event};
 use tsw_flow::{
     assignment::Assignment,
     origin::{Origin, Software, Source},
@@ -17,6 +18,33 @@
 /// Maximum number of teams whose longest wait is kept.
 const MAX_TEAMS: usize = 4_096;
 
+/// Why the software of a stream does not follow from what is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum NotDerived {
+    /// The route has several services, the shares of which may have changed since.
+    SeveralServices,
+    /// The list of upstreams is not known for the time in which the stream may have begun.
+    ListUnknown,
+    /// Upstreams of several versions, or without one, may have begun the stream, depending on when it began.
+    Ambiguous,
+    /// The client does not name the attempt that began the stream.
+    Unnamed,
+    /// This router has run for so long that others would have a record.
+    Unrecorded,
+}
+
+impl NotDerived {
+    const fn cause(self) -> &'static str {
+        match self {
+            Self::SeveralServices => "several services",
+            Self::ListUnknown => "the list is not known for long enough",
+            Self::Ambiguous => "it depends on when the stream began",
+            Self::Unnamed => "the client names no attempt",
+            Self::Unrecorded => "no router has a record",
+        }
+    }
+}
+
 /// The assignment of each service.
 pub(crate) type Assignments = IndexMap<Name, Assignment>;
 
@@ -90,41 +118,51 @@
     /// Binds a request that resumes a stream to the software that follows from the identifier of the
     /// stream, if any does.
     pub fn bind_derived(&self, request: &mut Request) {
-        if let Some((origin, source)) = self.derived_origin(request) {
-            self.bind(request, origin, source);
+        match self.derived_origin(request) {
+            Ok((origin, source)) => self.bind(request, origin, source),
+            Err(not_derived) => emit(
+                Event::OriginNotDerived,
+                &[("request", &request.id), ("cause", &not_derived.cause())],
+            ),
         }
     }
 
     /// Returns where the stream that a request resumes began, if that follows from its identifier or if
     /// there is only one software.
-    fn derived_origin(&self, request: &Request) -> Option<(Origin, Source)> {
-        // The shares of the services may have changed since the stream began.
-        if !request.is_resume() || request.route.services.len() > 1 {
-            return None;
+    fn derived_origin(&self, request: &Request) -> Result<(Origin, Source), NotDerived> {
+        if request.route.services.len() > 1 {
+            return Err(NotDerived::SeveralServices);
         }
         let key = request.resumed_key().unwrap_or(request.key());
         let age = Timestamp::ZERO + self.oldest_age(request);
         let since = Timestamp::ZERO + request.arrived.since(age);
         if !self.software.borrow().is_known(self.now(), since) {
-            return None;
+            return Err(NotDerived::ListUnknown);
         }
         let assignments = self.assignments.borrow();
-        let (software, is_only) = assignments.get(&request.service)?.derive(since, key)?;
+        let assignment = assignments.get(&request.service);
+        let derived = assignment.and_then(|assignment| assignment.derive(since, key));
+        let (software, is_only) = derived.ok_or(NotDerived::Ambiguous)?;
         let source = if is_only {
             let history = self.software.borrow();
             let only = history.only(self.now(), self.now().since(since), &request.service);
-            only.filter(|only| *only == software)?;
+            only.filter(|only| *only == software)
+                .ok_or(NotDerived::Ambiguous)?;
             Source::OnlySoftware
         } else {
+            if request.resumes.is_none() {
+                return Err(NotDerived::Unnamed);
+            }
             // Other routers keep records of streams that began while versions are mixed, unless all of
             // them have restarted.
-            let is_new = self.uptime() < self.origin_lifetime();
-            request.resumes.as_ref().filter(|_| is_new)?;
+            if self.uptime() >= self.origin_lifetime() {
+                return Err(NotDerived::Unrecorded);
+            }
             Source::Derived
         };
         let service = request.service.clone();
         let software = software.clone();
-        Some((Origin { service, software }, source))
+        Ok((Origin { service, software }, source))
     }
 
     /// Returns an upper bound of the time since the client first asked for the stream that a request
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -111,6 +111,8 @@
             .request_head(request, reservation.choice(), left_ms, after);
         let report_age = self.oldest_report_age();
         self.metrics.report_age.observe(report_age.as_secs_f64());
+        let assigned = self.assigned_software(request);
+        let assigned = assigned.map_or("-".to_owned(), |software| software.to_string());
         emit(
             Event::Dispatched,
             &[
@@ -124,6 +126,7 @@
                 ("known_us", &report_age.as_micros()),
                 ("reused", &reused),
                 ("software", &reservation.choice().software),
+                ("assigned", &assigned),
             ],
         );
         let response = async {
