Show that streams which begin beside an ended run are resumed at another version

A router knows that the run of one of five upstreams has ended and begins streams; it is killed, and the one that starts derives their versions.

--- a/crates/toucand/tests/stream_origins.rs
+++ b/crates/toucand/tests/stream_origins.rs
@@ -390,3 +390,63 @@
         fleet.wait_accepting(1).await;
     }
 }
+
+/// Guards against streams resumed at another version than the one that began them after all routers have started
+/// anew: they began while the run of one listed upstream was known to have ended.
+#[actix_rt::test]
+async fn streams_that_began_beside_an_ended_run_are_not_resumed_at_another_version() {
+    let mut fleet = Fleet::start(&["v1", "v1", "v1", "v2", "v2"], 1).await;
+    let address = fleet.routers[0].client;
+    let begin = |id: &str| {
+        let call = Call::prompt("/draft/1", id);
+        actix_rt::spawn(async move { drop(call.send_to(address).await) });
+    };
+    (0..20).for_each(|number| begin(&format!("c{number}")));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    fleet.engines[0].1.crash();
+    wait_metric(
+        &fleet.routers[0],
+        "relay_breaks_total{outcome=\"crash\"}",
+        |found| found >= 1.0,
+    )
+    .await;
+    // The streams from before the crash end meanwhile.
+    actix_rt::time::sleep(Duration::from_millis(3_000)).await;
+    let ids: Vec<String> = (0..40).map(|number| format!("a{number}")).collect();
+    ids.iter().for_each(|id| begin(id));
+    actix_rt::time::sleep(Duration::from_millis(400)).await;
+    let began = ids
+        .iter()
+        .filter_map(|id| Some((id, fleet.version_of(id)?)));
+    let began: Vec<_> = began.collect();
+    assert!(began.len() >= 20, "only {} streams began", began.len());
+    fleet.routers.clear();
+    for (_, engine) in &fleet.engines {
+        engine.set_default(Behaviour::Stream(4));
+    }
+    fleet.start_routers(1).await;
+    wait_metric(&fleet.routers[0], "relay_history_milliseconds", |known| {
+        known > 10_000.0
+    })
+    .await;
+    let (mut joined, mut refused) = (Vec::new(), 0);
+    for (id, version) in &began {
+        let resumed = format!("r{id}");
+        let mut call = Call::prompt("/draft/1", &resumed);
+        call.head.fields.remove("Deadline-Ms");
+        call.head.fields.push("Deadline-Ms", "10000");
+        call.head.fields.push("Last-Event-Id", "1");
+        call.head.fields.push("Resumes", (*id).clone());
+        let response = call.send(&fleet.routers[0]).await;
+        refused += usize::from(response.status != 200);
+        let went_on = fleet.version_of(&resumed);
+        if went_on.is_some_and(|went_on| went_on != *version) {
+            joined.push((id, version, went_on));
+        }
+    }
+    let count = began.len();
+    assert!(
+        joined.is_empty(),
+        "of {count}, {refused} refused: {joined:?}"
+    );
+}
