Derive a version only if upstreams confirm that they still run it

Callers got streams of one version that went on at another one: both upstreams of the derived version had ended and come back with other software behind entries that were not renewed, and more than 5 s after its start a router relied on them.

Cause: the deriving router presumed that a router that began the stream knew a run of the assigned version. One that takes all of them for ended begins streams anywhere. Same class: the past is presumed from what is listed now. Requests that arrived before the question share its answer. The derivation is a module of its own.

--- a/crates/flow/src/assignment.rs
+++ b/crates/flow/src/assignment.rs
@@ -131,8 +131,7 @@
         if possible.len() <= 1 {
             return possible.into_keys().next().map(|software| (software, true));
         }
-        let certain =
-            self.count(|known| known.until == self.listed_at && known.since + LAG <= since);
+        let certain = self.count(|known| self.lasts(known, since));
         let unknown = self.unknown.iter().filter(|until| **until + LAG >= since);
         let unknown = unknown.count() as u32;
         let is_assigned = |software: &&&Software| {
@@ -153,6 +152,21 @@
         derived.next().map(|software| (*software, false))
     }
 
+    /// Returns the runs of a software that every router has listed at all times since one, by name and start.
+    pub fn runs<'a>(
+        &'a self,
+        since: Timestamp,
+        software: &'a Software,
+    ) -> impl Iterator<Item = (&'a Name, u64)> {
+        let runs = self.upstreams.iter();
+        let runs = runs.filter(move |((.., of), known)| of == software && self.lasts(known, since));
+        runs.map(|((name, started_at, _), _)| (name, *started_at))
+    }
+
+    fn lasts(&self, known: &Accepting, since: Timestamp) -> bool {
+        known.until == self.listed_at && known.since + LAG <= since
+    }
+
     fn count(&self, counts: impl Fn(&Accepting) -> bool) -> IndexMap<&Software, u32> {
         let mut count = IndexMap::new();
         let counted = self.upstreams.iter().filter(|(_, known)| counts(known));
--- a/crates/flow/src/pool/ended.rs
+++ b/crates/flow/src/pool/ended.rs
@@ -7,7 +7,7 @@
 use tsw_base::time::Timestamp;
 use tsw_route::Name;
 
-use super::{Entry, Pool, Upstream};
+use super::{Choice, Entry, Pool, Upstream};
 use crate::origin::Software;
 
 /// Maximum number of ended runs that are remembered.
@@ -78,6 +78,16 @@
         upstreams.any(|upstream| self.runs(upstream, software))
     }
 
+    /// Returns the listed upstreams that accept new requests and whose runs of a software have not ended, as far
+    /// as is known.
+    #[must_use]
+    pub fn runs_of(&self, software: &Software) -> Vec<Choice> {
+        let upstreams = self.upstreams.values();
+        let runs = upstreams.filter(|upstream| !upstream.entry.leaving);
+        let runs = runs.filter(|upstream| self.runs(upstream, software));
+        runs.map(|upstream| upstream.choice(0, None)).collect()
+    }
+
     /// Returns whether an upstream is known to run a software.
     pub(super) fn runs(&self, upstream: &Upstream, software: &Software) -> bool {
         !software.is_unknown() && self.software(&upstream.entry) == *software
--- a/crates/gate/src/origin_sync.rs
+++ b/crates/gate/src/origin_sync.rs
@@ -156,7 +156,7 @@
     }
     // Routers that were told where it began know best: a router of an older build assigns streams in
     // another way.
-    state.router.bind_derived(request);
+    state.router.bind_derived(request).await;
 }
 
 async fn query(state: &State, request: &Request, key: Key) -> Option<Origin> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,8 +11,8 @@
 //! 5. [`crash_detector`]: detects requests that crash upstreams.
 //! 6. [`timing`]: measures when the events of a stream were forwarded.
 //! 7. [`responder`]: writes the response to the client.
-//! 8. [`origins`]: remembers at which software streams began; [`assignment`]: assigns new ones to software, and
-//!    derives where they began if no router remembers it.
+//! 8. [`origins`]: remembers at which software streams began; [`assignment`]: assigns new ones to software;
+//!    [`derivation`]: derives where they began if no router remembers it.
 //! 9. [`statements`]: applies what upstreams state about themselves in their responses; [`credits`]: credits
 //!    for requests to upstreams that state the request rate that they take.
 //! 10. `upstream_run`: finds out whether an upstream still runs the process that its entry describes.
@@ -25,6 +25,7 @@
 pub mod attempt;
 pub mod crash_detector;
 pub mod credits;
+pub mod derivation;
 pub mod event;
 pub mod local_response;
 pub mod memory;
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -11,11 +11,12 @@
 };
 
 use bytes::{Bytes, BytesMut};
+use futures_util::{stream, StreamExt as _};
 use indexmap::{IndexMap, IndexSet};
-use tokio::time;
+use tokio::{sync::Mutex, time};
 use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
-use tsw_flow::pool::Choice;
+use tsw_flow::{origin::Origin, pool::Choice};
 use tsw_http::{connection::Connection, exchange::Exchange};
 use tsw_route::Name;
 
@@ -28,6 +29,13 @@
 /// Maximum length of an answer in bytes. It lists some details of each request that the upstream runs.
 const MAX_ANSWER_BYTES: usize = 1 << 18;
 
+/// Number of runs of a software that have to be confirmed, if as many are listed.
+const MIN_CONFIRMED: usize = 2;
+/// Maximum number of upstreams that are asked at the same time.
+const MAX_ASKED: usize = 4;
+/// Maximum number of services and software for which the latest questions are remembered.
+const MAX_QUESTIONS: usize = 64;
+
 /// Maximum number of upstreams that are remembered because connections to them broke.
 const MAX_BROKEN: usize = 4_096;
 
@@ -40,6 +48,9 @@
     broken: RefCell<IndexSet<Name>>,
     /// Start of the run that each upstream has confirmed, and when it did.
     confirmed: RefCell<IndexMap<Name, (u64, Timestamp)>>,
+    /// When the upstreams of a software were last asked, and whether enough of them confirmed their runs. Requests
+    /// that arrived before do not ask again.
+    asked: Mutex<IndexMap<Origin, (Timestamp, bool)>>,
 }
 
 impl Runs {
@@ -134,6 +145,46 @@
         }
     }
 
+    /// Finds out whether enough of these runs of a software go on at a time after `since`.
+    pub(crate) async fn confirm_runs(
+        &self,
+        origin: &Origin,
+        runs: &[Choice],
+        since: Timestamp,
+    ) -> bool {
+        let mut asked = self.runs.asked.lock().await;
+        if let Some((_, is_confirmed)) = asked.get(origin).filter(|(at, _)| *at >= since) {
+            return *is_confirmed;
+        }
+        let now = self.now();
+        let is_confirmed = self.ask_runs(&origin.service, runs).await;
+        if asked.len() >= MAX_QUESTIONS {
+            asked.clear();
+        }
+        asked.insert(origin.clone(), (now, is_confirmed));
+        is_confirmed
+    }
+
+    async fn ask_runs(&self, service: &Name, runs: &[Choice]) -> bool {
+        let needed = MIN_CONFIRMED.min(runs.len());
+        let ask = |run| async move { (run, self.ask_run(service, run).await) };
+        let mut answers = stream::iter(runs).map(ask).buffer_unordered(MAX_ASKED);
+        let mut confirmed = 0;
+        while confirmed < needed {
+            let Some((run, answer)) = answers.next().await else {
+                return false;
+            };
+            match answer {
+                Answer::Start(Some(started_at)) if started_at > run.started_at => {
+                    self.record_ended_run(service, &run.id, run.started_at);
+                }
+                Answer::Start(_) => confirmed += 1,
+                Answer::Missing => emit(Event::RunUnknown, &[("upstream", &run.id)]),
+            }
+        }
+        needed > 0
+    }
+
     /// Asks an upstream for the start of its run.
     async fn ask_run(&self, service: &Name, choice: &Choice) -> Answer {
         let answer = time::timeout(TIMEOUT, self.ask_run_without_limit(service, choice)).await;
