Read what has changed in the list before a version is derived from it

Callers got streams that went on at the only version that a router knew, while another router had begun them at a version that was listed a moment before.

Cause: a router learns of a change up to 1.5 s later than others, but derived from its list as if it were complete up to the present. Nothing bounds how late in the possible time the stream began. Change: a request whose stream may be derived waits until the changes up to a time after its arrival are read from the store, with one call for all requests that wait, at most every 100 ms (600 ms in a large fleet). While the store does not answer, the list counts as complete as far as the other routers show, as before.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -110,6 +110,8 @@
     HistoryRead = 216 Info "history-read";
     /// The store's history cannot be read: nothing is known of the time before the start.
     HistoryUnavailable = 217 Warn "history-unavailable";
+    /// The changes of the list of upstreams that a request needs cannot be read.
+    ListCheckFailed = 218 Info "list-check-failed";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused without being run.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,7 +6,8 @@
 //!   service; [`connection_reuse`]: tracks whether clients reuse their connections.
 //! - [`endpoints`]: the router's own HTTP endpoints: readiness, addresses, metrics, reads by peers.
 //! - [`store_watch`]: reads the platform's store; [`peer_sync`]: reads newer store content from
-//!   peers; [`store_history`]: reads at the start which upstreams left before; [`store_copy`]: the local copy of the store's content, and the difference to a peer's.
+//!   peers; [`store_history`]: reads at the start which upstreams left before; [`list_check`]: brings the list up to
+//!   date at a request's demand; [`store_copy`]: the local copy of the store's content, and the difference to a peer's.
 //! - [`origin_sync`]: shares with other routers where streams began; [`origin_batch`]: the encoding.
 //! - [`credit_exchange`]: asks other routers for credits for requests to upstreams that state a rate, and
 //!   hands them out; [`credit_message`]: the encoding.
@@ -23,6 +24,7 @@
 pub mod credit_message;
 pub mod endpoints;
 pub mod gossip;
+pub mod list_check;
 pub mod origin_batch;
 pub mod origin_sync;
 pub mod peer_sync;
--- /dev/null
+++ b/crates/gate/src/list_check.rs
@@ -0,0 +1,66 @@
+//! Brings the list of upstreams up to date at a request's demand.
+//!
+//! A watch delivers changes with a delay, and another router may know a change earlier. Before the past of a stream is
+//! derived from the list, the changes up to the present are read.
+
+use std::{cell::Cell, time::Duration};
+
+use tokio::{sync::Mutex, time};
+use tsw_base::time::{Span, Timestamp};
+use tsw_event::{emit, Event};
+use tsw_platform::{store::Store, upstream};
+
+use crate::state::State;
+
+/// Minimum time between two reads, in a small and in a large fleet. Requests that arrive meanwhile wait for
+/// the next one.
+const INTERVAL: Span = Span::from_millis(100);
+const LARGE_FLEET_INTERVAL: Span = Span::from_millis(600);
+/// Time limit of a read.
+const TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The latest read.
+#[derive(Debug, Default)]
+pub struct ListCheck {
+    store: Mutex<Option<Store>>,
+    /// When it began, and whether all changes until then are known.
+    latest: Cell<(Timestamp, bool)>,
+}
+
+impl ListCheck {
+    /// Reads the changes of the list up to a time after this call, and returns whether they are known. While the
+    /// store does not answer, this is what the other routers show.
+    pub async fn run(&self, state: &State) -> bool {
+        let asked_at = state.router.now();
+        let mut store = self.store.lock().await;
+        let (began, is_current) = self.latest.get();
+        if began >= asked_at {
+            return is_current;
+        }
+        let interval = if state.is_large_fleet() {
+            LARGE_FLEET_INTERVAL
+        } else {
+            INTERVAL
+        };
+        let pause = (began + interval).since(state.router.now());
+        time::sleep(pause.as_duration()).await;
+        let began = state.router.now();
+        let store = store.get_or_insert_with(|| Store::new(state.settings.borrow().store));
+        let read = time::timeout(TIMEOUT, read(state, store)).await;
+        let is_current = read.unwrap_or(false) || state.knows_what_peers_know();
+        self.latest.set((began, is_current));
+        is_current
+    }
+}
+
+/// Reads and applies the changes since the latest list, and returns whether that succeeded.
+async fn read(state: &State, store: &mut Store) -> bool {
+    let known = state.registry.borrow().position();
+    match store.watch(upstream::PREFIX, known, Duration::ZERO).await {
+        Ok(items) => state.apply_upstreams(&items.items, items.position, false),
+        Err(cause) => {
+            emit(Event::ListCheckFailed, &[("cause", &cause)]);
+            false
+        }
+    }
+}
--- a/crates/gate/src/origin_sync.rs
+++ b/crates/gate/src/origin_sync.rs
@@ -15,7 +15,7 @@
     field::Fields,
     head,
 };
-use tsw_relay::request::Request;
+use tsw_relay::{derivation::NotDerived, request::Request};
 use tsw_route::Name;
 
 use crate::{
@@ -156,7 +156,15 @@
     }
     // Routers that were told where it began know best: a router of an older build assigns streams in
     // another way.
-    state.router.bind_derived(request).await;
+    if !state.router.may_derive(request) {
+        return;
+    }
+    if state.list_check.run(state).await {
+        state.router.bind_derived(request).await;
+    } else {
+        let outdated = NotDerived::ListOutdated;
+        state.router.reject_derivation(request, outdated);
+    }
 }
 
 async fn query(state: &State, request: &Request, key: Key) -> Option<Origin> {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -31,7 +31,9 @@
 use crate::{
     client,
     connection_reuse::ReuseTracker,
-    credit_exchange, endpoints, gossip, origin_sync, peer_sync,
+    credit_exchange, endpoints, gossip,
+    list_check::ListCheck,
+    origin_sync, peer_sync,
     state::{Phase, State},
     store_copy::StoreCopy,
     store_watch::{self, Subject},
@@ -216,6 +218,7 @@
         clients: Cell::new(0),
         reuse: ReuseTracker::default(),
         origin_queries: origin_sync::Queries::default(),
+        list_check: ListCheck::default(),
         ready_routers: RefCell::default(),
     }))
 }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -25,8 +25,8 @@
 use tsw_route::{table::Limits, Name};
 
 use crate::{
-    connection_reuse::ReuseTracker, credit_exchange::ReadyRouters, origin_sync::Queries,
-    store_copy::StoreCopy,
+    connection_reuse::ReuseTracker, credit_exchange::ReadyRouters, list_check::ListCheck,
+    origin_sync::Queries, store_copy::StoreCopy,
 };
 
 /// Maximum number of routers in a fleet in which every router watches the store.
@@ -81,6 +81,8 @@
     pub reuse: ReuseTracker,
     /// Queries to other routers for where streams began.
     pub origin_queries: Queries,
+    /// Reads the changes of the list that a request needs.
+    pub list_check: ListCheck,
     /// The ready routers, and when they last changed.
     pub ready_routers: RefCell<ReadyRouters>,
 }
@@ -176,8 +178,19 @@
     /// Returns whether no router can have read an upstream from the store that this one does not know,
     /// apart from delays.
     fn knows_all_upstreams(&self) -> bool {
+        let reads = self.is_store_reader() && self.roster.borrow().me.reads_store;
+        if reads {
+            let routers = self.roster.borrow().live(self.router.now()).count();
+            self.routers_at_read.set(routers);
+        }
+        let is_listed = self.registry.borrow().position().revision > 0;
+        is_listed && (reads || self.knows_what_peers_know())
+    }
+
+    /// Returns whether this router has listed what any other router has, unless routers that it was in contact with
+    /// at the latest read are missing.
+    pub fn knows_what_peers_know(&self) -> bool {
         let now = self.router.now();
-        let is_reader = self.is_store_reader();
         let roster = self.roster.borrow();
         let known = self.registry.borrow().position();
         let position = |peer: &Member| Position {
@@ -186,15 +199,13 @@
         };
         let mut peers = roster.live(now).peekable();
         let routers = roster.live(now).count();
-        let reads = is_reader && roster.me.reads_store;
         let is_current = peers.peek().is_some() && peers.all(|peer| position(peer) <= known);
-        if reads || is_current && roster.live(now).any(|peer| peer.reads_store) {
+        if is_current && roster.live(now).any(|peer| peer.reads_store) {
             self.routers_at_read.set(routers);
         }
         // While nobody reads the store, routers that are not in contact may know upstreams that this one
         // does not.
-        let is_whole = routers >= self.routers_at_read.get();
-        known.revision > 0 && (reads || is_current && is_whole)
+        is_current && routers >= self.routers_at_read.get() && known.revision > 0
     }
 
     /// Determines from the reads of the other routers whether the store was down or only
--- a/crates/toucand/tests/derived_versions.rs
+++ b/crates/toucand/tests/derived_versions.rs
@@ -5,12 +5,20 @@
 
 use std::time::Duration;
 
+use futures_util::future;
 use tsw_fake::worker::Behaviour;
+use tsw_load::{
+    delay::Timer,
+    relay::{Link, Relay},
+};
 use versions::{
     fleet::{self, Call, Router},
     resume_named, wait_history, wait_metric, Fleet,
 };
 
+/// Delay of a slow link to the store, in each direction.
+const STORE_DELAY: Duration = Duration::from_millis(280);
+
 /// Guards against deriving the old version for streams that waited for a slot when the first upstream
 /// of a newer version was listed, and began there.
 #[actix_rt::test]
@@ -156,3 +164,48 @@
     }
     assert!(joined.is_empty(), "of {}: {joined:?}", began.len());
 }
+
+/// Guards against deriving the only version of a list that is late, for streams that another router has begun at a
+/// version that was listed a moment before.
+#[actix_rt::test]
+async fn nothing_is_derived_from_a_list_that_is_late() {
+    let mut fleet = Fleet::start(&["v1", "v1"], 0).await;
+    let relay = Relay::start(Timer::start(), 1).expect("a relay");
+    let link = Link::new(STORE_DELAY);
+    let late = relay.tcp(fleet.store.address(), link.clone(), link);
+    let late = late.expect("an address");
+    // The routers do not know each other.
+    for (name, store) in [("early", fleet.store.address()), ("late", late)] {
+        let router = Router::start(name, store, &[]);
+        router.wait_ready().await;
+        fleet.routers.push(router);
+    }
+    fleet.wait_accepting(2).await;
+    wait_history(&fleet.routers[1]).await;
+    for number in [2, 3] {
+        fleet.add_engine("v2").await;
+        fleet.list(number, "ready", 60, 1);
+    }
+    wait_metric(&fleet.routers[0], "relay_upstreams", |found| found == 4.0).await;
+    let ids: Vec<String> = (0..20).map(|number| format!("a{number}")).collect();
+    for id in &ids {
+        let (address, call) = (fleet.routers[0].client, Call::prompt("/draft/1", id));
+        actix_rt::spawn(async move { drop(call.send_to(address).await) });
+    }
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let began = |id: &&String| fleet.version_of(id) == Some("v2");
+    let began: Vec<_> = ids.iter().filter(began).collect();
+    assert!(!began.is_empty(), "no stream began at the new version");
+    let resumes = began.iter().map(|id| {
+        let resumed = format!("r{id}");
+        let router = &fleet.routers[1];
+        async move {
+            resume_named(router, &resumed, id).await;
+            resumed
+        }
+    });
+    let resumed = future::join_all(resumes).await;
+    let joined = |id: &&String| fleet.version_of(id) == Some("v1");
+    let joined = resumed.iter().filter(joined).count();
+    assert_eq!(joined, 0, "of {} streams", began.len());
+}
