Show that a response without a length looks complete when its upstream crashes

Clients get a stream without Content-Length or chunks as complete between two events, and the first bytes of a plain response without a length as a whole one, also on routes that may run once.

Cause: the operating system closes the connections of a killed process in order (FIN), as the process itself does at the end of such a response. Only a reset was told from the end. Change: none yet.

--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -11,6 +11,8 @@
     Unframed,
     /// A response without a length whose connection is reset.
     UnframedReset,
+    /// A response without a length of which this many bytes of the body are sent before the upstream crashes.
+    UnframedCrash(usize),
     /// A response whose body is shorter than its `Content-Length`.
     Truncated,
     /// This many bytes of a response with a `Content-Length`, or all but the last byte of its head if that
@@ -64,6 +66,9 @@
     /// Like [`Behaviour::UnframedStream`], but the connection is closed in the middle of the event that
     /// follows.
     UnframedCutStream(u64),
+    /// A stream without a length or chunks whose upstream crashes after this many events, with a pause after
+    /// each.
+    UnframedCrashStream(u64),
     /// A stream that is reset in the middle of the event that follows this many events.
     ResetStream(u64),
     /// A stream that stops after this many events; the connection stays open.
--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -12,7 +12,7 @@
 };
 
 /// Pause before an event, and before a crash, of a response that crashes on a request.
-const EVENT_PAUSE: Duration = Duration::from_millis(20);
+pub(super) const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
 fn plain_response(id: &str, length: Option<usize>, body: &str) -> String {
     let length = length.map_or(String::new(), |length| {
@@ -35,6 +35,13 @@
     connection.stream.write_all((head + &body).as_bytes()).await
 }
 
+/// Crashes after a pause, in which what was sent arrives.
+async fn crash(state: &State) -> io::Result<bool> {
+    time::sleep(EVENT_PAUSE).await;
+    state.crash();
+    std::future::pending().await
+}
+
 /// Responds to a request. Returns whether the connection can be used for another request.
 pub(super) async fn respond(
     state: &State,
@@ -60,6 +67,12 @@
             time::sleep(pause).await;
             (half, true)
         }
+        Behaviour::UnframedCrash(bytes) => {
+            let text = plain_response(id, None, &"x".repeat(bytes));
+            let text = state.with_fields(&text);
+            connection.stream.write_all(text.as_bytes()).await?;
+            return crash(state).await;
+        }
         Behaviour::Unframed => (plain_response(id, None, &body), false),
         Behaviour::UnframedReset => (plain_response(id, None, &body), false),
         Behaviour::Truncated => (plain_response(id, Some(body.len() + 9), &body), false),
@@ -125,9 +138,7 @@
             if events > 0 {
                 stream::send_unfinished(state, connection, arrival, id, behaviour(events)).await?;
             }
-            time::sleep(EVENT_PAUSE).await;
-            state.crash();
-            return std::future::pending().await;
+            return crash(state).await;
         }
         Behaviour::Silent => {
             wait_for_close(connection).await;
@@ -145,6 +156,10 @@
             return stream::send_unframed(state, connection, arrival, id, (behaviour, events))
                 .await;
         }
+        Behaviour::UnframedCrashStream(events) => {
+            stream::send_unframed(state, connection, arrival, id, (behaviour, events)).await?;
+            return crash(state).await;
+        }
         Behaviour::Stream(events)
         | Behaviour::ResetStream(events)
         | Behaviour::Stall(events)
--- a/crates/fake/src/worker/stream.rs
+++ b/crates/fake/src/worker/stream.rs
@@ -7,6 +7,7 @@
 
 use super::{
     request::{reset_on_close, wait_for_close},
+    response::EVENT_PAUSE,
     Arrival, Behaviour, State,
 };
 
@@ -57,6 +58,11 @@
         .replace("Transfer-Encoding: chunked\r\n", "");
     for number in first_event(arrival)..events {
         text.push_str(&event(version.as_deref(), number));
+        if matches!(behaviour, Behaviour::UnframedCrashStream(_)) {
+            connection.stream.write_all(text.as_bytes()).await?;
+            text.clear();
+            time::sleep(EVENT_PAUSE).await;
+        }
     }
     if matches!(behaviour, Behaviour::UnframedCutStream(_)) {
         text.push_str(&format!("id: {events}\nda"));
