Pass on the end of a response without a length only if its upstream still runs

Clients got cut streams and bodies without Content-Length or chunks as whole ones when the upstream was killed while it sent them.

Cause: the operating system closes the connections of a killed process like the process at the end of such a response. Change: before the end of such a response (of any status: a kept failure gets a Content-Length too) is passed on, its upstream is asked for the start of its run. A refused connection, a later start than that of the choice, or no answer is a broken attempt: a stream that may be resumed goes on elsewhere, a request that may be repeated is, all else is cut or answered 502. Data is not held back, and responses with a marked end cost nothing. No new event: 406 and 306 state the cause by the request's id. - Time: 3 s at most, since sound upstreams fall silent for a second or so; a connection to a killed one is refused at once. An upstream that has stated starts and is silent for longer counts as cut: looking whole is the worse mistake. - Upstreams that state no start (plain services, status 404 or 503, first question silent for 0.4 s, as it may wait for a slot): it is enough that they accept a connection 50 ms after the end, when the listener of a killed one is closed. They are asked once in 30 s. One that returns within these 50 ms, or behind a relay that accepts for it, is not noticed. - An entry may be older than the run that got the request. A later start that was known before the request was sent is no evidence, so that one response of such a run is cut at most, not all until the store is back. - A planned end right after the last byte cannot be told from a crash: a stream that may be resumed is then ended by another upstream without further events (tested), others are cut.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -28,7 +28,7 @@
 };
 use tsw_http::{connection::Connection, head};
 
-pub use behaviour::{Behaviour, Endless};
+pub use behaviour::{Behaviour, Endless, Report};
 use refusal::Refusals;
 
 /// A request that the upstream received.
@@ -54,6 +54,10 @@
     default: RefCell<Option<Behaviour>>,
     /// Start of its run, which its report states.
     born: Cell<Option<u64>>,
+    /// How it gives its report.
+    report: Cell<Report>,
+    /// Number of questions for its report.
+    questions: Cell<u64>,
     /// Version of the software, which the events of its streams name.
     version: RefCell<Option<String>>,
     /// Header lines added to the head of each response.
@@ -184,6 +188,17 @@
         self.state.born.set(born);
     }
 
+    /// Sets how the upstream gives its report.
+    pub fn set_report(&self, report: Report) {
+        self.state.report.set(report);
+    }
+
+    /// Returns how often the upstream was asked for its report.
+    #[must_use]
+    pub fn questions(&self) -> u64 {
+        self.state.questions.get()
+    }
+
     /// Crashes: closes all connections, and accepts none for [`CRASH_DOWNTIME`].
     pub fn crash(&self) {
         self.state.crash();
@@ -230,7 +245,10 @@
     let mut refusals = Refusals::default();
     while let Some(head) = request::read_head(&mut connection).await? {
         if head.target == "/api/report" {
-            response::report(&mut connection, state.born.get()).await?;
+            state.questions.set(state.questions.get() + 1);
+            if !response::report(state, &mut connection).await? {
+                return Ok(());
+            }
             continue;
         }
         let scripted = state.script.borrow_mut().pop_front();
--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -89,6 +89,22 @@
     Endless(Endless),
 }
 
+/// How the upstream answers the question for what it says of itself.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Report {
+    /// At once.
+    #[default]
+    Given,
+    /// After a pause.
+    Late(Duration),
+    /// With status 404.
+    NotFound,
+    /// Not at all; the connection stays open.
+    Silent,
+    /// It resets the connection.
+    Reset,
+}
+
 /// The part of a response that does not end until the router closes the connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Endless {
--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -8,7 +8,7 @@
 use super::{
     refusal,
     request::{reset_on_close, wait_for_close},
-    stream, Arrival, Behaviour, State,
+    stream, Arrival, Behaviour, Report, State,
 };
 
 /// Pause before an event, and before a crash, of a response that crashes on a request.
@@ -21,18 +21,37 @@
     format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\n{length}\r\n{body}")
 }
 
-/// Sends what the upstream says of itself. It is no request of a client, so that no behaviour applies.
-pub(super) async fn report(connection: &mut Connection, born: Option<u64>) -> io::Result<()> {
+/// Sends what the upstream says of itself. It is no request of a client, so that no behaviour applies. Returns
+/// whether the connection can be used for another request.
+pub(super) async fn report(state: &State, connection: &mut Connection) -> io::Result<bool> {
+    let status = match state.report.get() {
+        Report::Given => "200 OK",
+        Report::Late(pause) => {
+            time::sleep(pause).await;
+            "200 OK"
+        }
+        Report::NotFound => "404 Not Found",
+        Report::Silent => {
+            wait_for_close(connection).await;
+            return Ok(false);
+        }
+        Report::Reset => {
+            reset_on_close(connection);
+            return Ok(false);
+        }
+    };
     let mut report = serde_json::json!({"stage": "both", "running": 0});
-    if let Some(born) = born {
+    if let Some(born) = state.born.get() {
         report["born"] = born.into();
     }
     let body = report.to_string();
     let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
-    connection.stream.write_all((head + &body).as_bytes()).await
+    let text = head + &body;
+    connection.stream.write_all(text.as_bytes()).await?;
+    Ok(true)
 }
 
 /// Crashes after a pause, in which what was sent arrives.
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -51,6 +51,7 @@
     connection: Connection,
     decoder: body::Decoder,
     head: head::Response,
+    length: body::Length,
     unsent: Unsent,
 }
 
@@ -92,11 +93,12 @@
             error: None,
         };
         let head = unsent.write_until_head(&mut connection).await?;
-        let decoder = body::Decoder::new(head.length(&request.method)?);
+        let length = head.length(&request.method)?;
         Ok(Self {
             connection,
-            decoder,
+            decoder: body::Decoder::new(length),
             head,
+            length,
             unsent,
         })
     }
@@ -107,6 +109,12 @@
         &self.head
     }
 
+    /// Returns whether the body ends with the connection, so that its end looks the same if the upstream crashes.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        self.length == body::Length::UntilClose
+    }
+
     /// Discards a response to another request, writes what is left of the request, and waits for the
     /// next response on the connection.
     ///
@@ -127,11 +135,12 @@
             ..
         } = self;
         let head = unsent.write_until_head(&mut connection).await?;
-        let decoder = body::Decoder::new(head.length(&request.method)?);
+        let length = head.length(&request.method)?;
         Ok(Self {
             connection,
-            decoder,
+            decoder: body::Decoder::new(length),
             head,
+            length,
             unsent,
         })
     }
--- a/crates/relay/src/crash_detector.rs
+++ b/crates/relay/src/crash_detector.rs
@@ -65,7 +65,7 @@
 /// Returns whether a failure to connect shows that nothing accepts connections at the address. Without a
 /// response, the host or the network may have failed, which no request causes. Others are failures of this
 /// router, such as a lack of file descriptors.
-fn is_down(error: &io::Error) -> bool {
+pub(crate) fn is_down(error: &io::Error) -> bool {
     matches!(
         error.kind(),
         io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
@@ -316,7 +316,7 @@
     }
 
     /// Keeps the connection of a check for later requests.
-    fn keep_checked(&self, service: &Name, address: SocketAddr, connection: Connection) {
+    pub(crate) fn keep_checked(&self, service: &Name, address: SocketAddr, connection: Connection) {
         let reusable = ReusableConnection {
             connection,
             idle_timeout: None,
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -16,6 +16,7 @@
     attempt::{Attempt, AttemptError},
     event::Splitter,
     responder::Progress,
+    upstream_run::ResponseEnd,
 };
 
 /// Maximum number of bytes of a plain response that are buffered until it is complete, so that a
@@ -86,9 +87,11 @@
             }
             if !fits {
                 drop(share);
-                return self.forward_rest(exchange, body.freeze()).await;
+                let choice = reservation.choice();
+                return self.forward_rest(exchange, choice, body.freeze()).await;
             }
         }
+        self.check_end(&exchange, reservation.choice()).await?;
         let head = exchange.head().clone();
         self.router.reuse(&reservation, exchange);
         drop(reservation);
@@ -115,6 +118,7 @@
     async fn forward_rest(
         &mut self,
         mut exchange: Exchange,
+        choice: &Choice,
         buffered: Bytes,
     ) -> Result<Outcome, AttemptFailure> {
         let head = exchange.head().clone();
@@ -129,6 +133,9 @@
                 Err(error) => return Ok(self.truncate(error)),
             }
         }
+        if let Err(error) = self.check_end(&exchange, choice).await {
+            return Ok(self.truncate(error.cause));
+        }
         self.responder.finish().await?;
         self.record_completion("answered");
         Ok(Outcome::Complete)
@@ -193,6 +200,7 @@
                 AttemptError::new(FailureKind::Broken, "the stream ends within an event").into(),
             );
         }
+        self.check_end(&exchange, reservation.choice()).await?;
         self.record_success(&upstream);
         self.start_response(&exchange, &software);
         self.router.reuse(&reservation, exchange);
@@ -205,6 +213,25 @@
         Ok(Outcome::Complete)
     }
 
+    /// Checks that a response is whole whose end has arrived. Whether one that ends with its connection is can only
+    /// be told from its upstream.
+    async fn check_end(&self, exchange: &Exchange, choice: &Choice) -> Result<(), AttemptError> {
+        if !exchange.ends_with_connection() {
+            return Ok(());
+        }
+        let (service, sent) = (&self.request.service, self.attempted_at);
+        let end = self.router.check_response_end(service, choice, sent).await;
+        let state = match end {
+            ResponseEnd::Whole => return Ok(()),
+            ResponseEnd::Down => "accepts no connection",
+            ResponseEnd::Restarted => "has started again",
+            ResponseEnd::Silent => "does not answer",
+        };
+        let cause =
+            format!("the response may be cut: it ends without a length, and its upstream {state}");
+        Err(AttemptError::new(FailureKind::Broken, cause))
+    }
+
     /// Starts the response with the head of a stream unless it was started before. A stream that breaks
     /// before its first event can therefore still be answered with an error status.
     fn start_response(&mut self, exchange: &Exchange, software: &Software) {
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -5,6 +5,8 @@
 //! may go on elsewhere, if the platform's store was unavailable lately or this router has just started, and if a
 //! connection to it broke.
 
+mod response_end;
+
 use std::{
     cell::{Cell, RefCell},
     time::{Duration, Instant},
@@ -20,6 +22,7 @@
 use tsw_route::Name;
 
 use crate::{attempt::CONNECT_TIMEOUT, router::Router};
+pub(crate) use response_end::ResponseEnd;
 
 /// Time limit of the question.
 const TIMEOUT: Duration = Duration::from_millis(400);
@@ -40,6 +43,8 @@
     broken: RefCell<IndexSet<Name>>,
     /// Start of the run that each upstream has confirmed, and when it did.
     confirmed: RefCell<IndexMap<Name, (u64, Timestamp)>>,
+    /// Start of the run that each upstream has stated last, if it states one, and when that was found out first.
+    stated: RefCell<IndexMap<Name, (Option<u64>, Timestamp)>>,
 }
 
 impl Runs {
@@ -170,6 +175,7 @@
         if let Some(reusable) = exchange.finish() {
             self.keep_connection(service, choice.address, reusable);
         }
+        self.runs.record_stated(self.now(), &choice.id, started_at);
         Some(started_at)
     }
 }
