Take no response without a length as whole on the product's own interface

Callers of a plain service on the own interface got an empty body as a whole response if the worker sent its body without Content-Length or chunks in HTTP/1.1, whether the worker crashed in the middle of it or not.

Cause: the codec of actix-http reads such a response as one without a body. Change: a response that neither marks the end of its body nor has none (204, 304) is broken, as one of HTTP/1.0 without a length was already. What the attempt may cause stays as for every broken connection.

Evidence: exchange: the new test failed before ("HTTP/1.1 200 OK" with 4 bytes of a body: Ok, empty), 7 of 7 pass now, with two more empty responses that stay whole. calls, client, bad_input, planned_stop, trouble, broken_responses, software_versions and silence pass.

--- a/crates/toucand/src/exchange.rs
+++ b/crates/toucand/src/exchange.rs
@@ -3,7 +3,8 @@
 //! The pooled client reports a truncated body as complete, and cannot always tell whether a request
 //! was sent. Both matter for plain services: a response is passed on only if it is complete, and a
 //! non-idempotent call must not be reported as not run once it was sent. This module therefore
-//! detects both on its own connection.
+//! detects both on its own connection. A body without a length or chunks ends with its connection, and so
+//! would the part of it that a worker sent before it crashed: it is never taken as complete.
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -12,6 +13,7 @@
     body::BodySize,
     error::{ParseError, PayloadError},
     h1::{ClientCodec, Message, MessageType},
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     RequestHead, RequestHeadType, ResponseHead, StatusCode,
 };
 use actix_rt::time;
@@ -37,6 +39,9 @@
     /// The server changed to another protocol, or sent too many interim responses.
     #[error("status {0} in place of a final response")]
     NotFinal(StatusCode),
+    /// The body of the response ends with the connection, so that it may be incomplete.
+    #[error("the response states no length of its body")]
+    NoLength,
     /// The body of the response is malformed.
     #[error("cannot read the body of the response: {0}")]
     Body(PayloadError),
@@ -84,6 +89,9 @@
         let mut framed = Framed::new(self.0, ClientCodec::default());
         send(&mut framed, head, body).await.map_err(Error::Send)?;
         let head = final_head(&mut framed).await?;
+        if !marks_end(&head) {
+            return Err(Error::NoLength);
+        }
         if framed.codec_ref().message_type() == MessageType::None {
             return Ok((head, Bytes::new()));
         }
@@ -103,6 +111,20 @@
     }
 }
 
+/// Returns whether a response has no body or marks the end of it. The codec takes a body without a length as
+/// empty.
+fn marks_end(head: &ResponseHead) -> bool {
+    let codings = head.headers.get_all(TRANSFER_ENCODING);
+    let last = codings.last().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|codings| codings.rsplit(',').next());
+    let is_chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    let has_no_body = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    has_no_body || is_chunked || head.headers.contains_key(CONTENT_LENGTH)
+}
+
 /// Reads heads until that of the final response.
 async fn final_head(framed: &mut Framed<TcpStream, ClientCodec>) -> Result<ResponseHead, Error> {
     let mut interim = 0;
--- a/crates/toucand/tests/exchange.rs
+++ b/crates/toucand/tests/exchange.rs
@@ -57,6 +57,23 @@
     );
 }
 
+/// Guards against relaying a response without a length or chunks as complete with an empty body, or with the part
+/// of its body that arrived before its worker crashed.
+#[actix_rt::test]
+async fn refuses_a_body_that_ends_with_its_connection() {
+    for text in [
+        "HTTP/1.1 200 OK\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart",
+        "HTTP/1.0 200 OK\r\n\r\npart",
+        "HTTP/1.1 404 Not Found\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\npart",
+    ] {
+        let result = run(text).await;
+        assert!(result.is_err(), "{text:?}: {result:?}");
+    }
+}
+
 /// Guards against the opposite failure: treating a complete response as truncated.
 #[actix_rt::test]
 async fn returns_complete_bodies() {
@@ -65,8 +82,14 @@
     let chunked =
         run("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n").await;
     assert_eq!(chunked.expect("complete response"), "whole");
-    let empty = run("HTTP/1.1 204 No Content\r\n\r\n").await;
-    assert_eq!(empty.expect("complete response"), "");
+    for text in [
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let empty = run(text).await;
+        assert_eq!(empty.expect("complete response"), "", "{text:?}");
+    }
 }
 
 /// Guards against bytes without a whole, valid head, or an interim response, that are taken for the response.
