--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -8,11 +8,11 @@
 use super::{
     refusal,
     request::{reset_on_close, wait_for_close},
-    stream, Arrival, Behaviour, State,
+    stream, Arrival, Behaviour, Report, State,
 };
 
 /// Pause before an event, and before a crash, of a response that crashes on a request.
-const EVENT_PAUSE: Duration = Duration::from_millis(20);
+pub(super) const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
 fn plain_response(id: &str, length: Option<usize>, body: &str) -> String {
     let length = length.map_or(String::new(), |length| {
@@ -21,18 +21,44 @@
     format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: of-{id}\r\n{length}\r\n{body}")
 }
 
-/// Sends what the upstream says of itself. It is no request of a client, so that no behaviour applies.
-pub(super) async fn report(connection: &mut Connection, born: Option<u64>) -> io::Result<()> {
+/// Sends what the upstream says of itself. It is no request of a client, so that no behaviour applies. Returns
+/// whether the connection can be used for another request.
+pub(super) async fn report(state: &State, connection: &mut Connection) -> io::Result<bool> {
+    let status = match state.report.get() {
+        Report::Given => "200 OK",
+        Report::Late(pause) => {
+            time::sleep(pause).await;
+            "200 OK"
+        }
+        Report::NotFound => "404 Not Found",
+        Report::Silent => {
+            wait_for_close(connection).await;
+            return Ok(false);
+        }
+        Report::Reset => {
+            reset_on_close(connection);
+            return Ok(false);
+        }
+    };
     let mut report = serde_json::json!({"stage": "both", "running": 0});
-    if let Some(born) = born {
+    if let Some(born) = state.born.get() {
         report["born"] = born.into();
     }
     let body = report.to_string();
     let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
-    connection.stream.write_all((head + &body).as_bytes()).await
+    let text = head + &body;
+    connection.stream.write_all(text.as_bytes()).await?;
+    Ok(true)
+}
+
+/// Crashes after a pause, in which what was sent arrives.
+async fn crash(state: &State) -> io::Result<bool> {
+    time::sleep(EVENT_PAUSE).await;
+    state.crash();
+    std::future::pending().await
 }
 
 /// Responds to a request. Returns whether the connection can be used for another request.
@@ -60,6 +86,12 @@
             time::sleep(pause).await;
             (half, true)
         }
+        Behaviour::UnframedCrash(bytes) => {
+            let text = plain_response(id, None, &"x".repeat(bytes));
+            let text = state.with_fields(&text);
+            connection.stream.write_all(text.as_bytes()).await?;
+            return crash(state).await;
+        }
         Behaviour::Unframed => (plain_response(id, None, &body), false),
         Behaviour::UnframedReset => (plain_response(id, None, &body), false),
         Behaviour::Truncated => (plain_response(id, Some(body.len() + 9), &body), false),
@@ -125,9 +157,7 @@
             if events > 0 {
                 stream::send_unfinished(state, connection, arrival, id, behaviour(events)).await?;
             }
-            time::sleep(EVENT_PAUSE).await;
-            state.crash();
-            return std::future::pending().await;
+            return crash(state).await;
         }
         Behaviour::Silent => {
             wait_for_close(connection).await;
@@ -145,6 +175,10 @@
             return stream::send_unframed(state, connection, arrival, id, (behaviour, events))
                 .await;
         }
+        Behaviour::UnframedCrashStream(events) => {
+            stream::send_unframed(state, connection, arrival, id, (behaviour, events)).await?;
+            return crash(state).await;
+        }
         Behaviour::Stream(events)
         | Behaviour::ResetStream(events)
         | Behaviour::Stall(events)
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -5,6 +5,8 @@
 //! may go on elsewhere, if the platform's store was unavailable lately or this router has just started, and if a
 //! connection to it broke.
 
+mod response_end;
+
 use std::{
     cell::{Cell, RefCell},
     time::{Duration, Instant},
@@ -21,6 +23,7 @@
 use tsw_route::Name;
 
 use crate::{attempt::CONNECT_TIMEOUT, router::Router};
+pub(crate) use response_end::ResponseEnd;
 
 /// Time limit of the question.
 const TIMEOUT: Duration = Duration::from_millis(400);
@@ -51,6 +54,8 @@
     /// When the upstreams of a software were last asked, and whether enough of them confirmed their runs. Requests
     /// that arrived before do not ask again.
     asked: Mutex<IndexMap<Origin, (Timestamp, bool)>>,
+    /// Start of the run that each upstream has stated last, if it states one, and when that was found out first.
+    stated: RefCell<IndexMap<Name, (Option<u64>, Timestamp)>>,
 }
 
 impl Runs {
@@ -221,6 +226,7 @@
         if let Some(reusable) = exchange.finish() {
             self.keep_connection(service, choice.address, reusable);
         }
+        self.runs.record_stated(self.now(), &choice.id, started_at);
         Some(started_at)
     }
 }
