Ask an upstream for the start of its run on each new connection of a stream

Callers got streams joined from two versions, or recorded under the wrong one, because an upstream to which the router had no connection crashed and returned with other software before its entry said so.

Cause: a connection belongs to one process, but the router took what answers on a new one for the run of the entry, unless a connection had broken before or the router had just started. Class: a fact about a process is presumed from what is listed. Change: a stream that would open a connection asks for the start of the run first, on the connection that it then uses. Streams that may not be resumed ask as well, since others use their connections later.

Evidence: upstream_that_returned_without_a_connection_does_not_continue_streams fails without the change (a stream with events of v2 and v1).

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -52,6 +52,14 @@
         last.is_some_and(|idle| idle.expires_at > now && !idle.connection.is_idle())
     }
 
+    /// Returns whether a request to an address would get an idle connection, as far as its identifier permits.
+    #[must_use]
+    pub fn has_idle(&self, address: SocketAddr, now: Instant) -> bool {
+        let idle = self.0.get(&address).into_iter().flatten();
+        let mut usable = idle.filter(|idle| idle.expires_at > now);
+        usable.any(|idle| idle.connection.is_idle())
+    }
+
     /// Adds a connection to the pool unless it already holds `max_idle` connections to the address. The
     /// upstream resets connections beyond its limit, which all routers share.
     pub fn put(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -12,7 +12,7 @@
     service::Service,
 };
 use tsw_http::head;
-use tsw_route::{table::Kind, Name};
+use tsw_route::Name;
 
 use crate::{
     attempt::AttemptError,
@@ -254,13 +254,14 @@
         }
     }
 
-    /// Finds out whether the upstream of a reservation runs the software that is recorded for the stream.
-    /// For requests that never go on elsewhere this does not matter.
+    /// Finds out whether the upstream of a reservation runs the software that is recorded for the stream. Streams that
+    /// never go on elsewhere leave their connections to others.
     async fn confirm_run(&self, reservation: &Reservation) -> Confirmation {
         let (service, choice) = (reservation.service(), reservation.choice());
-        match self.request.route.kind {
-            Kind::Stream { resumable: true } => self.router.confirm_run(service, choice).await,
-            _ => Confirmation::Given,
+        if self.request.route.kind.is_stream() {
+            self.router.confirm_run(service, choice).await
+        } else {
+            Confirmation::Given
         }
     }
 
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -2,8 +2,8 @@
 //!
 //! An entry may be older than the process: the upstream crashed and returned with other software, and has not
 //! renewed its entry. The upstream states the start of its run itself. It is asked before it gets a stream that
-//! may go on elsewhere, if the platform's store was unavailable lately or this router has just started, and if a
-//! connection to it broke.
+//! may go on elsewhere, on each new connection, if the platform's store was unavailable lately or this router has just
+//! started, and if a connection to it broke.
 
 mod response_end;
 
@@ -117,16 +117,18 @@
     /// routers no longer rely on the entry.
     pub(crate) async fn confirm_run(&self, service: &Name, choice: &Choice) -> Confirmation {
         let (now, address) = (self.now(), choice.address);
-        if self
-            .connections
-            .borrow()
-            .has_closed(address, Instant::now())
-        {
-            self.runs.record_broken(&choice.id);
-        }
+        let has_connection = {
+            let connections = self.connections.borrow();
+            if connections.has_closed(address, Instant::now()) {
+                self.runs.record_broken(&choice.id);
+            }
+            connections.has_idle(address, Instant::now())
+        };
         let is_broken = self.runs.is_broken(&choice.id);
-        let is_asked =
-            is_broken || self.runs.may_be_outdated.get() && !self.runs.is_confirmed(now, choice);
+        // What answers on a new connection may be another process than on those before.
+        let is_asked = is_broken
+            || !has_connection
+            || self.runs.may_be_outdated.get() && !self.runs.is_confirmed(now, choice);
         if !is_asked || choice.software.is_unknown() {
             return Confirmation::Given;
         }
--- a/crates/toucand/tests/software_versions.rs
+++ b/crates/toucand/tests/software_versions.rs
@@ -460,3 +460,19 @@
     versions.engines[0].set_born(Some(2));
     versions.check_not_joined().await;
 }
+
+/// Guards against streams joined from two versions because an upstream to which the router had no connection crashed
+/// and returned with other software, while the store was read and its entry still described the run before.
+#[actix_rt::test]
+async fn upstream_that_returned_without_a_connection_does_not_continue_streams() {
+    let versions = Versions::start(&[(Some("v1"), Behaviour::Stream(6)); 3]).await;
+    for engine in &versions.engines {
+        engine.set_version(Some("v1"));
+        engine.set_born(Some(1));
+    }
+    // After this time a router relies on the entries that it reads.
+    actix_rt::time::sleep(Duration::from_millis(5_500)).await;
+    versions.engines[0].set_version(Some("v2"));
+    versions.engines[0].set_born(Some(2));
+    versions.check_not_joined().await;
+}
