Add a soak of upstreams that return with other versions while routers are killed

Cause: returns with another version are rare beside the loss of all routers, few streams are resumed, and upstreams stand behind relays that accept connections while the upstream is down, so that routers never learn that a run has ended. Responses that break are checked for the order of their events, and ends before the last event are counted.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -61,6 +61,8 @@
     arrivals: RefCell<Vec<Arrival>>,
     abandoned: RefCell<Vec<String>>,
     crashes: Cell<u64>,
+    /// Time for which it accepts no connection after its latest crash.
+    downtime: Cell<Duration>,
     crashed: Notify,
 }
 
@@ -71,8 +73,9 @@
     }
 
     /// Closes all connections and accepts none for a time.
-    fn crash(&self) {
+    fn crash(&self, downtime: Duration) {
         self.crashes.set(self.crashes.get() + 1);
+        self.downtime.set(downtime);
         self.crashed.notify_one();
     }
 
@@ -129,7 +132,7 @@
             let mut listener = listener;
             loop {
                 shared.run(listener).await;
-                time::sleep(CRASH_DOWNTIME).await;
+                time::sleep(shared.downtime.get()).await;
                 listener = State::restart(address).await;
             }
         });
@@ -186,7 +189,12 @@
 
     /// Crashes: closes all connections, and accepts none for [`CRASH_DOWNTIME`].
     pub fn crash(&self) {
-        self.state.crash();
+        self.crash_for(CRASH_DOWNTIME);
+    }
+
+    /// Crashes like [`Worker::crash`], and accepts no connection for this time.
+    pub fn crash_for(&self, downtime: Duration) {
+        self.state.crash(downtime);
     }
 
     /// Adds the behaviours for the next requests, one for each request.
--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -74,6 +74,8 @@
     TrickleComments(u64),
     /// A complete stream of this many events with a pause before each.
     SlowStream(u64, Duration),
+    /// Like [`Behaviour::SlowStream`] without a length or chunks. It ends when the connection is closed.
+    SlowUnframedStream(u64, Duration),
     /// A complete stream of this many events with one pause, before the event of this number.
     PausedStream(u64, u64, Duration),
     /// A response with a `Content-Length` after a pause.
--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -8,7 +8,7 @@
 use super::{
     refusal,
     request::{reset_on_close, wait_for_close},
-    stream, Arrival, Behaviour, State,
+    stream, Arrival, Behaviour, State, CRASH_DOWNTIME,
 };
 
 /// Pause before an event, and before a crash, of a response that crashes on a request.
@@ -114,7 +114,7 @@
             }
             let head = stream::head(id);
             connection.stream.write_all(head.as_bytes()).await?;
-            state.crash();
+            state.crash(CRASH_DOWNTIME);
             return std::future::pending().await;
         }
         Behaviour::CrashOnBody(body, events, others) => {
@@ -126,7 +126,7 @@
                 stream::send_unfinished(state, connection, arrival, id, behaviour(events)).await?;
             }
             time::sleep(EVENT_PAUSE).await;
-            state.crash();
+            state.crash(CRASH_DOWNTIME);
             return std::future::pending().await;
         }
         Behaviour::Silent => {
@@ -151,7 +151,8 @@
         | Behaviour::Trickle(events)
         | Behaviour::TrickleComments(events)
         | Behaviour::PausedStream(events, ..)
-        | Behaviour::SlowStream(events, _) => {
+        | Behaviour::SlowStream(events, _)
+        | Behaviour::SlowUnframedStream(events, _) => {
             return stream::send(state, connection, arrival, id, (behaviour, events)).await;
         }
     };
--- a/crates/fake/src/worker/stream.rs
+++ b/crates/fake/src/worker/stream.rs
@@ -19,6 +19,10 @@
     )
 }
 
+fn unframed_head(id: &str) -> String {
+    head(id).replace("Transfer-Encoding: chunked\r\n", "")
+}
+
 /// Returns whether a part of the prompt other than the last has an identifier.
 pub(super) fn has_shared_part(arrival: &Arrival, id: &str) -> bool {
     let parts = arrival
@@ -52,9 +56,7 @@
     (behaviour, events): (Behaviour, u64),
 ) -> io::Result<bool> {
     let version = state.version.borrow().clone();
-    let mut text = state
-        .with_fields(&head(id))
-        .replace("Transfer-Encoding: chunked\r\n", "");
+    let mut text = state.with_fields(&unframed_head(id));
     for number in first_event(arrival)..events {
         text.push_str(&event(version.as_deref(), number));
     }
@@ -75,17 +77,29 @@
 ) -> io::Result<()> {
     let first = first_event(arrival);
     let version = state.version.borrow().clone();
-    let head = state.with_fields(&head(id));
+    let is_unframed = matches!(behaviour, Behaviour::SlowUnframedStream(..));
+    let head = if is_unframed {
+        unframed_head(id)
+    } else {
+        head(id)
+    };
+    let head = state.with_fields(&head);
     connection.stream.write_all(head.as_bytes()).await?;
     for number in first..events {
         let event = event(version.as_deref(), number);
         match behaviour {
-            Behaviour::SlowStream(_, pause) => time::sleep(pause).await,
+            Behaviour::SlowStream(_, pause) | Behaviour::SlowUnframedStream(_, pause) => {
+                time::sleep(pause).await;
+            }
             Behaviour::PausedStream(_, at, pause) if at == number => time::sleep(pause).await,
             _ => {}
         }
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        connection.stream.write_all(chunk.as_bytes()).await?;
+        let text = if is_unframed {
+            event
+        } else {
+            format!("{:x}\r\n{event}\r\n", event.len())
+        };
+        connection.stream.write_all(text.as_bytes()).await?;
     }
     Ok(())
 }
@@ -124,6 +138,7 @@
             state.abandoned.borrow_mut().push(id.to_owned());
             Ok(false)
         }
+        Behaviour::SlowUnframedStream(..) => Ok(false),
         _ => {
             connection.stream.write_all(b"0\r\n\r\n").await?;
             Ok(true)
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -15,7 +15,10 @@
 use tokio::time;
 use tsw_http::{body, connection::Connection, exchange::Exchange, field::Fields, head};
 
-use crate::history::{self, End, History, Kind, Request, KEY};
+use crate::{
+    fault::Plan,
+    history::{self, End, History, Kind, Request, KEY},
+};
 
 /// Hostname of the routes.
 pub const HOST: &str = "soak.example";
@@ -35,6 +38,8 @@
     pub routers: Vec<SocketAddr>,
     /// Records their requests.
     pub history: Rc<RefCell<History>>,
+    /// What the run plays.
+    pub plan: Plan,
     /// Whether they continue to send requests.
     pub running: Cell<bool>,
 }
@@ -48,13 +53,7 @@
             return;
         }
         let id = format!("c{number}-{count}");
-        let kinds = [
-            Kind::Idempotent,
-            Kind::NonIdempotent,
-            Kind::ResumableStream,
-            Kind::Stream,
-        ];
-        let kind = *kinds.choose(&mut rng).expect("not empty");
+        let kind = *shared.plan.kinds().choose(&mut rng).expect("not empty");
         let sent = Instant::now();
         let connected = match idle.take() {
             Some(connected) => Ok(connected),
--- a/crates/soak/src/client/stream.rs
+++ b/crates/soak/src/client/stream.rs
@@ -14,8 +14,6 @@
 use super::{connect, request_head, response, Shared, HUNG_AFTER};
 use crate::history::{End, Kind, Request, Stream};
 
-/// Time that a client allows for a stream with all its tries.
-const STREAM_DEADLINE: Duration = Duration::from_secs(8);
 /// Gap after which a client gives up a try, before its first event and between two events.
 const MAX_GAP: Duration = Duration::from_millis(3_200);
 /// Pause before a further try, in milliseconds, unless the router states one.
@@ -40,14 +38,14 @@
 
 /// Requests a stream until it is complete or its time is over.
 async fn read_stream(shared: &Shared, rng: &mut Pcg64Mcg, stream: &str) {
-    let deadline = Instant::now() + STREAM_DEADLINE;
+    let deadline = Instant::now() + Duration::from_millis(shared.plan.timeout_ms());
     let is_named = rng.gen_bool(NAMED_PROBABILITY);
     let (mut last, mut first_attempt) = (None, None);
     let mut tries = 0;
     while tries < MAX_TRIES {
         let sent = Instant::now();
         let time_left = deadline.saturating_duration_since(sent);
-        if time_left.is_zero() {
+        if time_left <= shared.plan.min_time_left() {
             return;
         }
         let Ok((router, connection)) = connect(shared, rng).await else {
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -16,6 +16,9 @@
         optional --length-s length_s: u64
         /// Release software versions of upstreams, while clients resume their streams.
         optional --releases
+        /// Let upstreams return with other software versions after crashes that routers notice, while routers
+        /// are killed and clients resume long streams.
+        optional --returns
         /// Router program (`toucand` in the directory of this program).
         optional --program program: PathBuf
         /// Program of every second router, for fleets of two builds (that of the others).
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -53,6 +53,7 @@
 /// Routers, upstreams and their store, with the proxies between them.
 pub struct Fleet {
     plan: Plan,
+    seed: u64,
     store: Store,
     relay: Relay,
     upstreams: RefCell<Vec<Rc<Upstream>>>,
@@ -91,7 +92,7 @@
         "services": [
             {"name": "desk", "healthPath": "/health", "maxConnections": 100},
             {"name": "model", "healthPath": "/health", "maxConnections": 100,
-             "engine": {"slots": 8, "kvCapacityTokens": 100_000}},
+             "engine": {"slots": plan.slots(), "kvCapacityTokens": 100_000}},
         ],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
                    "idleTimeoutMs": 15_000, "tokensPerS": 300_000},
@@ -137,6 +138,7 @@
         let relay = Relay::start(Timer::start(), seed)?;
         let mut fleet = Self {
             plan,
+            seed,
             store,
             relay,
             upstreams: RefCell::default(),
@@ -149,6 +151,7 @@
             upstream_count: Cell::new(0),
             failed_exits: RefCell::default(),
         };
+        fleet.history.borrow_mut().plan = plan;
         fleet.publish_configuration();
         for index in 0..plan.upstreams() {
             let upstream = fleet.start_upstream(plan.service(index), 1).await?;
--- a/crates/soak/src/fleet/injection.rs
+++ b/crates/soak/src/fleet/injection.rs
@@ -85,9 +85,10 @@
                 let upstream = self.current_upstream(number);
                 upstream.worker.set_default(behaviour);
                 time::sleep(duration).await;
-                upstream
-                    .worker
-                    .set_default(self.plan.behaviour(upstream.service));
+                let usual = self
+                    .plan
+                    .behaviour(self.seed, upstream.number, upstream.service);
+                upstream.worker.set_default(usual);
                 self.record_upstream_fault(&upstream, start);
             }
             Fault::StateRate(number, per_10_s) => {
@@ -104,7 +105,10 @@
                 };
                 set_default(Behaviour::NotRun);
                 self.state(number, Stated::Pause(length), duration).await;
-                set_default(self.plan.behaviour(self.plan.service(number)));
+                set_default(
+                    self.plan
+                        .behaviour(self.seed, number, self.plan.service(number)),
+                );
             }
             Fault::ReplaceUpstream(number) => {
                 let version = self.current_upstream(number).version.get();
@@ -114,12 +118,12 @@
             Fault::CrashUpstream(number) => {
                 let upstream = self.current_upstream(number);
                 let version = upstream.version.get();
-                self.crash_upstream(&upstream, version).await;
+                self.crash_upstream(&upstream, version, duration).await;
                 self.record_upstream_fault(&upstream, start);
             }
             Fault::ReturnUpstream(number, version) => {
                 let upstream = self.current_upstream(number);
-                self.crash_upstream(&upstream, version).await;
+                self.crash_upstream(&upstream, version, duration).await;
                 self.record_upstream_fault(&upstream, start);
             }
             Fault::StoreBusy => self.change_store_mode(Mode::Busy, duration).await,
--- a/crates/soak/src/fleet/upstream.rs
+++ b/crates/soak/src/fleet/upstream.rs
@@ -9,13 +9,15 @@
 };
 
 use eyre::Result;
+use futures_util::future;
 use serde_json::json;
 use tokio::time;
-use tsw_fake::worker::{Worker, CRASH_DOWNTIME};
+use tsw_fake::worker::Worker;
 use tsw_load::relay::Link;
 
 use super::Fleet;
 use crate::{
+    fault::Plan,
     history::{ReceivedRequest, Run, Stated},
     store::HEARTBEAT_INTERVAL,
 };
@@ -80,12 +82,15 @@
     ) -> Result<Rc<Upstream>> {
         let number = self.upstream_count.get();
         self.upstream_count.set(number + 1);
-        let worker = Worker::bind(self.plan.behaviour(service)).await?;
+        let worker = Worker::bind(self.plan.behaviour(self.seed, number, service)).await?;
         worker.set_version(Some(&version_name(version)));
         let (inbound, outbound) = (Link::new(LINK_DELAY), Link::new(LINK_DELAY));
-        let address = self
-            .relay
-            .tcp(worker.address(), inbound.clone(), outbound.clone())?;
+        let address = if self.plan.has_relays() {
+            self.relay
+                .tcp(worker.address(), inbound.clone(), outbound.clone())?
+        } else {
+            worker.address()
+        };
         let upstream = Upstream {
             number,
             id: format!("u{number}"),
@@ -114,7 +119,7 @@
         upstream.sequence.set(upstream.sequence.get() + 1);
         let entry = json!({
             "service": upstream.service, "address": upstream.address.to_string(),
-            "zone": "north", "version": version_name(upstream.version.get()), "slots": 8,
+            "zone": "north", "version": version_name(upstream.version.get()), "slots": self.plan.slots(),
             "state": state, "coldRemainingMs": 0, "born": upstream.born_ms(),
             "seqNo": upstream.sequence.get(),
         });
@@ -131,29 +136,48 @@
         acknowledged.push(Instant::now());
     }
 
-    /// Lets an upstream crash. It starts again under its identifier with this software version, and
-    /// writes its entry before it accepts connections.
-    pub(super) async fn crash_upstream(&self, upstream: &Upstream, version: u32) {
+    /// Lets an upstream crash. It starts again under its identifier with this software version. A plan
+    /// with relays writes its entry before it accepts connections, others after `duration`.
+    pub(super) async fn crash_upstream(
+        &self,
+        upstream: &Upstream,
+        version: u32,
+        duration: Duration,
+    ) {
         if upstream.is_down.replace(true) {
             return;
         }
-        upstream.worker.crash();
+        let crashed = time::Instant::now();
+        let downtime = self.plan.downtime();
+        upstream.worker.crash_for(downtime);
         self.end_run(upstream);
-        let listening = time::Instant::now() + CRASH_DOWNTIME;
-        upstream.next_heartbeat.set(listening.into_std());
-        time::sleep_until(listening - REGISTERED_BEFORE).await;
+        let listening = crashed + downtime;
+        let starting = listening - REGISTERED_BEFORE;
+        let registered = match self.plan {
+            Plan::Returns => starting.max(crashed + duration),
+            Plan::Faults | Plan::Releases => starting,
+        };
+        let heartbeat = listening.max(registered);
+        upstream.next_heartbeat.set(heartbeat.into_std());
+        time::sleep_until(starting).await;
         upstream.worker.set_version(Some(&version_name(version)));
         upstream.version.set(version);
         upstream.set_born(SystemTime::now());
         upstream.sequence.set(0);
-        if self.store.is_up() {
-            self.write_entry(upstream);
-        }
-        time::sleep_until(listening).await;
+        let register = async {
+            time::sleep_until(registered).await;
+            if self.store.is_up() {
+                self.write_entry(upstream);
+            }
+        };
+        let listen = async {
+            time::sleep_until(listening).await;
+            if upstream.state.get() == "ready" {
+                self.record_run(upstream);
+            }
+        };
+        future::join(register, listen).await;
         upstream.is_down.set(false);
-        if upstream.state.get() == "ready" {
-            self.record_run(upstream);
-        }
     }
 
     /// Records that an upstream serves from now on.
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,7 @@
 //! The history of requests as clients and upstreams observed it, and the checks on it.
 
 mod acknowledged;
+mod order;
 mod statements;
 mod streams;
 
@@ -14,7 +15,7 @@
 pub use statements::{Stated, Statement};
 pub use streams::{Event, Run, Shares, Stream, StreamCounts};
 
-use crate::fault::STREAM_EVENTS;
+use crate::fault::Plan;
 
 /// Maximum number of attempts that the routes allow for a request that may be retried.
 pub const MAX_ATTEMPTS: usize = 2;
@@ -147,6 +148,8 @@
 /// What clients and upstreams observed.
 #[derive(Debug, Default)]
 pub struct History {
+    /// What the run plays.
+    pub plan: Plan,
     /// Requests of clients by identifier.
     pub requests: IndexMap<String, Request>,
     /// Requests that upstreams received.
@@ -197,7 +200,7 @@
             let executions = executions.get(id.as_str()).map_or(&[][..], Vec::as_slice);
             let found = [
                 execution_violation(request, executions),
-                response_violation(id, request, executions.len()),
+                self.response_violation(id, request, executions.len()),
                 self.cut_violation(request, executions),
             ];
             let found = found.into_iter().flatten();
@@ -209,6 +212,7 @@
         violations.extend(self.requests_while_leaving());
         violations.extend(self.requests_while_paused());
         violations.extend(self.joined_streams());
+        violations.extend(self.misplaced_events());
         violations.extend(self.executed_refusals());
         violations.extend(self.lost_resumes());
         violations
@@ -258,7 +262,10 @@
             let behaviour = received.arrival.behaviour;
             let is_normal = matches!(
                 behaviour,
-                Behaviour::Plain | Behaviour::Stream(_) | Behaviour::SlowStream(..)
+                Behaviour::Plain
+                    | Behaviour::Stream(_)
+                    | Behaviour::SlowStream(..)
+                    | Behaviour::SlowUnframedStream(..)
             );
             !disturbed && is_normal
         };
@@ -267,6 +274,47 @@
             cut && !disturbed && !executions.is_empty() && executions.iter().all(healthy);
         unexplained.then(|| "was cut off without a fault".to_owned())
     }
+
+    fn response_violation(&self, id: &str, request: &Request, executions: usize) -> Option<String> {
+        let (status, complete, request_id, body) = match &request.end {
+            End::Response {
+                status,
+                complete,
+                request_id,
+                body,
+            } => (*status, *complete, request_id.as_deref(), body),
+            End::Hung => {
+                return Some(
+                    "neither a response nor the end of the connection arrived in time".to_owned(),
+                )
+            }
+            End::NoConnection | End::ConnectionClosed | End::Abandoned(_) => return None,
+        };
+        if request_id.is_some_and(|request_id| request_id != id) {
+            return Some("the response names another request".to_owned());
+        }
+        let refused = matches!(status, 408 | 421 | 429 | 503);
+        if refused && executions > 0 && request.kind.max_executions() == 1 {
+            return Some(format!("refused with status {status} but executed"));
+        }
+        if status != 200 || !complete {
+            return None;
+        }
+        if executions == 0 {
+            return Some("responded to but never executed".to_owned());
+        }
+        let is_expected = if request.kind.is_stream() {
+            let first = request.first_event();
+            let events = request.events();
+            let text: String = events.iter().map(ToString::to_string).collect();
+            let ids = events.iter().map(|event| event.id);
+            body == &text && ids.eq(first..self.plan.stream_events())
+        } else {
+            *body == format!("answer to {id}")
+        };
+        (!is_expected)
+            .then(|| "the response belongs to another request or is incomplete".to_owned())
+    }
 }
 
 fn forwarding_violations(id: &str, request: &Request, arrival: &Arrival) -> Vec<String> {
@@ -291,46 +339,3 @@
     let count = executions.len();
     (count > allowed).then(|| format!("executed {count} times, {allowed} allowed"))
 }
-
-fn response_violation(id: &str, request: &Request, executions: usize) -> Option<String> {
-    let (status, complete, request_id, body) = match &request.end {
-        End::Response {
-            status,
-            complete,
-            request_id,
-            body,
-        } => (*status, *complete, request_id.as_deref(), body),
-        End::Hung => {
-            return Some(
-                "neither a response nor the end of the connection arrived in time".to_owned(),
-            )
-        }
-        End::NoConnection | End::ConnectionClosed | End::Abandoned(_) => return None,
-    };
-    if request_id.is_some_and(|request_id| request_id != id) {
-        return Some("the response names another request".to_owned());
-    }
-    let refused = matches!(status, 408 | 421 | 429 | 503);
-    if refused && executions > 0 && request.kind.max_executions() == 1 {
-        return Some(format!("refused with status {status} but executed"));
-    }
-    if status != 200 || !complete {
-        return None;
-    }
-    if executions == 0 {
-        return Some("responded to but never executed".to_owned());
-    }
-    let is_expected = if request.kind.is_stream() {
-        let stream = request.stream.as_ref();
-        let first = stream
-            .and_then(|stream| stream.last)
-            .map_or(0, |last| last + 1);
-        let events = request.events();
-        let text: String = events.iter().map(ToString::to_string).collect();
-        let ids = events.iter().map(|event| event.id);
-        body == &text && ids.eq(first..STREAM_EVENTS)
-    } else {
-        *body == format!("answer to {id}")
-    };
-    (!is_expected).then(|| "the response belongs to another request or is incomplete".to_owned())
-}
--- a/crates/soak/src/history/streams.rs
+++ b/crates/soak/src/history/streams.rs
@@ -84,14 +84,16 @@
     pub refused: usize,
     /// Tries that were refused although an upstream of the version of the stream served.
     pub refused_though_served: usize,
+    /// Responses that look complete before the last event.
+    pub ended_early: usize,
 }
 
 impl fmt::Display for StreamCounts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} resumed, {} joined, {} refused, {} of them though their version served",
-            self.resumed, self.joined, self.refused, self.refused_though_served
+            "{} resumed, {} joined, {} refused, {} of them though their version served, {} ended early",
+            self.resumed, self.joined, self.refused, self.refused_though_served, self.ended_early
         )
     }
 }
@@ -173,6 +175,10 @@
             if let Some(joining) = joining_try(&tries) {
                 counts[usize::from(self.are_all_restarted(began, joining))].joined += 1;
             }
+            for (_, request) in &tries {
+                let restarted = self.are_all_restarted(began, request);
+                counts[usize::from(restarted)].ended_early += usize::from(self.ends_early(request));
+            }
             let version = &began.events()[0].version;
             for (_, request) in tries.iter().filter(|(_, request)| request.is_resume()) {
                 let counts = &mut counts[usize::from(self.are_all_restarted(began, request))];
@@ -337,7 +343,7 @@
     }
 
     /// Describes a try of a stream and the upstreams that it reached.
-    fn describe(&self, id: &str, request: &Request) -> String {
+    pub(super) fn describe(&self, id: &str, request: &Request) -> String {
         let reaches = |received: &&ReceivedRequest| {
             received.arrival.head.fields.text("Attempt-Id") == Some(id)
         };
@@ -346,10 +352,17 @@
             .map(|received| format!("u{}", received.upstream))
             .collect();
         let stream = request.stream.clone().unwrap_or_default();
-        let events: Vec<String> = request
-            .events()
-            .iter()
-            .map(|event| format!("{}:{}", event.id, event.version))
+        let events = request.events();
+        let parts = events.chunk_by(|a, b| b.id == a.id + 1 && a.version == b.version);
+        let events: Vec<String> = parts
+            .map(|part| {
+                format!(
+                    "{}-{}:{}",
+                    part[0].id,
+                    part[part.len() - 1].id,
+                    part[0].version
+                )
+            })
             .collect();
         let started = self.router_starts.iter().flatten().min();
         let time = started.map_or(Duration::ZERO, |start| request.sent - *start);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,10 +17,11 @@
     };
     let other_program = flags.other_program.as_ref().unwrap_or(&program);
     let programs = [program.as_path(), other_program];
-    let plan = if flags.releases {
-        Plan::Releases
-    } else {
-        Plan::Faults
+    let plan = match (flags.releases, flags.returns) {
+        (false, false) => Plan::Faults,
+        (true, false) => Plan::Releases,
+        (false, true) => Plan::Returns,
+        (true, true) => return Err(eyre!("--releases and --returns exclude each other")),
     };
     let length = Duration::from_secs(flags.length_s.unwrap_or(12));
     let first_seed = flags
@@ -38,7 +39,7 @@
             outcome.faults.len(),
             outcome.violations.len()
         );
-        if plan == Plan::Releases {
+        if plan != Plan::Faults {
             println!("  streams: {}", outcome.streams[0]);
             println!("  streams, all routers restarted: {}", outcome.streams[1]);
             println!("  streams at routers in touch: {:?}", outcome.shares);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,11 +18,9 @@
 };
 
 const CLIENTS: usize = 8;
-/// Numbers of clients that resume streams; the seed selects one.
-const STREAM_CLIENTS: [usize; 4] = [16, 32, 48, 80];
 /// Time for the routers to start serving before the first fault.
 const WARM_UP: Duration = Duration::from_secs(3);
-/// Time for which half of the runs with releases wait for the first fault. It is longer than streams
+/// Time for which half of the runs with several software versions wait for the first fault. It is longer than streams
 /// can be resumed, so that the routers know all software that can have begun a stream.
 const LONG_WARM_UP: Duration = Duration::from_secs(22);
 /// Time after the last fault within which the routers must serve again, as required by the
@@ -69,20 +67,18 @@
     let shared = Rc::new(client::Shared {
         routers: fleet.routers.iter().map(|router| router.address).collect(),
         history: fleet.history().clone(),
+        plan,
         running: Cell::new(true),
     });
     let mut clients: Vec<_> = (0..CLIENTS)
         .map(|number| task::spawn_local(client::run(shared.clone(), number, seed)))
         .collect();
-    if plan == Plan::Releases {
-        let selected = seed as usize / 2 % STREAM_CLIENTS.len();
-        clients
-            .extend((0..STREAM_CLIENTS[selected]).map(|number| {
-                task::spawn_local(client::stream::run(shared.clone(), number, seed))
-            }));
-    }
+    clients.extend(
+        (0..plan.stream_clients(seed))
+            .map(|number| task::spawn_local(client::stream::run(shared.clone(), number, seed))),
+    );
     let warm_up = match plan {
-        Plan::Releases if seed.is_multiple_of(2) => LONG_WARM_UP,
+        Plan::Releases | Plan::Returns if seed.is_multiple_of(2) => LONG_WARM_UP,
         _ => WARM_UP,
     };
     time::sleep(warm_up).await;
