Let the soak's upstreams return as versions that are released step by step

With returns and losses of all routers in one dense series, nearly all resumes were refused, so that few seeds showed joined streams.

Cause: each upstream counted its own versions; each heartbeat was a change of the store, so that the history that a router reads at its start held no creation of an entry after a long warm-up; the clients' deadline was below the time for which routers take a stream to be resumable. Change: upstreams that return get the newest version or the next one, series are separated by 2 to 5 s, heartbeats only renew leases in four of five seeds as on the users' platform, and clients allow 20 s.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -33,6 +33,8 @@
 const STREAM_CLIENTS: [usize; 4] = [16, 32, 48, 80];
 /// Number of clients that resume long streams.
 const LONG_STREAM_CLIENTS: usize = 100;
+/// One in this many seeds has a store whose history holds the heartbeats of upstreams that return.
+const HEARTBEAT_CHANGE_SEEDS: u64 = 5;
 /// One in this many seeds has upstreams that send streams without a length or chunks.
 const UNFRAMED_SEEDS: u64 = 3;
 /// One in this many upstreams of such a seed sends them so.
@@ -164,7 +166,7 @@
         match self {
             Self::Faults => 15_000,
             Self::Releases => 8_000,
-            Self::Returns => 12_000,
+            Self::Returns => 20_000,
         }
     }
 
@@ -226,6 +228,15 @@
         matches!(self, Self::Faults | Self::Releases)
     }
 
+    /// Returns whether each heartbeat of an upstream is a change in the history of the store.
+    #[must_use]
+    pub const fn has_heartbeat_changes(self, seed: u64) -> bool {
+        match self {
+            Self::Faults | Self::Releases => true,
+            Self::Returns => seed.is_multiple_of(HEARTBEAT_CHANGE_SEEDS),
+        }
+    }
+
     /// Returns the time for which an upstream is down after a crash.
     #[must_use]
     pub const fn downtime(self) -> Duration {
--- a/crates/soak/src/fault/returns.rs
+++ b/crates/soak/src/fault/returns.rs
@@ -10,9 +10,13 @@
 
 use super::{Fault, ScheduledFault, RETURN_DOWNTIME};
 
-/// Time between the starts of two faults.
+/// Time between two kinds of faults of a series.
 const INTERVAL_MS: RangeInclusive<u64> = 300..=1_800;
-/// Time for which routers that were killed are down.
+/// Time between two series.
+const CALM_MS: RangeInclusive<u64> = 2_000..=5_000;
+/// Probability that a series ends.
+const END_PROBABILITY: f64 = 0.3;
+/// Time for which killed routers are down.
 const KILL_MS: RangeInclusive<u64> = 200..=1_000;
 /// Time for which a router is paused, and for which the store responds with errors.
 const AWAY_MS: RangeInclusive<u64> = 300..=2_500;
@@ -24,9 +28,11 @@
 const KILLED: usize = 3;
 /// Probability that an upstream returns with an earlier version.
 const EARLIER_PROBABILITY: f64 = 0.2;
-/// In two of this many seeds, upstreams return and all routers are killed, and nothing else fails.
+/// In the second half of this many seeds, upstreams return and all routers are killed, and nothing else
+/// fails.
 const SEED_KINDS: u64 = 4;
 
+/// What fails at one time.
 #[derive(Clone, Copy)]
 enum Kind {
     Return,
@@ -38,10 +44,10 @@
     StoreBusy,
 }
 
-/// Kinds of a seed in which nothing else fails.
-const NARROW: [Kind; 2] = [Kind::Return, Kind::KillAll];
-/// Kinds of other seeds.
-const ALL: [Kind; 9] = [
+/// Kinds of half of the seeds.
+const FEW_KINDS: [Kind; 2] = [Kind::Return, Kind::KillAll];
+/// Kinds of the other seeds. Those that come twice are drawn twice as often.
+const ALL_KINDS: [Kind; 9] = [
     Kind::Return,
     Kind::Return,
     Kind::KillAll,
@@ -71,17 +77,17 @@
 ) -> Vec<ScheduledFault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let kinds = if seed % SEED_KINDS < SEED_KINDS / 2 {
-        &ALL[..]
+        &ALL_KINDS[..]
     } else {
-        &NARROW[..]
+        &FEW_KINDS[..]
     };
     let mut versions = vec![1; upstreams.len()];
     let mut faults = Vec::new();
     let mut start = Duration::ZERO;
-    // The first series is a return, so that routers are killed while several versions serve.
+    // The first fault is a return, so that several versions serve when routers are killed.
     let mut kind = Kind::Return;
     while start < length {
-        let (drawn, duration) = draw_series(&mut rng, kind, routers, &mut versions);
+        let (drawn, duration) = draw_kind(&mut rng, kind, routers, &mut versions);
         faults.extend(drawn.into_iter().map(|fault| ScheduledFault {
             start,
             duration,
@@ -93,14 +99,19 @@
                 other => other,
             },
         }));
-        start += Duration::from_millis(rng.gen_range(INTERVAL_MS));
+        let pause = if rng.gen_bool(END_PROBABILITY) {
+            CALM_MS
+        } else {
+            INTERVAL_MS
+        };
+        start += Duration::from_millis(rng.gen_range(pause));
         kind = *kinds.choose(&mut rng).expect("not empty");
     }
     faults
 }
 
-/// Draws the faults of a series, with their duration. Upstreams are counted from the first that returns.
-fn draw_series(
+/// Draws the faults of a kind, with their duration. Upstreams are counted from the first that returns.
+fn draw_kind(
     rng: &mut Pcg64Mcg,
     kind: Kind,
     routers: usize,
@@ -118,11 +129,15 @@
     let away = Duration::from_millis(rng.gen_range(AWAY_MS));
     match kind {
         Kind::Return => {
+            let newest = versions.iter().copied().max().unwrap_or_default();
             let returns = chosen.into_iter().map(|index| {
                 let version = &mut versions[index];
-                *version = match rng.gen_bool(EARLIER_PROBABILITY) {
-                    true if *version > 1 => rng.gen_range(1..*version),
-                    _ => *version + 1,
+                *version = if *version > 1 && rng.gen_bool(EARLIER_PROBABILITY) {
+                    *version - 1
+                } else if *version < newest {
+                    newest
+                } else {
+                    newest + 1
                 };
                 Fault::ReturnUpstream(index, *version)
             });
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -212,7 +212,7 @@
             }
             upstream.next_heartbeat.set(now + HEARTBEAT_INTERVAL);
             if self.store.is_up() {
-                self.write_entry(upstream);
+                self.send_heartbeat(upstream);
             }
         }
         self.store.tend();
--- a/crates/soak/src/fleet/upstream.rs
+++ b/crates/soak/src/fleet/upstream.rs
@@ -37,6 +37,8 @@
     pub version: Cell<u32>,
     /// Start of its current run.
     born: Cell<SystemTime>,
+    /// Start of the run that its entry states.
+    listed: Cell<Option<SystemTime>>,
     /// Whether it has crashed and is not back yet.
     is_down: Cell<bool>,
     pub worker: Worker,
@@ -97,6 +99,7 @@
             service,
             version: Cell::new(version),
             born: Cell::new(SystemTime::now()),
+            listed: Cell::new(None),
             is_down: Cell::new(false),
             worker,
             address,
@@ -113,6 +116,16 @@
         Ok(Rc::new(upstream))
     }
 
+    /// Sends a heartbeat of an upstream. It writes the entry, or only renews its lease where heartbeats
+    /// are no changes.
+    pub(super) fn send_heartbeat(&self, upstream: &Upstream) {
+        let is_listed = upstream.listed.get() == Some(upstream.born.get());
+        let is_change = !is_listed || self.plan.has_heartbeat_changes(self.seed);
+        if is_change || !self.store.renew(&upstream.id) {
+            self.write_entry(upstream);
+        }
+    }
+
     /// Writes the entry of an upstream to the store, with the next sequence number.
     pub(super) fn write_entry(&self, upstream: &Upstream) {
         let state = upstream.state.get();
@@ -124,6 +137,7 @@
             "seqNo": upstream.sequence.get(),
         });
         self.store.write_entry(&upstream.id, &entry.to_string());
+        upstream.listed.set(Some(upstream.born.get()));
         if state == "draining" {
             self.record_departure(upstream);
         }
--- a/crates/soak/src/history/streams.rs
+++ b/crates/soak/src/history/streams.rs
@@ -171,7 +171,11 @@
     pub fn stream_counts(&self) -> [StreamCounts; 2] {
         let mut counts = [StreamCounts::default(); 2];
         for tries in self.streams() {
-            let Some(began) = began(&tries) else { continue };
+            let Some(began) = began(&tries) else {
+                let early = tries.iter().filter(|(_, request)| self.ends_early(request));
+                counts[0].ended_early += early.count();
+                continue;
+            };
             if let Some(joining) = joining_try(&tries) {
                 counts[usize::from(self.are_all_restarted(began, joining))].joined += 1;
             }
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -74,6 +74,13 @@
             .insert(id.to_owned(), Instant::now());
     }
 
+    /// Renews the lease of an entry without a change of the entry. Returns whether there is one.
+    pub fn renew(&self, id: &str) -> bool {
+        let mut leases = self.leases.borrow_mut();
+        let lease = leases.get_mut(id);
+        lease.map(|renewed| *renewed = Instant::now()).is_some()
+    }
+
     /// Removes the entry of an upstream.
     pub fn remove_entry(&self, id: &str) {
         if self.leases.borrow_mut().shift_remove(id).is_some() {
--- a/crates/soak/tests/streams.rs
+++ b/crates/soak/tests/streams.rs
@@ -6,9 +6,12 @@
 use bytes::Bytes;
 use tsw_fake::worker::{Arrival, Behaviour};
 use tsw_http::{field::Fields, head};
-use tsw_soak::history::{
-    Disturbance, End, Event, History, Kind, ReceivedRequest, Request, Run, StoreDisturbance,
-    Stream, TEAM,
+use tsw_soak::{
+    fault::Plan,
+    history::{
+        Disturbance, End, Event, History, Kind, ReceivedRequest, Request, Run, StoreDisturbance,
+        Stream, TEAM,
+    },
 };
 
 /// A history of one router whose times are in milliseconds. Two upstreams of version `v1` and one of
@@ -257,3 +260,75 @@
     assert_eq!((restarted.resumed, restarted.refused), (0, 1));
     assert_eq!(restarted.refused_though_served, 0);
 }
+
+/// Guards against events that are missing, repeated or out of order in a response that breaks.
+#[test]
+fn broken_response_with_misplaced_events_is_reported() {
+    let events = |ids: &[u64]| {
+        let events = ids.iter().map(|&id| Event {
+            id,
+            version: "v1".to_owned(),
+        });
+        let text: String = events.map(|event| event.to_string()).collect();
+        Bytes::from(text + "id: 9\nda")
+    };
+    let misplaced = Some("missing, repeated or out of order");
+    for (last, ids, reported) in [
+        (None, &[][..], None),
+        (None, &[0, 1, 2], None),
+        (Some(4), &[5, 6], None),
+        (None, &[1, 2], misplaced),
+        (None, &[0, 2], misplaced),
+        (None, &[0, 0, 1], misplaced),
+        (None, &[0, 2, 1], misplaced),
+        (Some(4), &[4, 5], misplaced),
+        (Some(4), &[6], misplaced),
+    ] {
+        for is_abandoned in [true, false] {
+            let mut case = Case::new();
+            case.history.plan = Plan::Returns;
+            case.try_stream("a-0", last, 0, Answer::Events(&[]));
+            let body = events(ids);
+            case.history.requests["a-0"].end = if is_abandoned {
+                End::Abandoned(body)
+            } else {
+                End::Response {
+                    status: 200,
+                    complete: false,
+                    request_id: Some("a-0".to_owned()),
+                    body,
+                }
+            };
+            case.expect(reported);
+        }
+    }
+}
+
+/// Guards against ends that look complete before the last event of a long stream and are not seen, after
+/// any number of events.
+#[test]
+fn complete_response_before_the_last_event_is_reported() {
+    let reported = Some("belongs to another request or is incomplete");
+    for (last, count, reported) in [
+        (None, 60, None),
+        (None, 59, reported),
+        (None, 0, reported),
+        (Some(57), 2, None),
+        (Some(57), 1, reported),
+        (Some(59), 0, None),
+        (Some(58), 0, reported),
+    ] {
+        let mut case = Case::new();
+        case.history.plan = Plan::Returns;
+        case.try_stream("a-0", last, 0, Answer::Events(&["v1"; 60][..count]));
+        let end = &mut case.history.requests["a-0"].end;
+        let End::Response { complete, .. } = end else {
+            unreachable!("it is a response")
+        };
+        *complete = true;
+        case.receive("a-0", 0, Behaviour::Stream(60));
+        case.expect(reported);
+        let early = usize::from(reported.is_some());
+        assert_eq!(case.history.stream_counts()[0].ended_early, early);
+    }
+}
