Move the soak's plans to a module of their own

Cause: the plan of returns added properties of fleets and clients to the drawing of faults. Change: fault::plan holds what the runs play; no draw changes.

--- a/crates/soak/src/fault/returns.rs
+++ b/crates/soak/src/fault/returns.rs
@@ -8,7 +8,7 @@
 use rand::{seq::SliceRandom, Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{Fault, ScheduledFault, RETURN_DOWNTIME};
+use super::{plan::RETURN_DOWNTIME, Fault, ScheduledFault};
 
 /// Time between two kinds of faults of a series.
 const INTERVAL_MS: RangeInclusive<u64> = 300..=1_800;
@@ -28,8 +28,7 @@
 const KILLED: usize = 3;
 /// Probability that an upstream returns with an earlier version.
 const EARLIER_PROBABILITY: f64 = 0.2;
-/// In the second half of this many seeds, upstreams return and all routers are killed, and nothing else
-/// fails.
+/// Of this many consecutive seeds, the second half plays few kinds.
 const SEED_KINDS: u64 = 4;
 
 /// What fails at one time.
@@ -44,9 +43,9 @@
     StoreBusy,
 }
 
-/// Kinds of half of the seeds.
+/// Few kinds: upstreams return and all routers are killed.
 const FEW_KINDS: [Kind; 2] = [Kind::Return, Kind::KillAll];
-/// Kinds of the other seeds. Those that come twice are drawn twice as often.
+/// All kinds. Those that come twice are drawn twice as often.
 const ALL_KINDS: [Kind; 9] = [
     Kind::Return,
     Kind::Return,
