--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,6 +1,8 @@
 //! The schedule of faults and planned operations, drawn from a seed.
 
+mod plan;
 mod release;
+mod returns;
 
 use std::time::Duration;
 
@@ -8,15 +10,12 @@
 use rand_pcg::Pcg64Mcg;
 use tsw_fake::{store::Mode, worker::Behaviour};
 
+pub use plan::Plan;
 pub use release::draw as draw_releases;
+pub use returns::draw as draw_returns;
 
-/// Number of events in a complete stream.
+/// Number of events in a complete stream, except where streams are long.
 pub const STREAM_EVENTS: u64 = 6;
-/// Interval of the events of a stream while software versions are released. A stream is in progress
-/// for most of the time.
-const EVENT_INTERVAL: Duration = Duration::from_millis(150);
-/// Number of upstreams without streams while software versions are released.
-const DESK_UPSTREAMS: usize = 2;
 /// Mean time between the starts of two faults. Most faults last longer, so that they overlap.
 const MEAN_INTERVAL_MS: u64 = 500;
 /// Mean time between the starts of two faults between which routers are in touch.
@@ -68,7 +67,8 @@
     ReplaceUpstream(usize),
     /// An upstream is drained and replaced by one of this software version.
     Release(usize, u32),
-    /// An upstream crashes and starts again under its identifier, with the same software.
+    /// An upstream crashes and starts again under its identifier, with the same software. Without
+    /// relays, the fault ends when its entry is written.
     CrashUpstream(usize),
     /// An upstream crashes and starts again under its identifier, with this software version.
     ReturnUpstream(usize, u32),
@@ -87,86 +87,6 @@
     PublishConfiguration,
 }
 
-/// What a run plays.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Plan {
-    /// Overlapping faults of all kinds.
-    Faults,
-    /// Releases of software versions while routers and upstreams fail, and clients that resume
-    /// their streams.
-    Releases,
-}
-
-impl Plan {
-    /// Returns the number of routers.
-    #[must_use]
-    pub const fn routers(self) -> usize {
-        match self {
-            Self::Faults => 3,
-            Self::Releases => 5,
-        }
-    }
-
-    /// Returns the number of upstreams that serve at a time.
-    #[must_use]
-    pub const fn upstreams(self) -> usize {
-        match self {
-            Self::Faults => 6,
-            Self::Releases => DESK_UPSTREAMS + 6,
-        }
-    }
-
-    /// Returns the service of the upstream with this index.
-    #[must_use]
-    pub const fn service(self, index: usize) -> &'static str {
-        let is_model = match self {
-            Self::Faults => index % 2 == 1,
-            Self::Releases => index >= DESK_UPSTREAMS,
-        };
-        if is_model {
-            "model"
-        } else {
-            "desk"
-        }
-    }
-
-    /// Returns the timeout of the routes in milliseconds. Clients resume streams within it.
-    #[must_use]
-    pub const fn timeout_ms(self) -> u64 {
-        match self {
-            Self::Faults => 15_000,
-            Self::Releases => 8_000,
-        }
-    }
-
-    /// Returns how the upstreams of a service respond while they have no fault.
-    #[must_use]
-    pub fn behaviour(self, service: &str) -> Behaviour {
-        match (self, service) {
-            (_, "desk") => Behaviour::Plain,
-            (Self::Faults, _) => Behaviour::Stream(STREAM_EVENTS),
-            (Self::Releases, _) => Behaviour::SlowStream(STREAM_EVENTS, EVENT_INTERVAL),
-        }
-    }
-
-    /// Draws the faults of a seed.
-    #[must_use]
-    pub fn draw(self, seed: u64, length: Duration) -> Vec<ScheduledFault> {
-        match self {
-            Self::Faults => {
-                let mut faults = draw(seed, length, self.routers(), self.upstreams());
-                faults.extend(draw_statements(seed, length, self.upstreams()));
-                faults.sort_by_key(|fault| fault.start);
-                faults
-            }
-            Self::Releases => {
-                let released = DESK_UPSTREAMS..self.upstreams();
-                draw_releases(seed, length, self.routers(), released)
-            }
-        }
-    }
-}
-
 /// A fault with its start and duration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ScheduledFault {
--- a/crates/soak/src/fleet/upstream.rs
+++ b/crates/soak/src/fleet/upstream.rs
@@ -9,13 +9,15 @@
 };
 
 use eyre::Result;
+use futures_util::future;
 use serde_json::json;
 use tokio::time;
-use tsw_fake::worker::{Worker, CRASH_DOWNTIME};
+use tsw_fake::worker::Worker;
 use tsw_load::relay::Link;
 
 use super::Fleet;
 use crate::{
+    fault::Plan,
     history::{ReceivedRequest, Run, Stated},
     store::HEARTBEAT_INTERVAL,
 };
@@ -35,6 +37,8 @@
     pub version: Cell<u32>,
     /// Start of its current run.
     born: Cell<SystemTime>,
+    /// Start of the run that its entry states.
+    listed: Cell<Option<SystemTime>>,
     /// Whether it has crashed and is not back yet.
     is_down: Cell<bool>,
     pub worker: Worker,
@@ -80,18 +84,22 @@
     ) -> Result<Rc<Upstream>> {
         let number = self.upstream_count.get();
         self.upstream_count.set(number + 1);
-        let worker = Worker::bind(self.plan.behaviour(service)).await?;
+        let worker = Worker::bind(self.plan.behaviour(self.seed, number, service)).await?;
         worker.set_version(Some(&version_name(version)));
         let (inbound, outbound) = (Link::new(LINK_DELAY), Link::new(LINK_DELAY));
-        let address = self
-            .relay
-            .tcp(worker.address(), inbound.clone(), outbound.clone())?;
+        let address = if self.plan.has_relays() {
+            self.relay
+                .tcp(worker.address(), inbound.clone(), outbound.clone())?
+        } else {
+            worker.address()
+        };
         let upstream = Upstream {
             number,
             id: format!("u{number}"),
             service,
             version: Cell::new(version),
             born: Cell::new(SystemTime::now()),
+            listed: Cell::new(None),
             is_down: Cell::new(false),
             worker,
             address,
@@ -108,17 +116,28 @@
         Ok(Rc::new(upstream))
     }
 
+    /// Sends a heartbeat of an upstream. It writes the entry, or only renews its lease where heartbeats
+    /// are no changes.
+    pub(super) fn send_heartbeat(&self, upstream: &Upstream) {
+        let is_listed = upstream.listed.get() == Some(upstream.born.get());
+        let is_change = !is_listed || self.plan.has_heartbeat_changes(self.seed);
+        if is_change || !self.store.renew(&upstream.id) {
+            self.write_entry(upstream);
+        }
+    }
+
     /// Writes the entry of an upstream to the store, with the next sequence number.
     pub(super) fn write_entry(&self, upstream: &Upstream) {
         let state = upstream.state.get();
         upstream.sequence.set(upstream.sequence.get() + 1);
         let entry = json!({
             "service": upstream.service, "address": upstream.address.to_string(),
-            "zone": "north", "version": version_name(upstream.version.get()), "slots": 8,
+            "zone": "north", "version": version_name(upstream.version.get()), "slots": self.plan.slots(),
             "state": state, "coldRemainingMs": 0, "born": upstream.born_ms(),
             "seqNo": upstream.sequence.get(),
         });
         self.store.write_entry(&upstream.id, &entry.to_string());
+        upstream.listed.set(Some(upstream.born.get()));
         if state == "draining" {
             self.record_departure(upstream);
         }
@@ -131,29 +150,48 @@
         acknowledged.push(Instant::now());
     }
 
-    /// Lets an upstream crash. It starts again under its identifier with this software version, and
-    /// writes its entry before it accepts connections.
-    pub(super) async fn crash_upstream(&self, upstream: &Upstream, version: u32) {
+    /// Lets an upstream crash. It starts again under its identifier with this software version. A plan
+    /// with relays writes its entry before it accepts connections, others after `duration`.
+    pub(super) async fn crash_upstream(
+        &self,
+        upstream: &Upstream,
+        version: u32,
+        duration: Duration,
+    ) {
         if upstream.is_down.replace(true) {
             return;
         }
-        upstream.worker.crash();
+        let crashed = time::Instant::now();
+        let downtime = self.plan.downtime();
+        upstream.worker.crash_for(downtime);
         self.end_run(upstream);
-        let listening = time::Instant::now() + CRASH_DOWNTIME;
-        upstream.next_heartbeat.set(listening.into_std());
-        time::sleep_until(listening - REGISTERED_BEFORE).await;
+        let listening = crashed + downtime;
+        let starting = listening - REGISTERED_BEFORE;
+        let registered = match self.plan {
+            Plan::Returns => starting.max(crashed + duration),
+            Plan::Faults | Plan::Releases => starting,
+        };
+        let heartbeat = listening.max(registered);
+        upstream.next_heartbeat.set(heartbeat.into_std());
+        time::sleep_until(starting).await;
         upstream.worker.set_version(Some(&version_name(version)));
         upstream.version.set(version);
         upstream.set_born(SystemTime::now());
         upstream.sequence.set(0);
-        if self.store.is_up() {
-            self.write_entry(upstream);
-        }
-        time::sleep_until(listening).await;
+        let register = async {
+            time::sleep_until(registered).await;
+            if self.store.is_up() {
+                self.write_entry(upstream);
+            }
+        };
+        let listen = async {
+            time::sleep_until(listening).await;
+            if upstream.state.get() == "ready" {
+                self.record_run(upstream);
+            }
+        };
+        future::join(register, listen).await;
         upstream.is_down.set(false);
-        if upstream.state.get() == "ready" {
-            self.record_run(upstream);
-        }
     }
 
     /// Records that an upstream serves from now on.
