Show streams that are joined at engines which returned with another version

Cause: the version of an engine is that of its entry in the host list, whatever the router has seen of the process. Change: tests only.

--- /dev/null
+++ b/crates/toucand/tests/returned_engines.rs
@@ -0,0 +1,191 @@
+//! Guards against streams that are joined from two software versions because an engine crashed and returned with
+//! another one, and the host list still states the version before.
+
+mod support;
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::{task::JoinHandle, time};
+use support::{process::Process, Router, Upstream, TOKEN};
+
+const NAMES: [&str; 3] = ["engine-1", "engine-2", "engine-3"];
+/// Number of tokens of each response, so that a stream takes about a second.
+const TOKENS: u64 = 50;
+/// Number of streams that run at the same time.
+const STREAMS: usize = 6;
+/// Time after which all streams that were sent have begun.
+const BEGIN_TIME: Duration = Duration::from_millis(300);
+/// Time after a crash in which the router finds it, and tells its peers.
+const FIND_TIME: Duration = Duration::from_millis(150);
+/// Time in which a router reads a host list that was published.
+const READ_TIME: Duration = Duration::from_millis(1_500);
+
+/// The outcome of a response and the versions that sent its tokens, in order.
+type Response = (String, Vec<String>);
+
+/// Starts an engine of each version, which the host list states.
+async fn start_engines(versions: &[&'static str]) -> (Vec<Process>, Vec<Upstream>) {
+    let mut processes = Vec::new();
+    let mut upstreams = Vec::new();
+    for (name, version) in NAMES.iter().zip(versions) {
+        let process = Process::start(version).await;
+        upstreams.push(Upstream {
+            name,
+            service: "reviews",
+            address: process.address,
+            slots: 16,
+            version: Some(version),
+        });
+        processes.push(process);
+    }
+    (processes, upstreams)
+}
+
+/// Sends requests to a router. Their responses arrive meanwhile.
+fn send(router: &Router) -> Vec<JoinHandle<Response>> {
+    let url: Rc<str> = router.call_url("reviews").into();
+    let respond = |number| {
+        let url = url.clone();
+        async move {
+            let client = awc::Client::builder()
+                .timeout(Duration::from_secs(20))
+                .finish();
+            let request = client.post(&*url).bearer_auth(TOKEN);
+            let body = format!(r#"{{"prompt":"prompt {number}","max_tokens":{TOKENS}}}"#);
+            let mut response = request.send_body(body).await.expect("a response");
+            parse(&response.body().await.expect("a whole body"))
+        }
+    };
+    (0..STREAMS)
+        .map(|number| actix_rt::spawn(respond(number)))
+        .collect()
+}
+
+fn parse(body: &[u8]) -> Response {
+    let text = std::str::from_utf8(body).expect("UTF-8");
+    let end = support::events(body).end.expect("an end event");
+    let tokens = text
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "));
+    let mut versions: Vec<String> = tokens
+        .map(|token| {
+            let token: serde_json::Value = serde_json::from_str(token).expect("JSON");
+            token["t"].as_str().expect("a version").to_owned()
+        })
+        .collect();
+    versions.dedup();
+    let outcome = end["outcome"].as_str().expect("an outcome");
+    (outcome.to_owned(), versions)
+}
+
+/// Waits for responses. Fails if one holds tokens of two versions.
+async fn responses(sent: Vec<JoinHandle<Response>>) -> Vec<Response> {
+    let mut responses = Vec::new();
+    for response in sent {
+        responses.push(response.await.expect("a response"));
+    }
+    let joined = responses.iter().filter(|(_, versions)| versions.len() > 1);
+    assert_eq!(joined.count(), 0, "joined: {responses:?}");
+    responses
+}
+
+/// Guards against a retry that takes over a stream at an engine that returned with another version.
+#[actix_rt::test]
+async fn no_stream_goes_on_at_an_engine_that_returned_with_another_version() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    engines[1].crash().await;
+    responses(sent).await;
+    // Streams may begin there.
+    let begun = responses(send(&router)).await;
+    let whole = ("complete".to_owned(), vec!["v2".to_owned()]);
+    assert_eq!(begun, vec![whole; STREAMS]);
+}
+
+/// Guards against a stream that began at an engine which had returned with another version, and that an engine of
+/// the listed version takes over.
+#[actix_rt::test]
+async fn no_stream_goes_on_from_an_engine_that_returned_with_another_version() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    responses(sent).await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    assert_ne!(
+        engines[0].started(),
+        0,
+        "no stream began at the returned engine"
+    );
+    engines[0].break_connections();
+    responses(sent).await;
+}
+
+/// Guards against a crash that no stream shows, since the engine was idle: a stream that is sent there meanwhile is
+/// refused.
+#[actix_rt::test]
+async fn engine_that_refuses_a_connection_may_return_with_another_version() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    engines[0].crash().await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].start_again("v2").await;
+    engines[1].crash().await;
+    responses(sent).await;
+}
+
+/// Guards against a crash that is known only to the router that saw it.
+#[actix_rt::test]
+async fn routers_tell_each_other_that_an_engine_has_crashed() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let routers = Router::start_fleet(&["r1", "r2"], &upstreams).await;
+    // Routers find each other.
+    time::sleep(READ_TIME).await;
+    let seeing = send(&routers[0]);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    responses(seeing).await;
+    let before = engines[1].started();
+    let sent = send(&routers[1]);
+    time::sleep(BEGIN_TIME).await;
+    assert_ne!(engines[1].started(), before, "no stream began at v1");
+    engines[1].crash().await;
+    responses(sent).await;
+}
+
+/// Guards against engines that continue no stream although the host list states their new version.
+#[actix_rt::test]
+async fn streams_go_on_once_the_version_of_a_returned_engine_is_listed() {
+    let (engines, upstreams) = start_engines(&["v1", "v2"]).await;
+    let router = Router::start(&upstreams).await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    responses(sent).await;
+    router.host_list.publish("engine-1", "v2", 2);
+    time::sleep(READ_TIME).await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    assert_ne!(
+        engines[0].started(),
+        0,
+        "no stream began at the returned engine"
+    );
+    engines[0].break_connections();
+    let whole = ("complete".to_owned(), vec!["v2".to_owned()]);
+    assert_eq!(responses(sent).await, vec![whole; STREAMS]);
+}
--- a/crates/toucand/tests/support/mod.rs
+++ b/crates/toucand/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code)] // Each test file uses only some items.
 
 pub mod address;
+pub mod host_list;
+pub mod process;
 
 use std::{
     cell::RefCell,
@@ -27,6 +29,8 @@
 use serde_json::json;
 use sha2::{Digest as _, Sha256};
 
+use host_list::HostList;
+
 pub const TOKEN: &str = "counter-token";
 pub const OUTSIDER_TOKEN: &str = "outsider-token";
 
@@ -280,40 +284,7 @@
 
 /// Starts a fake platform that lists the router `r1` and the given upstreams.
 pub async fn platform(ports: &Ports, upstreams: &[Upstream]) -> SocketAddr {
-    platform_of(&[("r1", ports)], upstreams).await
-}
-
-/// Starts a fake platform that lists the given routers and upstreams.
-async fn platform_of(routers: &[(&str, &Ports)], upstreams: &[Upstream]) -> SocketAddr {
-    let routers = routers.iter().map(|(host, ports)| {
-        json!({
-            "host": host, "domain": "north", "role": "router", "state": "live",
-            "address": ports.caller.to_string(), "peer_address": ports.peer.to_string(),
-        })
-    });
-    let listed = upstreams.iter().map(|upstream| {
-        json!({
-            "host": upstream.name, "domain": "north", "role": "upstream", "state": "live",
-            "service": upstream.service, "address": upstream.address.to_string(),
-            "slots": upstream.slots, "version": upstream.version,
-        })
-    });
-    let hosts: Vec<serde_json::Value> = routers.chain(listed).collect();
-    let hosts = json!({"revision": 1, "hosts": hosts}).to_string();
-    serve(Rc::new(move |seen| {
-        let hosts = hosts.clone();
-        Box::pin(async move {
-            if seen.path.starts_with("/v1/hosts") {
-                return text(200, hosts);
-            }
-            if seen.path.contains("wait_ms") {
-                actix_rt::time::sleep(Duration::from_secs(30)).await;
-                return text(304, "");
-            }
-            text(200, bundle())
-        })
-    }))
-    .await
+    host_list::platform(&HostList::new(&[("r1", ports)], upstreams)).await
 }
 
 /// Writes the keys and certificates of the router `r1` to a directory.
@@ -382,6 +353,7 @@
     pub ports: Ports,
     pub process: Child,
     pub directory: Rc<tempfile::TempDir>,
+    pub host_list: HostList,
     settings: PathBuf,
 }
 
@@ -397,7 +369,8 @@
         write_keys_of(hosts, directory.path());
         let ports: Vec<Ports> = hosts.iter().map(|_| Ports::free()).collect();
         let listed: Vec<(&str, &Ports)> = hosts.iter().copied().zip(&ports).collect();
-        let platform = platform_of(&listed, upstreams).await;
+        let host_list = HostList::new(&listed, upstreams);
+        let platform = host_list::platform(&host_list).await;
         let mut routers = Vec::new();
         for (host, ports) in hosts.iter().zip(ports) {
             let extra = "log: {level: debug}\n";
@@ -408,6 +381,7 @@
                 ports,
                 process: spawn(&settings),
                 directory: directory.clone(),
+                host_list: host_list.clone(),
                 settings,
             });
         }
--- /dev/null
+++ b/crates/toucand/tests/support/process.rs
@@ -0,0 +1,125 @@
+//! An engine that ends and starts again under its address, with any software version.
+
+use std::{
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_http::{
+    body::{BodyStream, MessageBody as _},
+    HttpService, Request, Response, StatusCode,
+};
+use actix_rt::{net::TcpListener, task::JoinHandle, time};
+use actix_service::{Service as _, ServiceFactory as _};
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+
+use super::{text, ServerResponse};
+
+/// Time between two tokens.
+pub const GAP: Duration = Duration::from_millis(20);
+
+/// An engine whose tokens state the version that sent them.
+pub struct Process {
+    pub address: SocketAddr,
+    listening: RefCell<Option<JoinHandle<()>>>,
+    connections: Rc<RefCell<Vec<JoinHandle<()>>>>,
+    /// Number of streams that began or went on here since the last start.
+    started: Rc<Cell<usize>>,
+}
+
+/// Sends the tokens of a response from `resume_from` on.
+fn generate(body: &[u8], version: &'static str) -> ServerResponse {
+    let body: serde_json::Value = serde_json::from_slice(body).expect("JSON");
+    let from = body["resume_from"].as_u64().expect("a number");
+    let total = body["max_tokens"].as_u64().expect("a number");
+    let lines = futures_util::stream::iter(from..=total).then(move |index| async move {
+        time::sleep(GAP).await;
+        let line = if index < total {
+            format!("{{\"i\":{index},\"t\":\"{version}\"}}\n")
+        } else {
+            format!("{{\"end\":true,\"tokens\":{total}}}\n")
+        };
+        Ok::<_, Infallible>(Bytes::from(line))
+    });
+    Response::new(StatusCode::OK).set_body(BodyStream::new(Box::pin(lines)).boxed())
+}
+
+impl Process {
+    /// Starts an engine of a version on a free port.
+    pub async fn start(version: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let process = Self {
+            address: listener.local_addr().expect("bound"),
+            listening: RefCell::default(),
+            connections: Rc::default(),
+            started: Rc::default(),
+        };
+        process.listen(listener, version).await;
+        process
+    }
+
+    async fn listen(&self, listener: TcpListener, version: &'static str) {
+        self.started.set(0);
+        let started = self.started.clone();
+        let factory = HttpService::build()
+            .finish(move |mut request: Request| {
+                let started = started.clone();
+                async move {
+                    let mut body = Vec::new();
+                    let mut payload = request.take_payload();
+                    while let Some(Ok(part)) = payload.next().await {
+                        body.extend_from_slice(&part);
+                    }
+                    if request.path() != "/v1/generate" {
+                        return Ok::<_, Infallible>(text(200, "{}"));
+                    }
+                    started.set(started.get() + 1);
+                    Ok(generate(&body, version))
+                }
+            })
+            .tcp();
+        let service = factory.new_service(()).await.expect("a service");
+        let connections = self.connections.clone();
+        let listening = actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serving = service.call(stream);
+                let connection = actix_rt::spawn(async move {
+                    let _ = serving.await;
+                });
+                connections.borrow_mut().push(connection);
+            }
+        });
+        self.listening.replace(Some(listening));
+    }
+
+    /// Returns the number of streams that began or went on here since the last start.
+    pub fn started(&self) -> usize {
+        self.started.get()
+    }
+
+    /// Breaks all connections; the process goes on.
+    pub fn break_connections(&self) {
+        for connection in self.connections.take() {
+            connection.abort();
+        }
+    }
+
+    /// Ends the process: its connections break, and others are refused.
+    pub async fn crash(&self) {
+        if let Some(listening) = self.listening.take() {
+            listening.abort();
+            let _ = listening.await;
+        }
+        self.break_connections();
+    }
+
+    /// Starts the process again, with another version.
+    pub async fn start_again(&self, version: &'static str) {
+        let listener = TcpListener::bind(self.address).await.expect("its port");
+        self.listen(listener, version).await;
+    }
+}
