Take the version of an engine that has crashed for unknown until it is listed

Streams went on there, by a retry or a hedge, and streams that had begun there went on elsewhere.

Cause: a fact about a process was presumed from what the host list says now. The version of an engine was that of its entry, although the router had seen the process behind the entry end. Its software is unknown then: streams may begin there, but none goes on there or from there, and `is_served` does not count it. An attempt that is open is checked again when it takes over or sends its first token. The router tells its peers, and those that open a session, by the message of the users' interface, with the revision of the list in place of a start; routers of older versions ignore it. Engines state neither version nor start. So this ends when a later list states another version or address, or still the same ones 30 s after the first response to a request that was sent after the crash. In a list without versions nothing changes.

--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -12,7 +12,7 @@
 use crate::{
     configuration::Configuration,
     health::ServiceHealth,
-    hosts,
+    hosts, runs,
     section::{section, Section, WriteToken},
 };
 
@@ -67,6 +67,8 @@
     configuration: Configuration,
     /// The active host list.
     hosts: hosts::List,
+    /// Runs of upstreams that have ended although the host list names them.
+    ended_runs: runs::EndedRuns,
     /// Membership of the fleet as known to this router.
     fleet: View,
     /// Homes at this router.
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`Section`] and [`WriteToken`]: a part of the board, and the token that is required to write it.
 //! - [`Board`]: the sections of the daemon, created together with their [`WriteTokens`].
 //! - [`hosts`]: the host list.
+//! - [`runs`]: runs of upstreams that have ended although the host list names them.
 //! - [`configuration`]: the active configuration bundle.
 //! - [`health`]: token latency of a service and its budgets for hedges and retries.
 //!
@@ -59,6 +60,7 @@
 pub mod configuration;
 pub mod health;
 pub mod hosts;
+pub mod runs;
 mod section;
 
 pub use board::{
--- /dev/null
+++ b/crates/board/src/runs.rs
@@ -0,0 +1,181 @@
+//! Runs of upstreams that have ended although the host list still names them.
+//!
+//! The host list lags, so an upstream may return under its name and with other software before its entry says so. The
+//! list states no start of a run. So the software of an upstream that has crashed is unknown until the list names
+//! another version or address of it, or still names the same ones long after the upstream has responded again.
+
+use indexmap::IndexMap;
+use tsw_base::{
+    name,
+    time::{Span, Timestamp},
+};
+
+use crate::hosts::{List, Upstream, Version};
+
+/// Time from the first response of an upstream that has returned to the read of a host list that is taken to name
+/// the version which responds.
+pub const LISTED_WITHIN: Span = Span::from_secs(30);
+/// Time for which routers that open a session are told of an ended run.
+const TOLD_PERIOD: Span = Span::from_secs(60);
+/// Maximum number of ended runs that are remembered.
+const MAX_ENDED: usize = 4_096;
+
+/// What is known of the software of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Software {
+    /// It is of the version that the host list states.
+    Listed(Version),
+    /// It may be of any version.
+    Unknown,
+}
+
+impl Software {
+    /// Returns whether a stream that this software began may go on at another one.
+    #[must_use]
+    pub fn may_continue_at(&self, other: &Self) -> bool {
+        *self != Self::Unknown && self == other
+    }
+}
+
+/// A run that has ended.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    /// Revision of the host list that names the run.
+    revision: u64,
+    /// When that was found.
+    found: Timestamp,
+    /// When the upstream first responded to a request that was sent afterwards.
+    responded: Option<Timestamp>,
+}
+
+/// The upstreams whose listed run has ended.
+#[derive(Clone, Debug, Default)]
+pub struct EndedRuns {
+    ended: IndexMap<name::Upstream, Ended>,
+    /// First revision of the host list in which the entry of an upstream names its present run.
+    renewed: IndexMap<name::Upstream, u64>,
+}
+
+impl EndedRuns {
+    /// Records that the run of an upstream has ended which the host list names in a revision, and returns whether this
+    /// is new. Without versions in the list there is nothing to confuse, so nothing is recorded.
+    ///
+    /// ```
+    /// use tsw_base::time::Timestamp;
+    /// use tsw_board::{hosts::List, runs::EndedRuns};
+    /// let mut runs = EndedRuns::default();
+    /// assert!(!runs.record_ended(Timestamp::ZERO, &List::default(), &"e1".parse()?, 1));
+    /// # Ok::<(), tsw_base::name::Error>(())
+    /// ```
+    pub fn record_ended(
+        &mut self,
+        now: Timestamp,
+        list: &List,
+        upstream: &name::Upstream,
+        mut revision: u64,
+    ) -> bool {
+        let is_renewed = self
+            .renewed
+            .get(upstream)
+            .is_some_and(|from| revision < *from);
+        if is_renewed || !states_versions(list) {
+            return false;
+        }
+        if let Some(ended) = self.ended.get_mut(upstream) {
+            revision = ended.revision.max(revision);
+            if ended.responded.is_none() {
+                ended.revision = revision;
+                return false;
+            }
+        }
+        self.ended.shift_remove(upstream);
+        let ended = Ended {
+            revision,
+            found: now,
+            responded: None,
+        };
+        self.ended.insert(upstream.clone(), ended);
+        if self.ended.len() > MAX_ENDED {
+            self.ended.shift_remove_index(0);
+        }
+        true
+    }
+
+    /// Records that an upstream responds to a request that was sent at a time.
+    pub fn record_response(&mut self, now: Timestamp, upstream: &name::Upstream, sent: Timestamp) {
+        if let Some(ended) = self.ended.get_mut(upstream) {
+            if sent > ended.found && ended.responded.is_none() {
+                ended.responded = Some(now);
+            }
+        }
+    }
+
+    /// Processes a host list that replaces another one. An entry with another version or address names a later run,
+    /// unless the router that found the end of the run had read it before.
+    pub fn adopt(&mut self, before: &List, after: &List) {
+        let is_same = |name: &name::Upstream, upstream: &Upstream| {
+            let was = before.upstreams.get(name);
+            was.is_some_and(|was| {
+                was.version == upstream.version && was.address == upstream.address
+            })
+        };
+        self.renewed
+            .retain(|name, _| after.upstreams.contains_key(name));
+        self.ended.retain(|name, ended| {
+            let listed = after.upstreams.get(name);
+            let is_ended = |upstream| is_same(name, upstream) || after.revision <= ended.revision;
+            listed.is_some_and(is_ended)
+        });
+        // The first list does not tell when its entries changed.
+        if before.revision == 0 {
+            return;
+        }
+        for (name, upstream) in &after.upstreams {
+            if !is_same(name, upstream) {
+                self.renewed.insert(name.clone(), after.revision);
+            }
+        }
+    }
+
+    /// Records that the current host list is also the one that was read at a time.
+    pub fn confirm(&mut self, read_at: Timestamp) {
+        self.ended.retain(|_, ended| {
+            let responded = ended.responded;
+            responded.is_none_or(|responded| read_at.since(responded) < LISTED_WITHIN)
+        });
+    }
+
+    /// Returns the upstreams of which routers that may have started since have to be told, with the revision of the
+    /// host list that names the ended run.
+    pub fn recent(&self, now: Timestamp) -> impl Iterator<Item = (&name::Upstream, u64)> {
+        let ended = self.ended.iter();
+        let recent = ended.filter(move |(_, ended)| now.since(ended.found) < TOLD_PERIOD);
+        recent.map(|(name, ended)| (name, ended.revision))
+    }
+
+    /// Returns what is known of the software of an upstream.
+    #[must_use]
+    pub fn software(&self, list: &List, upstream: &name::Upstream) -> Software {
+        match list.upstreams.get(upstream) {
+            Some(_) if self.ended.contains_key(upstream) => Software::Unknown,
+            Some(listed) => Software::Listed(listed.version.clone()),
+            None if states_versions(list) => Software::Unknown,
+            None => Software::Listed(Version::default()),
+        }
+    }
+
+    /// Returns whether an upstream of a service that takes new requests is known to run a software.
+    #[must_use]
+    pub fn is_served(&self, list: &List, service: &name::Service, software: &Software) -> bool {
+        let mut listed = list.upstreams.iter();
+        listed.any(|(name, listed)| {
+            let serves = listed.service == *service && !listed.leaving;
+            serves && software.may_continue_at(&self.software(list, name))
+        })
+    }
+}
+
+fn states_versions(list: &List) -> bool {
+    let mut listed = list.upstreams.values();
+    listed.any(|listed| listed.version.0.is_some())
+}
--- /dev/null
+++ b/crates/board/tests/runs.rs
@@ -0,0 +1,155 @@
+//! Guards against software versions that are taken from the entry of a run which has ended, and against engines whose
+//! version stays unknown.
+
+use std::sync::Arc;
+
+use tsw_base::{
+    name,
+    time::{Span, Timestamp},
+};
+use tsw_board::{
+    hosts::{List, Upstream, Version},
+    runs::{EndedRuns, Software, LISTED_WITHIN},
+};
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::ZERO + Span::from_secs(seconds)
+}
+
+fn engine(number: usize) -> name::Upstream {
+    format!("engine-{number}").parse().expect("a valid name")
+}
+
+fn version(text: &str) -> Version {
+    Version(Some(Arc::from(text)))
+}
+
+/// Returns a list whose engines have the given versions.
+fn list(revision: u64, versions: &[Version]) -> List {
+    let listed = versions.iter().enumerate().map(|(number, version)| {
+        let upstream = Upstream {
+            domain: "north".parse().expect("a valid name"),
+            service: "reviews".parse().expect("a valid name"),
+            leaving: false,
+            address: "127.0.0.1:7001".parse().expect("an address"),
+            slots: 4,
+            version: version.clone(),
+        };
+        (engine(number), upstream)
+    });
+    List {
+        revision,
+        upstreams: listed.collect(),
+        ..List::default()
+    }
+}
+
+/// Guards against a version that is taken from the entry of an ended run, and against one that is never known again.
+#[test]
+fn version_is_unknown_until_the_list_names_another_one() {
+    let before = list(7, &[version("v1"), version("v1")]);
+    let listed = Software::Listed(version("v1"));
+    let mut runs = EndedRuns::default();
+    runs.adopt(&List::default(), &before);
+    assert_eq!(runs.software(&before, &engine(0)), listed);
+    assert!(runs.record_ended(at(1), &before, &engine(0), 7));
+    assert!(!runs.record_ended(at(2), &before, &engine(0), 7));
+    assert_eq!(runs.software(&before, &engine(0)), Software::Unknown);
+    assert_eq!(runs.software(&before, &engine(1)), listed);
+    // Another entry has changed.
+    let other = list(8, &[version("v1"), version("v2")]);
+    runs.adopt(&before, &other);
+    assert_eq!(runs.software(&other, &engine(0)), Software::Unknown);
+    let after = list(9, &[version("v2"), version("v2")]);
+    runs.adopt(&other, &after);
+    let listed = Software::Listed(version("v2"));
+    assert_eq!(runs.software(&after, &engine(0)), listed);
+}
+
+/// Guards against an engine that returned with the same version and never continues streams again.
+#[test]
+fn version_is_known_once_the_list_still_states_it_long_after_the_first_response() {
+    let list = list(7, &[version("v1")]);
+    let mut runs = EndedRuns::default();
+    runs.record_ended(at(1), &list, &engine(0), 7);
+    // It may still be down.
+    runs.confirm(at(1_000));
+    assert_eq!(runs.software(&list, &engine(0)), Software::Unknown);
+    // A response to a request that was sent before the crash.
+    runs.record_response(at(1_001), &engine(0), at(0));
+    runs.confirm(at(2_000));
+    assert_eq!(runs.software(&list, &engine(0)), Software::Unknown);
+    runs.record_response(at(2_001), &engine(0), at(2_000));
+    runs.record_response(at(2_020), &engine(0), at(2_019));
+    runs.confirm(at(2_000) + LISTED_WITHIN);
+    assert_eq!(runs.software(&list, &engine(0)), Software::Unknown);
+    runs.confirm(at(2_001) + LISTED_WITHIN);
+    let listed = Software::Listed(version("v1"));
+    assert_eq!(runs.software(&list, &engine(0)), listed);
+}
+
+/// Guards against a second crash that is taken for the first one, whose uncertainty ends earlier.
+#[test]
+fn engine_that_crashes_again_is_unknown_again() {
+    let list = list(7, &[version("v1")]);
+    let mut runs = EndedRuns::default();
+    runs.record_ended(at(1), &list, &engine(0), 7);
+    runs.record_response(at(3), &engine(0), at(2));
+    assert!(runs.record_ended(at(20), &list, &engine(0), 7));
+    runs.confirm(at(3) + LISTED_WITHIN);
+    assert_eq!(runs.software(&list, &engine(0)), Software::Unknown);
+}
+
+/// Guards against a peer with an older list that reports the run before the listed one.
+#[test]
+fn report_about_an_earlier_run_is_ignored() {
+    let before = list(7, &[version("v1")]);
+    let after = list(8, &[version("v2")]);
+    let mut runs = EndedRuns::default();
+    runs.adopt(&before, &after);
+    assert!(!runs.record_ended(at(1), &after, &engine(0), 7));
+    assert!(runs.record_ended(at(2), &after, &engine(0), 8));
+}
+
+/// Guards against a run that is taken for a later one, since a peer that saw it end had read the list earlier.
+#[test]
+fn entry_that_is_read_after_the_report_about_its_run_names_no_later_one() {
+    let before = list(7, &[version("v1")]);
+    let after = list(8, &[version("v2")]);
+    let mut runs = EndedRuns::default();
+    assert!(runs.record_ended(at(1), &before, &engine(0), 8));
+    runs.adopt(&before, &after);
+    assert_eq!(runs.software(&after, &engine(0)), Software::Unknown);
+    let told: Vec<_> = runs.recent(at(2)).collect();
+    assert_eq!(told, vec![(&engine(0), 8)]);
+}
+
+/// Guards against streams that are cut where all engines run the same software, since the list states no version.
+#[test]
+fn engines_of_a_list_without_versions_run_the_same_software() {
+    let list = list(7, &[Version::default(), Version::default()]);
+    let mut runs = EndedRuns::default();
+    assert!(!runs.record_ended(at(1), &list, &engine(0), 7));
+    let software = runs.software(&list, &engine(0));
+    assert!(software.may_continue_at(&runs.software(&list, &engine(1))));
+    // Listed to the home already.
+    assert!(software.may_continue_at(&runs.software(&list, &engine(9))));
+}
+
+/// Guards against two engines of unknown versions that are taken to run the same one.
+#[test]
+fn unknown_software_continues_no_stream() {
+    let list = list(7, &[version("v1"), version("v1"), version("v1")]);
+    let mut runs = EndedRuns::default();
+    runs.record_ended(at(1), &list, &engine(0), 7);
+    runs.record_ended(at(1), &list, &engine(1), 7);
+    let [first, second, sound] = [0, 1, 2].map(|number| runs.software(&list, &engine(number)));
+    assert!(!first.may_continue_at(&second) && !first.may_continue_at(&sound));
+    let service = "reviews".parse().expect("a valid name");
+    assert!(runs.is_served(&list, &service, &sound));
+    assert!(!runs.is_served(&list, &service, &first));
+    runs.record_ended(at(1), &list, &engine(2), 7);
+    assert!(!runs.is_served(&list, &service, &sound));
+    let unlisted = runs.software(&list, &engine(9));
+    assert_eq!(unlisted, Software::Unknown);
+}
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -142,7 +142,7 @@
     ClientResumed = 315 Info "client-resumed";
     /// A request that resumes a stream was refused.
     ResumeRefused = 316 Info "resume-refused";
-    /// A slot was returned because its engine runs another software version than the stream.
+    /// A slot was returned because its engine is not known to run the software version of the stream.
     SlotReturned = 321 Info "slot-returned";
     /// A home granted a slot to an entry router.
     SlotGranted = 401 Info "slot-granted";
--- a/crates/poison/src/ended_run.rs
+++ b/crates/poison/src/ended_run.rs
@@ -12,7 +12,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EndedRun {
     upstream: Fingerprint,
-    /// Start of the run, in milliseconds since 1970.
+    /// Start of the run, in milliseconds since 1970. On the own interface, which knows no start, the revision of the
+    /// host list that names the run.
     pub started_at: u64,
 }
 
--- a/crates/toucand/src/crash_detector.rs
+++ b/crates/toucand/src/crash_detector.rs
@@ -131,7 +131,7 @@
 }
 
 /// Sends findings to all peers that are not dead.
-fn broadcast(turn: &mut Turn<'_>, findings: &Findings) {
+pub fn broadcast(turn: &mut Turn<'_>, findings: &Findings) {
     let peers = turn.board.fleet.peers();
     let peers = peers.filter(|(_, _, state)| *state != State::Dead);
     let hosts: Vec<name::Host> = peers.map(|(id, _, _)| id.host.clone()).collect();
--- a/crates/toucand/src/engine.rs
+++ b/crates/toucand/src/engine.rs
@@ -1,6 +1,6 @@
 //! One attempt to stream a response from a model engine.
 
-use std::{rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use actix_http::{Method, StatusCode};
 use actix_rt::time;
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 
 use tsw_base::time::Timestamp;
-use tsw_board::hosts::Version;
+use tsw_board::runs::Software;
 
 use crate::{call::Call, router::Router, running::Running, slot::Slot};
 
@@ -97,7 +97,7 @@
     response: Box<ClientResponse>,
     buffer: BytesMut,
     id: Box<str>,
-    version: Version,
+    software: Software,
 }
 
 /// Parses and checks a caller's body as the base of the request body for an engine.
@@ -145,7 +145,7 @@
         .insert_header(("toucan-request-id", &*call.request_id))
         .insert_header(("toucan-team", call.team.as_str()));
     slot.start();
-    let version = router.software_version(slot.upstream());
+    let software = router.software(slot.upstream());
     let running = router.record_dispatch(&call, slot.upstream(), resume_from);
     let mut attempt = PendingAttempt {
         router,
@@ -158,6 +158,9 @@
         Err(_) | Ok(Err(SendRequestError::Timeout)) => return Err(AttemptError::Timeout),
         Ok(Err(error)) if is_unsent(&error) => {
             if let Some(slot) = attempt.slot.take() {
+                if is_refused(&error) {
+                    attempt.router.record_ended_run(slot.upstream());
+                }
                 slot.unreachable();
             }
             return Err(AttemptError::Unreachable(error.to_string()));
@@ -172,6 +175,11 @@
         }
         Ok(Ok(response)) => response,
     };
+    if let (Some(slot), Some(running)) = (&attempt.slot, &attempt.running) {
+        attempt
+            .router
+            .record_response(slot.upstream(), running.sent());
+    }
     if response.status() != StatusCode::OK {
         attempt.slot.take();
         return Err(AttemptError::Status(response.status()));
@@ -183,7 +191,7 @@
         response: Box::new(response),
         buffer: BytesMut::new(),
         id: std::mem::take(&mut attempt.id),
-        version,
+        software,
     })
 }
 
@@ -221,10 +229,16 @@
         self.slot.as_ref()
     }
 
-    /// Returns the software version that the engine ran when the request was sent.
+    /// Returns the software that the engine was known to run when the request was sent, if nothing else has become
+    /// known since.
     #[must_use]
-    pub const fn version(&self) -> &Version {
-        &self.version
+    pub fn software(&self) -> Software {
+        let upstream = self.slot.as_ref().map(Slot::upstream);
+        let now = upstream.map(|upstream| self.router.software(upstream));
+        if now.as_ref().is_some_and(|now| *now != self.software) {
+            return Software::Unknown;
+        }
+        self.software.clone()
     }
 
     /// Returns when the request was sent.
@@ -320,3 +334,13 @@
         _ => false,
     }
 }
+
+/// Returns whether nothing accepts connections at the address of the engine.
+fn is_refused(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(ConnectError::Io(error)) => {
+            error.kind() == io::ErrorKind::ConnectionRefused
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/toucand/src/engine_runs.rs
@@ -0,0 +1,92 @@
+//! Controller of the runs of engines that have ended although the host list still names them.
+
+use tsw_base::{name, time::Timestamp};
+use tsw_board::{hosts::List, runs::EndedRuns, Board, WriteToken};
+use tsw_event::{emit, Event};
+use tsw_poison::EndedRun;
+use tsw_wire::message::Message;
+
+use crate::{crash_detector, turn::Turn};
+
+/// Writes the section about ended runs.
+#[derive(Debug)]
+pub struct Controller {
+    token: WriteToken<EndedRuns>,
+}
+
+fn log(upstream: &name::Upstream, revision: u64, source: &str) {
+    emit(
+        Event::UpstreamRunEnded,
+        &[
+            ("upstream", upstream),
+            ("revision", &revision),
+            ("source", &source),
+        ],
+    );
+}
+
+impl Controller {
+    /// Creates the controller with the write token of its section.
+    #[must_use]
+    pub const fn new(token: WriteToken<EndedRuns>) -> Self {
+        Self { token }
+    }
+
+    /// Records that the listed run of an engine has ended, and tells the peers.
+    pub fn record_ended(&self, turn: &mut Turn<'_>, upstream: &name::Upstream) {
+        let revision = turn.board.hosts.revision;
+        if self.record(turn, upstream, revision) {
+            log(upstream, revision, "seen");
+            let findings = EndedRun::new(upstream, revision).findings();
+            crash_detector::broadcast(turn, &findings);
+        }
+    }
+
+    /// Applies that a peer has seen the run of an engine end.
+    pub fn receive(&self, turn: &mut Turn<'_>, run: &EndedRun) {
+        let mut listed = turn.board.hosts.upstreams.keys();
+        let Some(upstream) = listed.find(|name| run.is_of(name)).cloned() else {
+            return;
+        };
+        let revision = run.started_at;
+        if self.record(turn, &upstream, revision) {
+            log(&upstream, revision, "told");
+        }
+    }
+
+    fn record(&self, turn: &mut Turn<'_>, upstream: &name::Upstream, revision: u64) -> bool {
+        let board = &mut *turn.board;
+        let runs = board.ended_runs.write(&self.token);
+        runs.record_ended(turn.now, &board.hosts, upstream, revision)
+    }
+
+    /// Records that an engine responds to a request that was sent at a time.
+    pub fn record_response(&self, turn: &mut Turn<'_>, upstream: &name::Upstream, sent: Timestamp) {
+        let runs = turn.board.ended_runs.write(&self.token);
+        runs.record_response(turn.now, upstream, sent);
+    }
+
+    /// Processes a host list before it replaces the current one.
+    pub fn adopt(&self, turn: &mut Turn<'_>, list: &List) {
+        let board = &mut *turn.board;
+        if list.revision >= board.hosts.revision {
+            let runs = board.ended_runs.write(&self.token);
+            runs.adopt(&board.hosts, list);
+        }
+    }
+
+    /// Records which revision of the host list was read, and when the read began.
+    pub fn confirm(&self, turn: &mut Turn<'_>, revision: u64, read_at: Timestamp) {
+        if revision == turn.board.hosts.revision {
+            turn.board.ended_runs.write(&self.token).confirm(read_at);
+        }
+    }
+
+    /// Returns the runs that have ended as the first messages of a session to a peer, which may have started since.
+    #[must_use]
+    pub fn session_messages(board: &Board, now: Timestamp) -> Vec<Message> {
+        let ended = board.ended_runs.recent(now);
+        let runs = ended.map(|(upstream, revision)| EndedRun::new(upstream, revision).findings());
+        runs.map(Message::Findings).collect()
+    }
+}
--- a/crates/toucand/src/lib.rs
+++ b/crates/toucand/src/lib.rs
@@ -10,7 +10,7 @@
 //! - Startup and shutdown: [`keys`], [`context`], [`start`], [`serve`], [`clock`].
 //! - State: [`router`], [`state`], [`outbox`], [`task`], [`turn`].
 //! - Controllers: [`membership`], [`configuration`], [`scheduling`], [`tables`], [`crash_detector`],
-//!   [`placement`], [`audit`], [`health`].
+//!   [`engine_runs`], [`placement`], [`audit`], [`health`].
 //! - Requests: [`accept`], [`caller`], [`call`], [`request`], [`slot`], [`running`], [`stream`],
 //!   [`engine`], [`plain`], [`forward`], [`non_idempotent`], [`refusal`], [`reply`].
 //! - Others: [`locate`], [`peers`], [`platform`], [`hosts`], [`load`], [`order`], [`operator`],
@@ -25,6 +25,7 @@
 pub mod context;
 pub mod crash_detector;
 pub mod engine;
+pub mod engine_runs;
 pub mod exchange;
 pub mod forward;
 pub mod health;
--- a/crates/toucand/src/peers.rs
+++ b/crates/toucand/src/peers.rs
@@ -7,7 +7,7 @@
 use tsw_member::event;
 use tsw_wire::message::{Hello, VERSION};
 
-use crate::{crash_detector, router::Router};
+use crate::{crash_detector, engine_runs, router::Router};
 
 /// Opens the link and listens for peers.
 ///
@@ -41,6 +41,7 @@
                     messages.extend(crash_detector::Controller::session_messages(
                         turn.board, now,
                     ));
+                    messages.extend(engine_runs::Controller::session_messages(turn.board, now));
                     messages
                 })
             })
--- a/crates/toucand/src/request.rs
+++ b/crates/toucand/src/request.rs
@@ -9,7 +9,7 @@
     name,
     time::{Span, Timestamp},
 };
-use tsw_board::{health::ServiceHealth, hosts::Version};
+use tsw_board::{health::ServiceHealth, runs::Software};
 use tsw_event::Event;
 use tsw_grant::message::{Class, Request, State};
 use tsw_health::latency::Stream;
@@ -236,16 +236,16 @@
         );
     }
 
-    /// Returns the software version of a listed upstream.
+    /// Returns what is known of the software of an upstream.
     #[must_use]
-    pub fn software_version(&self, upstream: &name::Upstream) -> Version {
-        self.update_state(|state, _| state.software_version(upstream))
+    pub fn software(&self, upstream: &name::Upstream) -> Software {
+        self.read_state(|state| state.software(upstream))
     }
 
-    /// Returns whether an upstream of a service that takes new requests runs a software version.
+    /// Returns whether an upstream of a service that takes new requests is known to run a software.
     #[must_use]
-    pub fn is_version_served(&self, service: &name::Service, version: &Version) -> bool {
-        self.update_state(|state, _| state.is_version_served(service, version))
+    pub fn is_served(&self, service: &name::Service, software: &Software) -> bool {
+        self.read_state(|state| state.is_served(service, software))
     }
 
     /// Counts and logs a retry of a call on another upstream.
--- a/crates/toucand/src/running.rs
+++ b/crates/toucand/src/running.rs
@@ -102,20 +102,21 @@
     /// Checks whether an upstream that broke the connection of a call has crashed: it refuses another
     /// connection then.
     pub fn check_crash(self: &Rc<Self>, call: &Call, slot: &Slot, sent: Timestamp) {
-        let Some(request) = crash_detector::candidates(call) else {
-            return;
-        };
+        let request = crash_detector::candidates(call);
         let (upstream, address) = (slot.upstream().clone(), slot.address());
         let (router, ran_for) = (self.clone(), self.now().since(sent));
         actix_rt::spawn(async move {
             let opened = time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
             match opened {
                 Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                    router.notify_cause_finder(cause::Event::Crashed {
-                        upstream,
-                        request,
-                        ran_for,
-                    });
+                    router.record_ended_run(&upstream);
+                    if let Some(request) = request {
+                        router.notify_cause_finder(cause::Event::Crashed {
+                            upstream,
+                            request,
+                            ran_for,
+                        });
+                    }
                 }
                 Ok(Err(error)) => emit(
                     Event::CrashUnknown,
@@ -130,6 +131,24 @@
         });
     }
 
+    /// Records that an engine refused a connection, so that the run which the host list names has ended.
+    pub fn record_ended_run(&self, upstream: &name::Upstream) {
+        self.update_state(|state, now| {
+            let (mut turn, control) = state.split(now);
+            control.engine_runs.record_ended(&mut turn, upstream);
+        });
+    }
+
+    /// Records that an engine responds to a request that was sent at a time.
+    pub fn record_response(&self, upstream: &name::Upstream, sent: Timestamp) {
+        self.update_state(|state, now| {
+            let (mut turn, control) = state.split(now);
+            control
+                .engine_runs
+                .record_response(&mut turn, upstream, sent);
+        });
+    }
+
     /// Records that an upstream responded to a call in full.
     pub fn record_whole_response(&self, call: &Call) {
         if self.read_state(|state| state.board.cause_finder.is_empty()) {
--- a/crates/toucand/src/start.rs
+++ b/crates/toucand/src/start.rs
@@ -163,7 +163,9 @@
 async fn read_hosts_once(router: &Router) -> Result<(), platform::Error> {
     let settings = router.settings();
     let base = &settings.platform.hosts;
+    let read_at = router.now();
     let (list, errors) = platform::fetch_hosts(&router.client, base, &settings.host).await?;
+    let revision = list.revision;
     let new = router.read_state(|state| list != *state.board.hosts);
     if new {
         for error in errors {
@@ -175,6 +177,7 @@
             .set(i64::try_from(list.revision).unwrap_or(i64::MAX));
         router.update_state(|state, now| state.adopt_hosts(now, list));
     }
+    router.update_state(|state, now| state.confirm_hosts(now, revision, read_at));
     Ok(())
 }
 
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -6,16 +6,17 @@
     host, name,
     time::{Span, Timestamp},
 };
-use tsw_board::{hosts::Version, Board, InitialState};
+use tsw_board::{runs::Software, Board, InitialState};
 use tsw_config::service::Kind;
 use tsw_grant::home;
 use tsw_member::{event, Timing, View};
 use tsw_once::{owner, permit, survivor, witness, Limits};
+use tsw_poison::EndedRun;
 use tsw_wire::message::Message;
 
 use crate::{
-    audit, configuration, context::Context, crash_detector, health, membership, outbox::Outbox,
-    placement, scheduling, tables, task, turn::Turn,
+    audit, configuration, context::Context, crash_detector, engine_runs, health, membership,
+    outbox::Outbox, placement, scheduling, tables, task, turn::Turn,
 };
 
 /// The controllers.
@@ -32,6 +33,8 @@
     pub tables: tables::Controller,
     /// Detection of requests that crash upstreams.
     pub crash_detector: crash_detector::Controller,
+    /// Runs of engines that have ended.
+    pub engine_runs: engine_runs::Controller,
     /// Placement orders to engines.
     pub placement: placement::Controller,
     /// The audit log.
@@ -76,6 +79,7 @@
         let (board, tokens) = Board::new(InitialState {
             configuration: Default::default(),
             hosts: Default::default(),
+            ended_runs: Default::default(),
             fleet: View::new(id.clone(), domain, timing(context), rand::random()),
             homes: Default::default(),
             queues: Default::default(),
@@ -118,6 +122,7 @@
                 tokens.crash_detector,
                 tokens.cause_finder,
             ),
+            engine_runs: engine_runs::Controller::new(tokens.ended_runs),
             placement: placement::Controller::new(tokens.placement),
             audit: audit::Controller::new(tokens.audit),
         };
@@ -164,10 +169,17 @@
     /// Adopts a host list that was read from the platform.
     pub fn adopt_hosts(&mut self, now: Timestamp, list: tsw_board::hosts::List) {
         let (mut turn, control) = self.split(now);
+        control.engine_runs.adopt(&mut turn, &list);
         let effect = control.membership.adopt(&mut turn, list);
         self.apply_effect(now, effect);
     }
 
+    /// Records which revision of the host list was read, and when the read began.
+    pub fn confirm_hosts(&mut self, now: Timestamp, revision: u64, read_at: Timestamp) {
+        let (mut turn, control) = self.split(now);
+        control.engine_runs.confirm(&mut turn, revision, read_at);
+    }
+
     /// Processes a bundle that was read from `source`.
     pub fn offer_bundle(&mut self, now: Timestamp, content: &[u8], source: &dyn std::fmt::Display) {
         if self
@@ -224,7 +236,10 @@
             | Message::Served(_) => self.handle_scheduling_message(now, from, message),
             Message::Findings(findings) => {
                 let (mut turn, control) = self.split(now);
-                control.crash_detector.receive(&mut turn, findings);
+                match EndedRun::parse(&findings) {
+                    Some(run) => control.engine_runs.receive(&mut turn, &run),
+                    None => control.crash_detector.receive(&mut turn, findings),
+                }
             }
             Message::Head(head) => {
                 self.control
@@ -354,20 +369,17 @@
             .handle_home_event(&mut turn, &mut control.health, &service, event);
     }
 
-    /// Returns the software version of a listed upstream.
+    /// Returns what is known of the software of an upstream.
     #[must_use]
-    pub fn software_version(&self, upstream: &name::Upstream) -> Version {
-        let listed = self.board.hosts.upstreams.get(upstream);
-        listed.map_or_else(Version::default, |listed| listed.version.clone())
+    pub fn software(&self, upstream: &name::Upstream) -> Software {
+        self.board.ended_runs.software(&self.board.hosts, upstream)
     }
 
-    /// Returns whether an upstream of a service that takes new requests runs a software version.
+    /// Returns whether an upstream of a service that takes new requests is known to run a software.
     #[must_use]
-    pub fn is_version_served(&self, service: &name::Service, version: &Version) -> bool {
-        let mut listed = self.board.hosts.upstreams.values();
-        listed.any(|listed| {
-            listed.service == *service && !listed.leaving && listed.version == *version
-        })
+    pub fn is_served(&self, service: &name::Service, software: &Software) -> bool {
+        let board = &self.board;
+        board.ended_runs.is_served(&board.hosts, service, software)
     }
 
     /// Returns the engines that this router schedules, with their addresses.
--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -16,7 +16,7 @@
     name,
     time::{Span, Timestamp},
 };
-use tsw_board::hosts::Version;
+use tsw_board::runs::Software;
 use tsw_grant::message::Class;
 use tsw_health::latency::Stream;
 
@@ -91,9 +91,9 @@
     avoid: Option<name::Upstream>,
     /// Index of the next token to send to the caller.
     next_token: u64,
-    /// Software version of the engine that sent the first token.
-    version: Option<Version>,
-    /// Slots returned because their engine runs another version.
+    /// Software of the engine that sent the first token.
+    software: Option<Software>,
+    /// Slots returned because their engine is not known to run this software.
     mismatched_slots: u32,
     digest: Sha256,
     /// When the active attempt started.
@@ -138,7 +138,7 @@
             last_error: None,
             avoid: None,
             next_token: 0,
-            version: None,
+            software: None,
             mismatched_slots: 0,
             digest: Sha256::new(),
             started: now,
@@ -181,13 +181,7 @@
                     Ok(None)
                 }
                 Step::Slot(Err(refusal)) => self.slot_refused(refusal),
-                Step::Opened(Ok(attempt)) if !self.may_take_over(&attempt) => {
-                    self.drop_candidate(attempt)
-                }
-                Step::Opened(Ok(attempt)) => {
-                    self.opened(attempt);
-                    Ok(None)
-                }
+                Step::Opened(Ok(attempt)) => self.take_over(attempt),
                 Step::Stall => {
                     self.hedge();
                     Ok(None)
@@ -367,7 +361,7 @@
         } else if !stalled {
             self.candidate = None;
         }
-        self.record_version();
+        self.record_software();
         self.hedging = self.candidate.is_some();
         let tokens = self.next_token - before;
         let first = before == 0 && tokens > 0;
@@ -426,10 +420,7 @@
         }
         self.last_error = Some(broken.clone());
         match self.candidate.take() {
-            Some(Candidate::Open(attempt)) => {
-                self.opened(*attempt);
-                Ok(None)
-            }
+            Some(Candidate::Open(attempt)) => self.take_over(*attempt),
             Some(candidate) => {
                 self.candidate = Some(candidate);
                 Ok(None)
--- a/crates/toucand/src/stream/version.rs
+++ b/crates/toucand/src/stream/version.rs
@@ -1,7 +1,8 @@
 //! Keeps a stream at the software version of the engine that began it.
 //!
 //! The tokens that two versions generate for one request do not fit together, and engines do not
-//! check which version began a stream.
+//! check which version began a stream. Of an engine that has crashed, the version is unknown until the
+//! host list names it (see [`tsw_board::runs`]): streams may begin there, but none goes on there or from there.
 
 use tsw_base::name;
 use tsw_event::Event;
@@ -16,21 +17,30 @@
 impl Relay {
     /// Returns whether an engine may send the rest of the stream.
     pub(super) fn may_continue_at(&self, upstream: &name::Upstream) -> bool {
-        let began = self.version.as_ref();
-        began.is_none_or(|began| *began == self.router.software_version(upstream))
+        let began = self.software.as_ref();
+        began.is_none_or(|began| began.may_continue_at(&self.router.software(upstream)))
     }
 
     /// Returns whether an attempt may send the rest of the stream.
     pub(super) fn may_take_over(&self, attempt: &Attempt) -> bool {
-        let began = self.version.as_ref();
-        began.is_none_or(|began| began == attempt.version())
+        let began = self.software.as_ref();
+        began.is_none_or(|began| began.may_continue_at(&attempt.software()))
     }
 
-    /// Records the version of the attempt that has sent the first token. A candidate of another
-    /// version, which was opened before, is dropped.
-    pub(super) fn record_version(&mut self) {
-        if self.version.is_none() {
-            self.version = self.active.as_ref().map(|active| active.version().clone());
+    /// Lets an attempt that is open send the rest of the stream, if it may.
+    pub(super) fn take_over(&mut self, attempt: Attempt) -> Result<Option<Output>, Failure> {
+        if !self.may_take_over(&attempt) {
+            return self.drop_candidate(attempt);
+        }
+        self.opened(attempt);
+        Ok(None)
+    }
+
+    /// Records the software of the attempt that has sent the first token. A candidate of another
+    /// one, which was opened before, is dropped.
+    pub(super) fn record_software(&mut self) {
+        if self.software.is_none() {
+            self.software = self.active.as_ref().map(Attempt::software);
         }
         match self.candidate.take() {
             Some(Candidate::Open(attempt)) if !self.may_take_over(&attempt) => drop(attempt),
@@ -38,14 +48,14 @@
         }
     }
 
-    /// Returns a slot whose engine runs another version, and requests another one.
+    /// Returns a slot whose engine is not known to run the software of the stream, and requests another one.
     pub(super) fn return_slot(&mut self, slot: Slot) -> Result<Option<Output>, Failure> {
         let upstream = slot.upstream().clone();
         drop(slot);
         self.request_matching_slot(upstream)
     }
 
-    /// Cancels an attempt that runs another version than the one that has begun meanwhile.
+    /// Cancels an attempt whose engine is not known to run the software that has begun meanwhile.
     pub(super) fn drop_candidate(&mut self, attempt: Attempt) -> Result<Option<Output>, Failure> {
         let upstream = attempt.slot().map(|slot| slot.upstream().clone());
         drop(attempt);
@@ -70,8 +80,9 @@
         if self.active.is_some() {
             return Ok(None);
         }
-        let version = self.version.clone().unwrap_or_default();
-        let is_served = self.router.is_version_served(&self.call.service, &version);
+        let (router, service) = (&self.router, &self.call.service);
+        let began = self.software.as_ref();
+        let is_served = began.is_none_or(|began| router.is_served(service, began));
         if !is_served || self.mismatched_slots > MAX_MISMATCHED {
             return Err(self.failure("version"));
         }
--- a/crates/toucand/tests/returned_engines.rs
+++ b/crates/toucand/tests/returned_engines.rs
@@ -20,6 +20,9 @@
 /// Time in which a router reads a host list that was published.
 const READ_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after which a silent stream requests another engine.
+const STALL_TIME: Duration = Duration::from_secs(3);
+
 /// The outcome of a response and the versions that sent its tokens, in order.
 type Response = (String, Vec<String>);
 
@@ -130,6 +133,23 @@
     responses(sent).await;
 }
 
+/// Guards against a hedge that takes over a silent stream at an engine that returned with another version.
+#[actix_rt::test]
+async fn no_silent_stream_moves_to_an_engine_that_returned_with_another_version() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    engines[1].pause(true);
+    time::sleep(STALL_TIME).await;
+    engines[1].pause(false);
+    let whole = ("complete".to_owned(), vec!["v1".to_owned()]);
+    assert_eq!(responses(sent).await, vec![whole; STREAMS]);
+}
+
 /// Guards against a crash that no stream shows, since the engine was idle: a stream that is sent there meanwhile is
 /// refused.
 #[actix_rt::test]
@@ -165,6 +185,27 @@
     responses(sent).await;
 }
 
+/// Guards against a crash that a router does not know, since it started after it.
+#[actix_rt::test]
+async fn router_that_starts_is_told_that_an_engine_has_crashed() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let mut routers = Router::start_fleet(&["r1", "r2"], &upstreams).await;
+    let seeing = send(&routers[0]);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    responses(seeing).await;
+    routers[1].restart().await;
+    time::sleep(READ_TIME).await;
+    let before = engines[1].started();
+    let sent = send(&routers[1]);
+    time::sleep(BEGIN_TIME).await;
+    assert_ne!(engines[1].started(), before, "no stream began at v1");
+    engines[1].crash().await;
+    responses(sent).await;
+}
+
 /// Guards against engines that continue no stream although the host list states their new version.
 #[actix_rt::test]
 async fn streams_go_on_once_the_version_of_a_returned_engine_is_listed() {
--- a/crates/toucand/tests/support/process.rs
+++ b/crates/toucand/tests/support/process.rs
@@ -27,23 +27,31 @@
     pub address: SocketAddr,
     listening: RefCell<Option<JoinHandle<()>>>,
     connections: Rc<RefCell<Vec<JoinHandle<()>>>>,
+    paused: Rc<Cell<bool>>,
     /// Number of streams that began or went on here since the last start.
     started: Rc<Cell<usize>>,
 }
 
 /// Sends the tokens of a response from `resume_from` on.
-fn generate(body: &[u8], version: &'static str) -> ServerResponse {
+fn generate(body: &[u8], version: &'static str, paused: &Rc<Cell<bool>>) -> ServerResponse {
     let body: serde_json::Value = serde_json::from_slice(body).expect("JSON");
     let from = body["resume_from"].as_u64().expect("a number");
     let total = body["max_tokens"].as_u64().expect("a number");
-    let lines = futures_util::stream::iter(from..=total).then(move |index| async move {
-        time::sleep(GAP).await;
-        let line = if index < total {
-            format!("{{\"i\":{index},\"t\":\"{version}\"}}\n")
-        } else {
-            format!("{{\"end\":true,\"tokens\":{total}}}\n")
-        };
-        Ok::<_, Infallible>(Bytes::from(line))
+    let paused = paused.clone();
+    let lines = futures_util::stream::iter(from..=total).then(move |index| {
+        let paused = paused.clone();
+        async move {
+            time::sleep(GAP).await;
+            while paused.get() {
+                time::sleep(GAP).await;
+            }
+            let line = if index < total {
+                format!("{{\"i\":{index},\"t\":\"{version}\"}}\n")
+            } else {
+                format!("{{\"end\":true,\"tokens\":{total}}}\n")
+            };
+            Ok::<_, Infallible>(Bytes::from(line))
+        }
     });
     Response::new(StatusCode::OK).set_body(BodyStream::new(Box::pin(lines)).boxed())
 }
@@ -56,6 +64,7 @@
             address: listener.local_addr().expect("bound"),
             listening: RefCell::default(),
             connections: Rc::default(),
+            paused: Rc::default(),
             started: Rc::default(),
         };
         process.listen(listener, version).await;
@@ -64,10 +73,10 @@
 
     async fn listen(&self, listener: TcpListener, version: &'static str) {
         self.started.set(0);
-        let started = self.started.clone();
+        let (started, paused) = (self.started.clone(), self.paused.clone());
         let factory = HttpService::build()
             .finish(move |mut request: Request| {
-                let started = started.clone();
+                let (started, paused) = (started.clone(), paused.clone());
                 async move {
                     let mut body = Vec::new();
                     let mut payload = request.take_payload();
@@ -78,7 +87,7 @@
                         return Ok::<_, Infallible>(text(200, "{}"));
                     }
                     started.set(started.get() + 1);
-                    Ok(generate(&body, version))
+                    Ok(generate(&body, version, &paused))
                 }
             })
             .tcp();
@@ -101,6 +110,11 @@
         self.started.get()
     }
 
+    /// Sets whether streams wait before their next token.
+    pub fn pause(&self, paused: bool) {
+        self.paused.set(paused);
+    }
+
     /// Breaks all connections; the process goes on.
     pub fn break_connections(&self) {
         for connection in self.connections.take() {
