Log that an older host list is ignored

Cause: a list with a lower revision than the one in use was dropped silently (`membership::Controller::adopt`). Change: event 428 `hosts-ignored`, once for each ignored revision in turn. The processes of tests write their log to a file beside their settings.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -199,6 +199,8 @@
     UpstreamRunEnded = 426 Warn "upstream-run-ended";
     /// An upstream did not say when its run started.
     RunUnknown = 427 Info "run-unknown";
+    /// A host list was ignored because it is older than the one in use.
+    HostsIgnored = 428 Warn "hosts-ignored";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/toucand/src/membership.rs
+++ b/crates/toucand/src/membership.rs
@@ -19,6 +19,8 @@
     fleet: WriteToken<View>,
     /// Upstreams that are leaving according to peers with a newer host list, and its revision.
     leaving: IndexMap<name::Upstream, u64>,
+    /// Revision of the last list that was ignored since the current one is in use.
+    ignored: Option<u64>,
     changes: u64,
 }
 
@@ -40,6 +42,7 @@
             hosts,
             fleet,
             leaving: IndexMap::new(),
+            ignored: None,
             changes: 0,
         }
     }
@@ -96,9 +99,20 @@
     /// Adopts a host list that was read from the platform. A list with a lower revision than the
     /// current one is ignored.
     pub fn adopt(&mut self, turn: &mut Turn<'_>, list: List) -> Effect {
-        if list.revision < turn.board.hosts.revision || list == *turn.board.hosts {
+        let known = turn.board.hosts.revision;
+        if list.revision < known {
+            if self.ignored.replace(list.revision) != Some(list.revision) {
+                emit(
+                    Event::HostsIgnored,
+                    &[("revision", &list.revision), ("known", &known)],
+                );
+            }
+            return Effect::default();
+        }
+        if list == *turn.board.hosts {
             return Effect::default();
         }
+        self.ignored = None;
         self.changes += 1;
         log_changes(&turn.board.hosts, &list);
         let (routers, upstreams) = (list.routers.len(), list.upstreams.len());
--- a/crates/toucand/tests/support/mod.rs
+++ b/crates/toucand/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::{
     cell::RefCell,
     convert::Infallible,
-    fs,
+    fs::{self, File},
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -391,6 +391,13 @@
         routers
     }
 
+    /// Returns the lines of the log that hold an event.
+    pub fn logged(&self, event: &str) -> Vec<String> {
+        let text = fs::read_to_string(self.settings.with_extension("log")).expect("a log");
+        let lines = text.lines().filter(|line| line.contains(event));
+        lines.map(str::to_owned).collect()
+    }
+
     /// Kills the process, starts another one and waits until it is ready.
     pub async fn restart(&mut self) {
         self.process.kill().expect("killed");
@@ -449,7 +456,9 @@
 
 fn spawn(settings: &Path) -> Child {
     let mut command = command(settings);
-    command.stdout(Stdio::null());
+    let log = settings.with_extension("log");
+    let log = File::options().append(true).create(true).open(log);
+    command.stdout(Stdio::from(log.expect("a log")));
     let _alone = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
     command.spawn().expect("a process")
 }
