Keep a returned slot for a moment, so that another engine is granted

Callers of the own interface got streams that were cut with code "version" although an engine of their version had room: after crashes, the other engines are idle and of unknown versions.

Cause: the home grants the least used engine. A stream returned its slot at once, so that the same two idle engines were granted to it 20 times in turn. Change: the slot is kept for 200 ms while the stream requests another one, so that the engine counts as used.

--- a/crates/toucand/src/stream/version.rs
+++ b/crates/toucand/src/stream/version.rs
@@ -4,6 +4,9 @@
 //! check which version began a stream. Of an engine that has crashed, the version is unknown until the
 //! host list names it (see [`tsw_board::runs`]): streams may begin there, but none goes on there or from there.
 
+use std::time::Duration;
+
+use actix_rt::time;
 use tsw_base::name;
 use tsw_event::Event;
 use tsw_grant::message::Class;
@@ -13,6 +16,9 @@
 
 /// Maximum number of slots that a stream returns because their engine runs another version.
 const MAX_MISMATCHED: u32 = 20;
+/// Time for which a slot is kept that is to be returned. The home grants the least used engine, which would be the
+/// same one again.
+const KEPT_TIME: Duration = Duration::from_millis(200);
 
 impl Relay {
     /// Returns whether an engine may send the rest of the stream.
@@ -51,7 +57,10 @@
     /// Returns a slot whose engine is not known to run the software of the stream, and requests another one.
     pub(super) fn return_slot(&mut self, slot: Slot) -> Result<Option<Output>, Failure> {
         let upstream = slot.upstream().clone();
-        drop(slot);
+        actix_rt::spawn(async move {
+            time::sleep(KEPT_TIME).await;
+            drop(slot);
+        });
         self.request_matching_slot(upstream)
     }
 
--- a/crates/toucand/tests/returned_engines.rs
+++ b/crates/toucand/tests/returned_engines.rs
@@ -230,3 +230,19 @@
     let whole = ("complete".to_owned(), vec!["v2".to_owned()]);
     assert_eq!(responses(sent).await, vec![whole; STREAMS]);
 }
+
+/// Guards against streams that are cut although an engine of their version has room, since they are granted slots at
+/// idle engines of unknown versions again and again.
+#[actix_rt::test]
+async fn streams_go_on_at_the_last_engine_of_their_version_beside_idle_ones() {
+    let (engines, upstreams) = start_engines(&["v1", "v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    engines[1].crash().await;
+    let whole = ("complete".to_owned(), vec!["v1".to_owned()]);
+    assert_eq!(responses(sent).await, vec![whole; STREAMS]);
+}
