Take a stream for one of unknown version if its engine is listed with another one

Cause: the version of a stream was fixed by the entry of its engine when the request was sent, and never compared again. Change: before a stream goes on elsewhere, its version is compared with the one that is now listed for the engine that sends it. If they differ, it is unknown which of them the process runs, and the stream goes on nowhere. A stream that went on at another engine is not touched when the engine before is listed anew.

--- a/crates/toucand/src/stream.rs
+++ b/crates/toucand/src/stream.rs
@@ -413,6 +413,7 @@
     }
 
     fn active_failed(&mut self, broken: &AttemptError) -> Result<Option<Output>, Failure> {
+        self.check_software();
         if let Some(attempt) = self.active.take() {
             self.router
                 .record_engine_failure(&self.call, Some(&attempt), broken);
--- a/crates/toucand/src/stream/version.rs
+++ b/crates/toucand/src/stream/version.rs
@@ -8,6 +8,7 @@
 
 use actix_rt::time;
 use tsw_base::name;
+use tsw_board::runs::Software;
 use tsw_event::Event;
 use tsw_grant::message::Class;
 
@@ -21,8 +22,22 @@
 const KEPT_TIME: Duration = Duration::from_millis(200);
 
 impl Relay {
+    /// Takes the software of the stream for unknown if the host list states another version of its engine than when
+    /// the engine got the request: which one the process runs that sends the stream is unknown then.
+    pub(super) fn check_software(&mut self) {
+        let sending = self.active.as_ref().and_then(Attempt::slot);
+        let (Some(began), Some(slot)) = (&self.software, sending) else {
+            return;
+        };
+        let listed = self.router.software(slot.upstream());
+        if listed != Software::Unknown && listed != *began {
+            self.software = Some(Software::Unknown);
+        }
+    }
+
     /// Returns whether an engine may send the rest of the stream.
-    pub(super) fn may_continue_at(&self, upstream: &name::Upstream) -> bool {
+    pub(super) fn may_continue_at(&mut self, upstream: &name::Upstream) -> bool {
+        self.check_software();
         let began = self.software.as_ref();
         began.is_none_or(|began| began.may_continue_at(&self.router.software(upstream)))
     }
--- a/crates/toucand/tests/returned_engines.rs
+++ b/crates/toucand/tests/returned_engines.rs
@@ -11,6 +11,8 @@
 const NAMES: [&str; 3] = ["engine-1", "engine-2", "engine-3"];
 /// Number of tokens of each response, so that a stream takes about a second.
 const TOKENS: u64 = 50;
+/// Number of tokens of responses during which a host list is read.
+const LONG_TOKENS: u64 = 150;
 /// Number of streams that run at the same time.
 const STREAMS: usize = 6;
 /// Time after which all streams that were sent have begun.
@@ -46,6 +48,11 @@
 
 /// Sends requests to a router. Their responses arrive meanwhile.
 fn send(router: &Router) -> Vec<JoinHandle<Response>> {
+    send_long(router, TOKENS)
+}
+
+/// Sends requests for a number of tokens to a router.
+fn send_long(router: &Router, tokens: u64) -> Vec<JoinHandle<Response>> {
     let url: Rc<str> = router.call_url("reviews").into();
     let respond = |number| {
         let url = url.clone();
@@ -54,7 +61,7 @@
                 .timeout(Duration::from_secs(20))
                 .finish();
             let request = client.post(&*url).bearer_auth(TOKEN);
-            let body = format!(r#"{{"prompt":"prompt {number}","max_tokens":{TOKENS}}}"#);
+            let body = format!(r#"{{"prompt":"prompt {number}","max_tokens":{tokens}}}"#);
             let mut response = request.send_body(body).await.expect("a response");
             parse(&response.body().await.expect("a whole body"))
         }
@@ -246,3 +253,42 @@
     let whole = ("complete".to_owned(), vec!["v1".to_owned()]);
     assert_eq!(responses(sent).await, vec![whole; STREAMS]);
 }
+
+/// Guards against a stream that began at a returned engine, whose crash no router saw, and that is taken to be of the
+/// version which was listed then.
+#[actix_rt::test]
+async fn stream_is_not_of_the_version_that_was_listed_when_it_began_if_that_has_changed() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    engines[0].crash().await;
+    engines[0].start_again("v2").await;
+    let sent = send_long(&router, LONG_TOKENS);
+    time::sleep(BEGIN_TIME).await;
+    assert_ne!(
+        engines[0].started(),
+        0,
+        "no stream began at the returned engine"
+    );
+    router.host_list.publish("engine-1", "v2", 2);
+    time::sleep(READ_TIME).await;
+    engines[0].break_connections();
+    responses(sent).await;
+}
+
+/// Guards against streams that are cut because the engine that began them has crashed, and is listed with another
+/// version, while they go on elsewhere.
+#[actix_rt::test]
+async fn stream_that_went_on_keeps_its_version_when_the_engine_that_began_it_returns() {
+    let (engines, upstreams) = start_engines(&["v1", "v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    let sent = send_long(&router, LONG_TOKENS);
+    time::sleep(BEGIN_TIME).await;
+    engines[0].crash().await;
+    time::sleep(FIND_TIME).await;
+    engines[0].start_again("v2").await;
+    router.host_list.publish("engine-1", "v2", 2);
+    time::sleep(READ_TIME).await;
+    engines[1].crash().await;
+    let whole = ("complete".to_owned(), vec!["v1".to_owned()]);
+    assert_eq!(responses(sent).await, vec![whole; STREAMS]);
+}
