State the host list's revision that is in use in the metrics

Operators read a revision in `toucan_hosts_revision` that no router used: after the service of the host list had returned from an older copy, the metric showed the revision of the ignored list, so that all looked well.

Cause: the metric was set from each list that was read, whether it was adopted or not. Change: it is set from the list in use, after a list was offered.

The tests calls, crashes, engine_versions, older_host_list and soak of toucand pass, one play each.

--- a/crates/toucand/src/start.rs
+++ b/crates/toucand/src/start.rs
@@ -171,11 +171,12 @@
         for error in errors {
             emit(Event::HostsRejected, &[("cause", &error)]);
         }
+        router.update_state(|state, now| state.adopt_hosts(now, list));
+        let in_use = router.read_state(|state| state.board.hosts.revision);
         router
             .metrics
             .hosts
-            .set(i64::try_from(list.revision).unwrap_or(i64::MAX));
-        router.update_state(|state, now| state.adopt_hosts(now, list));
+            .set(i64::try_from(in_use).unwrap_or(i64::MAX));
     }
     router.update_state(|state, now| state.confirm_hosts(now, revision, read_at));
     Ok(())
