--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -144,7 +144,7 @@
     ClientResumed = 315 Info "client-resumed";
     /// A request that resumes a stream was refused.
     ResumeRefused = 316 Info "resume-refused";
-    /// A slot was returned because its engine runs another software version than the stream.
+    /// A slot was returned because its engine is not known to run the software version of the stream.
     SlotReturned = 321 Info "slot-returned";
     /// A home granted a slot to an entry router.
     SlotGranted = 401 Info "slot-granted";
@@ -201,6 +201,8 @@
     UpstreamRunEnded = 426 Warn "upstream-run-ended";
     /// An upstream did not say when its run started.
     RunUnknown = 427 Info "run-unknown";
+    /// A host list was ignored because it is older than the one in use.
+    HostsIgnored = 428 Warn "hosts-ignored";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
