List the crash of an engine that no router sees

Cause: engines state neither version nor start, and the host list lags, so that nothing tells of the crash.

--- a/crates/toucand/tests/returned_engines.rs
+++ b/crates/toucand/tests/returned_engines.rs
@@ -292,3 +292,16 @@
     let whole = ("complete".to_owned(), vec!["v1".to_owned()]);
     assert_eq!(responses(sent).await, vec![whole; STREAMS]);
 }
+
+/// Guards against a crash that no router sees, since nothing is sent to the engine before it returns.
+#[actix_rt::test]
+async fn engine_that_returns_unseen_gets_no_stream_of_another_version() {
+    let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
+    let router = Router::start(&upstreams).await;
+    engines[0].crash().await;
+    engines[0].start_again("v2").await;
+    let sent = send(&router);
+    time::sleep(BEGIN_TIME).await;
+    engines[1].crash().await;
+    responses(sent).await;
+}
