Derive nothing from replaced entries of unknown content, and keep the order of changes

Cause: the changes of a list were taken for known and ordered where they are not. Change: an entry that replaced one of unknown content proves nothing about the time before. Changes of one list are taken together, in any order. The history replaces the changes up to the list that it was read for, and is read only once that list is the latest.

--- a/crates/flow/src/assignment.rs
+++ b/crates/flow/src/assignment.rs
@@ -52,8 +52,21 @@
     at: Timestamp,
     ended: Option<Run>,
     began: Option<Run>,
-    /// Whether it ended a run of unknown software.
-    ended_unknown: bool,
+    /// What it ended beside a known run.
+    unknown: Unknown,
+    /// Whether all routers have seen it after the changes before it. Those of one list may have any order.
+    is_ordered: bool,
+}
+
+/// A run of unknown software that a change ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Unknown {
+    /// There was none.
+    No,
+    /// It left. It is presumed to be of the same software as another one.
+    Left,
+    /// Another run of the same upstream took its place, often with other software.
+    Replaced,
 }
 
 /// How many upstreams of each software accept new streams.
@@ -85,9 +98,11 @@
 pub struct Assignment {
     /// The present runs; `None` before the first list.
     runs: Option<IndexSet<Run>>,
+    /// Number of the present runs of each software.
+    counts: IndexMap<Software, u32>,
     /// The changes, the oldest first.
     changes: VecDeque<Change>,
-    /// Number of changes that were recorded as before the first list.
+    /// Number of changes that a history covers, or will cover.
     past: usize,
     /// Time of the latest change that was dropped, if any was.
     forgotten_until: Option<Timestamp>,
@@ -103,6 +118,13 @@
     pub fn record<'a>(&mut self, now: Timestamp, entries: impl IntoIterator<Item = &'a Entry>) {
         let accepting = entries.into_iter().filter(|entry| !entry.leaving);
         let runs: IndexSet<Run> = accepting.map(Run::of).collect();
+        if self.runs.as_ref() == Some(&runs) {
+            return self.forget(now);
+        }
+        self.counts.clear();
+        for run in &runs {
+            *self.counts.entry(run.software.clone()).or_default() += 1;
+        }
         if let Some(before) = self.runs.take() {
             let began = runs.difference(&before).cloned();
             let mut began: IndexMap<Name, Run> =
@@ -111,7 +133,8 @@
                 at: now,
                 ended,
                 began,
-                ended_unknown: false,
+                unknown: Unknown::No,
+                is_ordered: false,
             };
             for ended in before.difference(&runs) {
                 let began = began.swap_remove(&ended.upstream);
@@ -121,6 +144,11 @@
             self.changes.extend(began);
         }
         self.runs = Some(runs);
+        self.forget(now);
+    }
+
+    /// Drops changes that are too old to matter, or too many.
+    fn forget(&mut self, now: Timestamp) {
         let is_old = |change: &Change| now.since(change.at) > MAX_AGE;
         while self.changes.len() > MAX_CHANGES || self.changes.front().is_some_and(is_old) {
             let dropped = self.changes.pop_front();
@@ -134,25 +162,41 @@
         self.complete_until = self.complete_until.max(until);
     }
 
-    /// Records a change before the first list that happened after all others that were recorded so, at a time at the
+    /// Marks the present list as the one up to which a history is read.
+    pub fn mark_list(&mut self) {
+        self.past = self.changes.len();
+    }
+
+    /// Replaces the changes before the marked list, of which a history shows all since a time. Its changes are recorded
+    /// next, in their order.
+    pub fn replace_past(&mut self, known_since: Timestamp) {
+        let replaced = self.changes.drain(..std::mem::take(&mut self.past));
+        let replaced = replaced.map(|change| change.at);
+        let missing = replaced.filter(|at| *at <= known_since).max();
+        self.forgotten_until = self.forgotten_until.max(missing);
+    }
+
+    /// Records a change before the marked list that happened after all others that were recorded so, at a time at the
     /// latest: an upstream of the service ended or began to accept streams. Both are given if an entry was replaced.
     pub fn record_past(&mut self, at: Timestamp, ended: Option<&Entry>, began: Option<&Entry>) {
         self.insert_past(Change {
             at,
             ended: ended.map(Run::of),
             began: began.map(Run::of),
-            ended_unknown: false,
+            unknown: Unknown::No,
+            is_ordered: true,
         });
     }
 
-    /// Like [`Assignment::record_past`], for an upstream that ended to accept streams and whose software and service
-    /// are unknown. It is presumed to be of the same software as another one.
-    pub fn record_past_unknown(&mut self, at: Timestamp) {
+    /// Like [`Assignment::record_past`], where the entry that ended to accept streams, and its service, are unknown. It
+    /// may have been replaced by an entry of the service.
+    pub fn record_past_unknown(&mut self, at: Timestamp, replaced_by: Option<&Entry>) {
         self.insert_past(Change {
             at,
             ended: None,
-            began: None,
-            ended_unknown: true,
+            began: replaced_by.map(Run::of),
+            unknown: replaced_by.map_or(Unknown::Left, |_| Unknown::Replaced),
+            is_ordered: true,
         });
     }
 
@@ -167,8 +211,10 @@
     pub fn assigned(&self, key: Key) -> Option<&Software> {
         let counts = self.counts();
         has_only_versions(counts.keys().copied()).then_some(())?;
-        let software: IndexSet<&Software> = counts.keys().copied().collect();
-        best(key, &software, &counts, 0)
+        let counted = counts.iter().filter(|(_, count)| **count >= MIN_UPSTREAMS);
+        let scored = counted.map(|(software, count)| (score(key, software, *count), *software));
+        let best = scored.max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+        best.map(|(_, software)| software)
     }
 
     /// Returns the software of a stream that began between two times, and whether it is the only one of that time;
@@ -185,31 +231,45 @@
             return None;
         }
         let mut counts = self.counts();
-        let changes = || self.changes_since(since);
-        let ended = changes().filter_map(|change| change.ended.as_ref());
+        let changes: Vec<&Change> = self.changes_since(since).collect();
+        let ended = changes.iter().filter_map(|change| change.ended.as_ref());
         let ended = ended.map(|run| &run.software);
         let software: IndexSet<&Software> = counts.keys().copied().chain(ended).collect();
-        if !has_only_versions(software.iter().copied()) {
+        let is_replaced = |change: &&Change| change.unknown == Unknown::Replaced;
+        if !has_only_versions(software.iter().copied()) || changes.iter().any(is_replaced) {
             return None;
         }
         if software.len() <= 1 {
             return software.into_iter().next().map(|only| (only, true));
         }
+        let derived = self.assigned(key)?;
         let mut unknown = 0;
-        let derived = best(key, &software, &counts, unknown)?;
-        for change in changes() {
-            if let Some(run) = &change.began {
+        // Changes in any order are taken together.
+        let is_together = |a: &&Change, b: &&Change| !a.is_ordered && !b.is_ordered && a.at == b.at;
+        for changes in changes.chunk_by(is_together) {
+            let began = changes.iter().filter_map(|change| change.began.as_ref());
+            let ended = changes.iter().filter_map(|change| change.ended.as_ref());
+            let left = changes
+                .iter()
+                .filter(|change| change.unknown == Unknown::Left);
+            unknown += left.count() as u32;
+            let mut highest = counts.clone();
+            for run in ended.clone() {
+                *highest.entry(&run.software).or_default() += 1;
+            }
+            for run in began {
                 let count = counts.entry(&run.software).or_default();
                 *count = count.saturating_sub(1);
             }
-            if let Some(run) = &change.ended {
-                *counts.entry(&run.software).or_default() += 1;
-            }
-            unknown += u32::from(change.ended_unknown);
-            let is_empty = unknown == 0 && counts.values().all(|count| *count == 0);
-            if !is_empty && best(key, &software, &counts, unknown) != Some(derived) {
+            let lowest = counts.get(derived).copied().unwrap_or_default();
+            let highest =
+                |other: &Software| highest.get(other).map_or(unknown, |count| count + unknown);
+            if !wins(key, derived, lowest, &software, highest) {
                 return None;
             }
+            for run in ended {
+                *counts.entry(&run.software).or_default() += 1;
+            }
         }
         Some((derived, false))
     }
@@ -234,11 +294,8 @@
     }
 
     fn counts(&self) -> Counts<'_> {
-        let mut counts = Counts::new();
-        for run in self.runs.iter().flatten() {
-            *counts.entry(&run.software).or_default() += 1;
-        }
-        counts
+        let counts = self.counts.iter();
+        counts.map(|(software, count)| (software, *count)).collect()
     }
 }
 
@@ -248,29 +305,22 @@
     software.all(|software| matches!(software, Software::Version(_)))
 }
 
-/// Returns the software to which a stream is assigned, whichever of them `unknown` further upstreams run; `None` if that
-/// matters, or if no software has several upstreams.
-fn best<'a>(
+/// Returns whether a stream is assigned to a software that has at least so many upstreams, while each of the others has at
+/// most so many.
+fn wins(
     key: Key,
-    software: &IndexSet<&'a Software>,
-    counts: &Counts<'a>,
-    unknown: u32,
-) -> Option<&'a Software> {
-    let count = |software: &&Software| counts.get(*software).copied().unwrap_or_default();
-    let scored = |added| {
-        let counted = software
-            .iter()
-            .map(move |software| (*software, count(software) + added));
-        let counted = counted.filter(|(_, count)| *count >= MIN_UPSTREAMS);
-        counted.map(move |(software, count)| (score(key, software, count), software))
+    derived: &Software,
+    lowest: u32,
+    software: &IndexSet<&Software>,
+    highest: impl Fn(&Software) -> u32,
+) -> bool {
+    let mut others = software.iter().filter(|other| **other != derived);
+    let score_of_derived = score(key, derived, lowest);
+    let loses = |other: &&Software| {
+        let count = highest(other);
+        count < MIN_UPSTREAMS || score(key, other, count) < score_of_derived
     };
-    let highest =
-        |a: &(f64, &Software), b: &(f64, &Software)| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1));
-    let best = scored(0).max_by(highest)?;
-    let others = scored(unknown).filter(|(_, software)| *software != best.1);
-    let rival = others.max_by(highest);
-    let wins = rival.is_none_or(|rival| highest(&best, &rival).is_gt());
-    wins.then_some(best.1)
+    lowest >= MIN_UPSTREAMS && others.all(|other| loses(&other))
 }
 
 /// Returns the score of a software for a stream in weighted rendezvous hashing: each software has the
--- a/crates/flow/src/history.rs
+++ b/crates/flow/src/history.rs
@@ -1,8 +1,8 @@
 //! What recent changes of the platform's list of upstreams prove about the time before a router
 //! started.
 //!
-//! The changes carry no times, and heartbeats are no changes. But an entry that was created with the
-//! first heartbeat of its run was created soon after the start of the run, which it states. That gives a
+//! The changes carry no times, and heartbeats are no changes. But an entry that was written with the
+//! first heartbeat of its run was written soon after the start of the run, which it states. That gives a
 //! lower bound of the age of all changes before.
 
 use indexmap::IndexMap;
@@ -93,8 +93,10 @@
     complete_from: u64,
     /// The newest content of each key by run and heartbeat; `None` if it was removed.
     keys: IndexMap<Name, Option<Entry>>,
-    /// Revisions at which entries were created with the first heartbeat of a run, and the start of the
+    /// Revisions at which entries were written with the first heartbeat of a run, and the start of the
     /// run in milliseconds since the Unix epoch.
+    written: Vec<(u64, u64)>,
+    /// Those of them that were created then.
     created: Vec<(u64, u64)>,
     /// Listed entries and the revision of their creation.
     listed: IndexMap<Name, (u64, Entry)>,
@@ -220,6 +222,15 @@
             self.listed
                 .insert(change.key.clone(), (created, entry.clone()));
             let states_start = entry.started_at > 0;
+            let latest = self.written.iter().map(|(_, started_at)| *started_at).max();
+            // The entry of another writer may state any time.
+            let is_in_order = latest.is_some_and(|latest| {
+                entry.started_at.saturating_add(MAX_DELAY.as_millis()) >= latest
+            });
+            let is_first = entry.seq == FIRST_SEQ && states_start;
+            if is_first && (is_in_order || created == change.revision) {
+                self.written.push((change.revision, entry.started_at));
+            }
             if created == change.revision && entry.seq == FIRST_SEQ && states_start {
                 self.created.push((created, entry.started_at));
             }
@@ -300,19 +311,22 @@
 
     /// Returns a lower bound of the time since a revision.
     fn age(&self, revision: u64, now_ms: u64) -> Span {
-        let later = self
-            .created
-            .iter()
-            .filter(|(created, _)| *created >= revision);
-        let ages = later.map(|(_, started_at)| now_ms.saturating_sub(*started_at));
-        let mut ages: Vec<u64> = ages.collect();
-        ages.sort_unstable_by(|a, b| b.cmp(a));
-        let confirmed = WITNESSES.min(ages.len());
-        let age = confirmed.checked_sub(1).map_or(0, |index| ages[index]);
-        Span::from_millis(age.saturating_sub(MAX_DELAY.as_millis()))
+        let by_written = confirmed_age(&self.written, revision, now_ms);
+        by_written.max(confirmed_age(&self.created, revision, now_ms))
     }
 }
 
+/// Returns the time since a revision that enough of the starts of later runs confirm.
+fn confirmed_age(starts: &[(u64, u64)], revision: u64, now_ms: u64) -> Span {
+    let later = starts.iter().filter(|(written, _)| *written >= revision);
+    let ages = later.map(|(_, started_at)| now_ms.saturating_sub(*started_at));
+    let mut ages: Vec<u64> = ages.collect();
+    ages.sort_unstable_by(|a, b| b.cmp(a));
+    let confirmed = WITNESSES.min(ages.len());
+    let age = confirmed.checked_sub(1).map_or(0, |index| ages[index]);
+    Span::from_millis(age.saturating_sub(MAX_DELAY.as_millis()))
+}
+
 /// Returns whether the first entry is a delayed heartbeat that was written after the second one.
 fn is_delayed((entry, known): (&Entry, &Entry)) -> bool {
     (known.started_at, known.seq) > (entry.started_at, entry.seq)
--- a/crates/flow/src/pool/ended.rs
+++ b/crates/flow/src/pool/ended.rs
@@ -71,21 +71,13 @@
         }
     }
 
-    /// Returns whether a listed run of a software has not ended, as far as is known.
-    #[must_use]
-    pub fn has_run(&self, software: &Software) -> bool {
-        let mut upstreams = self.upstreams.values();
-        upstreams.any(|upstream| self.runs(upstream, software))
-    }
-
     /// Returns the listed upstreams that accept new requests and whose runs of a software have not ended, as far
     /// as is known.
-    #[must_use]
-    pub fn runs_of(&self, software: &Software) -> Vec<Choice> {
+    pub fn runs_of<'a>(&'a self, software: &'a Software) -> impl Iterator<Item = Choice> + 'a {
         let upstreams = self.upstreams.values();
         let runs = upstreams.filter(|upstream| !upstream.entry.leaving);
         let runs = runs.filter(|upstream| self.runs(upstream, software));
-        runs.map(|upstream| upstream.choice(0, None)).collect()
+        runs.map(|upstream| upstream.choice(0, None))
     }
 
     /// Returns whether an upstream is known to run a software.
--- a/crates/flow/tests/derivation.rs
+++ b/crates/flow/tests/derivation.rs
@@ -106,6 +106,7 @@
         began in 0..30_000u64,
         age in 0..8_000u64,
         stream in any::<usize>(),
+        peer_lag in prop::option::of(0..20_000u64),
     ) {
         writes.sort_unstable_by_key(|write| write.at_ms);
         let changes = changes(&writes);
@@ -118,8 +119,14 @@
         known(now).for_each(|(_, change)| reader.read(change.clone()));
         let history = reader.finish(known(now).count() as u64, EPOCH_MS + now);
         let mut started = Assignment::default();
+        // A peer's list, which is older, may come first.
+        if let Some(peer_lag) = peer_lag {
+            started.record(at(now), &listed(known(now.saturating_sub(peer_lag))));
+        }
         started.record(at(now), &listed(known(now)));
         started.record_complete(at(now));
+        started.mark_list();
+        started.replace_past(at(0));
         for step in &history.steps {
             let at = Timestamp::ZERO + at(now).since(Timestamp::ZERO + step.age);
             started.record_past(at, step.ended.as_ref(), step.began.as_ref());
@@ -164,6 +171,8 @@
     let mut started = Assignment::default();
     started.record(at(30_000), &listed(changes.iter()));
     started.record_complete(at(30_000));
+    started.mark_list();
+    started.replace_past(at(0));
     for step in &history.steps {
         let at = Timestamp::ZERO + at(30_000).since(Timestamp::ZERO + step.age);
         started.record_past(at, step.ended.as_ref(), step.began.as_ref());
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -292,7 +292,7 @@
         for past in departed.iter().chain(replaced).chain(latest) {
             self.router.record_software(before(past.age), &past.entry);
         }
-        self.router.record_past_changes(now, steps);
+        self.router.record_history(now, before(*known_for), steps);
         if *known_for > Span::ZERO {
             let known_ms = i64::try_from(known_for.as_millis()).unwrap_or(i64::MAX);
             self.router.metrics.history_ms.set(known_ms);
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -95,7 +95,12 @@
                 let complete = position.is_none();
                 let applied = apply(&state, subject, &items, complete);
                 position = applied.then_some(items.position);
-                if applied && std::mem::take(&mut reads_history) {
+                // A peer may have listed later changes, which would be missing from the history.
+                let is_latest = items.position >= state.registry.borrow().position();
+                if reads_history && !is_latest {
+                    position = None;
+                } else if applied && std::mem::take(&mut reads_history) {
+                    state.router.mark_list();
                     actix_rt::spawn(store_history::run(state.clone(), items));
                 }
             }
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -1,6 +1,6 @@
 //! Assigns new streams to software.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use tsw_base::time::Timestamp;
 use tsw_flow::{
     assignment::Assignment, history::Step, origin::Software, pool::Entry, service::Service,
@@ -9,6 +9,10 @@
 
 use crate::{request::Request, router::Router};
 
+/// Number of upstreams of a software that must be known to run so that streams are bound to it. As many confirm that to
+/// a router that derives a version.
+pub(crate) const MIN_RUNS: usize = 2;
+
 /// The assignment of each service.
 pub(crate) type Assignments = IndexMap<Name, Assignment>;
 
@@ -17,9 +21,15 @@
     pub(crate) fn record_assignments(&self, entries: &[Entry]) {
         let now = self.now();
         let mut assignments = self.assignments.borrow_mut();
+        let is_first = assignments.is_empty();
         for entry in entries {
             if !assignments.contains_key(&entry.service) {
-                assignments.insert(entry.service.clone(), Assignment::default());
+                let mut assignment = Assignment::default();
+                if !is_first {
+                    // The service had no upstream before.
+                    assignment.record(now, []);
+                }
+                assignments.insert(entry.service.clone(), assignment);
             }
         }
         for (service, assignment) in assignments.iter_mut() {
@@ -28,29 +38,34 @@
         }
     }
 
-    /// Records the changes of the list before the start, in their order, of a history that was read at a time.
-    pub fn record_past_changes(&self, read_at: Timestamp, steps: &[Step]) {
+    /// Marks the present list as the one up to which a history is read.
+    pub fn mark_list(&self) {
+        let mut assignments = self.assignments.borrow_mut();
+        assignments.values_mut().for_each(Assignment::mark_list);
+    }
+
+    /// Records the changes of the list before the marked one, of a history that was read at a time and shows all since
+    /// another one.
+    pub fn record_history(&self, read_at: Timestamp, known_since: Timestamp, steps: &[Step]) {
         let mut assignments = self.assignments.borrow_mut();
+        for assignment in assignments.values_mut() {
+            assignment.replace_past(known_since);
+        }
+        let entries = steps.iter().flat_map(|step| [&step.ended, &step.began]);
+        for entry in entries.flatten() {
+            assignments.entry(entry.service.clone()).or_default();
+        }
         for step in steps {
             let at = Timestamp::ZERO + read_at.since(Timestamp::ZERO + step.age);
-            if step.ended_unknown {
-                let assignments = assignments.values_mut();
-                assignments.for_each(|assignment| assignment.record_past_unknown(at));
-            }
-            let (ended, began) = (step.ended.as_ref(), step.began.as_ref());
-            let of = |service: &Name| {
-                let is_of = move |entry: &&Entry| entry.service == *service;
-                (ended.filter(is_of), began.filter(is_of))
-            };
-            let services: IndexSet<&Name> = [ended, began]
-                .into_iter()
-                .flatten()
-                .map(|entry| &entry.service)
-                .collect();
-            for service in services {
-                let assignment = assignments.entry(service.clone()).or_default();
-                let (ended, began) = of(service);
-                assignment.record_past(at, ended, began);
+            for (service, assignment) in assignments.iter_mut() {
+                let is_of = |entry: &&Entry| entry.service == *service;
+                let ended = step.ended.as_ref().filter(is_of);
+                let began = step.began.as_ref().filter(is_of);
+                if step.ended_unknown {
+                    assignment.record_past_unknown(at, began);
+                } else if ended.or(began).is_some() {
+                    assignment.record_past(at, ended, began);
+                }
             }
         }
     }
@@ -63,7 +78,7 @@
     }
 
     /// Returns the software at which a new stream has to begin; `None` if it may begin anywhere, as other
-    /// requests may, or if every listed run of that software has ended.
+    /// requests may, or if fewer than two upstreams of that software are known to run and to accept requests.
     pub(crate) fn assigned_software(&self, request: &Request) -> Option<Software> {
         let is_resumable = request.route.kind == Kind::Stream { resumable: true };
         if !is_resumable || request.is_resume() {
@@ -72,8 +87,8 @@
         let assignments = self.assignments.borrow();
         let assignment = assignments.get(&request.service)?;
         let software = assignment.assigned(request.key())?;
-        let runs = |service: &mut Service| service.pool.has_run(software);
-        let has_run = self.with_service(&request.service, runs) == Some(true);
-        has_run.then(|| software.clone())
+        let runs = |service: &mut Service| service.pool.runs_of(software).count() >= MIN_RUNS;
+        let has_runs = self.with_service(&request.service, runs) == Some(true);
+        has_runs.then(|| software.clone())
     }
 }
