Ask each run once for all requests that wait, and bind streams only to versions with two runs

Callers got 503 for 19 of 40 new streams while another version served, since all upstreams of the assigned one had stated that they leave; 5 of 28 streams waited for the last sound run of a version beside free ones; and resumes of one version took up to 4.7 s while upstreams of another one were silent (found by a review, in tests). One answer about the runs of old streams was used for young ones.

Cause: a stream was bound to the assigned version while any listed run of it was not known to have ended. The questions to all runs of all services shared one lock, and their outcome was kept by software. Change: streams are bound if two upstreams of the version are known to run and accept requests, and a derived version needs two that confirm that; one that states that it leaves does not. Each run is asked by a task of its own, whose answer all requests share that arrived before it, four at a time and 1 s for each request.

Two tests of responses without a length asked models for the first time at the end of a response; streams ask on new connections now, so that the tests send a stream before.

--- a/crates/relay/src/derivation.rs
+++ b/crates/relay/src/derivation.rs
@@ -5,16 +5,19 @@
 //! whole time, up to the request that resumes the stream, and runs of the version that lasted all the while: a router
 //! that takes every run of the assigned version for ended begins streams anywhere.
 
+use std::rc::Rc;
+
 use indexmap::IndexSet;
 use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
 use tsw_flow::{
     origin::{Origin, Software, Source},
     pool::Choice,
+    service::Service,
 };
 use tsw_route::Name;
 
-use crate::{request::Request, router::Router};
+use crate::{assignment::MIN_RUNS, request::Request, router::Router};
 
 /// Difference of two deadlines that is within the delay of requests on their way.
 const DEADLINE_TOLERANCE: Span = Span::from_millis(200);
@@ -87,7 +90,7 @@
     /// Binds a request that resumes a stream to the software that follows from the identifier of the stream, or that
     /// is the only one, if upstreams confirm that they run it. The caller has read the changes of the list up to a
     /// time after the arrival of the request.
-    pub async fn bind_derived(&self, request: &mut Request) {
+    pub async fn bind_derived(self: &Rc<Self>, request: &mut Request) {
         let derived = match self.derive(request, request.arrived) {
             Ok(derived) => derived,
             Err(cause) => return self.reject_derivation(request, cause),
@@ -97,7 +100,12 @@
             source,
             runs,
         } = derived;
-        if self.confirm_runs(&origin, &runs, request.arrived).await {
+        let needed = match source {
+            Source::OnlySoftware => runs.len().min(MIN_RUNS),
+            _ => MIN_RUNS,
+        };
+        let service = &origin.service;
+        if self.confirm_runs(service, &runs, needed, request).await {
             self.bind(request, origin, source);
         } else {
             self.reject_derivation(request, NotDerived::Unconfirmed);
@@ -164,8 +172,8 @@
 
     /// Returns the listed upstreams that run a software, as far as is known.
     fn runs(&self, service: &Name, software: &Software) -> Vec<Choice> {
-        self.with_service(service, |service| service.pool.runs_of(software))
-            .unwrap_or_default()
+        let runs = |service: &mut Service| service.pool.runs_of(software).collect();
+        self.with_service(service, runs).unwrap_or_default()
     }
 
     /// Returns an upper bound of the time since the client first asked for the stream that a request
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -58,6 +58,9 @@
     /// Reads the head of a response to a request.
     fn response_info(&self, request: &Request, head: &head::Response) -> ResponseInfo;
 
+    /// Returns whether an upstream states in the head of a response that it leaves.
+    fn states_leaving(&self, head: &head::Response) -> bool;
+
     /// Builds the head of the question to an upstream for the start of its run.
     fn run_question(&self, choice: &Choice) -> head::Request;
 
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -9,20 +9,21 @@
 
 use std::{
     cell::{Cell, RefCell},
+    rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
-use futures_util::{stream, StreamExt as _};
+use futures_util::{future, stream, StreamExt as _};
 use indexmap::{IndexMap, IndexSet};
-use tokio::{sync::Mutex, time};
+use tokio::{sync::watch, time};
 use tsw_base::time::{Span, Timestamp};
-use tsw_event::{emit, Event};
-use tsw_flow::{origin::Origin, pool::Choice};
+use tsw_event::{contained, emit, Event};
+use tsw_flow::{pool::Choice, service::Service};
 use tsw_http::{connection::Connection, exchange::Exchange};
 use tsw_route::Name;
 
-use crate::{attempt::CONNECT_TIMEOUT, router::Router};
+use crate::{attempt::CONNECT_TIMEOUT, request::Request, router::Router};
 pub(crate) use response_end::ResponseEnd;
 
 /// Time limit of the question.
@@ -32,12 +33,10 @@
 /// Maximum length of an answer in bytes. It lists some details of each request that the upstream runs.
 const MAX_ANSWER_BYTES: usize = 1 << 18;
 
-/// Number of runs of a software that have to be confirmed, if as many are listed.
-const MIN_CONFIRMED: usize = 2;
-/// Maximum number of upstreams that are asked at the same time.
+/// Maximum number of upstreams that a request asks at the same time.
 const MAX_ASKED: usize = 4;
-/// Maximum number of services and software for which the latest questions are remembered.
-const MAX_QUESTIONS: usize = 64;
+/// Maximum time for which a request waits until enough of them have confirmed their runs.
+const CONFIRMATION_LIMIT: Duration = Duration::from_secs(1);
 
 /// Maximum number of upstreams that are remembered because connections to them broke.
 const MAX_BROKEN: usize = 4_096;
@@ -51,9 +50,8 @@
     broken: RefCell<IndexSet<Name>>,
     /// Start of the run that each upstream has confirmed, and when it did.
     confirmed: RefCell<IndexMap<Name, (u64, Timestamp)>>,
-    /// When the upstreams of a software were last asked, and whether enough of them confirmed their runs. Requests
-    /// that arrived before do not ask again.
-    asked: Mutex<IndexMap<Origin, (Timestamp, bool)>>,
+    /// The latest question to each run, by name and start, for requests whose origin is derived.
+    questions: RefCell<IndexMap<(Name, u64), Question>>,
     /// Start of the run that each upstream has stated last, if it states one, and when that was found out first.
     stated: RefCell<IndexMap<Name, (Option<u64>, Timestamp)>>,
 }
@@ -99,6 +97,13 @@
     Silent,
 }
 
+/// A question to an upstream whether a run goes on.
+#[derive(Clone, Debug)]
+struct Question {
+    at: Timestamp,
+    answer: watch::Receiver<Option<bool>>,
+}
+
 /// An answer of an upstream.
 enum Answer {
     /// Start of its run, in milliseconds since 1970, if it states one.
@@ -133,7 +138,7 @@
             return Confirmation::Given;
         }
         match self.ask_run(service, choice).await {
-            Answer::Start(Some(started_at)) if started_at > choice.started_at => {
+            Answer::Start(Some(started_at)) if is_later(started_at, choice) => {
                 self.record_ended_run(service, &choice.id, choice.started_at);
                 Confirmation::Ended
             }
@@ -152,44 +157,76 @@
         }
     }
 
-    /// Finds out whether enough of these runs of a software go on at a time after `since`.
+    /// Finds out whether as many of these runs as needed go on at a time after the arrival of a request.
     pub(crate) async fn confirm_runs(
-        &self,
-        origin: &Origin,
+        self: &Rc<Self>,
+        service: &Name,
         runs: &[Choice],
-        since: Timestamp,
+        needed: usize,
+        request: &Request,
     ) -> bool {
-        let mut asked = self.runs.asked.lock().await;
-        if let Some((_, is_confirmed)) = asked.get(origin).filter(|(at, _)| *at >= since) {
-            return *is_confirmed;
+        // Different requests ask different upstreams first.
+        let first = request.key().0 as usize % runs.len().max(1);
+        let (last, first) = runs.split_at(first);
+        let goes_on = |run| self.goes_on(service, run, request.arrived);
+        let answers = stream::iter(first.iter().chain(last)).map(goes_on);
+        let confirmed = answers.buffer_unordered(MAX_ASKED);
+        let confirmed = confirmed.filter(|goes_on| future::ready(*goes_on));
+        let confirmed = confirmed.take(needed).count();
+        needed > 0 && time::timeout(CONFIRMATION_LIMIT, confirmed).await == Ok(needed)
+    }
+
+    /// Finds out whether a run goes on, and accepts requests, at a time after `since`. Requests that arrived before it
+    /// was asked share the answer.
+    async fn goes_on(self: &Rc<Self>, service: &Name, run: &Choice, since: Timestamp) -> bool {
+        let mut answer = self.question(service, run, since);
+        let answer = answer.wait_for(Option::is_some).await;
+        answer.is_ok_and(|answer| *answer == Some(true))
+    }
+
+    fn question(
+        self: &Rc<Self>,
+        service: &Name,
+        run: &Choice,
+        since: Timestamp,
+    ) -> watch::Receiver<Option<bool>> {
+        let mut questions = self.runs.questions.borrow_mut();
+        let key = (run.id.clone(), run.started_at);
+        if let Some(question) = questions.get(&key).filter(|asked| asked.at >= since) {
+            return question.answer.clone();
         }
-        let now = self.now();
-        let is_confirmed = self.ask_runs(&origin.service, runs).await;
-        if asked.len() >= MAX_QUESTIONS {
-            asked.clear();
+        let (sender, answer) = watch::channel(None);
+        let question = Question {
+            at: self.now(),
+            answer: answer.clone(),
+        };
+        if questions.len() >= MAX_BROKEN {
+            questions.shift_remove_index(0);
         }
-        asked.insert(origin.clone(), (now, is_confirmed));
-        is_confirmed
+        questions.insert(key, question);
+        let (router, service, run) = (self.clone(), service.clone(), run.clone());
+        // It goes on if the client of the request that asked leaves.
+        actix_rt::spawn(contained::run(async move {
+            sender.send_replace(Some(router.find_running(&service, &run).await));
+        }));
+        answer
     }
 
-    async fn ask_runs(&self, service: &Name, runs: &[Choice]) -> bool {
-        let needed = MIN_CONFIRMED.min(runs.len());
-        let ask = |run| async move { (run, self.ask_run(service, run).await) };
-        let mut answers = stream::iter(runs).map(ask).buffer_unordered(MAX_ASKED);
-        let mut confirmed = 0;
-        while confirmed < needed {
-            let Some((run, answer)) = answers.next().await else {
-                return false;
-            };
-            match answer {
-                Answer::Start(Some(started_at)) if started_at > run.started_at => {
-                    self.record_ended_run(service, &run.id, run.started_at);
-                }
-                Answer::Start(_) => confirmed += 1,
-                Answer::Missing => emit(Event::RunUnknown, &[("upstream", &run.id)]),
+    async fn find_running(&self, service: &Name, run: &Choice) -> bool {
+        match self.ask_run(service, run).await {
+            Answer::Start(Some(started_at)) if is_later(started_at, run) => {
+                self.record_ended_run(service, &run.id, run.started_at);
+                false
+            }
+            Answer::Start(_) => {
+                let leaves = |service: &mut Service| service.pool.stated_leaving(run);
+                self.with_service(service, leaves) == Some(false)
+            }
+            Answer::Missing => {
+                emit(Event::RunUnknown, &[("upstream", &run.id)]);
+                false
             }
         }
-        needed > 0
     }
 
     /// Asks an upstream for the start of its run.
@@ -221,6 +258,9 @@
                 return None;
             }
         }
+        if self.protocol.states_leaving(exchange.head()) {
+            self.with_service(service, |service| service.pool.record_leaving(choice));
+        }
         let is_report = exchange.head().status == 200;
         let started_at = is_report
             .then(|| self.protocol.run_start(&answer))
@@ -232,3 +272,8 @@
         Some(started_at)
     }
 }
+
+/// Returns whether a stated start is that of a later run than the listed one. Some entries state none.
+fn is_later(started_at: u64, listed: &Choice) -> bool {
+    listed.started_at > 0 && started_at > listed.started_at
+}
--- /dev/null
+++ b/crates/toucand/tests/derived_versions_beside_faults.rs
@@ -0,0 +1,202 @@
+//! Streams whose version a router derives: joined ones, and ones that wait for no reason.
+
+#[path = "support/versions.rs"]
+mod versions;
+
+use std::{
+    net::TcpListener,
+    time::{Duration, Instant},
+};
+
+use futures_util::future;
+use serde_json::json;
+use tsw_fake::worker::Behaviour;
+use versions::{
+    fleet::{Call, Router},
+    now_ms, resume_named, wait_history, wait_metric, Fleet,
+};
+
+fn begin(router: &Router, id: &str) {
+    let (address, call) = (router.client, Call::prompt("/draft/1", id));
+    actix_rt::spawn(async move { drop(call.send_to(address).await) });
+}
+
+/// Guards against the only version of the list, where all upstreams have returned with it under their names and the store
+/// keeps no earlier content of their entries.
+#[actix_rt::test]
+async fn streams_are_not_resumed_at_a_version_that_took_the_place_of_unknown_entries() {
+    let mut fleet = Fleet::start(&["v1"; 4], 1).await;
+    // A store whose heartbeats are no changes drops the entries' creation after some time.
+    fleet.store.compact();
+    let ids: Vec<String> = (0..20).map(|number| format!("a{number}")).collect();
+    ids.iter().for_each(|id| begin(&fleet.routers[0], id));
+    actix_rt::time::sleep(Duration::from_millis(400)).await;
+    let began = ids.iter().filter(|id| fleet.version_of(id).is_some());
+    let began: Vec<_> = began.collect();
+    assert!(began.len() >= 15, "only {} streams began", began.len());
+    fleet.routers.clear();
+    for number in 0..4 {
+        fleet.engines[number].0 = "v2";
+        fleet.engines[number].1.set_born(Some(now_ms() - 600));
+        fleet.engines[number].1.set_default(Behaviour::Stream(4));
+        fleet.list(number, "ready", 60, 1);
+    }
+    fleet.start_routers(1).await;
+    wait_history(&fleet.routers[0]).await;
+    let mut went_on = 0;
+    for id in &began {
+        let resumed = format!("r{id}");
+        let response = resume_named(&fleet.routers[0], &resumed, id).await;
+        went_on += usize::from(response.status == 200);
+    }
+    assert_eq!(
+        went_on,
+        0,
+        "of {} streams that v1 began, now at v2",
+        began.len()
+    );
+}
+
+/// Guards against streams that wait for the last sound run of a version while others have room.
+#[actix_rt::test]
+async fn streams_do_not_wait_for_the_last_run_of_a_version_while_others_have_room() {
+    let fleet = Fleet::start(&["v1", "v1", "v1", "v2", "v2", "v2"], 1).await;
+    let router = &fleet.routers[0];
+    (0..30).for_each(|number| begin(router, &format!("c{number}")));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    let crashes = "relay_breaks_total{outcome=\"crash\"}";
+    for (number, found) in [(3, 1.0), (4, 2.0)] {
+        fleet.engines[number].1.crash();
+        wait_metric(router, crashes, |count| count >= found).await;
+    }
+    actix_rt::time::sleep(Duration::from_millis(4_000)).await;
+    // Four sound upstreams have 32 slots.
+    let ids: Vec<String> = (0..28).map(|number| format!("a{number}")).collect();
+    ids.iter().for_each(|id| begin(router, id));
+    actix_rt::time::sleep(Duration::from_millis(1_000)).await;
+    let waiting = ids.iter().filter(|id| fleet.version_of(id).is_none());
+    assert_eq!(
+        waiting.count(),
+        0,
+        "of 28 streams wait after 1 s, with 32 slots"
+    );
+}
+
+/// Guards against streams of a version that wait for the answers of upstreams of another one.
+#[actix_rt::test]
+async fn streams_do_not_wait_for_upstreams_of_another_version_that_do_not_answer() {
+    let mut fleet = Fleet::start(&["v2"; 6], 0).await;
+    for (_, engine) in &fleet.engines {
+        engine.set_default(Behaviour::Stream(4));
+    }
+    let silent = (0..24).map(|_| TcpListener::bind("127.0.0.1:0").expect("an address"));
+    let silent: Vec<TcpListener> = silent.collect();
+    for (number, listener) in silent.iter().enumerate() {
+        let address = listener.local_addr().expect("an address").to_string();
+        let text = json!({
+            "service": "model", "address": address, "zone": "north", "slots": 8, "state": "ready",
+            "coldRemainingMs": 0, "born": now_ms() - 30_000, "seqNo": 1, "version": "v1",
+        });
+        let key = format!("servers/s{number}");
+        fleet.store.set(&key, Some(text.to_string().as_bytes()));
+    }
+    let router = Router::start("r1", fleet.store.address(), &[]);
+    router.wait_ready().await;
+    fleet.routers.push(router);
+    fleet.wait_accepting(30).await;
+    let router = &fleet.routers[0];
+    wait_history(router).await;
+    let resumes = (0..40u64).map(|number| async move {
+        actix_rt::time::sleep(Duration::from_millis(25 * number)).await;
+        let (id, since) = (format!("a{number}"), Instant::now());
+        let response = resume_named(router, &format!("r{id}"), &id).await;
+        (response.status, since.elapsed())
+    });
+    let times = future::join_all(resumes).await;
+    let went_on = times.iter().filter(|(status, _)| *status == 200);
+    let longest = went_on.clone().map(|(_, time)| *time).max();
+    let count = went_on.count();
+    assert!(count > 0, "{times:?}");
+    assert!(
+        longest < Some(Duration::from_millis(1_500)),
+        "{longest:?} of {count}: {times:?}"
+    );
+}
+
+async fn resume_of_age(router: &Router, id: &str, age_ms: u64) -> u16 {
+    let mut call = Call::prompt("/draft/1", &format!("r{id}"));
+    call.head.fields.remove("Deadline-Ms");
+    call.head
+        .fields
+        .push("Deadline-Ms", (15_000 - age_ms).to_string());
+    call.head.fields.push("Last-Event-Id", "1");
+    call.head.fields.push("Resumes", id.to_owned());
+    call.send(router).await.status
+}
+
+/// Guards against an answer that holds for other runs: the runs of a version are too young for one stream, and not for
+/// another one that is resumed at the same time.
+#[actix_rt::test]
+async fn old_streams_do_not_decide_for_young_ones_and_the_other_way_round() {
+    let mut fleet = Fleet::start(&["v1", "v1", "v1", "v2", "v2"], 0).await;
+    for (_, engine) in &fleet.engines {
+        engine.set_default(Behaviour::Stream(4));
+    }
+    // The second version's upstreams have just returned with it.
+    (3..5).for_each(|number| fleet.list(number, "ready", 600, 1));
+    fleet.start_routers(1).await;
+    let router = &fleet.routers[0];
+    wait_history(router).await;
+    actix_rt::time::sleep(Duration::from_millis(5_000)).await;
+    let resume = |prefix: &'static str, age_ms: u64| {
+        let resumes = (0..30u64).map(move |number| async move {
+            resume_of_age(router, &format!("{prefix}{number}"), age_ms).await
+        });
+        future::join_all(resumes)
+    };
+    let is_served = |status: &&u16| **status == 200;
+    // Each alone.
+    let young = resume("a", 1_500).await;
+    let old = resume("b", 9_000).await;
+    let (young, old) = (
+        young.iter().filter(is_served).count(),
+        old.iter().filter(is_served).count(),
+    );
+    assert!(young > old, "served: {young} young, {old} old");
+    assert_eq!(young, 30, "of 30 young streams alone");
+    // Together, in both orders.
+    let (_, young) = future::join(resume("c", 9_000), resume("d", 1_500)).await;
+    let (_, _) = future::join(resume("e", 1_500), resume("f", 9_000)).await;
+    let young = young.iter().filter(is_served).count();
+    let of_old = |prefix: &str| {
+        let at_v2 = (0..30).filter(|n| fleet.version_of(&format!("r{prefix}{n}")) == Some("v2"));
+        at_v2.count()
+    };
+    let old = ["b", "c", "f"].map(of_old);
+    assert_eq!((young, old), (30, [0; 3]), "young served of 30, old at v2");
+}
+
+/// Guards against new streams that are assigned to a version all of whose upstreams have said that they leave.
+#[actix_rt::test]
+async fn streams_begin_elsewhere_if_all_upstreams_of_a_version_leave() {
+    let fleet = Fleet::start(&["v1", "v1", "v2", "v2"], 1).await;
+    for (number, (_, engine)) in fleet.engines.iter().enumerate() {
+        engine.set_default(Behaviour::Stream(4));
+        if number >= 2 {
+            engine.set_fields("Server-Leaving: 1\r\n");
+        }
+    }
+    let router = &fleet.routers[0];
+    let mut statuses = Vec::new();
+    for number in 0..40 {
+        let since = Instant::now();
+        let status = Call::prompt("/draft/1", &format!("a{number}"))
+            .send(router)
+            .await
+            .status;
+        statuses.push((status, since.elapsed().as_millis()));
+    }
+    let refused = statuses.iter().filter(|(status, _)| *status != 200).count();
+    let slow = statuses.iter().filter(|(_, time)| *time > 1_000).count();
+    assert_eq!((refused, slow), (0, 0), "{statuses:?}");
+}
--- a/crates/toucand/tests/unframed_responses.rs
+++ b/crates/toucand/tests/unframed_responses.rs
@@ -201,6 +201,19 @@
         let response = call.send(&site.router).await;
         assert_eq!(response.status, 200, "{response:?}");
     }
+    // Each model states its start before it falls silent.
+    for number in 0..40 {
+        if site.models.iter().all(|model| model.questions() > 0) {
+            break;
+        }
+        let mut other = Call::prompt("/note/1", &format!("b{number}"));
+        other.head.fields.remove("Prompt-Prefix");
+        let parts = format!("{number}a:400,{number}b:600");
+        other.head.fields.push("Prompt-Prefix", parts);
+        other.send(&site.router).await;
+    }
+    let is_asked = |model: &Worker| model.questions() > 0;
+    assert!(site.models.iter().all(is_asked), "a model was not asked");
     let before = site.desk.questions();
     for report in [Report::Silent, Report::Reset] {
         upstreams().for_each(|upstream| upstream.set_report(report));
@@ -235,6 +248,10 @@
 async fn upstreams_are_not_asked_about_responses_with_a_marked_end() {
     let site = Site::start(Behaviour::Plain, Behaviour::Stream(4)).await;
     let asked = || site.desk.questions() + site.models.iter().map(Worker::questions).sum::<u64>();
+    // A stream asks on the connection that it opens.
+    for model in ["b1", "b2", "b3"] {
+        Call::prompt("/note/1", model).send(&site.router).await;
+    }
     let before = asked();
     for (number, call) in [
         Call::valid("GET", "/lookup/1", "a1"),
