--- a/crates/flow/src/assignment.rs
+++ b/crates/flow/src/assignment.rs
@@ -320,7 +320,7 @@
         let count = highest(other);
         count < MIN_UPSTREAMS || score(key, other, count) < score_of_derived
     };
-    lowest >= MIN_UPSTREAMS && others.all(|other| loses(&other))
+    lowest >= MIN_UPSTREAMS && others.all(loses)
 }
 
 /// Returns the score of a software for a stream in weighted rendezvous hashing: each software has the
--- a/crates/flow/tests/derivation_faults.rs
+++ b/crates/flow/tests/derivation_faults.rs
@@ -4,7 +4,7 @@
 use tsw_flow::{
     assignment::Assignment,
     history::{Change, History, Reader},
-    origin::{Key, Software, SoftwareHistory},
+    origin::{Key, SoftwareHistory},
     pool::Entry,
     registry::Registry,
 };
