--- a/crates/toucand/tests/soak.rs
+++ b/crates/toucand/tests/soak.rs
@@ -13,6 +13,10 @@
 /// - 829: upstreams that had left were used again after the store had returned from a copy.
 const SEEDS: [u64; 2] = [1, 829];
 
+/// Seed of the run in which upstreams return with other versions: streams were joined in each of five plays on the code
+/// before the derivation was repaired.
+const RETURNS_SEED: u64 = 43_105;
+
 #[actix_rt::test]
 async fn promises_hold_while_faults_overlap() {
     for seed in SEEDS {
@@ -24,3 +28,16 @@
         assert!(outcome.violations.is_empty(), "seed {seed}: {outcome:#?}");
     }
 }
+
+/// Guards against streams joined from two versions, which were derived wrongly after all routers had restarted beside
+/// upstreams that return with other versions.
+#[actix_rt::test]
+async fn no_stream_is_joined_while_upstreams_return_with_other_versions() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let program = Path::new(env!("CARGO_BIN_EXE_toucand"));
+    let (plan, length) = (Plan::Returns, Duration::from_secs(10));
+    let outcome = run::run_seed(&[program], directory.path(), plan, RETURNS_SEED, length).await;
+    let outcome = outcome.expect("the run finishes");
+    assert!(outcome.streams[1].resumed > 0, "{outcome:#?}");
+    assert!(outcome.violations.is_empty(), "{outcome:#?}");
+}
