--- a/crates/toucand/tests/returned_engines.rs
+++ b/crates/toucand/tests/returned_engines.rs
@@ -99,6 +99,13 @@
     responses
 }
 
+/// Lets an engine crash, and return with another version once routers have found that.
+async fn crash_and_return(engine: &Process) {
+    engine.crash().await;
+    time::sleep(FIND_TIME).await;
+    engine.start_again("v2").await;
+}
+
 /// Guards against a retry that takes over a stream at an engine that returned with another version.
 #[actix_rt::test]
 async fn no_stream_goes_on_at_an_engine_that_returned_with_another_version() {
@@ -106,9 +113,7 @@
     let router = Router::start(&upstreams).await;
     let sent = send(&router);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     engines[1].crash().await;
     responses(sent).await;
     // Streams may begin there.
@@ -125,9 +130,7 @@
     let router = Router::start(&upstreams).await;
     let sent = send(&router);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     responses(sent).await;
     let sent = send(&router);
     time::sleep(BEGIN_TIME).await;
@@ -147,9 +150,7 @@
     let router = Router::start(&upstreams).await;
     let sent = send(&router);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     engines[1].pause(true);
     time::sleep(STALL_TIME).await;
     engines[1].pause(false);
@@ -180,9 +181,7 @@
     time::sleep(READ_TIME).await;
     let seeing = send(&routers[0]);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     responses(seeing).await;
     let before = engines[1].started();
     let sent = send(&routers[1]);
@@ -199,9 +198,7 @@
     let mut routers = Router::start_fleet(&["r1", "r2"], &upstreams).await;
     let seeing = send(&routers[0]);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     responses(seeing).await;
     routers[1].restart().await;
     time::sleep(READ_TIME).await;
@@ -220,9 +217,7 @@
     let router = Router::start(&upstreams).await;
     let sent = send(&router);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     responses(sent).await;
     router.host_list.publish("engine-1", "v2", 2);
     time::sleep(READ_TIME).await;
@@ -246,9 +241,7 @@
     let router = Router::start(&upstreams).await;
     let sent = send(&router);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     engines[1].crash().await;
     let whole = ("complete".to_owned(), vec!["v1".to_owned()]);
     assert_eq!(responses(sent).await, vec![whole; STREAMS]);
@@ -283,9 +276,7 @@
     let router = Router::start(&upstreams).await;
     let sent = send_long(&router, LONG_TOKENS);
     time::sleep(BEGIN_TIME).await;
-    engines[0].crash().await;
-    time::sleep(FIND_TIME).await;
-    engines[0].start_again("v2").await;
+    crash_and_return(&engines[0]).await;
     router.host_list.publish("engine-1", "v2", 2);
     time::sleep(READ_TIME).await;
     engines[1].crash().await;
