Give engines of tests a loopback address of their own

Cause: a connection of another process had got the port meanwhile; ports of 127.0.0.1 are shared with all clients on the machine. Change: the engine listens on an address that nothing else uses, as the routers do.

--- a/crates/toucand/tests/support/process.rs
+++ b/crates/toucand/tests/support/process.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 
-use super::{text, ServerResponse};
+use super::{address, text, ServerResponse};
 
 /// Time between two tokens.
 pub const GAP: Duration = Duration::from_millis(20);
@@ -57,9 +57,11 @@
 }
 
 impl Process {
-    /// Starts an engine of a version on a free port.
+    /// Starts an engine of a version. It has a loopback address of its own, so that nothing takes its port while it is
+    /// down.
     pub async fn start(version: &'static str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = (address::unique_loopback(), 0);
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let process = Self {
             address: listener.local_addr().expect("bound"),
             listening: RefCell::default(),
