Continue streams only at upstreams that state their run in time

Cause: without an answer, an upstream counted as its entry says, also for a stream that has begun. Change: such a stream goes on elsewhere, as if the upstream were unreachable. New streams begin there as before.

Evidence: resumed_stream_does_not_go_on_at_an_upstream_that_does_not_state_its_run fails without the change.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -186,7 +186,13 @@
             let choice = reservation.choice();
             let (upstream, address) = (choice.id.clone(), choice.address);
             let started_at = choice.started_at;
-            let attempt = if confirmation == Confirmation::Silent {
+            let is_unknown = match confirmation {
+                Confirmation::Silent => true,
+                // A stream that has begun goes on only where its software is proven.
+                Confirmation::Missing => self.origin.is_some(),
+                Confirmation::Given | Confirmation::Ended => false,
+            };
+            let attempt = if is_unknown {
                 Err(AttemptError::new(FailureKind::Unreachable, "no report").into())
             } else {
                 self.attempt(reservation).await
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -95,6 +95,8 @@
     Ended,
     /// It does not answer, after a connection to it broke.
     Silent,
+    /// It does not answer.
+    Missing,
 }
 
 /// A question to an upstream whether a run goes on.
@@ -151,7 +153,7 @@
                 if is_broken {
                     Confirmation::Silent
                 } else {
-                    Confirmation::Given
+                    Confirmation::Missing
                 }
             }
         }
--- a/crates/toucand/tests/software_versions.rs
+++ b/crates/toucand/tests/software_versions.rs
@@ -10,8 +10,9 @@
 use serde_json::Value;
 use tsw_fake::{
     store::{Mode, Store},
-    worker::{Behaviour, Worker},
+    worker::{Behaviour, Report, Worker},
 };
+use tsw_http::{connection::Connection, exchange::Exchange};
 
 /// Longer than any stall timeout of the routes in use.
 const PAUSE: Duration = Duration::from_millis(2_500);
@@ -476,3 +477,25 @@
     versions.engines[0].set_born(Some(2));
     versions.check_not_joined().await;
 }
+
+/// Guards against a stream that a client resumes at an upstream which returned with other software, and does not say
+/// in time when its run started.
+#[actix_rt::test]
+async fn resumed_stream_does_not_go_on_at_an_upstream_that_does_not_state_its_run() {
+    let slow = Behaviour::SlowStream(40, Duration::from_millis(50));
+    let versions = Versions::start(&[(Some("v1"), slow); 1]).await;
+    versions.engines[0].set_born(Some(1));
+    let call = separate_prompt(70);
+    let connection = Connection::open(versions.router.client, fleet::TIMEOUT).await;
+    let connection = connection.expect("open");
+    let exchange = Exchange::open(connection, &call.head, call.body.clone()).await;
+    let mut exchange = exchange.expect("a response");
+    exchange.data().await.expect("an event");
+    drop(exchange);
+    // The router closes its connection to the engine as well.
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    versions.engines[0].set_default(Behaviour::Stream(6));
+    versions.engines[0].set_report(Report::Silent);
+    let response = versions.resume("a71", Some("a70")).await;
+    assert_ne!(response.status, 200, "{}", response.text());
+}
