Close the listener of a crashed stand-in before its connections

Cause: the stand-in closed the connections of a crash first. A router that saw one end could open another connection before the listener was closed, so that the break counted as one of an upstream that goes on (relay_breaks_total{outcome="counted"} 3). Change: the listener is closed first.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -93,9 +93,12 @@
                     let state = self.clone();
                     connections.spawn_local(async move { drop(serve(&state, stream).await) });
                 }
-                () = self.crashed.notified() => return,
+                () = self.crashed.notified() => break,
             }
         }
+        // A router that sees a connection end must not be able to open another one.
+        drop(listener);
+        connections.shutdown().await;
     }
 
     /// Listens again on the address of the upstream.
