--- a/crates/toucand/tests/returned_engines.rs
+++ b/crates/toucand/tests/returned_engines.rs
@@ -99,6 +99,13 @@
     responses
 }
 
+/// Sends requests and waits until their streams have begun.
+async fn begin(router: &Router) -> Vec<JoinHandle<Response>> {
+    let sent = send(router);
+    time::sleep(BEGIN_TIME).await;
+    sent
+}
+
 /// Lets an engine crash, and return with another version once routers have found that.
 async fn crash_and_return(engine: &Process) {
     engine.crash().await;
@@ -111,8 +118,7 @@
 async fn no_stream_goes_on_at_an_engine_that_returned_with_another_version() {
     let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
     let router = Router::start(&upstreams).await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     crash_and_return(&engines[0]).await;
     engines[1].crash().await;
     responses(sent).await;
@@ -128,12 +134,10 @@
 async fn no_stream_goes_on_from_an_engine_that_returned_with_another_version() {
     let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
     let router = Router::start(&upstreams).await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     crash_and_return(&engines[0]).await;
     responses(sent).await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     assert_ne!(
         engines[0].started(),
         0,
@@ -148,8 +152,7 @@
 async fn no_silent_stream_moves_to_an_engine_that_returned_with_another_version() {
     let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
     let router = Router::start(&upstreams).await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     crash_and_return(&engines[0]).await;
     engines[1].pause(true);
     time::sleep(STALL_TIME).await;
@@ -165,8 +168,7 @@
     let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
     let router = Router::start(&upstreams).await;
     engines[0].crash().await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     engines[0].start_again("v2").await;
     engines[1].crash().await;
     responses(sent).await;
@@ -179,13 +181,11 @@
     let routers = Router::start_fleet(&["r1", "r2"], &upstreams).await;
     // Routers find each other.
     time::sleep(READ_TIME).await;
-    let seeing = send(&routers[0]);
-    time::sleep(BEGIN_TIME).await;
+    let seeing = begin(&routers[0]).await;
     crash_and_return(&engines[0]).await;
     responses(seeing).await;
     let before = engines[1].started();
-    let sent = send(&routers[1]);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&routers[1]).await;
     assert_ne!(engines[1].started(), before, "no stream began at v1");
     engines[1].crash().await;
     responses(sent).await;
@@ -196,15 +196,13 @@
 async fn router_that_starts_is_told_that_an_engine_has_crashed() {
     let (engines, upstreams) = start_engines(&["v1", "v1"]).await;
     let mut routers = Router::start_fleet(&["r1", "r2"], &upstreams).await;
-    let seeing = send(&routers[0]);
-    time::sleep(BEGIN_TIME).await;
+    let seeing = begin(&routers[0]).await;
     crash_and_return(&engines[0]).await;
     responses(seeing).await;
     routers[1].restart().await;
     time::sleep(READ_TIME).await;
     let before = engines[1].started();
-    let sent = send(&routers[1]);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&routers[1]).await;
     assert_ne!(engines[1].started(), before, "no stream began at v1");
     engines[1].crash().await;
     responses(sent).await;
@@ -215,14 +213,12 @@
 async fn streams_go_on_once_the_version_of_a_returned_engine_is_listed() {
     let (engines, upstreams) = start_engines(&["v1", "v2"]).await;
     let router = Router::start(&upstreams).await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     crash_and_return(&engines[0]).await;
     responses(sent).await;
     router.host_list.publish("engine-1", "v2", 2);
     time::sleep(READ_TIME).await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     assert_ne!(
         engines[0].started(),
         0,
@@ -239,8 +235,7 @@
 async fn streams_go_on_at_the_last_engine_of_their_version_beside_idle_ones() {
     let (engines, upstreams) = start_engines(&["v1", "v1", "v1"]).await;
     let router = Router::start(&upstreams).await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     crash_and_return(&engines[0]).await;
     engines[1].crash().await;
     let whole = ("complete".to_owned(), vec!["v1".to_owned()]);
@@ -291,8 +286,7 @@
     let router = Router::start(&upstreams).await;
     engines[0].crash().await;
     engines[0].start_again("v2").await;
-    let sent = send(&router);
-    time::sleep(BEGIN_TIME).await;
+    let sent = begin(&router).await;
     engines[1].crash().await;
     responses(sent).await;
 }
