Log the ages that a router assumes of changes and streams

Cause: a version that is derived wrongly because a change is taken to be too old, and one that is derived wrongly because a list was old when the stream began, look alike in the log. Change: event 216 states how old the newest change is taken to be, event 315 for how long the client can have asked for the stream.

--- a/crates/gate/src/store_history.rs
+++ b/crates/gate/src/store_history.rs
@@ -74,6 +74,7 @@
         // Nothing is missing since the store was set up.
         history.known_for = state.router.origin_lifetime();
     }
+    let newest = history.steps.last().map_or(Span::ZERO, |step| step.age);
     emit(
         Event::HistoryRead,
         &[
@@ -84,6 +85,8 @@
             ("departed", &history.departed.len()),
             ("unknown", &history.unknown.len()),
             ("known_ms", &history.known_for.as_millis()),
+            ("steps", &history.steps.len()),
+            ("newest_ms", &newest.as_millis()),
         ],
     );
     state.apply_history(items.position.era, &history);
--- a/crates/relay/src/derivation.rs
+++ b/crates/relay/src/derivation.rs
@@ -184,7 +184,7 @@
 
     /// Returns an upper bound of the time since the client first asked for the stream that a request
     /// resumes. The deadline of a client that tries again is that of its first attempt.
-    fn oldest_age(&self, request: &Request) -> Span {
+    pub(crate) fn oldest_age(&self, request: &Request) -> Span {
         let left = request.deadline.since(request.arrived);
         let waited = self.longest_waits.borrow().get(request.team()).copied();
         let longest = self.longest_client_time().max(waited.unwrap_or_default());
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -262,6 +262,7 @@
                 ("service", &origin.service),
                 ("software", &origin.software),
                 ("known", &source.name()),
+                ("age_ms", &self.oldest_age(request).as_millis()),
             ],
         );
         request.origin = Some(origin);
