Date entries that the store accepted late by their number

What callers saw: after an outage of the store in which upstreams started, and the loss of all routers, every resumed stream was answered with 503 (LOST). Cause: an entry that was created with a later heartbeat than the first one was taken to show that the store had lost writes, so that nothing before it counted as known. A store that is away does not accept the first heartbeats, and upstreams count them. A store that lost writes states a higher era, for which nothing counts as known anyway. Change: such an entry is dated by the start and the number of its run. It hides the past only if starts before it contradict that. An entry that was removed before in the same history hides nothing. Evidence: the new tests fail without it (0 s instead of 14 s known; 13 of 13 streams refused).

--- a/crates/flow/src/history.rs
+++ b/crates/flow/src/history.rs
@@ -8,6 +8,8 @@
 //! - An entry that was written with the first heartbeat of its run was written soon after the start of the run, which it
 //!   states as a time of day. The clock of an upstream, or that of this router, may be off. Starts therefore count only if
 //!   they have the order of the changes, and they date a change only beyond the time by which all clocks may be off alike.
+//!   A store that is away keeps the entry back. The number of the heartbeat with which it is created tells for how long, if
+//!   the upstream counts those that were not accepted.
 
 use indexmap::{IndexMap, IndexSet};
 use tsw_base::time::Span;
@@ -21,6 +23,10 @@
 /// Number of upstreams that must confirm a time, if so many are listed. An entry may come from another
 /// writer.
 const WITNESSES: usize = 3;
+/// Usual interval of heartbeats. They are sent more often while none is accepted.
+const HEARTBEAT: Span = Span::from_millis(1_200);
+/// Maximum number of heartbeats that were not accepted. Larger numbers are another writer's.
+const MAX_HELD_BACK: u64 = 50;
 /// Heartbeats after which a run is taken to be the one whose entry an earlier, unknown change left:
 /// an entry expires after three missed ones.
 const ESTABLISHED_SEQ: u64 = 4;
@@ -97,9 +103,10 @@
     complete_from: u64,
     /// The newest content of each key by run and heartbeat; `None` if it was removed.
     keys: IndexMap<Name, Option<Entry>>,
-    /// Revisions at which entries were written with the first heartbeat of a run, and the start of the
-    /// run in milliseconds since the Unix epoch.
-    starts: Vec<(u64, u64)>,
+    /// The first entries of runs.
+    starts: Vec<Written>,
+    /// The first entries of runs of which a store that was away has not accepted the first heartbeats.
+    held_back: Vec<Written>,
     /// Upstreams that are listed or changed.
     upstreams: IndexSet<Name>,
     /// Revisions and numbers of the heartbeats of each run, by name and start. Both rise.
@@ -118,6 +125,16 @@
     steps: Vec<(u64, Turn)>,
 }
 
+/// When an entry was written with the first heartbeat of its run that was accepted, in milliseconds since the Unix epoch by
+/// the clock of its upstream.
+#[derive(Clone, Copy, Debug)]
+struct Written {
+    revision: u64,
+    earliest: u64,
+    /// Apart from a delay of the heartbeat.
+    latest: u64,
+}
+
 /// The entries of a key that accepted requests before and after a change.
 #[derive(Clone, Debug)]
 enum Turn {
@@ -149,12 +166,6 @@
         if is_first && !is_created && !is_established {
             self.unknown.push(revision);
         }
-        let is_late =
-            is_created && matches!(&change.content, Some(Some(entry)) if entry.seq > FIRST_SEQ + 1);
-        // A store that was restored from a copy lost the writes before.
-        if is_late {
-            self.complete_from = self.complete_from.max(revision);
-        }
         self.record_start(&change);
         self.record_heartbeat(&change);
         let Change { key, content, .. } = change;
@@ -261,20 +272,47 @@
         }
     }
 
-    /// Records the start of a run whose entry still is that of its first heartbeat. Entries of the list that have not
-    /// changed since may be older than the changes.
+    /// Records the start of a run whose entry still is that of the first heartbeat that was accepted. Entries of the list
+    /// that have not changed since may be older than the changes.
     pub fn record_start(&mut self, change: &Change) {
         self.upstreams.insert(change.key.clone());
-        if let Some(Some(entry)) = &change.content {
-            let latest = self.starts.iter().map(|(_, started_at)| *started_at).max();
-            // The entry of another writer may state any time.
-            let is_in_order = latest.is_some_and(|latest| {
-                entry.started_at.saturating_add(MAX_DELAY.as_millis()) >= latest
-            });
-            let is_created = change.created == Some(change.revision);
-            let is_first = entry.seq == FIRST_SEQ && entry.started_at > 0;
-            if is_first && (is_created || is_in_order) {
-                self.starts.push((change.revision, entry.started_at));
+        let Some(Some(entry)) = &change.content else {
+            return;
+        };
+        let latest = self.starts.iter().map(|written| written.earliest).max();
+        // The entry of another writer may state any time.
+        let is_in_order = latest
+            .is_some_and(|latest| entry.started_at.saturating_add(MAX_DELAY.as_millis()) >= latest);
+        let is_created = change.created == Some(change.revision);
+        let intervals = entry.seq.saturating_sub(FIRST_SEQ).min(MAX_HELD_BACK);
+        let held_back = intervals * HEARTBEAT.as_millis();
+        let written = Written {
+            revision: change.revision,
+            earliest: entry.started_at,
+            latest: entry.started_at.saturating_add(held_back),
+        };
+        match entry.seq {
+            _ if entry.started_at == 0 => {}
+            FIRST_SEQ if is_created || is_in_order => self.starts.push(written),
+            // An entry that was removed before may have been missing for any time.
+            seq if seq > FIRST_SEQ && is_created && !self.keys.contains_key(&change.key) => {
+                self.held_back.push(written);
+            }
+            _ => {}
+        }
+    }
+
+    /// Dates the entries that were held back. If the starts of other runs show that one was held back for longer than its
+    /// number tells, the store may have lost writes before it.
+    fn settle_held_back(&mut self) {
+        for written in std::mem::take(&mut self.held_back) {
+            let written_by = written.latest.saturating_add(MAX_DELAY.as_millis());
+            let is_before = |start: &Written| start.revision < written.revision;
+            let mut before = self.starts.iter().filter(|start| is_before(start));
+            if before.any(|start| start.earliest > written_by) {
+                self.complete_from = self.complete_from.max(written.revision);
+            } else {
+                self.starts.push(written);
             }
         }
     }
@@ -311,6 +349,7 @@
     /// ```
     #[must_use]
     pub fn finish(mut self, up_to: u64, now_ms: u64) -> History {
+        self.settle_held_back();
         if self.starts_disagree(now_ms) {
             self.starts.clear();
         }
@@ -377,21 +416,29 @@
 
     /// Returns a lower bound of the time since a revision, from the heartbeats of the runs that were written since.
     fn age_by_heartbeats(&self, revision: u64) -> Span {
-        let elapsed = self.heartbeats.values().filter_map(|heartbeats| {
-            let (_, last_seq) = heartbeats.last()?;
-            let (_, first_seq) = heartbeats.iter().find(|(at, _)| *at >= revision)?;
+        let elapsed = self.heartbeats_since(revision).map(|intervals| {
             // The last heartbeat may have been sent early, as one that announces a departure is.
-            let intervals = (last_seq - first_seq).saturating_sub(1);
-            Some(intervals.saturating_mul(MIN_HEARTBEAT.as_millis()))
+            let intervals = intervals.saturating_sub(1);
+            intervals.saturating_mul(MIN_HEARTBEAT.as_millis())
         });
         confirmed(self.needed(), elapsed.collect())
     }
 
+    /// Returns the number of intervals between the first and the last heartbeat since a revision, for each run that sent one.
+    fn heartbeats_since(&self, revision: u64) -> impl Iterator<Item = u64> + '_ {
+        self.heartbeats.values().filter_map(move |heartbeats| {
+            let (_, last_seq) = heartbeats.last()?;
+            let (_, first_seq) = heartbeats.iter().find(|(at, _)| *at >= revision)?;
+            Some(last_seq - first_seq)
+        })
+    }
+
     /// Returns lower bounds of the time since a revision in milliseconds, from the starts of the runs that were written
     /// since. They are too high by as much as the clocks of the upstreams are behind the time `now_ms` of the router.
     fn ages_by_starts(&self, revision: u64, now_ms: u64) -> Vec<u64> {
-        let later = self.starts.iter().filter(|(at, _)| *at >= revision);
-        let ages = later.map(|(_, started_at)| now_ms.saturating_sub(*started_at));
+        let later = self.starts.iter();
+        let later = later.filter(|written| written.revision >= revision);
+        let ages = later.map(|written| now_ms.saturating_sub(written.latest));
         ages.collect()
     }
 
@@ -399,11 +446,11 @@
     /// more than the delay of these.
     fn starts_disagree(&self, now_ms: u64) -> bool {
         let mut starts = self.starts.clone();
-        starts.sort_unstable();
+        starts.sort_unstable_by_key(|written| written.revision);
         let mut latest = 0;
-        let is_out_of_order = starts.iter().any(|(_, started_at)| {
-            latest = latest.max(*started_at);
-            started_at.saturating_add(MAX_DELAY.as_millis()) < latest
+        let is_out_of_order = starts.iter().any(|written| {
+            latest = latest.max(written.earliest);
+            written.latest.saturating_add(MAX_DELAY.as_millis()) < latest
         });
         is_out_of_order || latest > now_ms.saturating_add(MAX_DELAY.as_millis())
     }
@@ -415,9 +462,14 @@
 }
 
 /// Returns the time that so many of some times in milliseconds confirm, without the delay of a heartbeat.
-fn confirmed(needed: usize, mut times: Vec<u64>) -> Span {
+fn confirmed(needed: usize, times: Vec<u64>) -> Span {
+    let time = nth_highest(needed, times);
+    Span::from_millis(time.saturating_sub(MAX_DELAY.as_millis()))
+}
+
+/// Returns the highest time that so many of some times reach; zero if there are fewer.
+fn nth_highest(needed: usize, mut times: Vec<u64>) -> u64 {
     times.sort_unstable_by(|a, b| b.cmp(a));
     let time = needed.checked_sub(1).and_then(|index| times.get(index));
-    let time = time.copied().unwrap_or_default();
-    Span::from_millis(time.saturating_sub(MAX_DELAY.as_millis()))
+    time.copied().unwrap_or_default()
 }
--- a/crates/flow/tests/history.rs
+++ b/crates/flow/tests/history.rs
@@ -55,6 +55,17 @@
         self.write(key, Some(0), Some(entry));
     }
 
+    /// Writes the first entry of a run that began a number of seconds before the reader's time, after it has sent some
+    /// heartbeats that were not accepted.
+    fn create_late(&mut self, key: &str, seconds: u64, seq: u64) {
+        let started_at = NOW_MS - seconds * 1_000;
+        let entry = Entry {
+            started_at,
+            ..entry(key, "v1", seq, false)
+        };
+        self.write(key, Some(0), Some(entry));
+    }
+
     fn finish(self) -> History {
         self.reader.finish(self.revision, NOW_MS)
     }
@@ -247,3 +258,36 @@
         assert_eq!(writer.finish().known_for, Span::ZERO, "{starts:?}");
     }
 }
+
+/// Guards against refusing all resumed streams after an outage of the store in which upstreams started: the history counted
+/// as cut short, since the entries were not created with the first heartbeats.
+#[test]
+fn entries_that_the_store_accepts_late_are_dated_by_their_number() {
+    let mut writer = Writer::new();
+    for (key, seconds) in [("a", 19), ("b", 18), ("c", 17)] {
+        writer.create(key, seconds);
+    }
+    // Five heartbeats of 1.2 s were not accepted, so that the entries are some 6 s old.
+    for key in ["d", "e", "f"] {
+        writer.create_late(key, 12, 6);
+    }
+    let history = writer.finish();
+    assert_eq!(history.known_for, Span::from_secs(14));
+    assert!(history.is_whole);
+    let ages = history.steps[3..].iter().map(|step| step.age.as_millis());
+    assert!(ages.eq([3_000; 3]), "{:?}", history.steps);
+}
+
+/// The same for upstreams that were silent for so long that their entries expired.
+#[test]
+fn entries_that_are_created_again_after_a_removal_hide_nothing() {
+    let mut writer = Writer::new();
+    for (key, seconds) in [("a", 19), ("b", 18), ("c", 17)] {
+        writer.create(key, seconds);
+    }
+    writer.write("a", None, None);
+    writer.create_late("a", 19, 12);
+    let history = writer.finish();
+    assert_eq!(history.known_for, Span::from_secs(14));
+    assert!(history.is_whole);
+}
--- a/crates/toucand/tests/dated_histories.rs
+++ b/crates/toucand/tests/dated_histories.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use tsw_fake::worker::Behaviour;
+use tsw_fake::{store::Mode, worker::Behaviour};
 use versions::{
     fleet::{Call, Router},
     now_ms, Fleet,
@@ -22,6 +22,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time within which a router has read the history of the store.
 const HISTORY_READ: Duration = Duration::from_millis(2_500);
+/// Time for which the store is away. An upstream that starts meanwhile writes its entry when the store is back.
+const OUTAGE: Duration = Duration::from_millis(5_500);
 /// Age in milliseconds of the first runs.
 const FIRST_AGE_MS: u64 = 30_000;
 
@@ -78,18 +80,24 @@
             }
         }
         rollout.fleet.start_routers(1).await;
-        rollout.began = Instant::now();
-        let address = rollout.fleet.routers[0].client;
-        for number in 0..STREAMS {
-            let call = Call::prompt("/draft/1", &format!("a{number}"));
+        rollout.begin("a").await;
+        rollout
+    }
+
+    /// Begins the streams that are resumed later.
+    async fn begin(&mut self, prefix: &str) {
+        self.began = Instant::now();
+        let address = self.fleet.routers[0].client;
+        let ids: Vec<String> = (0..STREAMS).map(|n| format!("{prefix}{n}")).collect();
+        for id in &ids {
+            let call = Call::prompt("/draft/1", id);
             actix_rt::spawn(async move { drop(call.send_to(address).await) });
         }
-        rollout.run_for(Duration::from_millis(400)).await;
-        let ids = (0..STREAMS).map(|number| format!("a{number}"));
-        let began = ids.filter(|id| rollout.fleet.version_of(id) == Some("v1"));
-        rollout.streams = began.collect();
-        assert!(rollout.streams.len() >= 5, "{:?}", rollout.streams);
-        rollout
+        self.run_for(Duration::from_millis(400)).await;
+        let began = ids.into_iter();
+        let began = began.filter(|id| self.fleet.version_of(id) == Some("v1"));
+        self.streams = began.collect();
+        assert!(self.streams.len() >= 5, "{:?}", self.streams);
     }
 
     /// Writes the entry of an upstream.
@@ -126,6 +134,25 @@
         }
     }
 
+    /// Lets the store answer no router and accept no heartbeat for a time, in which upstreams of another version start.
+    /// New streams begin at the end of that time. Its entries are written with this heartbeat of their run.
+    async fn start_beside_outage(&mut self, started: usize, seq: u64) {
+        self.fleet.store.set_mode(Mode::Busy);
+        let began = Instant::now();
+        let (born, first) = (now_ms(), self.runs.len());
+        for _ in 0..started {
+            self.fleet.add_engine("v2").await;
+            self.runs.push(Some((born, seq)));
+        }
+        let pause = OUTAGE.saturating_sub(began.elapsed());
+        self.beaten += OUTAGE + HEARTBEAT;
+        actix_rt::time::sleep(pause).await;
+        self.begin("b").await;
+        self.fleet.store.set_mode(Mode::Up);
+        (first..self.runs.len()).for_each(|number| self.list(number));
+        self.run_for(Duration::from_millis(300)).await;
+    }
+
     /// Waits while upstreams send heartbeats.
     async fn run_for(&mut self, time: Duration) {
         let end = Instant::now() + time;
@@ -286,6 +313,26 @@
     assert_eq!(joined, 0);
 }
 
+/// Guards against refusing all resumed streams after an outage of the store in which upstreams started: the history counted as
+/// cut short, since their entries are not those of their first heartbeats.
+#[actix_rt::test]
+async fn streams_go_on_after_an_outage_of_the_store_in_which_upstreams_started() {
+    for heartbeats in BOTH {
+        let mut rollout = Rollout::start(["v1"; UPSTREAMS], heartbeats).await;
+        rollout.start_beside_outage(UPSTREAMS / 2, 5).await;
+        // The present list decides for the streams that begin after the entries were written.
+        rollout.run_for(Duration::from_millis(1_700)).await;
+        rollout.begin("c").await;
+        rollout.run_for(Duration::from_millis(6_000)).await;
+        let joined = rollout.joined("counted").await;
+        let went_on = rollout.resumed_at("v1");
+        assert!(
+            joined == 0 && went_on > 0,
+            "{heartbeats:?}: {joined} joined, {went_on} went on"
+        );
+    }
+}
+
 /// Guards against refusing all streams after the loss of all routers: no upstream has changed for longer than a stream
 /// can be resumed, which their heartbeats or the whole history of the store show.
 #[actix_rt::test]
