Limit the age of a change by the heartbeats since

What callers saw: streams of v1 that went on at v2 after the loss of all routers. Cause: an entry was taken to be written within 3 s of the start that it states. A store that is away keeps it back for longer, so that changes counted as older than the streams. Change: where heartbeats are changes of the store, a start dates no change beyond the time that the heartbeats since then take. The tests of wrong clocks are split by whether heartbeats are changes; nothing of them is dropped.

--- a/crates/flow/src/history.rs
+++ b/crates/flow/src/history.rs
@@ -9,7 +9,7 @@
 //!   states as a time of day. The clock of an upstream, or that of this router, may be off. Starts therefore count only if
 //!   they have the order of the changes, and they date a change only beyond the time by which all clocks may be off alike.
 //!   A store that is away keeps the entry back. The number of the heartbeat with which it is created tells for how long, if
-//!   the upstream counts those that were not accepted.
+//!   the upstream counts those that were not accepted. Where heartbeats are changes, they limit what starts may tell.
 
 use indexmap::{IndexMap, IndexSet};
 use tsw_base::time::Span;
@@ -107,6 +107,8 @@
     starts: Vec<Written>,
     /// The first entries of runs of which a store that was away has not accepted the first heartbeats.
     held_back: Vec<Written>,
+    /// Upstreams that have sent a heartbeat which is a change although nothing else has changed.
+    renewed: IndexSet<Name>,
     /// Upstreams that are listed or changed.
     upstreams: IndexSet<Name>,
     /// Revisions and numbers of the heartbeats of each run, by name and start. Both rise.
@@ -185,6 +187,9 @@
         match content {
             Some(Some(entry)) => {
                 let old = known.replace(entry.clone());
+                if old.as_ref().is_some_and(|old| old.is_renewed_by(&entry)) {
+                    self.renewed.insert(key.clone());
+                }
                 let was_leaving = old.as_ref().is_some_and(|old| old.leaving);
                 if entry.leaving && !was_leaving {
                     self.left.push((revision, key.clone(), entry.clone()));
@@ -402,7 +407,7 @@
         let by_starts = self.ages_by_starts(revision, now_ms);
         // Only the clocks of fewer upstreams tell the time of the last changes.
         let needed = WITNESSES.min(by_starts.len());
-        let by_starts = confirmed(needed, by_starts);
+        let by_starts = self.limited(revision, confirmed(needed, by_starts));
         self.age_by_heartbeats(revision).max(by_starts)
     }
 
@@ -411,9 +416,24 @@
     fn covered(&self, now_ms: u64) -> Span {
         let by_starts = self.ages_by_starts(self.complete_from, now_ms);
         let by_starts = confirmed(self.needed(), by_starts);
+        let by_starts = self.limited(self.complete_from, by_starts);
         self.age_by_heartbeats(self.complete_from).max(by_starts)
     }
 
+    /// Returns the age of a revision, or the time that the heartbeats since then take if that is shorter, provided that
+    /// heartbeats are changes.
+    fn limited(&self, revision: u64, age: Span) -> Span {
+        if self.renewed.len() < self.needed() {
+            return age;
+        }
+        let elapsed = self.heartbeats_since(revision);
+        let elapsed = elapsed.map(|intervals| intervals.saturating_mul(HEARTBEAT.as_millis()));
+        age.min(Span::from_millis(nth_highest(
+            self.needed(),
+            elapsed.collect(),
+        )))
+    }
+
     /// Returns a lower bound of the time since a revision, from the heartbeats of the runs that were written since.
     fn age_by_heartbeats(&self, revision: u64) -> Span {
         let elapsed = self.heartbeats_since(revision).map(|intervals| {
--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -73,6 +73,15 @@
             && (&self.service, &self.version) == (&other.service, &other.version)
     }
 
+    /// Returns whether another entry differs from this one only in its heartbeat, which is a later one.
+    pub(crate) fn is_renewed_by(&self, later: &Self) -> bool {
+        let renewed = Self {
+            seq: later.seq,
+            ..self.clone()
+        };
+        self.seq < later.seq && renewed == *later
+    }
+
     /// Returns whether this is a later heartbeat than another one of the same run, which a delay may have kept back.
     pub(crate) fn follows(&self, other: &Self) -> bool {
         other.seq < self.seq && self.seq - other.seq <= MAX_DELAYED_HEARTBEATS
--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -558,6 +558,14 @@
         entries.collect()
     }
 
+    /// Returns which of the upstreams, by name, the store does not list. They stay in use for the grace period after an outage.
+    #[must_use]
+    pub fn kept(&self) -> IndexSet<Name> {
+        let kept = self.listed.values().filter(|listed| listed.removed);
+        let entries = kept.filter_map(|listed| listed.entry.as_ref());
+        entries.map(|entry| entry.id.clone()).collect()
+    }
+
     /// Returns the listed runs that may have ended, since an entry of another run was written later.
     pub fn doubtful_runs(&self) -> impl Iterator<Item = (&Name, u64)> + Clone {
         let listed = self.listed.values();
--- a/crates/flow/tests/derivation_faults.rs
+++ b/crates/flow/tests/derivation_faults.rs
@@ -203,7 +203,13 @@
     for number in [6, 7] {
         registry.set(at(10_000), &all[number].id, 20 + number as u64, None);
     }
-    let began = assignment(12_200, &registry.entries(at(12_200)));
+    let used = registry.entries(at(12_200));
+    assert_eq!(used.len(), 8);
+    // As a router records its assignment.
+    let kept = registry.kept();
+    let listed = used.into_iter().filter(|entry| !kept.contains(&entry.id));
+    let listed: Vec<Entry> = listed.collect();
+    let began = assignment(12_200, &listed);
     let mut other = assignment(9_000, &all);
     other.record(at(10_000), &all[..6]);
     other.record(at(14_000), &all[..6]);
--- a/crates/flow/tests/history.rs
+++ b/crates/flow/tests/history.rs
@@ -291,3 +291,20 @@
     assert_eq!(history.known_for, Span::from_secs(14));
     assert!(history.is_whole);
 }
+
+/// Guards against streams that go on at another version: upstreams that do not count the heartbeats that a store was away
+/// for state starts that are earlier than their entries, so that changes counted as older than they are.
+#[test]
+fn starts_date_no_change_beyond_the_heartbeats_since() {
+    let mut writer = Writer::new();
+    writer.beat(&["a", "b", "c"], 10..=20);
+    // The store was away for 9 s.
+    for key in ["d", "e", "f"] {
+        writer.create(key, 10);
+    }
+    writer.beat(&["a", "b", "c"], 21..=22);
+    let ages = writer.finish().steps;
+    let ages = ages.iter().filter(|step| step.began.is_some());
+    let ages: Vec<_> = ages.map(|step| step.age.as_millis()).collect();
+    assert_eq!(ages, [1_200; 3]);
+}
--- a/crates/toucand/tests/dated_histories.rs
+++ b/crates/toucand/tests/dated_histories.rs
@@ -223,17 +223,18 @@
     }
 }
 
+/// Starts that go back from run to run, by the time in milliseconds by which they are early.
+const BACK_MS: [u64; UPSTREAMS] = [12_000, 13_000, 14_000, 15_000, 16_000, 17_000];
+
 /// Replaces all upstreams by runs that state starts which are early by some milliseconds, and returns how many streams
 /// are joined.
-async fn joined_after_starts(behind_ms: [u64; UPSTREAMS]) -> usize {
+async fn joined_after_starts(heartbeats: Heartbeats, behind_ms: [u64; UPSTREAMS]) -> usize {
     let mut joined = 0;
-    for heartbeats in BOTH {
-        for names in [Names::Same, Names::New] {
-            let mut rollout = Rollout::start(["v1"; UPSTREAMS], heartbeats).await;
-            rollout.replace_all(names, behind_ms).await;
-            let case = format!("{behind_ms:?} {names:?}");
-            joined += rollout.joined(&case).await;
-        }
+    for names in [Names::Same, Names::New] {
+        let mut rollout = Rollout::start(["v1"; UPSTREAMS], heartbeats).await;
+        rollout.replace_all(names, behind_ms).await;
+        let case = format!("{behind_ms:?} {names:?}");
+        joined += rollout.joined(&case).await;
     }
     joined
 }
@@ -242,28 +243,41 @@
 /// ahead.
 #[actix_rt::test]
 async fn no_stream_is_joined_if_the_clocks_of_upstreams_are_behind() {
-    assert_eq!(joined_after_starts([12_000; UPSTREAMS]).await, 0);
+    let behind = [12_000; UPSTREAMS];
+    assert_eq!(joined_after_starts(Heartbeats::NoChanges, behind).await, 0);
 }
 
 /// The same where the clocks are behind by more than a router allows for.
 #[actix_rt::test]
 async fn no_stream_is_joined_if_the_clocks_of_upstreams_are_far_behind() {
-    assert_eq!(joined_after_starts([30_000; UPSTREAMS]).await, 0);
+    let behind = [30_000; UPSTREAMS];
+    assert_eq!(joined_after_starts(Heartbeats::NoChanges, behind).await, 0);
 }
 
 /// Guards against changes that count as old because each run states an earlier start than the one before.
 #[actix_rt::test]
 async fn no_stream_is_joined_if_starts_go_back_from_run_to_run() {
-    let behind = [12_000, 13_000, 14_000, 15_000, 16_000, 17_000];
-    assert_eq!(joined_after_starts(behind).await, 0);
+    assert_eq!(joined_after_starts(Heartbeats::NoChanges, BACK_MS).await, 0);
+}
+
+/// Guards against starts that date a change although the heartbeats since then take less time.
+#[actix_rt::test]
+async fn starts_date_no_change_beyond_the_heartbeats_that_the_store_shows() {
+    let mut joined = Vec::new();
+    for behind in [[12_000; UPSTREAMS], [30_000; UPSTREAMS], BACK_MS] {
+        joined.push(joined_after_starts(Heartbeats::Changes, behind).await);
+    }
+    assert_eq!(joined, [0; 3]);
 }
 
 /// Guards against changes that count as old because the clocks of as many upstreams as confirm an age are behind.
 #[actix_rt::test]
 async fn no_stream_is_joined_if_the_clocks_of_some_upstreams_are_behind() {
-    let last = joined_after_starts([0, 0, 0, 12_000, 12_000, 12_000]).await;
-    let first = joined_after_starts([12_000, 12_000, 12_000, 0, 0, 0]).await;
-    assert_eq!((last, first), (0, 0));
+    for heartbeats in BOTH {
+        let last = joined_after_starts(heartbeats, [0, 0, 0, 12_000, 12_000, 12_000]).await;
+        let first = joined_after_starts(heartbeats, [12_000, 12_000, 12_000, 0, 0, 0]).await;
+        assert_eq!((last, first), (0, 0), "{heartbeats:?}");
+    }
 }
 
 /// Guards against a history that counts as whole although the store discarded the changes before a compaction.
@@ -333,6 +347,31 @@
     }
 }
 
+async fn joined_after_uncounted_heartbeats(heartbeats: Heartbeats) -> usize {
+    let mut rollout = Rollout::start(["v1"; UPSTREAMS], heartbeats).await;
+    rollout.start_beside_outage(UPSTREAMS / 2, 1).await;
+    rollout.joined("not counted").await
+}
+
+/// Guards against changes that count as older than they are because upstreams that started while the store was away have
+/// written their entries late, and do not count the heartbeats that were not accepted.
+#[actix_rt::test]
+async fn no_stream_is_joined_if_entries_are_written_late_and_heartbeats_are_changes() {
+    assert_eq!(
+        joined_after_uncounted_heartbeats(Heartbeats::Changes).await,
+        0
+    );
+}
+
+/// The same where nothing but their starts dates the entries.
+#[actix_rt::test]
+async fn no_stream_is_joined_if_entries_are_written_late_and_only_starts_date_them() {
+    assert_eq!(
+        joined_after_uncounted_heartbeats(Heartbeats::NoChanges).await,
+        0
+    );
+}
+
 /// Guards against refusing all streams after the loss of all routers: no upstream has changed for longer than a stream
 /// can be resumed, which their heartbeats or the whole history of the store show.
 #[actix_rt::test]
