Assign streams by the entries that the store lists alone

What callers could see: streams that go on at another version after the loss of all routers, if they began within 2.3 s after an outage of the store in which entries had expired. Cause: a router keeps such entries in use for that time, and assigned new streams by them, although no other router can read them. Change: the kept entries stay in use, but do not count in the assignment.

--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -391,6 +391,7 @@
     pub fn apply_entries(&self) {
         let now = self.router.now();
         let entries = self.registry.borrow_mut().entries(now);
+        let kept = self.registry.borrow().kept();
         let mut roster = self.roster.borrow_mut();
         roster.me.ready = self.is_ready();
         let routers = roster.client_routers(now).into_iter().map(|member| Node {
@@ -408,7 +409,7 @@
         for entry in &entries {
             self.router.record_software(now, entry);
         }
-        self.router.set_entries(entries, owned);
+        self.router.set_entries(entries, &kept, owned);
         self.router
             .set_doubtful_runs(self.registry.borrow().doubtful_runs());
     }
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -43,11 +43,11 @@
 
 impl Router {
     /// Records the listed upstreams.
-    pub(crate) fn record_assignments(&self, entries: &[Entry]) {
+    pub(crate) fn record_assignments<'a>(&self, entries: impl Iterator<Item = &'a Entry> + Clone) {
         let now = self.now();
         let mut assignments = self.assignments.borrow_mut();
         let is_first = assignments.is_empty();
-        for entry in entries {
+        for entry in entries.clone() {
             if !assignments.contains_key(&entry.service) {
                 let mut assignment = Assignment::default();
                 if !is_first {
@@ -58,7 +58,8 @@
             }
         }
         for (service, assignment) in assignments.iter_mut() {
-            let listed = entries.iter().filter(|entry| entry.service == *service);
+            let listed = entries.clone();
+            let listed = listed.filter(|entry| entry.service == *service);
             assignment.record(now, listed);
         }
     }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -218,9 +218,17 @@
         adopted
     }
 
-    /// Sets the upstreams that the platform lists now, and those of them that this router owns.
-    pub fn set_entries(self: &Rc<Self>, entries: Vec<Entry>, owned: IndexSet<Name>) {
-        self.record_assignments(&entries);
+    /// Sets the upstreams that may be used, those of them that the platform does not list any more, and those that this router
+    /// owns.
+    pub fn set_entries(
+        self: &Rc<Self>,
+        entries: Vec<Entry>,
+        kept: &IndexSet<Name>,
+        owned: IndexSet<Name>,
+    ) {
+        // Other routers can read only what is listed.
+        let listed = entries.iter().filter(|entry| !kept.contains(&entry.id));
+        self.record_assignments(listed);
         *self.entries.borrow_mut() = entries;
         *self.owned.borrow_mut() = owned;
         self.configure();
