Go on with streams of the only service with engines after an unknown configuration

Cause: a store that keeps its history for a limited time does not show the configuration before the first change that it shows. That one may have sent the route of a stream elsewhere, so that nothing was derived. Change: only another service with upstreams that some known configuration gives engines or streams, or that none names, can have run the stream. Without one, the configuration that is not known does not matter.

--- a/crates/flow/src/origin.rs
+++ b/crates/flow/src/origin.rs
@@ -272,6 +272,11 @@
         recent.next().is_none().then_some(only)
     }
 
+    /// Returns the services of which upstreams were listed recently.
+    pub fn services(&self) -> impl Iterator<Item = &Name> {
+        self.listed.keys()
+    }
+
     /// Returns whether the listed software is known without a gap from a time on.
     #[must_use]
     pub fn is_known(&self, now: Timestamp, since: Timestamp) -> bool {
--- a/crates/relay/src/past_tables.rs
+++ b/crates/relay/src/past_tables.rs
@@ -95,11 +95,35 @@
         moved.is_some_and(|at| now.since(*at) <= self.origin_lifetime() + MAX_DELAY)
     }
 
+    /// Returns whether a configuration that is not known may have sent the streams of a route to another service than that of a
+    /// request: one with upstreams that is not known to be plain. Streams of engines do not run at plain services.
+    fn may_stream_elsewhere(&self, past: &PastTables, request: &Request) -> bool {
+        let active = self.table();
+        let tables = past.replaced.iter().map(|(_, table)| table).chain(&active);
+        let mut streams: IndexMap<&Name, bool> = IndexMap::new();
+        for table in tables {
+            for (name, service) in &table.services {
+                *streams.entry(name).or_default() |= service.engine.is_some();
+            }
+            let routes = table.routes().filter(|route| route.kind.is_stream());
+            for (name, _) in routes.flat_map(|route| &route.services) {
+                streams.insert(name, true);
+            }
+        }
+        let service = active
+            .as_ref()
+            .and_then(|table| table.services.get(&request.service));
+        let has_engines = service.is_some_and(|service| service.engine.is_some());
+        let software = self.software.borrow();
+        let mut others = software.services().filter(|name| **name != request.service);
+        !has_engines || others.any(|name| streams.get(name) != Some(&false))
+    }
+
     /// Returns whether all configurations that any router can have used since a time send a request to its service.
     pub(crate) fn is_route_unchanged(&self, request: &Request, since: Timestamp) -> bool {
         let past = self.past_tables.borrow();
         let matters = |at: Timestamp| at + MAX_DELAY >= since;
-        if past.unknown_until.is_some_and(matters) {
+        if past.unknown_until.is_some_and(matters) && self.may_stream_elsewhere(&past, request) {
             return false;
         }
         let path = request.target.split(|byte| *byte == b'?').next();
--- a/crates/toucand/tests/moved_routes.rs
+++ b/crates/toucand/tests/moved_routes.rs
@@ -63,10 +63,15 @@
 impl Fleet {
     /// Starts two routers and begins streams at the first one.
     async fn start(configuration: &Value) -> Self {
+        Self::start_with(configuration, "other").await
+    }
+
+    /// The same with another second service.
+    async fn start_with(configuration: &Value, other: &str) -> Self {
         let store = Store::bind().await.expect("a store");
         store.set("op/config", Some(configuration.to_string().as_bytes()));
         let models = serve(&store, "model", "v1").await;
-        let others = serve(&store, "other", "v2").await;
+        let others = serve(&store, other, "v2").await;
         let mut fleet = Self {
             store,
             models,
@@ -201,3 +206,29 @@
     fleet.start_routers().await;
     assert_eq!(fleet.resume(&fleet.routers[0]).await, (0, STREAMS));
 }
+
+/// Writes a configuration of which the store does not show what it replaced, and starts all routers anew.
+async fn replace_unseen(fleet: &mut Fleet, configuration: Value) {
+    fleet.store.compact();
+    fleet.reconfigure(configuration).await;
+    fleet.routers.clear();
+    fleet.start_routers().await;
+}
+
+/// Guards against refusing all streams after a new configuration and the loss of all routers, where the store does not keep
+/// the one before: no other service can have run them.
+#[actix_rt::test]
+async fn streams_of_the_only_service_with_engines_go_on_after_an_unknown_configuration() {
+    let mut fleet = Fleet::start_with(&configuration(1), "desk").await;
+    replace_unseen(&mut fleet, configuration(2)).await;
+    assert_eq!(fleet.resume(&fleet.routers[0]).await, (STREAMS, 0));
+}
+
+/// Guards against streams that go on at another service than the one that began them, if the store does not keep the
+/// configuration that sent them there.
+#[actix_rt::test]
+async fn streams_are_not_resumed_at_another_service_after_an_unknown_configuration() {
+    let mut fleet = Fleet::start(&routed(1, "model")).await;
+    replace_unseen(&mut fleet, routed(2, "other")).await;
+    assert_eq!(fleet.resume(&fleet.routers[0]).await.1, 0);
+}
