Begin streams at unknown software where an upstream does not state its run

On a machine under load, reports take longer than the 400 ms for which a router waits. Cause: an upstream without an answer was taken to run what its entry says. The stream was recorded under that version, and went on at another upstream of it. Change: the stream begins there, but counts as one of unknown software, and is not continued elsewhere, until the upstream states its run. It is asked on for 2 s. If it states the listed run while the connection lasts, the stream belongs to that version from then on, also at the routers that keep its record.

--- a/crates/flow/src/origin.rs
+++ b/crates/flow/src/origin.rs
@@ -148,7 +148,8 @@
 }
 
 impl Origins {
-    /// Records the origin of a stream. A second origin for the same key makes it unknown.
+    /// Records the origin of a stream. A second origin for the same key makes it unknown, unless the first one was of unknown
+    /// software that has become known.
     ///
     /// ```
     /// use tsw_base::time::{Span, Timestamp};
@@ -167,9 +168,12 @@
     pub fn record(&mut self, now: Timestamp, lifetime: Span, key: Key, origin: Origin) {
         let known = self.streams.shift_remove(&key);
         let known = known.filter(|known| now.since(known.at) <= lifetime);
-        let origin = match known {
-            Some(known) if known.origin.as_ref() != Some(&origin) => None,
-            _ => Some(origin),
+        let becomes_known =
+            |known: &Origin| known.software.is_unknown() && known.service == origin.service;
+        let origin = match known.map(|known| known.origin) {
+            Some(Some(known)) if known == origin || becomes_known(&known) => Some(origin),
+            Some(_) => None,
+            None => Some(origin),
         };
         self.streams.insert(key, Stream { origin, at: now });
         if self.streams.len() > MAX_STREAMS {
--- a/crates/flow/tests/origin.rs
+++ b/crates/flow/tests/origin.rs
@@ -137,3 +137,19 @@
     // 31.0 s and is resumed here at 32.8 s.
     assert_eq!(only(&history, 32_800), None);
 }
+
+/// Guards against streams that stay unknown although their upstream has stated its run after their first events, and against
+/// two known origins of which one is taken.
+#[test]
+fn unknown_software_may_become_known_once() {
+    let (key, mut origins) = (Key::new("team", "a1"), Origins::default());
+    let unknown = Origin {
+        service: "engines".into(),
+        software: Software::unknown(&"i-1".into()),
+    };
+    origins.record(at(0), LIFETIME, key, unknown);
+    origins.record(at(100), LIFETIME, key, origin("v1"));
+    assert_eq!(origins.get(at(100), LIFETIME, key), Some(&origin("v1")));
+    origins.record(at(200), LIFETIME, key, origin("v2"));
+    assert_eq!(origins.get(at(200), LIFETIME, key), None);
+}
--- a/crates/gate/src/origin_batch.rs
+++ b/crates/gate/src/origin_batch.rs
@@ -146,8 +146,8 @@
 /// Selects the records that are still to be sent to the routers that keep them.
 #[derive(Clone, Debug, Default)]
 pub struct Outgoing {
-    /// Incarnations of the routers to which the record of each stream was sent.
-    sent: IndexMap<Key, Vec<u64>>,
+    /// Incarnations of the routers to which the record of each stream was sent, by its key and whether its software was unknown.
+    sent: IndexMap<(Key, bool), Vec<u64>>,
     /// Incarnations of the live routers at the last call.
     live: IndexSet<u64>,
 }
@@ -156,7 +156,8 @@
     /// Returns the records of streams that were not sent to their keepers yet, given the incarnations
     /// of the live routers. Streams that are no longer listed are forgotten.
     ///
-    /// A record is sent once to each keeper. A keeper that starts again has forgotten it.
+    /// A record is sent once to each keeper, and again if its software becomes known. A keeper that starts again has forgotten
+    /// it. Records of unknown software are always needed, since others may derive what the list shows.
     pub fn take<'a>(
         &mut self,
         streams: Vec<(Key, Origin)>,
@@ -170,16 +171,18 @@
         let mut before = std::mem::take(&mut self.sent);
         let mut outgoing: IndexMap<SocketAddr, Vec<(Key, Origin)>> = IndexMap::new();
         for (key, origin) in streams {
-            let sent = before.swap_remove(&key);
-            let is_known = sent.is_some() && same_routers || self.sent.contains_key(&key);
+            let is_unknown = origin.software.is_unknown();
+            let record = (key, is_unknown);
+            let sent = before.swap_remove(&record);
+            let is_known = sent.is_some() && same_routers || self.sent.contains_key(&record);
             let mut sent = sent.unwrap_or_default();
             let service = &origin.service;
             if is_known {
-                self.sent.entry(key).or_insert(sent);
+                self.sent.entry(record).or_insert(sent);
                 continue;
             }
             let needed = needed.entry(service.clone());
-            if *needed.or_insert_with(|| is_needed(service)) {
+            if is_unknown || *needed.or_insert_with(|| is_needed(service)) {
                 for keeper in keepers(key) {
                     if !sent.contains(&keeper.incarnation) {
                         sent.push(keeper.incarnation);
@@ -187,7 +190,7 @@
                         records.push((key, origin.clone()));
                     }
                 }
-                self.sent.insert(key, sent);
+                self.sent.insert(record, sent);
             }
         }
         outgoing
--- a/crates/gate/tests/origin_batch.rs
+++ b/crates/gate/tests/origin_batch.rs
@@ -108,6 +108,27 @@
     assert_eq!(take(&mut outgoing, &[], [1, 2, 5]), 0);
 }
 
+/// Guards against routers that derive the origin of a stream whose software another one does not know, and against records
+/// that stay unknown at the keepers.
+#[test]
+fn record_of_unknown_software_is_always_sent_and_again_when_it_is_known() {
+    let mut outgoing = Outgoing::default();
+    let keeper = rosters(1)[0].me.clone();
+    let live = || IndexSet::from([keeper.incarnation]);
+    let mut send = |origin: &Origin, is_needed: bool| {
+        let streams = vec![(Key(1), origin.clone())];
+        let taken = outgoing.take(streams, live(), |_| is_needed, |_| vec![&keeper]);
+        taken.values().map(Vec::len).sum::<usize>()
+    };
+    let known = origin("engines", "v1");
+    let unknown = Origin {
+        software: Software::unknown(&"i-1".into()),
+        ..known.clone()
+    };
+    assert_eq!((send(&unknown, false), send(&unknown, false)), (1, 0));
+    assert_eq!((send(&known, true), send(&known, true)), (1, 0));
+}
+
 /// Two fleets with the same number of streams at each router in one interval.
 #[test]
 fn messages_and_bytes_per_router_do_not_grow_with_the_fleet() {
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -52,6 +52,14 @@
 }
 
 impl RunningStream {
+    /// Replaces the unknown software that began the stream by one that has become known.
+    pub(crate) fn set_origin(&self, origin: Origin) {
+        let mut running = self.router.running.borrow_mut();
+        if let Some((_, known)) = running.streams.get_mut(&self.number) {
+            *known = origin;
+        }
+    }
+
     /// Records that the client was sent the whole response.
     pub(crate) fn complete(mut self) {
         self.is_complete = true;
@@ -69,6 +77,7 @@
         if self.is_complete {
             return;
         }
+        self.router.record_unknown_software(&origin);
         running.ended.insert(key, (origin, now));
         let is_expired = |at: Timestamp| now.since(at) > lifetime;
         let expired = running.ended.values();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -60,6 +60,8 @@
     stalled_since: Cell<Option<Timestamp>>,
     /// When the latest attempt began.
     attempted_at: Timestamp,
+    /// Whether the upstream of the latest attempt had not stated its run when the attempt began.
+    is_unconfirmed: bool,
     /// Whether the next attempt is a trial of a request that is refused otherwise.
     on_trial: bool,
     /// The error response of an upstream, sent to the client if no attempt succeeds.
@@ -115,6 +117,7 @@
         timing: EventTiming::default(),
         stalled_since: Cell::default(),
         attempted_at: router.now(),
+        is_unconfirmed: false,
         on_trial: false,
         failure: None,
     };
@@ -199,6 +202,10 @@
                 Confirmation::Missing => self.origin.is_some(),
                 Confirmation::Given | Confirmation::Changed => false,
             };
+            self.is_unconfirmed = confirmation == Confirmation::Missing;
+            if self.is_unconfirmed && !is_unknown {
+                self.router.ask_on(reservation.service(), choice);
+            }
             let attempt = if is_unknown {
                 Err(AttemptError::new(FailureKind::Unreachable, "no report").into())
             } else {
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -190,7 +190,8 @@
                 self.record_forwarded(&upstream, count);
             }
             if !events.is_empty() {
-                self.start_response(&exchange, &software);
+                self.update_origin(reservation.choice());
+                self.start_response(&exchange, reservation.choice());
                 self.responder.write_data(&events).await?;
                 events.clear();
             }
@@ -203,7 +204,7 @@
         }
         self.check_end(&exchange, reservation.choice()).await?;
         self.record_success(reservation.choice());
-        self.start_response(&exchange, &software);
+        self.start_response(&exchange, reservation.choice());
         self.router.reuse(&reservation, exchange);
         drop(reservation);
         self.responder.finish().await?;
@@ -235,15 +236,41 @@
 
     /// Starts the response with the head of a stream unless it was started before. A stream that breaks
     /// before its first event can therefore still be answered with an error status.
-    fn start_response(&mut self, exchange: &Exchange, software: &Software) {
+    fn start_response(&mut self, exchange: &Exchange, choice: &Choice) {
         if self.responder.progress() == Progress::NotStarted {
-            self.record_origin(software);
+            let software = if self.is_unconfirmed {
+                self.router.confirmed_software(self.attempted_at, choice)
+            } else {
+                choice.software.clone()
+            };
+            self.record_origin(&software);
             let mut fields = exchange.head().fields.clone();
             fields.strip_hop_by_hop();
             self.responder.start(exchange.head().status, fields);
         }
     }
 
+    /// Records the software that began the stream if it was unknown and its upstream has stated its run meanwhile. The
+    /// connection has lasted, so that the same run has written all events.
+    fn update_origin(&mut self, choice: &Choice) {
+        let is_unknown = |origin: &Origin| origin.software.is_unknown();
+        if !self.is_unconfirmed || !self.origin.as_ref().is_some_and(is_unknown) {
+            return;
+        }
+        let software = self.router.confirmed_software(self.attempted_at, choice);
+        if software.is_unknown() {
+            return;
+        }
+        let service = self.request.service.clone();
+        let origin = Origin { service, software };
+        self.router
+            .record_origin(self.request.key(), origin.clone());
+        if let Some(stream) = &self.running_stream {
+            stream.set_origin(origin.clone());
+        }
+        self.origin = Some(origin);
+    }
+
     /// Records where the stream began. The head of its response is that of the first upstream, so that
     /// events of other software must not follow it.
     fn record_origin(&mut self, software: &Software) {
@@ -252,7 +279,10 @@
             service: request.service.clone(),
             software: software.clone(),
         });
-        router.record_unknown_software(origin);
+        // Otherwise its upstream may still state its run.
+        if !self.is_unconfirmed {
+            router.record_unknown_software(origin);
+        }
         let resumed = request.resumed_key();
         for key in resumed.into_iter().chain([request.key()]) {
             router.record_origin(key, origin.clone());
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -19,7 +19,7 @@
 use tokio::{sync::watch, time};
 use tsw_base::time::{Span, Timestamp};
 use tsw_event::{contained, emit, Event};
-use tsw_flow::{pool::Choice, service::Service};
+use tsw_flow::{origin::Software, pool::Choice, service::Service};
 use tsw_http::{connection::Connection, exchange::Exchange};
 use tsw_route::Name;
 
@@ -28,6 +28,8 @@
 
 /// Time limit of the question.
 const TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit of the question while a stream has begun to run at the upstream.
+const LATE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an answer holds.
 const LIFETIME: Span = Span::from_secs(2);
 /// Maximum length of an answer in bytes. It lists some details of each request that the upstream runs.
@@ -70,6 +72,13 @@
         })
     }
 
+    /// Returns whether the chosen run was confirmed at a time or later.
+    fn is_confirmed_since(&self, since: Timestamp, choice: &Choice) -> bool {
+        let confirmed = self.confirmed.borrow();
+        let confirmed = confirmed.get(&choice.id);
+        confirmed.is_some_and(|(started_at, at)| *started_at == choice.started_at && *at >= since)
+    }
+
     fn confirm(&self, now: Timestamp, choice: &Choice) {
         let mut confirmed = self.confirmed.borrow_mut();
         confirmed.retain(|_, (_, at)| now.since(*at) <= LIFETIME);
@@ -189,6 +198,35 @@
         }
     }
 
+    /// Asks the chosen upstream, which has not answered in time, while a stream waits for its first event there.
+    pub(crate) fn ask_on(self: &Rc<Self>, service: &Name, choice: &Choice) {
+        if !self.runs.may_ask_again(self.now(), &choice.id) {
+            return;
+        }
+        let (router, service, choice) = (self.clone(), service.clone(), choice.clone());
+        actix_rt::spawn(contained::run(async move {
+            let question = router.ask_run_without_limit(&service, &choice);
+            let answer = time::timeout(LATE_TIMEOUT, question).await;
+            match answer.ok().flatten() {
+                Some(Some(started_at)) if is_other(started_at, &choice) => {
+                    router.record_other_run(&service, &choice);
+                }
+                Some(_) => router.runs.confirm(router.now(), &choice),
+                None => {}
+            }
+        }));
+    }
+
+    /// Returns the software of a stream that is sent at a time to the chosen upstream, which had not answered before. It is
+    /// unknown unless the upstream has confirmed its run since.
+    pub(crate) fn confirmed_software(&self, sent: Timestamp, choice: &Choice) -> Software {
+        if self.runs.is_confirmed_since(sent, choice) {
+            choice.software.clone()
+        } else {
+            Software::unknown(&choice.id)
+        }
+    }
+
     /// Finds out whether as many of these runs as needed go on at a time after the arrival of a request.
     pub(crate) async fn confirm_runs(
         self: &Rc<Self>,
