Take no failure for a statement of an upstream's run

What callers could see: streams joined from two versions in one response: 21 of 21 that began at upstreams which had returned with another version while the store was away, and answered the question for their run with 503. Cause: any response without a start counted as one of an upstream that states none, also a failure or a refusal. Change: a status of 500 or more, or 429, is no answer. Upstreams without a report (404) are used as before. Evidence: streams_that_begin_at_an_upstream_without_a_report_go_on_nowhere_else, extended by that answer: 21 of 21 before, 0 now.

--- a/crates/fake/src/worker/behaviour.rs
+++ b/crates/fake/src/worker/behaviour.rs
@@ -101,6 +101,8 @@
     Late(Duration),
     /// With status 404.
     NotFound,
+    /// With status 503.
+    Busy,
     /// Not at all; the connection stays open.
     Silent,
     /// It resets the connection.
--- a/crates/fake/src/worker/response.rs
+++ b/crates/fake/src/worker/response.rs
@@ -31,6 +31,7 @@
             "200 OK"
         }
         Report::NotFound => "404 Not Found",
+        Report::Busy => "503 Service Unavailable",
         Report::Silent => {
             wait_for_close(connection).await;
             return Ok(false);
--- a/crates/relay/src/upstream_run.rs
+++ b/crates/relay/src/upstream_run.rs
@@ -32,6 +32,8 @@
 const LATE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an answer holds.
 const LIFETIME: Span = Span::from_secs(2);
+/// Status of a question that was refused.
+const TOO_MANY_REQUESTS: u16 = 429;
 /// Maximum length of an answer in bytes. It lists some details of each request that the upstream runs.
 const MAX_ANSWER_BYTES: usize = 1 << 18;
 
@@ -328,7 +330,12 @@
                 return None;
             }
         }
-        let is_report = exchange.head().status == 200;
+        let status = exchange.head().status;
+        // An upstream that has no report says so, one that fails says nothing of its run.
+        if status >= 500 || status == TOO_MANY_REQUESTS {
+            return None;
+        }
+        let is_report = status == 200;
         let started_at = is_report
             .then(|| self.protocol.run_start(&answer))
             .flatten();
--- a/crates/toucand/tests/unknown_runs.rs
+++ b/crates/toucand/tests/unknown_runs.rs
@@ -88,7 +88,8 @@
 /// its entry said, and the stream that began there went on at others that did.
 #[actix_rt::test]
 async fn streams_that_begin_at_an_upstream_without_a_report_go_on_nowhere_else() {
-    for report in [Report::Silent, Report::Late(Duration::from_millis(700))] {
+    let late = Report::Late(Duration::from_millis(700));
+    for report in [Report::Silent, late, Report::Busy] {
         let (joined, began) = gone_on_elsewhere(report, true).await;
         println!("{report:?}: {joined} joined of {began}");
         assert_eq!(joined, 0, "{report:?}: of {began}");
