--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -313,6 +313,18 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Discards the history up to a revision, as [`Store::compact`] does up to the current one.
+    pub fn compact_up_to(&self, revision: u64) {
+        let compacted = self.state.compacted_revision.get();
+        self.state.compacted_revision.set(compacted.max(revision));
+    }
+
+    /// Returns the current revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.revision()
+    }
+
     /// Returns the number of calls so far.
     #[must_use]
     pub fn calls(&self) -> u64 {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,5 +1,6 @@
 //! The schedule of faults and planned operations, drawn from a seed.
 
+mod mixed;
 mod plan;
 mod release;
 mod returns;
@@ -12,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 use tsw_fake::{store::Mode, worker::Behaviour};
 
+pub use mixed::draw as draw_mixed;
 pub use plan::Plan;
 pub use release::draw as draw_releases;
 pub use returns::{draw as draw_returns, draw_freezes};
@@ -47,6 +49,8 @@
     KillGroup(usize, usize),
     /// A router is paused with `SIGSTOP`.
     Pause(usize),
+    /// A router gets only a part of its processor time.
+    Slow(usize),
     /// A router is stopped gracefully with `SIGTERM` and restarted after it has exited.
     Terminate(usize),
     /// A router is told to reload its settings with `SIGHUP`.
@@ -76,12 +80,18 @@
     CrashUpstream(usize),
     /// An upstream crashes and starts again under its identifier, with this software version.
     ReturnUpstream(usize, u32),
+    /// An upstream ends without announcing it. Another one of this software version takes its place.
+    LoseUpstream(usize, u32),
+    /// An upstream takes long to say which run it is.
+    DelayReport(usize),
     /// An upstream neither reads nor writes.
     FreezeUpstream(usize),
     /// The store responds with an error.
     StoreBusy,
     /// The store does not respond.
     StoreSilent,
+    /// The store responds late.
+    StoreSlow,
     /// The store stops responding in this way and returns from a copy of this age; what was written
     /// since is lost and written again.
     RestoreStore(Mode, Duration),
--- a/crates/soak/src/fault/plan.rs
+++ b/crates/soak/src/fault/plan.rs
@@ -5,7 +5,8 @@
 use tsw_fake::worker::{Behaviour, CRASH_DOWNTIME};
 
 use super::{
-    draw, draw_freezes, draw_releases, draw_returns, draw_statements, ScheduledFault, STREAM_EVENTS,
+    draw, draw_freezes, draw_mixed, draw_releases, draw_returns, draw_statements, ScheduledFault,
+    STREAM_EVENTS,
 };
 use crate::history::Kind;
 
@@ -45,6 +46,8 @@
     /// Upstreams that refuse connections after a crash and return with other software versions,
     /// while routers are killed and clients resume long streams.
     Returns,
+    /// Releases and returns of upstreams beside faults of routers and of the store that last for seconds.
+    Mixed,
 }
 
 impl Plan {
@@ -54,6 +57,7 @@
         match self {
             Self::Faults => 3,
             Self::Releases | Self::Returns => 5,
+            Self::Mixed => 7,
         }
     }
 
@@ -64,6 +68,7 @@
             Self::Faults => 6,
             Self::Releases => DESK_UPSTREAMS + 6,
             Self::Returns => DESK_UPSTREAMS + 9,
+            Self::Mixed => DESK_UPSTREAMS + 12,
         }
     }
 
@@ -72,7 +77,7 @@
     pub const fn service(self, index: usize) -> &'static str {
         let is_model = match self {
             Self::Faults => index % 2 == 1,
-            Self::Releases | Self::Returns => index >= DESK_UPSTREAMS,
+            Self::Releases | Self::Returns | Self::Mixed => index >= DESK_UPSTREAMS,
         };
         if is_model {
             "model"
@@ -85,7 +90,7 @@
     #[must_use]
     pub const fn timeout_ms(self) -> u64 {
         match self {
-            Self::Faults => 15_000,
+            Self::Faults | Self::Mixed => 15_000,
             Self::Releases => 8_000,
             Self::Returns => 20_000,
         }
@@ -95,7 +100,7 @@
     #[must_use]
     pub const fn min_time_left(self) -> Duration {
         match self {
-            Self::Faults | Self::Releases => Duration::ZERO,
+            Self::Faults | Self::Releases | Self::Mixed => Duration::ZERO,
             Self::Returns => LONG_STREAM_TIME,
         }
     }
@@ -105,7 +110,7 @@
     pub const fn stream_events(self) -> u64 {
         match self {
             Self::Faults | Self::Releases => STREAM_EVENTS,
-            Self::Returns => LONG_STREAM_EVENTS,
+            Self::Returns | Self::Mixed => LONG_STREAM_EVENTS,
         }
     }
 
@@ -115,7 +120,7 @@
         match self {
             Self::Faults => 0,
             Self::Releases => STREAM_CLIENTS[seed as usize / 2 % STREAM_CLIENTS.len()],
-            Self::Returns => LONG_STREAM_CLIENTS,
+            Self::Returns | Self::Mixed => LONG_STREAM_CLIENTS,
         }
     }
 
@@ -129,7 +134,7 @@
                 Kind::ResumableStream,
                 Kind::Stream,
             ],
-            Self::Returns => &[Kind::Idempotent, Kind::NonIdempotent],
+            Self::Returns | Self::Mixed => &[Kind::Idempotent, Kind::NonIdempotent],
         }
     }
 
@@ -138,7 +143,7 @@
     pub const fn slots(self) -> usize {
         match self {
             Self::Faults | Self::Releases => 8,
-            Self::Returns => 16,
+            Self::Returns | Self::Mixed => 16,
         }
     }
 
@@ -154,16 +159,24 @@
     pub const fn has_heartbeat_changes(self, seed: u64) -> bool {
         match self {
             Self::Faults | Self::Releases => true,
+            Self::Mixed => seed.is_multiple_of(2),
             Self::Returns => seed.is_multiple_of(HEARTBEAT_CHANGE_SEEDS),
         }
     }
 
+    /// Returns whether upstreams write to the store as those of the platform do: a heartbeat that is not accepted is counted,
+    /// some leave without announcing it, and the store keeps its history for a limited time.
+    #[must_use]
+    pub const fn has_platform_writes(self) -> bool {
+        matches!(self, Self::Mixed)
+    }
+
     /// Returns the time for which an upstream is down after a crash.
     #[must_use]
     pub const fn downtime(self) -> Duration {
         match self {
             Self::Faults | Self::Releases => CRASH_DOWNTIME,
-            Self::Returns => RETURN_DOWNTIME,
+            Self::Returns | Self::Mixed => RETURN_DOWNTIME,
         }
     }
 
@@ -176,10 +189,12 @@
             (_, "desk") => Behaviour::Plain,
             (Self::Faults, _) => Behaviour::Stream(STREAM_EVENTS),
             (Self::Releases, _) => Behaviour::SlowStream(STREAM_EVENTS, EVENT_INTERVAL),
-            (Self::Returns, _) if is_unframed => {
+            (Self::Returns | Self::Mixed, _) if is_unframed => {
                 Behaviour::SlowUnframedStream(LONG_STREAM_EVENTS, LONG_STREAM_INTERVAL)
             }
-            (Self::Returns, _) => Behaviour::SlowStream(LONG_STREAM_EVENTS, LONG_STREAM_INTERVAL),
+            (Self::Returns | Self::Mixed, _) => {
+                Behaviour::SlowStream(LONG_STREAM_EVENTS, LONG_STREAM_INTERVAL)
+            }
         }
     }
 
@@ -207,6 +222,10 @@
                 let returning = DESK_UPSTREAMS..self.upstreams();
                 draw_returns(seed, length, self.routers(), returning)
             }
+            Self::Mixed => {
+                let changed = DESK_UPSTREAMS..self.upstreams();
+                draw_mixed(seed, length, self.routers(), changed)
+            }
         }
     }
 }
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -21,6 +21,9 @@
         /// Let upstreams return with other software versions after crashes that routers notice, while routers
         /// are killed and clients resume long streams.
         optional --returns
+        /// Release software versions and let upstreams return with others, beside faults of routers and of the store
+        /// that last for seconds.
+        optional --mixed
         /// Play the faults of the plan alone, without what a seed selects beside them.
         optional --plain
         /// Starts that upstreams state: in-order, backwards, equal, seconds-off or minute-off (by seed with
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -142,7 +142,7 @@
         settings: Settings,
     ) -> Result<Rc<Self>> {
         let Settings { plan, seed, .. } = settings;
-        let store = Store::bind().await?;
+        let store = Store::bind(plan.has_platform_writes()).await?;
         let relay = Relay::start(Timer::start(), seed)?;
         let mut fleet = Self {
             settings,
@@ -220,6 +220,8 @@
             upstream.next_heartbeat.set(now + HEARTBEAT_INTERVAL);
             if self.store.is_up() {
                 self.send_heartbeat(upstream);
+            } else if self.settings.plan.has_platform_writes() {
+                upstream.count_heartbeat();
             }
         }
         self.store.tend();
--- a/crates/soak/src/fleet/injection.rs
+++ b/crates/soak/src/fleet/injection.rs
@@ -9,7 +9,10 @@
 use futures_util::future;
 use rustix::process::Signal;
 use tokio::time;
-use tsw_fake::{store::Mode, worker::Behaviour};
+use tsw_fake::{
+    store::Mode,
+    worker::{Behaviour, Report},
+};
 use tsw_load::relay::Link;
 
 use super::{
@@ -26,8 +29,21 @@
 /// Time between the removal of a replaced upstream from the list and its end. Some upstreams remain
 /// until the end of the run.
 const REMOVED_TIME: Duration = Duration::from_secs(1);
+/// One in this many upstreams leaves without announcing it, where some do.
+const SILENT_UPSTREAMS: usize = 2;
+/// Time that an upstream takes to say which run it is, while that is delayed.
+const REPORT_DELAY: Duration = Duration::from_millis(700);
+/// Interval at which an upstream tries to write its departure.
+const WRITE_RETRY: Duration = Duration::from_millis(200);
+/// Time for which a lost upstream is down; longer than any run.
+const LOST_TIME: Duration = Duration::from_secs(3_600);
 /// Time between the return of the store from a copy and the operator's repeated write.
 const REWRITE_DELAY: Duration = Duration::from_millis(500);
+/// Time for which a slow router is paused, and for which it runs between two pauses.
+const SLOW_PAUSE: Duration = Duration::from_millis(82);
+const SLOW_SLICE: Duration = Duration::from_millis(18);
+/// Delay of a slow store in each direction.
+const SLOW_STORE_DELAY: Duration = Duration::from_millis(120);
 /// Time after a restart within which a router serves again.
 const ROUTER_START: Duration = Duration::from_secs(2);
 
@@ -52,6 +68,15 @@
                 self.signal(router, Signal::CONT)?;
                 self.record_router_disturbance(router, start, false);
             }
+            Fault::Slow(router) => {
+                while start.elapsed() < duration {
+                    self.signal(router, Signal::STOP)?;
+                    time::sleep(SLOW_PAUSE).await;
+                    self.signal(router, Signal::CONT)?;
+                    time::sleep(SLOW_SLICE).await;
+                }
+                self.record_router_disturbance(router, start, false);
+            }
             Fault::Terminate(router) => self.terminate(router).await?,
             Fault::Reload(router) => {
                 self.signal(router, Signal::HUP)?;
@@ -129,6 +154,15 @@
                 self.crash_upstream(&upstream, version, duration).await;
                 self.record_upstream_fault(&upstream, start);
             }
+            Fault::LoseUpstream(number, version) => {
+                self.lose_upstream(number, version, duration).await?;
+            }
+            Fault::DelayReport(number) => {
+                let upstream = self.current_upstream(number);
+                upstream.worker.set_report(Report::Late(REPORT_DELAY));
+                time::sleep(duration).await;
+                upstream.worker.set_report(Report::Given);
+            }
             Fault::FreezeUpstream(number) => {
                 let upstream = self.current_upstream(number);
                 upstream.worker.set_frozen(true);
@@ -138,6 +172,15 @@
             }
             Fault::StoreBusy => self.change_store_mode(Mode::Busy, duration).await,
             Fault::StoreSilent => self.change_store_mode(Mode::Silent, duration).await,
+            Fault::StoreSlow => {
+                let links = self.routers.iter().map(|router| &router.store_link);
+                links
+                    .clone()
+                    .for_each(|link| link.set_delay(SLOW_STORE_DELAY));
+                time::sleep(duration).await;
+                links.for_each(|link| link.set_delay(Duration::ZERO));
+                self.record_store_disturbance(None, start);
+            }
             Fault::RestoreStore(mode, age) => self.restore_store(mode, age, duration).await,
             Fault::BlockStore(router) => {
                 block(&self.routers[router].store_link, duration).await;
@@ -274,6 +317,31 @@
         Ok(())
     }
 
+    /// Waits until the store accepts writes.
+    async fn wait_for_store(&self) {
+        while !self.store.is_up() {
+            time::sleep(WRITE_RETRY).await;
+        }
+    }
+
+    /// Lets an upstream end without a word. Another one of this version takes its place after a time.
+    async fn lose_upstream(&self, number: usize, version: u32, duration: Duration) -> Result<()> {
+        let old = self.current_upstream(number);
+        let start = Instant::now();
+        old.worker.crash_for(LOST_TIME);
+        self.end_run(&old);
+        old.next_heartbeat.set(start + LOST_TIME);
+        time::sleep(duration).await;
+        let new = self.start_upstream(old.service, version).await?;
+        self.record_upstream_fault(&old, start);
+        // A concurrent fault may have replaced this upstream already.
+        if Rc::ptr_eq(&old, &self.current_upstream(number)) {
+            self.upstreams.borrow_mut()[number] = new;
+            self.retired.borrow_mut().push(old);
+        }
+        Ok(())
+    }
+
     async fn replace_upstream(&self, number: usize, version: u32) -> Result<()> {
         let old = self.current_upstream(number);
         let new = self.start_upstream(old.service, version).await?;
@@ -282,20 +350,37 @@
             return Ok(());
         }
         self.upstreams.borrow_mut()[number] = new;
-        old.state.set("draining");
         self.end_run(&old);
-        self.write_entry(&old);
-        self.draining.borrow_mut().push(old.clone());
-        time::sleep(DRAIN_TIME).await;
+        let has_platform_writes = self.settings.plan.has_platform_writes();
+        let is_silent = has_platform_writes && old.number.is_multiple_of(SILENT_UPSTREAMS);
+        if !is_silent {
+            if has_platform_writes {
+                self.wait_for_store().await;
+            }
+            old.state.set("draining");
+            self.write_entry(&old);
+            self.draining.borrow_mut().push(old.clone());
+            time::sleep(DRAIN_TIME).await;
+        }
+        if has_platform_writes {
+            self.wait_for_store().await;
+        }
         let is_other = |upstream: &Rc<Upstream>| !Rc::ptr_eq(upstream, &old);
         self.draining.borrow_mut().retain(is_other);
         self.store.remove_entry(&old.id);
         self.record_departure(&old);
+        if is_silent {
+            time::sleep(DRAIN_TIME).await;
+        }
         if (old.number / 2).is_multiple_of(2) {
             self.retired.borrow_mut().push(old);
             return Ok(());
         }
         time::sleep(REMOVED_TIME).await;
+        if has_platform_writes {
+            // Its end breaks off long streams.
+            self.record_upstream_fault(&old, Instant::now());
+        }
         self.record_arrivals(&old);
         Ok(())
     }
--- a/crates/soak/src/fleet/upstream.rs
+++ b/crates/soak/src/fleet/upstream.rs
@@ -65,6 +65,11 @@
         self.worker.set_fields(&fields.collect::<String>());
     }
 
+    /// Counts a heartbeat that changes nothing in the store.
+    pub fn count_heartbeat(&self) {
+        self.sequence.set(self.sequence.get() + 1);
+    }
+
     /// Sets the start of its run after an earlier run with the start `before`.
     fn set_born(&self, starts: Starts, before: Option<SystemTime>) {
         let rng = &mut self.start_rng.borrow_mut();
@@ -118,7 +123,11 @@
             next_heartbeat: Cell::new(Instant::now() + HEARTBEAT_INTERVAL),
         };
         upstream.set_born(self.settings.starts, None);
-        self.write_entry(&upstream);
+        if self.store.is_up() || !self.settings.plan.has_platform_writes() {
+            self.write_entry(&upstream);
+        } else {
+            upstream.count_heartbeat();
+        }
         self.record_run(&upstream);
         Ok(Rc::new(upstream))
     }
@@ -130,6 +139,8 @@
             || !self.store.renew(&upstream.id, &self.entry(upstream))
         {
             self.write_entry(upstream);
+        } else if self.settings.plan.has_platform_writes() {
+            upstream.count_heartbeat();
         }
     }
 
@@ -178,7 +189,7 @@
         let listening = crashed + downtime;
         let starting = listening - REGISTERED_BEFORE;
         let registered = match self.settings.plan {
-            Plan::Returns => starting.max(crashed + duration),
+            Plan::Returns | Plan::Mixed => starting.max(crashed + duration),
             Plan::Faults | Plan::Releases => starting,
         };
         let heartbeat = listening.max(registered);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -20,11 +20,16 @@
     };
     let other_program = flags.other_program.as_ref().unwrap_or(&program);
     let programs = [program.as_path(), other_program];
-    let plan = match (flags.releases, flags.returns) {
-        (false, false) => Plan::Faults,
-        (true, false) => Plan::Releases,
-        (false, true) => Plan::Returns,
-        (true, true) => return Err(eyre!("--releases and --returns exclude each other")),
+    let plan = match (flags.releases, flags.returns, flags.mixed) {
+        (false, false, false) => Plan::Faults,
+        (true, false, false) => Plan::Releases,
+        (false, true, false) => Plan::Returns,
+        (false, false, true) => Plan::Mixed,
+        _ => {
+            return Err(eyre!(
+                "--releases, --returns and --mixed exclude each other"
+            ))
+        }
     };
     let length = Duration::from_secs(flags.length_s.unwrap_or(12));
     let first_seed = flags
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -170,7 +170,7 @@
             .map(|number| task::spawn_local(client::stream::run(shared.clone(), number, seed))),
     );
     let warm_up = match plan {
-        Plan::Releases | Plan::Returns if seed.is_multiple_of(2) => LONG_WARM_UP,
+        Plan::Releases | Plan::Returns | Plan::Mixed if seed.is_multiple_of(2) => LONG_WARM_UP,
         _ => WARM_UP,
     };
     time::sleep(warm_up).await;
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -20,6 +20,8 @@
 const COPY_INTERVAL: Duration = Duration::from_millis(250);
 /// Age at which copies are dropped.
 const MAX_COPY_AGE: Duration = Duration::from_secs(30);
+/// Time for which the history is kept, where it is limited.
+const HISTORY_AGE: Duration = Duration::from_secs(20);
 /// Prefix of the keys of upstreams.
 const ENTRIES: &str = "servers/";
 /// Key of the configuration.
@@ -43,6 +45,10 @@
     is_up: Cell<bool>,
     entries: RefCell<Entries>,
     copies: RefCell<VecDeque<(Instant, Copy, Entries)>>,
+    /// Whether the history is limited to [`HISTORY_AGE`].
+    forgets: bool,
+    /// Revisions of the recent past and their times, if the history is limited.
+    revisions: RefCell<VecDeque<(Instant, u64)>>,
 }
 
 impl Store {
@@ -51,12 +57,14 @@
     /// # Errors
     ///
     /// Returns an error if no port is free.
-    pub async fn bind() -> Result<Self> {
+    pub async fn bind(forgets: bool) -> Result<Self> {
         Ok(Self {
             fake: FakeStore::bind().await?,
             is_up: Cell::new(true),
             entries: RefCell::default(),
             copies: RefCell::default(),
+            forgets,
+            revisions: RefCell::default(),
         })
     }
 
@@ -134,6 +142,19 @@
             drop(entries);
             expired.iter().for_each(|id| self.remove_entry(id));
         }
+        if self.forgets {
+            let mut revisions = self.revisions.borrow_mut();
+            revisions.push_back((now, self.fake.revision()));
+            while revisions
+                .front()
+                .is_some_and(|(at, _)| now - *at > HISTORY_AGE)
+            {
+                let expired = revisions.pop_front();
+                expired
+                    .iter()
+                    .for_each(|(_, revision)| self.fake.compact_up_to(*revision));
+            }
+        }
         let mut copies = self.copies.borrow_mut();
         let newest = copies.back().map(|(made, ..)| *made);
         if newest.is_none_or(|made| now - made >= COPY_INTERVAL) {
--- a/crates/toucand/tests/soak.rs
+++ b/crates/toucand/tests/soak.rs
@@ -19,6 +19,8 @@
 /// Seed of the run in which upstreams return with other versions: streams were joined in each of five plays on the code
 /// before the derivation was repaired.
 const RETURNS_SEED: u64 = 43_105;
+/// Seed of the run with releases, returns beside an outage of the store and late reports.
+const MIXED_SEED: u64 = 48_507;
 /// Seed of the run in which upstreams return with other versions and earlier starts.
 const BACKWARDS_SEED: u64 = 46_103;
 
@@ -63,3 +65,16 @@
     assert!(resumed > 0, "{outcome:#?}");
     assert!(outcome.violations.is_empty(), "{outcome:#?}");
 }
+
+/// Guards against streams joined from two versions after outages of the store in which upstreams start or return, with routers
+/// that are slow or paused.
+#[actix_rt::test]
+async fn no_stream_is_joined_while_faults_of_routers_and_of_the_store_last() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let program = Path::new(env!("CARGO_BIN_EXE_toucand"));
+    let settings = Settings::plain(Plan::Mixed, MIXED_SEED, Duration::from_secs(14));
+    let outcome = run::run_seed(&[program], directory.path(), settings).await;
+    let outcome = outcome.expect("the run finishes");
+    assert!(outcome.streams[1].resumed > 0, "{outcome:#?}");
+    assert!(outcome.violations.is_empty(), "{outcome:#?}");
+}
