Date nothing by an entry that was missing for long

What callers could see: streams joined from two versions after the loss of all routers, beside an upstream that is listed again after minutes of silence: its entry counted as 15 minutes old, and the changes before it as older.

--- a/crates/flow/src/history.rs
+++ b/crates/flow/src/history.rs
@@ -25,7 +25,8 @@
 const WITNESSES: usize = 3;
 /// Usual interval of heartbeats. They are sent more often while none is accepted.
 const HEARTBEAT: Span = Span::from_millis(1_200);
-/// Maximum number of heartbeats that were not accepted. Larger numbers are another writer's.
+/// Maximum number of heartbeats that a store may not have accepted. With a larger number, an entry was listed before, and
+/// writes are missing.
 const MAX_HELD_BACK: u64 = 50;
 /// Heartbeats after which a run is taken to be the one whose entry an earlier, unknown change left:
 /// an entry expires after three missed ones.
@@ -289,8 +290,8 @@
         let is_in_order = latest
             .is_some_and(|latest| entry.started_at.saturating_add(MAX_DELAY.as_millis()) >= latest);
         let is_created = change.created == Some(change.revision);
-        let intervals = entry.seq.saturating_sub(FIRST_SEQ).min(MAX_HELD_BACK);
-        let held_back = intervals * HEARTBEAT.as_millis();
+        let intervals = entry.seq.saturating_sub(FIRST_SEQ);
+        let held_back = intervals.saturating_mul(HEARTBEAT.as_millis());
         let written = Written {
             revision: change.revision,
             earliest: entry.started_at,
@@ -301,7 +302,11 @@
             FIRST_SEQ if is_created || is_in_order => self.starts.push(written),
             // An entry that was removed before may have been missing for any time.
             seq if seq > FIRST_SEQ && is_created && !self.keys.contains_key(&change.key) => {
-                self.held_back.push(written);
+                if intervals <= MAX_HELD_BACK {
+                    self.held_back.push(written);
+                } else {
+                    self.complete_from = self.complete_from.max(change.revision);
+                }
             }
             _ => {}
         }
--- a/crates/flow/tests/history.rs
+++ b/crates/flow/tests/history.rs
@@ -292,6 +292,19 @@
     assert!(history.is_whole);
 }
 
+/// Guards against changes that count as old because an upstream that was silent for minutes is listed again, with the start
+/// and the number of a run whose earlier entries are not in the history.
+#[test]
+fn entries_that_were_missing_for_long_date_nothing() {
+    let mut writer = Writer::new();
+    writer.write("x", Some(5), Some(entry("x", "v1", 9, true)));
+    writer.create_late("a", 900, 600);
+    let history = writer.finish();
+    assert_eq!(history.left[0].age, Span::ZERO);
+    assert_eq!(history.known_for, Span::ZERO);
+    assert!(!history.is_whole);
+}
+
 /// Guards against streams that go on at another version: upstreams that do not count the heartbeats that a store was away
 /// for state starts that are earlier than their entries, so that changes counted as older than they are.
 #[test]
