Limit requests to cold upstreams, and send none to evacuated domains

Cause: neither coldRemainingMs of entries, coldPerS of services nor op/evacuate/DOMAIN was read. An engine that had just started got 18 to 21 requests in a second where 16.9 or 20 are allowed, and upstreams of an evacuated domain went on getting requests.

Change: while an upstream is cold, requests to it need credits of its allocator, as for a stated rate. Routers read evacuations with the configuration or from peers, and treat the upstreams of the domain as leaving. Nothing changes where the configuration states no cold rate and no domain is evacuated.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -114,6 +114,10 @@
     ListCheckFailed = 218 Info "list-check-failed";
     /// The configurations before the start cannot be read: nothing is known of where routes went before.
     ConfigurationHistoryUnavailable = 219 Warn "configuration-history-unavailable";
+    /// A failure domain is evacuated; its upstreams get no new requests.
+    DomainEvacuated = 220 Info "domain-evacuated";
+    /// The evacuation of a failure domain has ended.
+    DomainReturned = 221 Info "domain-returned";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused without being run.
@@ -209,6 +213,8 @@
     HostsWentBack = 429 Warn "hosts-went-back";
     /// A run of an upstream that counted as ended answers.
     UpstreamRunFound = 431 Info "upstream-run-found";
+    /// An upstream is cold and gets requests at a limited rate until it is warm.
+    UpstreamCold = 432 Info "upstream-cold";
     /// A session with a peer is open.
     PeerUp = 501 Info "peer-up";
     /// A session with a peer ended.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`pool`]: the upstreams of a service and the selection of one for a request.
 //! - [`rate`]: divides the request rate that an upstream states among the routers.
 //! - [`owner`]: which upstreams a router owns and prefers.
+//! - [`evacuation`]: failure domains whose upstreams get no new requests.
 //! - [`history`]: what changes of the list prove about the time before the start.
 //! - [`registry`]: the upstreams listed by the platform, kept through its outages.
 //! - [`queue`]: the queue of waiting requests: order and expiry.
@@ -23,6 +24,7 @@
 pub mod account;
 pub mod assignment;
 pub mod budget;
+pub mod evacuation;
 pub mod history;
 pub mod origin;
 pub mod owner;
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -103,7 +103,7 @@
         };
         let concurrent = CONCURRENT_PREFILL_WEIGHT * pending.min(uncached);
         let cost = pending + uncached + concurrent + running + fetching + remote + unreported;
-        let credit = if pool.rate(upstream).is_some() {
+        let credit = if pool.rate(now, upstream).is_some() {
             UNUSED_CREDIT_COST
         } else {
             0
--- a/crates/flow/src/pool/limit.rs
+++ b/crates/flow/src/pool/limit.rs
@@ -1,4 +1,5 @@
-//! Request rates that upstreams state, and the credits of this router to send requests to them.
+//! Request rates that upstreams state or take while they are cold, and the credits of this router to send
+//! requests to them.
 
 use indexmap::IndexMap;
 use tsw_base::time::{Span, Timestamp};
@@ -53,12 +54,15 @@
     until: Timestamp,
 }
 
-/// The rate that an upstream states, and the credits for it.
+/// The rate that an upstream takes, and the credits for it.
 #[derive(Clone, Debug)]
 pub(super) struct Limit {
     run: u64,
+    /// The rate that it states.
     rate: Option<Rate>,
     stated_at: Timestamp,
+    /// The rate that it takes while it is cold, and the time at which it is warm.
+    cold: Option<(Rate, Timestamp)>,
     credits: Vec<Credit>,
     /// Time and number of the credits of the last question.
     asked_at: Timestamp,
@@ -79,6 +83,7 @@
             run,
             rate,
             stated_at,
+            cold: None,
             credits: Vec::new(),
             asked_at: Timestamp::ZERO,
             asked: 0,
@@ -89,6 +94,15 @@
         }
     }
 
+    /// Returns the rate that limits the upstream now: the lower one of what it states and what it takes
+    /// while it is cold.
+    fn effective(&self, now: Timestamp) -> Option<Rate> {
+        let cold = self.cold.filter(|(_, warm_at)| now < *warm_at);
+        let rates = [self.rate, cold.map(|(rate, _)| rate)];
+        let rates = rates.into_iter().flatten();
+        rates.min_by(|a, b| a.per_s().total_cmp(&b.per_s()))
+    }
+
     fn statement(&self, now: Timestamp) -> Statement {
         Statement {
             run: self.run,
@@ -117,15 +131,18 @@
 }
 
 impl Pool {
-    fn limit(&self, upstream: &Upstream) -> Option<&Limit> {
+    fn limit(&self, now: Timestamp, upstream: &Upstream) -> Option<&Limit> {
+        if self.limits.is_empty() {
+            return None;
+        }
         let entry = &upstream.entry;
         let limit = self.limits.get(&entry.id)?;
-        (entry.started_at == limit.run && limit.rate.is_some()).then_some(limit)
+        (entry.started_at == limit.run && limit.effective(now).is_some()).then_some(limit)
     }
 
     /// Returns whether an upstream may get a request as far as the rate that it states is concerned.
     pub(super) fn limit_allows(&self, now: Timestamp, upstream: &Upstream) -> bool {
-        let limit = self.limit(upstream);
+        let limit = self.limit(now, upstream);
         limit.is_none_or(|limit| limit.usable(now).next().is_some())
     }
 
@@ -217,40 +234,62 @@
     }
 
     fn set_rate(&mut self, at: Timestamp, upstream: &Name, run: u64, rate: Option<Rate>) {
-        if let Some(limit) = self.limits.get_mut(upstream) {
-            if limit.run == run {
-                (limit.rate, limit.stated_at) = (rate, limit.stated_at.max(at));
-                return;
+        let limit = self.limit_of_run(at, upstream, run);
+        (limit.rate, limit.stated_at) = (rate, limit.stated_at.max(at));
+    }
+
+    /// Returns the limit of a run, which replaces that of another run of the upstream.
+    fn limit_of_run(&mut self, at: Timestamp, upstream: &Name, run: u64) -> &mut Limit {
+        if self.limits.get(upstream).map(|limit| limit.run) != Some(run) {
+            let expired = |limit: &Limit| {
+                limit.effective(at).is_none() && at.since(limit.stated_at) >= MAX_STATEMENT_AGE
+            };
+            self.limits.retain(|_, limit| !expired(limit));
+            if let Some(limit) = self.limits.shift_remove(upstream) {
+                self.keep_limit(upstream, limit);
+            }
+            if self.limits.len() >= MAX_LIMITS {
+                let mut names = self.limits.keys();
+                let unlisted = names.position(|name| !self.upstreams.contains_key(name));
+                self.limits.shift_remove_index(unlisted.unwrap_or(0));
             }
         }
-        let expired =
-            |limit: &Limit| limit.rate.is_none() && at.since(limit.stated_at) >= MAX_STATEMENT_AGE;
-        self.limits.retain(|_, limit| !expired(limit));
-        if let Some(limit) = self.limits.shift_remove(upstream) {
-            self.keep_limit(upstream, limit);
-        }
-        if self.limits.len() >= MAX_LIMITS {
-            let mut names = self.limits.keys();
-            let unlisted = names.position(|name| !self.upstreams.contains_key(name));
-            self.limits.shift_remove_index(unlisted.unwrap_or(0));
+        let new = || Limit::new(run, None, Timestamp::ZERO);
+        self.limits.entry(upstream.clone()).or_insert_with(new)
+    }
+
+    /// Records that the listed run of an upstream is cold until `warm_at` and takes `rate` from all routers
+    /// together until then. Returns whether it was not known to be cold.
+    pub fn record_cold(
+        &mut self,
+        now: Timestamp,
+        upstream: &Name,
+        run: u64,
+        (rate, warm_at): (Rate, Timestamp),
+    ) -> bool {
+        let listed = self.upstreams.get(upstream);
+        if listed.is_none_or(|listed| listed.entry.started_at != run) {
+            return false;
         }
-        self.limits
-            .insert(upstream.clone(), Limit::new(run, rate, at));
+        let limit = self.limit_of_run(now, upstream, run);
+        let was_cold = limit.cold.is_some_and(|(_, until)| now < until);
+        limit.cold = Some((rate, warm_at));
+        !was_cold
     }
 
-    /// Returns whether any listed upstream states a rate.
+    /// Returns whether any listed upstream takes a limited rate.
     #[must_use]
-    pub fn is_limited(&self) -> bool {
+    pub fn is_limited(&self, now: Timestamp) -> bool {
         let mut upstreams = self.upstreams.values();
-        !self.limits.is_empty() && upstreams.any(|upstream| self.rate(upstream).is_some())
+        !self.limits.is_empty() && upstreams.any(|upstream| self.rate(now, upstream).is_some())
     }
 
-    /// Returns the number of upstreams that state a rate.
+    /// Returns the number of upstreams that take a limited rate.
     #[must_use]
-    pub fn limited_count(&self) -> usize {
+    pub fn limited_count(&self, now: Timestamp) -> usize {
         let upstreams = self.upstreams.values();
         upstreams
-            .filter(|upstream| self.rate(upstream).is_some())
+            .filter(|upstream| self.rate(now, upstream).is_some())
             .count()
     }
 
@@ -260,9 +299,10 @@
         self.limits.get(upstream).map(|limit| limit.statement(now))
     }
 
-    /// Returns the rate that an upstream states.
-    pub(super) fn rate(&self, upstream: &Upstream) -> Option<Rate> {
-        self.limit(upstream).and_then(|limit| limit.rate)
+    /// Returns the rate that limits an upstream.
+    pub(super) fn rate(&self, now: Timestamp, upstream: &Upstream) -> Option<Rate> {
+        let limit = self.limit(now, upstream)?;
+        limit.effective(now)
     }
 
     /// Returns what upstreams stated within `max_age`, for the other routers.
@@ -307,11 +347,11 @@
                 && upstream.requests() < upstream.entry.slots
         });
         let limited = accepting.filter(is_same).filter_map(|upstream| {
-            let limit = self.limit(upstream)?;
+            let limit = self.limit(now, upstream)?;
             let id = &upstream.entry.id;
             let count = planned.get(id).copied().unwrap_or_default();
             let further = u64::from((count + 1).saturating_sub(limit.expected(now)));
-            let interval = limit.rate?.interval().as_micros();
+            let interval = limit.effective(now)?.interval().as_micros();
             let wait =
                 limit.expected_at.since(now).as_micros() + interval * further.saturating_sub(1);
             let is_failing = upstream.unavailable_until > now;
@@ -350,7 +390,7 @@
         let Some(limit) = self.limits.get_mut(upstream) else {
             return;
         };
-        let (Some(rate), Some(since)) = (limit.rate, limit.unanswered_since) else {
+        let (Some(rate), Some(since)) = (limit.effective(now), limit.unanswered_since) else {
             return;
         };
         if now.since(since) < UNANSWERED_TIMEOUT || now < limit.alone_at {
@@ -406,7 +446,7 @@
         (credits, asked_us): (u32, u64),
     ) {
         let limit = self.limits.get_mut(upstream);
-        let Some(limit) = limit.filter(|limit| limit.rate.is_some()) else {
+        let Some(limit) = limit.filter(|limit| limit.effective(now).is_some()) else {
             return;
         };
         let new = || Allocator::new(since.max(now));
@@ -424,7 +464,7 @@
     /// Returns the credits that this router hands out now as an allocator, by upstream.
     pub fn allocate(&mut self, now: Timestamp) -> Vec<(Name, Grant)> {
         let limits = self.limits.iter_mut().filter_map(|(id, limit)| {
-            let (rate, allocator) = (limit.rate?, limit.allocator.as_mut()?);
+            let (rate, allocator) = (limit.effective(now)?, limit.allocator.as_mut()?);
             Some((id, allocator.allocate(now, rate)))
         });
         let grants = limits.flat_map(|(id, grants)| {
@@ -461,7 +501,7 @@
         software: Option<&Software>,
     ) -> Span {
         self.shortest(avoid, software, |upstream| {
-            let limit = self.limit(upstream);
+            let limit = self.limit(now, upstream);
             let limit = limit.filter(|limit| limit.usable(now).next().is_none());
             let credit = limit.map_or(Span::ZERO, |limit| limit.expected_at.since(now));
             credit.max(self.pause_left(now, upstream))
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -11,7 +11,7 @@
     pool::{Choice, Constraints, Pool},
     prompt::Prompt,
     queue::{Queue, QueuedRequest, Standing},
-    rate::MAX_DEMAND,
+    rate::{Rate, MAX_DEMAND},
 };
 
 /// Processing time of the prompts pending at an engine above which further requests wait at the
@@ -44,6 +44,7 @@
     engine: Option<table::Engine>,
     tokens_per_s: Option<u64>,
     connections: u32,
+    cold_rate: Option<Rate>,
     /// Requests since [`Service::plan_credits`] was called.
     arrivals: u32,
 }
@@ -60,6 +61,7 @@
             engine: None,
             tokens_per_s: None,
             connections: u32::MAX,
+            cold_rate: None,
             arrivals: 0,
         }
     }
@@ -69,6 +71,10 @@
         self.engine = service.engine;
         self.tokens_per_s = limits.tokens_per_s;
         self.connections = service.max_connections;
+        let per_s = service
+            .cold_interval
+            .map(|interval| interval.as_secs_f64().recip());
+        self.cold_rate = per_s.and_then(Rate::new);
     }
 
     /// Returns the maximum number of idle connections to one upstream that each router keeps, in a
@@ -79,7 +85,7 @@
     /// use tsw_flow::{budget::RetryBudget, service::Service};
     /// use tsw_route::table;
     /// let mut service = Service::new(RetryBudget::new(Span::from_secs(10), 0.2, 50.0));
-    /// let configured = table::Service { max_connections: 540, engine: None };
+    /// let configured = table::Service { max_connections: 540, engine: None, cold_interval: None };
     /// service.configure(&configured, &table::Limits::default());
     /// assert_eq!(service.idle_connections(9), 30);
     /// ```
@@ -89,6 +95,15 @@
         (kept as usize).max(1)
     }
 
+    /// Records that the listed run of an upstream is cold until `warm_at`, and returns whether that limits its rate
+    /// from now on. The configuration states the rate that cold upstreams take; without one they are used like
+    /// others.
+    pub fn record_cold(&mut self, now: Timestamp, id: &Name, run: u64, warm_at: Timestamp) -> bool {
+        let pool = &mut self.pool;
+        self.cold_rate
+            .is_some_and(|rate| pool.record_cold(now, id, run, (rate, warm_at)))
+    }
+
     /// Returns the limits of the engines; `None` for plain services.
     #[must_use]
     pub const fn engine(&self) -> Option<table::Engine> {
@@ -148,7 +163,7 @@
     #[must_use]
     pub fn needs_credits(&self, now: Timestamp) -> bool {
         let has_requests = self.arrivals > 0 || !self.queue.is_empty();
-        self.pool.is_limited() && has_requests || self.pool.has_demand(now)
+        self.pool.is_limited(now) && has_requests || self.pool.has_demand(now)
     }
 
     /// Returns the number of credits to ask for at each upstream that states a rate, given the upstreams
--- a/crates/flow/tests/rate_limit.rs
+++ b/crates/flow/tests/rate_limit.rs
@@ -336,11 +336,11 @@
     let mut pool = pool();
     let choice = plain::choose(&pool, at(0)).expect("no limit");
     pool.record_rate(at(0), &choice, at(0), rate(2.0));
-    assert!(pool.is_limited());
+    assert!(pool.is_limited(at(0)));
     pool.set_entries(Vec::new(), None);
-    assert!(!pool.is_limited());
+    assert!(!pool.is_limited(at(0)));
     pool.set_entries(vec![entry(1)], None);
-    assert!(pool.is_limited(), "the same run is listed again");
+    assert!(pool.is_limited(at(0)), "the same run is listed again");
 }
 
 /// Guards against an old statement that replaces a later one on its way between routers.
--- a/crates/flow/tests/share.rs
+++ b/crates/flow/tests/share.rs
@@ -57,6 +57,7 @@
             };
             let configured = table::Service {
                 max_connections: 360,
+                cold_interval: None,
                 engine: Some(engine),
             };
             let limits = Limits {
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::time;
 use tsw_event::{emit, Event};
-use tsw_flow::registry::Position;
+use tsw_flow::{evacuation, registry::Position};
 use tsw_http::{
     connection::Connection,
     exchange::{self, Exchange},
@@ -17,7 +17,7 @@
 
 use crate::{
     state::State,
-    store_copy::{KnownRevisions, StoreDelta},
+    store_copy::{Evacuated, KnownRevisions, StoreDelta},
 };
 
 /// Path of the endpoint; its query is [`KnownRevisions::query`].
@@ -53,7 +53,19 @@
 #[must_use]
 pub fn delta(state: &State, known: &KnownRevisions) -> StoreDelta {
     let revision = state.registry.borrow().position().revision;
-    state.store_copy.borrow().since(known, revision)
+    let delta = state.store_copy.borrow().since(known, revision);
+    let evacuations = state.evacuations.borrow();
+    let Position { era, revision } = evacuations.position();
+    let domains = evacuations.domains().iter().map(ToString::to_string);
+    StoreDelta {
+        // Nothing follows the era where no domain was ever evacuated.
+        evacuated: evacuations.has_changed().then(|| Evacuated {
+            era,
+            revision,
+            domains: domains.collect(),
+        }),
+        ..delta
+    }
 }
 
 /// Compares this router with its peers until the process ends, and reads from one that is ahead.
@@ -140,7 +152,25 @@
     Ok(StoreDelta::decode(&body)?)
 }
 
+fn apply_evacuated(state: &State, peer: &Member, evacuated: &Evacuated) {
+    let Evacuated {
+        era,
+        revision,
+        ref domains,
+    } = *evacuated;
+    let domains = domains.iter().map(|domain| evacuation::Change {
+        domain: domain.as_str().into(),
+        is_evacuated: true,
+        revision,
+    });
+    let domains: Vec<evacuation::Change> = domains.collect();
+    state.apply_evacuations(Position { era, revision }, true, &domains, &peer.host);
+}
+
 fn apply(state: &Rc<State>, peer: &Member, delta: StoreDelta) {
+    if let Some(evacuated) = &delta.evacuated {
+        apply_evacuated(state, peer, evacuated);
+    }
     if !delta.configuration.is_empty() {
         state.offer_configuration(&delta.configuration.into(), &peer.host);
     }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -183,6 +183,7 @@
         settings: RefCell::new(settings),
         router,
         registry: RefCell::new(Registry::default()),
+        evacuations: RefCell::default(),
         store_copy: RefCell::new(StoreCopy::default()),
         read_since: Cell::default(),
         routers_at_read: Cell::default(),
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -11,6 +11,7 @@
 use tsw_config::gateway;
 use tsw_event::{emit, Event};
 use tsw_flow::{
+    evacuation::{self, Evacuations},
     history::History,
     owner::{self, Node},
     pool::Entry,
@@ -65,6 +66,8 @@
     pub audience: RefCell<Audience>,
     /// The upstreams listed by the platform.
     pub registry: RefCell<Registry>,
+    /// The failure domains that the operators evacuate.
+    pub evacuations: RefCell<Evacuations>,
     /// Copy of the store's content, for the requests of peers.
     pub store_copy: RefCell<StoreCopy>,
     /// Start of the current uninterrupted period of successful reads of the store.
@@ -362,19 +365,64 @@
                 // Even an entry that is ignored shows which software served until recently.
                 self.router.record_software(now, entry);
             }
+            // Heartbeats are not passed on to peers, unless one states that the upstream has become cold again.
+            let is_colder = change != Change::Stale && self.record_cold(item, offered.as_ref());
             log_change(change, item.revision, before, offered);
             match change {
                 Change::Stale => {}
-                Change::Heartbeat => {
+                Change::Heartbeat if !is_colder => {
                     store_copy.set_heartbeat(&key, item.revision, content.as_ref())
                 }
-                Change::Content | Change::Pending | Change::Withheld => {
+                Change::Heartbeat | Change::Content | Change::Pending | Change::Withheld => {
                     store_copy.set_entry(key, item.revision, content)
                 }
             }
         }
     }
 
+    /// Records for how long the upstream of an entry is cold, and returns whether that is longer than known before.
+    fn record_cold(&self, item: &Item, entry: Option<&Entry>) -> bool {
+        let (Some(entry), Some(bytes)) = (entry, &item.value) else {
+            return false;
+        };
+        let left = upstream::decode_cold(bytes);
+        left > Span::ZERO && self.router.record_cold(entry, left)
+    }
+
+    /// Applies what the store or a peer says of evacuations as of a position, see [`Evacuations::apply`].
+    pub fn apply_evacuations(
+        &self,
+        position: Position,
+        complete: bool,
+        changes: &[evacuation::Change],
+        source: &str,
+    ) {
+        let mut evacuations = self.evacuations.borrow_mut();
+        let before = evacuations.domains().clone();
+        if !evacuations.apply(position, complete, changes) {
+            return;
+        }
+        let domains = evacuations.domains().clone();
+        drop(evacuations);
+        for domain in domains.symmetric_difference(&before) {
+            let event = if domains.contains(domain) {
+                Event::DomainEvacuated
+            } else {
+                Event::DomainReturned
+            };
+            let revision = position.revision;
+            emit(
+                event,
+                &[
+                    ("domain", domain),
+                    ("source", &source),
+                    ("revision", &revision),
+                ],
+            );
+        }
+        self.router.set_evacuated(domains);
+    }
+
     /// Removes the entries that are missing from a complete list as of `revision`.
     fn apply_list(&self, items: &[Item], revision: u64) {
         let keys: Vec<Name> = items
--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -68,6 +68,20 @@
     /// know it ignore it.
     #[serde(skip)]
     pub era: Option<u64>,
+    /// Evacuated failure domains; `None` if none was ever known to be evacuated. They follow the era.
+    #[serde(skip)]
+    pub evacuated: Option<Evacuated>,
+}
+
+/// The evacuated failure domains as of a point in the store's history.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evacuated {
+    /// Era of the store.
+    pub era: Option<u64>,
+    /// Revision of the store.
+    pub revision: u64,
+    /// Names of the domains.
+    pub domains: Vec<String>,
 }
 
 impl StoreDelta {
@@ -84,7 +98,11 @@
     /// # Ok::<(), postcard::Error>(())
     /// ```
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_extend(&self.era, postcard::to_allocvec(self)?)
+        let bytes = postcard::to_extend(&self.era, postcard::to_allocvec(self)?)?;
+        match &self.evacuated {
+            Some(evacuated) => postcard::to_extend(evacuated, bytes),
+            None => Ok(bytes),
+        }
     }
 
     /// Decodes the content sent by a peer. The era is unknown if the peer does not state it.
@@ -95,7 +113,11 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut delta, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         if !rest.is_empty() {
-            delta.era = postcard::from_bytes(rest)?;
+            let (era, rest) = postcard::take_from_bytes(rest)?;
+            delta.era = era;
+            if !rest.is_empty() {
+                delta.evacuated = Some(postcard::from_bytes(rest)?);
+            }
         }
         Ok(delta)
     }
@@ -227,6 +249,7 @@
             complete,
             entries: entries.chain(removed).collect(),
             era: self.era,
+            evacuated: None,
         }
     }
 
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -8,10 +8,10 @@
 use rand::Rng;
 use tokio::time;
 use tsw_event::{emit, Event};
-use tsw_flow::registry::Position;
+use tsw_flow::{evacuation, registry::Position};
 use tsw_platform::{
     configuration,
-    store::{Error, Items, Store},
+    store::{Error, Item, Items, Store},
     upstream,
 };
 
@@ -153,12 +153,25 @@
             for bytes in newest.filter_map(|item| item.value.as_ref()) {
                 state.offer_configuration(bytes, "store");
             }
+            let changes = items.items.iter().filter_map(evacuation_change);
+            let changes: Vec<evacuation::Change> = changes.collect();
+            state.apply_evacuations(items.position, complete, &changes, "store");
             true
         }
         Subject::Upstreams => state.apply_upstreams(&items.items, items.position, complete),
     }
 }
 
+/// Returns what an item says of the evacuation of a failure domain; `None` if it is another item.
+fn evacuation_change(item: &Item) -> Option<evacuation::Change> {
+    let domain = item.key.strip_prefix(configuration::EVACUATION_PREFIX)?;
+    Some(evacuation::Change {
+        domain: domain.into(),
+        is_evacuated: item.value.is_some(),
+        revision: item.revision,
+    })
+}
+
 /// Randomizes a pause by up to 20% so that routers started together do not call simultaneously.
 fn jitter(pause: Duration) -> Duration {
     pause.mul_f64(rand::thread_rng().gen_range(0.8..1.2))
--- a/crates/relay/src/credits.rs
+++ b/crates/relay/src/credits.rs
@@ -43,7 +43,7 @@
         let mut services = self.services.borrow_mut();
         let limited = services
             .iter_mut()
-            .filter(|(_, service)| service.pool.is_limited());
+            .filter(|(_, service)| service.pool.is_limited(now));
         let questions = limited.flat_map(|(name, service)| {
             let constraints = |number: u64| waiters.constraints(name, number);
             let planned = service.plan_credits(now, constraints);
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -203,7 +203,7 @@
             let queued = queued(request, standing, until, false);
             Ok(Err(Ok((service.queue.push(queued), until))))
         });
-        let limited = self.with_service(&request.service, |service| service.pool.is_limited());
+        let limited = self.with_service(&request.service, |service| service.pool.is_limited(now));
         if limited == Some(true) {
             self.credits_needed.notify_one();
         }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -9,7 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{watch, Notify};
 use tsw_base::time::{Span, Timestamp};
-use tsw_event::contained;
+use tsw_event::{contained, emit, Event};
 use tsw_flow::{
     account::{self, Work},
     budget::RetryBudget,
@@ -17,6 +17,7 @@
     pool::{Entry, Usage},
     prompt::Part,
     resumption::Resumptions,
+    run,
     service::Service,
 };
 use tsw_http::pool;
@@ -37,6 +38,9 @@
 /// Initial value of the clock, so that all events are later than [`Timestamp::ZERO`].
 const CLOCK_START: Span = Span::from_secs(60);
 
+/// Difference between two statements of when an upstream is warm that the delay of a heartbeat explains.
+const COLD_TOLERANCE: Span = Span::from_millis(1_000);
+
 /// Limits on the retries of the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
@@ -95,6 +99,10 @@
     pub(crate) start_states: RefCell<IndexMap<Name, StartState>>,
     current: RefCell<active::ActiveTable>,
     entries: RefCell<Vec<Entry>>,
+    /// Failure domains whose upstreams get no new requests.
+    evacuated: RefCell<IndexSet<Name>>,
+    /// When the runs of upstreams that are cold will be warm.
+    cold_runs: RefCell<run::Map<Timestamp>>,
     owned: RefCell<IndexSet<Name>>,
     pub(crate) crash_detector: RefCell<CrashDetector>,
     pub(crate) broken_connections: RefCell<BrokenConnections>,
@@ -151,6 +159,8 @@
             start_states: RefCell::default(),
             current: RefCell::default(),
             entries: RefCell::default(),
+            evacuated: RefCell::default(),
+            cold_runs: RefCell::default(),
             owned: RefCell::default(),
             crash_detector: RefCell::new(CrashDetector::without_isolation()),
             broken_connections: RefCell::default(),
@@ -241,6 +251,48 @@
         }
     }
 
+    /// Sets the failure domains whose upstreams get no new requests. Requests that run there go on.
+    pub fn set_evacuated(self: &Rc<Self>, domains: IndexSet<Name>) {
+        *self.evacuated.borrow_mut() = domains;
+        self.configure();
+    }
+
+    /// Records that a run of an upstream is cold for `left`, and returns whether that is longer than known before.
+    pub fn record_cold(&self, entry: &Entry, left: Span) -> bool {
+        let now = self.now();
+        let warm_at = now + left;
+        let mut cold_runs = self.cold_runs.borrow_mut();
+        cold_runs.retain(|warm_at| now < *warm_at);
+        let known = cold_runs.get(&entry.id, entry.started_at).copied();
+        cold_runs.insert(&entry.id, entry.started_at, warm_at, |_| true);
+        known.is_none_or(|known| warm_at.since(known) > COLD_TOLERANCE)
+    }
+
+    /// Limits the rates of the upstreams of a service that are cold.
+    fn apply_cold_runs(&self, name: &Name, service: &mut Service) {
+        let (now, cold_runs) = (self.now(), self.cold_runs.borrow());
+        if cold_runs.is_empty() {
+            return;
+        }
+        let entries = self.entries.borrow();
+        for entry in entries.iter().filter(|entry| entry.service == *name) {
+            let warm_at = cold_runs.get(&entry.id, entry.started_at).copied();
+            let Some(warm_at) = warm_at.filter(|warm_at| now < *warm_at) else {
+                continue;
+            };
+            if service.record_cold(now, &entry.id, entry.started_at, warm_at) {
+                emit(
+                    Event::UpstreamCold,
+                    &[
+                        ("upstream", &entry.id),
+                        ("service", name),
+                        ("left_ms", &warm_at.since(now).as_millis()),
+                    ],
+                );
+            }
+        }
+    }
+
     fn configure(self: &Rc<Self>) {
         let Some(table) = self.table() else { return };
         {
@@ -257,13 +309,16 @@
                 });
                 service.configure(config, &table.limits);
             }
-            let entries = self.entries.borrow();
+            let (entries, evacuated) = (self.entries.borrow(), self.evacuated.borrow());
             for (name, service) in services.iter_mut() {
                 let own = entries.iter().filter(|entry| entry.service == *name);
-                service
-                    .pool
-                    .set_entries(own.cloned().collect(), service.engine());
+                let own = own.map(|entry| Entry {
+                    leaving: entry.leaving || evacuated.contains(&entry.domain),
+                    ..entry.clone()
+                });
+                service.pool.set_entries(own.collect(), service.engine());
                 service.pool.set_owned(&self.owned.borrow());
+                self.apply_cold_runs(name, service);
             }
         }
         self.count_upstreams();
@@ -272,6 +327,7 @@
 
     /// Updates the metrics of the upstreams that accept requests, and of those that state a rate.
     pub(crate) fn count_upstreams(&self) {
+        let now = self.now();
         let services = self.services.borrow();
         let accepting: usize = services
             .values()
@@ -280,7 +336,7 @@
         self.metrics.upstreams.set(accepting as i64);
         let limited: usize = services
             .values()
-            .map(|service| service.pool.limited_count())
+            .map(|service| service.pool.limited_count(now))
             .sum();
         self.metrics.limited.set(limited as i64);
     }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -110,6 +110,9 @@
     pub max_connections: u32,
     /// Limits of each engine; `None` for plain services.
     pub engine: Option<Engine>,
+    /// Shortest interval between requests to an upstream while it is cold, summed over all routers; `None` if
+    /// upstreams take any rate from their start.
+    pub cold_interval: Option<Duration>,
 }
 
 /// Limits of a model engine.
