Choose upstreams by speed, stated load and draws, and serve sizes alike

Cause: routers chose the plain upstream that reports of 100 to 400 ms ago showed as the least loaded, all of them the same; engines that were slow got as much as others; long prompts paused all streams of an engine although others had few; small requests kept the large ones of a team over its share out. A queue that could not move was ordered anew every 5 ms.

Change: with old reports a plain upstream is the less loaded one of two drawn at random. The load in a response replaces older reports for 150 ms. An engine whose pauses between events are 1.3 times the median costs more. The cost contains the delay of the streams that run there. Size classes that are behind the others of their team may start up to 1.05 times its limit. No round starts while no upstream has room.

--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -4,8 +4,11 @@
 mod engine;
 mod limit;
 mod pause;
+mod plain;
+mod speed;
 
 pub use limit::{Question, Statement};
+pub use speed::Load;
 
 use std::net::SocketAddr;
 
@@ -20,8 +23,6 @@
     run,
 };
 
-/// Added to the cost of a plain upstream in another failure domain, in requests.
-const REMOTE_DOMAIN_COST: f64 = 0.3;
 /// Smoothing factor of the failure rate: the weight of each new result.
 const FAILURE_RATE_SMOOTHING: f64 = 0.25;
 /// Half-life of the failure rate of an upstream that gets no requests, in seconds.
@@ -112,6 +113,10 @@
     /// Current backoff; zero after a complete response.
     backoff: Span,
     unavailable_until: Timestamp,
+    /// What it last stated about its load.
+    stated: Option<speed::StatedLoad>,
+    /// Pauses between the events of its streams.
+    pauses: speed::Pauses,
 }
 
 impl Upstream {
@@ -125,6 +130,8 @@
             rated_at: Timestamp::ZERO,
             backoff: Span::ZERO,
             unavailable_until: Timestamp::ZERO,
+            stated: None,
+            pauses: speed::Pauses::default(),
         }
     }
 
@@ -148,6 +155,9 @@
     }
 
     fn failure_rate(&self, now: Timestamp) -> f64 {
+        if self.failure_rate == 0.0 {
+            return 0.0;
+        }
         let elapsed = now.since(self.rated_at).as_secs_f64();
         self.failure_rate * 0.5f64.powf(elapsed / FAILURE_RATE_HALF_LIFE_S)
     }
@@ -225,6 +235,8 @@
     former_limits: run::Map<limit::Limit>,
     /// Upstreams that stated a rate that cannot be used, with the start of the run that did.
     unusable_rates: IndexMap<Name, u64>,
+    /// Typical pause between the events of a stream.
+    typical: speed::Typical,
 }
 
 impl Pool {
@@ -373,6 +385,27 @@
         slots.fold(0, u32::saturating_add)
     }
 
+    /// Returns whether any upstream may have room for a further request: without it, [`Pool::choose`] finds none.
+    #[must_use]
+    pub fn has_room(
+        &self,
+        now: Timestamp,
+        is_engine: bool,
+        max_pending_tokens: u64,
+        extra_slots: u32,
+    ) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|upstream| {
+            let pending = upstream.pending_tokens();
+            let (slots, requests) = (upstream.entry.slots, upstream.occupancy(now));
+            if is_engine {
+                requests < slots && (pending == 0 || pending <= max_pending_tokens)
+            } else {
+                requests < slots.saturating_add(extra_slots)
+            }
+        })
+    }
+
     /// Chooses the upstream with the lowest cost for a request, or `None` if none has room for it.
     ///
     /// Unhealthy upstreams are only considered if no eligible one is healthy.
@@ -398,7 +431,7 @@
         };
         let choice = match constraints.prompt {
             Some(prompt) => engine::choose(now, self, &candidates, constraints, prompt),
-            None => choose_plain(now, &candidates, constraints),
+            None => plain::choose(now, &candidates, constraints),
         };
         choice.map(|choice| Choice {
             software: self.software(&self.upstreams[&choice.id].entry),
@@ -482,28 +515,3 @@
         }
     }
 }
-
-/// Chooses the upstream with the lowest usage relative to its slots, weighted by failure rate and
-/// failure domain.
-fn choose_plain(
-    now: Timestamp,
-    candidates: &[&Upstream],
-    constraints: &Constraints<'_>,
-) -> Option<Choice> {
-    let fits = candidates.iter().filter_map(|upstream| {
-        let slots = upstream.entry.slots;
-        if upstream.requests() >= slots.saturating_add(constraints.extra_slots) {
-            return None;
-        }
-        let remote = if &*upstream.entry.domain == constraints.domain {
-            0.0
-        } else {
-            REMOTE_DOMAIN_COST
-        };
-        let slots = f64::from(slots.max(1));
-        let cost = (f64::from(upstream.requests()) + remote) / slots;
-        Some((cost + 4.0 * upstream.failure_rate(now), *upstream))
-    });
-    let best = fits.min_by(|a, b| a.0.total_cmp(&b.0));
-    best.map(|(_, upstream)| upstream.choice(0, None))
-}
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -11,6 +11,9 @@
 /// Cost of a running request. It lengthens each engine step by about 0.1 ms, in which an engine
 /// processes 5 to 6 prompt tokens; a prompt takes some ten steps.
 const RUNNING_REQUEST_COST: u64 = 60;
+/// Weight of the delay of the streams at an engine, in percent of the prompt's own delay where all slots are in use. With 100,
+/// fewer streams of engines with 12 slots were in time; with much more, engines with 64 slots read shared parts again.
+const DELAY_PERCENT: u64 = 150;
 /// Minimum number of tokens to fetch. A fetch delays an engine about as much as processing these
 /// tokens does.
 const MIN_FETCH_TOKENS: u64 = 60;
@@ -55,11 +58,12 @@
     let mut each: Vec<CachedPrefix<'_>> = each.collect();
     if each.iter().all(|cached| cached.tokens < shared) {
         let key = parts.last().map_or(0, |part| part.id);
-        let rank = |cached: &&mut CachedPrefix<'_>| {
+        let rank = |cached: &CachedPrefix<'a>| {
             let id = &*cached.upstream.entry.id;
-            (rendezvous::weight(key, id), id.to_owned())
+            (rendezvous::weight(key, id), id)
         };
-        if let Some(preferred) = each.iter_mut().max_by_key(rank) {
+        let preferred = each.iter_mut().max_by(|a, b| rank(a).cmp(&rank(b)));
+        if let Some(preferred) = preferred {
             preferred.preferred_tokens = shared - preferred.tokens;
         }
     }
@@ -82,12 +86,18 @@
         let (transferred, fetch) =
             source.map_or((0, None), |source| fetch(constraints, cached, source));
         let uncached = prompt.tokens.saturating_sub(cached.tokens + transferred);
-        let pending = upstream.pending_tokens();
-        let room = pending == 0 || pending + uncached <= constraints.max_pending_tokens;
-        if !room || upstream.requests() >= upstream.entry.slots {
+        let (pending, slowness) = (upstream.pending_tokens(), pool.slowness(now, upstream));
+        let requests = upstream.occupancy(now);
+        let prefill = (pending + uncached) as f64 * slowness;
+        let room = pending == 0 || prefill <= constraints.max_pending_tokens as f64;
+        if !room || requests >= upstream.entry.slots {
             return None;
         }
-        let running = u64::from(upstream.requests()) * RUNNING_REQUEST_COST;
+        // All streams at the engine pause while it processes the prompt, so that a long one prefers engines with few streams
+        // for their slots, and short ones those that are left.
+        let delayed = uncached * u64::from(requests) * DELAY_PERCENT
+            / (100 * u64::from(upstream.entry.slots.max(1)));
+        let running = delayed.max(u64::from(requests) * RUNNING_REQUEST_COST);
         let fetching = fetch.map_or(0, |_| {
             MIN_FETCH_TOKENS + transferred / TRANSFERRED_PER_PROCESSED
         });
@@ -109,7 +119,7 @@
             0
         };
         let cost = cost.saturating_sub(cached.preferred_tokens + credit) as f64;
-        let cost = cost * (1.0 + 2.0 * upstream.failure_rate(now));
+        let cost = cost * slowness * (1.0 + 2.0 * upstream.failure_rate(now));
         Some((cost, upstream, uncached, fetch))
     });
     let best = candidates.min_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 
+use indexmap::IndexMap;
 use tsw_base::time::{Span, Timestamp};
 use tsw_route::Name;
 
@@ -151,8 +152,12 @@
     #[must_use]
     pub fn start_order(&self, now: Timestamp, accounts: &Accounts) -> Vec<QueuedRequest> {
         let mut order = self.waiting.clone();
+        let mut served_by_team: IndexMap<Name, f64> = IndexMap::new();
         order.sort_by_cached_key(|waiting| {
-            let served = accounts.team(now, &waiting.team).served;
+            let served = || accounts.team(now, &waiting.team).served;
+            let served = *served_by_team
+                .entry(waiting.team.clone())
+                .or_insert_with(served);
             let late = waiting.objective_at < now;
             let standing = Reverse(waiting.standing);
             (
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -7,6 +7,7 @@
 use crate::{
     account::{self, Accounts},
     budget::RetryBudget,
+    mix::Mix,
     origin::Software,
     pool::{Choice, Constraints, Pool},
     prompt::Prompt,
@@ -37,6 +38,8 @@
     pub pool: Pool,
     /// Recent work of each team.
     pub accounts: Accounts,
+    /// Part of the work of each size class that each team is served.
+    mix: Mix,
     /// Waiting requests.
     pub queue: Queue,
     /// Retry budget.
@@ -56,6 +59,7 @@
         Self {
             pool: Pool::default(),
             accounts: Accounts::default(),
+            mix: Mix::default(),
             queue: Queue::default(),
             retries,
             engine: None,
@@ -127,6 +131,17 @@
         configured.unwrap_or(DEFAULT_PREFILL_PER_S).max(1)
     }
 
+    fn max_pending_tokens(&self) -> u64 {
+        self.prefill_per_s() * MAX_PENDING_TIME.as_millis() / 1_000
+    }
+
+    /// Returns whether any upstream may have room for a further request.
+    #[must_use]
+    pub fn has_room(&self, now: Timestamp) -> bool {
+        let (is_engine, max) = (self.engine.is_some(), self.max_pending_tokens());
+        self.pool.has_room(now, is_engine, max, EXTRA_PLAIN_SLOTS)
+    }
+
     /// Chooses an upstream with room for a request, of one software if that has to continue a stream.
     /// The reports of other routers are up to `report_age` old.
     #[must_use]
@@ -139,7 +154,7 @@
         software: Option<&Software>,
         report_age: Span,
     ) -> Option<Choice> {
-        let max_pending_tokens = self.prefill_per_s() * MAX_PENDING_TIME.as_millis() / 1_000;
+        let max_pending_tokens = self.max_pending_tokens();
         let constraints = Constraints {
             domain,
             prompt: prompt.filter(|_| self.engine.is_some()),
@@ -156,9 +171,16 @@
     /// Records that a request of a team arrived.
     pub fn record_request(&mut self, now: Timestamp, team: &Name, work: u64) {
         self.accounts.record_request(now, team, work);
+        self.mix.record_request(now, team, work);
         self.arrivals = self.arrivals.saturating_add(1);
     }
 
+    /// Records that a request of a team was started.
+    pub fn record_start(&mut self, now: Timestamp, team: &Name, work: u64) {
+        self.accounts.record_start(now, team, work);
+        self.mix.record_start(now, team, work);
+    }
+
     /// Returns whether credits for upstreams that state a rate are needed now.
     #[must_use]
     pub fn needs_credits(&self, now: Timestamp) -> bool {
@@ -226,10 +248,14 @@
     /// [`Standing::share_limit`](crate::queue::Standing::share_limit). It may if more than half
     /// of its work fits below the limit, or if the team has been served so little that it is due
     /// regardless of the size of the request.
+    ///
+    /// Requests of a size of which a smaller part is served than of the team's other work may start about up to the
+    /// limit, whatever their size.
     #[must_use]
     pub fn may_start(&self, now: Timestamp, team: &str, work: u64, limit: f64) -> bool {
         let served = self.accounts.team(now, team).served;
-        served + work as f64 / 2.0 < limit || served < limit * DUE_FRACTION
+        let fits = served + work as f64 / 2.0 < limit || served < limit * DUE_FRACTION;
+        fits || served < limit * BEHIND_FACTOR && self.mix.is_behind(now, team, work)
     }
 
     /// Returns whether the new requests of a team wait, since one of its team that states to resume a
@@ -283,5 +309,8 @@
 const PLAIN_REQUESTS_PER_SLOT_S: f64 = 30.0;
 /// Fraction of the fair share below which a team may start a request of any size.
 const DUE_FRACTION: f64 = 0.25;
+/// Factor of the limit up to which a team may start requests of a size that is behind its others. Small requests start until
+/// half of their work exceeds the limit, so that the team is seldom below it.
+const BEHIND_FACTOR: f64 = 1.05;
 /// Fraction of the configured capacity up to which requests are started.
 const CAPACITY_FACTOR: f64 = 1.05;
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -2,7 +2,10 @@
 
 use bytes::Bytes;
 use tsw_base::time::Span;
-use tsw_flow::{pool::Choice, rate::Rate};
+use tsw_flow::{
+    pool::{Choice, Load},
+    rate::Rate,
+};
 use tsw_http::{field::Fields, head};
 
 use crate::request::Request;
@@ -21,6 +24,8 @@
     pub pause: Option<Pause>,
     /// The request rate that the upstream takes from all routers together.
     pub rate: Option<StatedRate>,
+    /// The load that the upstream states.
+    pub load: Option<Load>,
 }
 
 /// A request rate that an upstream states in a response.
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -354,7 +354,8 @@
             let Some(service) = services.get_mut(name) else {
                 return;
             };
-            if service.queue.is_empty() {
+            // In an overload, most rounds find all upstreams full, and ordering a long queue costs much time.
+            if service.queue.is_empty() || !service.has_room(now) {
                 return;
             }
             let mut waiters = self.waiters.borrow_mut();
@@ -413,9 +414,7 @@
     request: &Request,
     choice: Choice,
 ) -> Choice {
-    service
-        .accounts
-        .record_start(now, &request.team().into(), request_work(request));
+    service.record_start(now, &request.team().into(), request_work(request));
     service.pool.use_credit(now, &choice);
     service.pool.begin(&choice, request.prompt.as_ref());
     choice
--- a/crates/relay/src/run/forward.rs
+++ b/crates/relay/src/run/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards the response of an upstream to the client.
 
 use bytes::{Bytes, BytesMut};
-use tsw_base::time::Timestamp;
+use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
 use tsw_flow::{
     origin::{Origin, Software},
@@ -48,6 +48,13 @@
             let since = now.since(self.request.arrived);
             self.router.metrics.first_event.observe(since.as_secs_f64());
         }
+        if let (Some(last), 1..) = (self.timing.last(), events) {
+            let pause = Span::from_micros(now.since(last).as_micros() / events);
+            self.router.with_service(&self.request.service, |service| {
+                let pool = &mut service.pool;
+                pool.record_pause_between_events(now, upstream, pause);
+            });
+        }
         self.timing.record(self.request.arrived, now, events);
         self.left_silent.clear();
         self.stalled_since.set(None);
--- a/crates/relay/src/statements.rs
+++ b/crates/relay/src/statements.rs
@@ -25,6 +25,12 @@
         sent_at: Timestamp,
     ) {
         self.record_rate(request, reservation, info.rate, sent_at);
+        if let Some(load) = info.load {
+            let (name, now) = (reservation.service(), self.now());
+            self.with_service(name, |service| {
+                service.pool.record_load(now, reservation.choice(), load);
+            });
+        }
         if info.leaving {
             self.record_leaving(request, reservation);
         }
