Bound the memory and descriptors that crowds of clients take

Cause: heads that arrive, parsed fields, requests sent ahead and the connections themselves were in no account, and nothing bounded their number. In a debug build with 64 MB, crowds took up to 119 MB and 2,196 descriptors of 1,000.

Change: connections to clients and to the endpoints are bounded by descriptors and memory; beyond that those that have waited longest for a request, or for the rest of one, are closed.

The own interface refused truncated responses without a length and statuses below 100 already; tests for further cases were added.

--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -8,7 +8,6 @@
     net::{tcp::ReadHalf, TcpStream},
     time,
 };
-use tsw_base::time::Span;
 use tsw_event::{
     contained::{self, Panicked},
     emit, Event,
@@ -20,32 +19,32 @@
 };
 use tsw_platform::client_request;
 use tsw_relay::{
-    local_response::{LocalResponse, Refusal},
+    local_response::LocalResponse,
     memory,
     request::Request,
     responder::{Progress, Responder},
     run::{self, Outcome},
 };
-use tsw_route::table::Limits;
 
 use crate::{
+    arrival::{Eviction, Wait},
     authorize::{self, Denied},
-    origin_sync,
+    origin_sync, request_body,
     state::{Phase, State},
 };
 
-/// Maximum time without new data while a request body is read.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum size in bytes of pipelined data buffered while a request runs.
-const MAX_PIPELINED: usize = 65_536;
+/// Maximum time for writing a response that the router generates itself, to a client that does not read.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum size in bytes of pipelined data buffered while a request runs. The rest waits in the buffers of the operating
+/// systems. A client that sends more ahead is noticed to have left only at the next write.
+const MAX_PIPELINED: usize = 4_096;
+/// Name under which heads that are still arriving take memory. No team has it, since names are not empty.
+const ARRIVING: &str = "";
 /// Time for which a connection is still read after a response that was sent before the whole
 /// request was read. Closing it immediately could reset the connection before the client reads the
 /// response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Response to a request whose body finds no memory. Bodies that are being sent take a moment.
-const OUT_OF_MEMORY: LocalResponse = LocalResponse::NotRun(Refusal::Memory, Span::from_millis(500));
-
 /// Increments a counter of requests or connections until it is dropped.
 struct CountGuard<'a>(&'a Cell<usize>);
 
@@ -68,12 +67,28 @@
 ///
 /// Returns an error if the connection fails.
 pub async fn serve(state: Rc<State>, stream: TcpStream) -> io::Result<()> {
-    let _open = CountGuard::new(&state.clients);
+    let Some(_open) = state.clients.open(state.max_clients()) else {
+        return Ok(());
+    };
     let mut connection = Connection::accepted(stream);
     let mut first = true;
-    while wait_for_request(&state, &mut connection).await? {
+    loop {
+        let wait = state.clients.wait();
+        let arrived = tokio::select! {
+            arrived = wait_for_request(&state, &mut connection) => arrived?,
+            _ = wait.evicted() => false,
+        };
+        if !arrived {
+            return Ok(());
+        }
         let _in_flight = CountGuard::new(&state.in_flight);
-        let head = match read_head(&state, &mut connection).await {
+        wait.record_part();
+        let mut share = state.router.memory.share(ARRIVING.into());
+        let head = tokio::select! {
+            head = read_head(&state, &mut connection, &mut share) => head,
+            _ = wait.evicted() => return Ok(()),
+        };
+        let head = match head {
             Ok(Ok(head)) => head,
             Ok(Err(response)) => return refuse(&state, connection, response).await,
             Err(error) => {
@@ -81,12 +96,22 @@
                 return Err(error);
             }
         };
+        drop(share);
         state.reuse.record(std::mem::take(&mut first));
-        if !serve_request(&state, &mut connection, head).await? {
-            break;
+        // The state of a request in progress is large; a connection that waits does not hold it.
+        let served = Box::pin(serve_request(&state, &mut connection, head, wait));
+        if !served.await? {
+            return Ok(());
         }
+        release_buffer(&mut connection);
+    }
+}
+
+/// Frees the buffer of a connection that waits for its next request.
+fn release_buffer(connection: &mut Connection) {
+    if connection.buffer.is_empty() {
+        connection.buffer = BytesMut::new();
     }
-    Ok(())
 }
 
 /// Waits until a request begins to arrive. Returns false if the connection is closed instead.
@@ -94,9 +119,14 @@
     let mut phase = state.phase.subscribe();
     let idle_since = time::Instant::now();
     while connection.buffer.is_empty() {
+        // An idle connection needs no buffer.
+        let arrives = async {
+            connection.stream.readable().await?;
+            connection.fill().await
+        };
         let deadline = idle_since + state.limits().idle_timeout;
         let closes = tokio::select! {
-            read = connection.fill() => {
+            read = arrives => {
                 if read? == 0 {
                     return Ok(false);
                 }
@@ -122,6 +152,7 @@
 async fn read_head(
     state: &State,
     connection: &mut Connection,
+    share: &mut memory::Share,
 ) -> io::Result<Result<head::Request, LocalResponse>> {
     let limits = state.limits();
     let deadline = time::Instant::now() + limits.head_timeout;
@@ -134,6 +165,15 @@
             }
             Err(_) => return Ok(Err(LocalResponse::Malformed)),
         }
+        if !request_body::take_memory(
+            state,
+            share,
+            request_body::capacity_after_read(&connection.buffer),
+        )
+        .await
+        {
+            return Ok(Err(request_body::OUT_OF_MEMORY));
+        }
         let read = match time::timeout_at(deadline, connection.fill()).await {
             Ok(read) => read?,
             Err(_) if connection.has_unread_bytes() => connection.fill().await?,
@@ -152,6 +192,7 @@
     response: LocalResponse,
 ) -> io::Result<()> {
     emit(Event::Refused, &[("cause", &response)]);
+    connection.buffer = BytesMut::new();
     let head = head::Request {
         method: Bytes::from_static(b"GET"),
         target: Bytes::from_static(b"/"),
@@ -160,7 +201,8 @@
     };
     let (_, writer) = connection.stream.split();
     let mut responder = Responder::new(writer, &head, true);
-    run::send_local_response(&state.router, &mut responder, None, response).await?;
+    let writing = run::send_local_response(&state.router, &mut responder, None, response);
+    time::timeout(WRITE_TIMEOUT, writing).await??;
     linger(&mut connection).await;
     Ok(())
 }
@@ -182,6 +224,7 @@
     state: &Rc<State>,
     connection: &mut Connection,
     head: head::Request,
+    wait: Wait,
 ) -> io::Result<bool> {
     let table = state.router.table();
     let checked = authorize::check(&head, table.as_ref());
@@ -189,21 +232,35 @@
         Ok(allowed) => allowed,
         Err(denied) => {
             let version = table.as_ref().map_or(0, |table| table.version);
-            return deny(state, connection, &head, &denied, version).await;
+            let denied = deny(state, connection, &head, &denied, version);
+            return time::timeout(WRITE_TIMEOUT, denied).await?;
         }
     };
     let mut share = state.router.memory.share(allowed.team_name());
-    let body = match read_body(connection, &head, &state.limits(), &mut share).await {
+    let body = tokio::select! {
+        body = request_body::read(state, connection, &head, &mut share) => body,
+        reason = wait.evicted() => match reason {
+            Eviction::Connections => return Ok(false),
+            Eviction::Memory => Ok(Err(request_body::OUT_OF_MEMORY)),
+        },
+    };
+    drop(wait);
+    let body = match body {
         Ok(Ok(body)) => body,
         Err(error) => {
             log_lost(connection, Some(&head), &error);
             return Err(error);
         }
         Ok(Err(response)) => {
+            // What has arrived of the body is returned before the response is written.
+            connection.buffer = BytesMut::new();
+            drop(share);
             let (_, writer) = connection.stream.split();
             let mut responder = Responder::new(writer, &head, true);
             emit(Event::Refused, &[("cause", &response)]);
-            run::send_local_response(&state.router, &mut responder, None, response).await?;
+            responder.close_after_response();
+            let writing = run::send_local_response(&state.router, &mut responder, None, response);
+            time::timeout(WRITE_TIMEOUT, writing).await??;
             linger(connection).await;
             return Ok(false);
         }
@@ -354,91 +411,3 @@
     }
     std::future::pending().await
 }
-
-/// Reads the body of a request. The inner error is the response to a body that is refused.
-async fn read_body(
-    connection: &mut Connection,
-    head: &head::Request,
-    limits: &Limits,
-    share: &mut memory::Share,
-) -> io::Result<Result<Bytes, LocalResponse>> {
-    let length = match head.length() {
-        Ok(body::Length::Exact(bytes)) if bytes > limits.body_bytes as u64 => {
-            return Ok(Err(LocalResponse::BodyTooLarge));
-        }
-        Ok(length) => length,
-        Err(_) => return Ok(Err(LocalResponse::Malformed)),
-    };
-    if head.fields.contains_token("expect", "100-continue") && connection.buffer.is_empty() {
-        let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
-        connection.stream.write_all(interim).await?;
-    }
-    match length {
-        body::Length::Exact(bytes) => {
-            let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
-            read_exact(connection, bytes, share).await
-        }
-        _ => read_chunked(connection, body::Decoder::new(length), limits, share).await,
-    }
-}
-
-/// Reads a body of known length without copying its bytes.
-async fn read_exact(
-    connection: &mut Connection,
-    bytes: usize,
-    share: &mut memory::Share,
-) -> io::Result<Result<Bytes, LocalResponse>> {
-    while connection.buffer.len() < bytes {
-        let missing = bytes - connection.buffer.len();
-        if let Err(response) = read_more(connection, missing).await? {
-            return Ok(Err(response));
-        }
-        if share.resize(connection.buffer.capacity()).is_err() {
-            return Ok(Err(OUT_OF_MEMORY));
-        }
-    }
-    Ok(Ok(connection.buffer.split_to(bytes).freeze()))
-}
-
-/// Reads a body with chunked transfer encoding.
-async fn read_chunked(
-    connection: &mut Connection,
-    mut decoder: body::Decoder,
-    limits: &Limits,
-    share: &mut memory::Share,
-) -> io::Result<Result<Bytes, LocalResponse>> {
-    let mut body = BytesMut::new();
-    loop {
-        match decoder.take(&mut connection.buffer) {
-            Ok(Some(data)) if body.len() + data.len() > limits.body_bytes => {
-                return Ok(Err(LocalResponse::BodyTooLarge));
-            }
-            Ok(Some(data)) => {
-                body.extend_from_slice(&data);
-                if share.resize(body.capacity()).is_err() {
-                    return Ok(Err(OUT_OF_MEMORY));
-                }
-            }
-            Ok(None) if decoder.is_done() => return Ok(Ok(body.freeze())),
-            Ok(None) => {
-                if let Err(response) = read_more(connection, 0).await? {
-                    return Ok(Err(response));
-                }
-            }
-            Err(_) => return Ok(Err(LocalResponse::Malformed)),
-        }
-    }
-}
-
-/// Reads more of a body, of which at least `expected` bytes are still to come. The inner error is
-/// the response to a client that sends no data within [`BODY_TIMEOUT`].
-async fn read_more(
-    connection: &mut Connection,
-    expected: usize,
-) -> io::Result<Result<(), LocalResponse>> {
-    match time::timeout(BODY_TIMEOUT, connection.fill_with_capacity(expected)).await {
-        Ok(Ok(0)) => Err(io::ErrorKind::UnexpectedEof.into()),
-        Ok(read) => read.map(|_| Ok(())),
-        Err(_) => Ok(Err(LocalResponse::RequestTimeout)),
-    }
-}
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -24,32 +24,46 @@
 ///
 /// Returns an error if the connection fails.
 pub async fn serve(state: Rc<State>, stream: TcpStream) -> io::Result<()> {
+    let connections = &state.endpoint_clients;
+    let Some(_open) = connections.open(state.max_endpoint_clients()) else {
+        return Ok(());
+    };
     let mut connection = Connection::accepted(stream);
     loop {
-        let request = loop {
-            match head::Request::take(&mut connection.buffer, MAX_HEAD) {
-                Ok(Some(request)) => break request,
-                Ok(None) => {}
-                Err(error) => return Err(io::Error::other(error)),
-            }
-            let read = time::timeout(IDLE_TIMEOUT, connection.fill()).await;
-            if read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? == 0 {
-                return Ok(());
-            }
+        // The wait includes that for a client that does not read.
+        let wait = connections.wait();
+        let served = tokio::select! {
+            served = serve_next(&state, &mut connection) => served?,
+            _ = wait.evicted() => false,
         };
-        let (status, content_type, body) =
-            respond(&state, &String::from_utf8_lossy(&request.target));
-        let mut fields = Fields::default();
-        fields.push("Content-Type", content_type);
-        let (_, writer) = connection.stream.split();
-        let mut responder = Responder::new(writer, &request, false);
-        responder.respond(status, fields, &body).await?;
-        if !responder.is_reusable() {
+        if !served {
             return Ok(());
         }
     }
 }
 
+/// Answers the next request on a connection, and returns whether another one may follow.
+async fn serve_next(state: &Rc<State>, connection: &mut Connection) -> io::Result<bool> {
+    let request = loop {
+        match head::Request::take(&mut connection.buffer, MAX_HEAD) {
+            Ok(Some(request)) => break request,
+            Ok(None) => {}
+            Err(error) => return Err(io::Error::other(error)),
+        }
+        let read = time::timeout(IDLE_TIMEOUT, connection.fill()).await;
+        if read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? == 0 {
+            return Ok(false);
+        }
+    };
+    let (status, content_type, body) = respond(state, &String::from_utf8_lossy(&request.target));
+    let mut fields = Fields::default();
+    fields.push("Content-Type", content_type);
+    let (_, writer) = connection.stream.split();
+    let mut responder = Responder::new(writer, &request, false);
+    responder.respond(status, fields, &body).await?;
+    Ok(responder.is_reusable())
+}
+
 fn respond(state: &State, target: &str) -> (u16, &'static str, Vec<u8>) {
     const JSON: &str = "application/json";
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -87,7 +101,7 @@
     let metrics = &state.router.metrics;
     metrics
         .clients
-        .set(i64::try_from(state.clients.get()).unwrap_or(i64::MAX));
+        .set(i64::try_from(state.clients.count()).unwrap_or(i64::MAX));
     metrics.text()
 }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! - [`serve`]: start and graceful shutdown of the process; [`signals`]: the signals that it handles.
 //! - [`state`]: the state that all tasks of the process share.
+//! - [`arrival`]: connections that wait for a request, and which of them give way to others.
 //! - [`client`]: client connections; [`authorize`]: checks the head of a request and selects its
 //!   service; [`connection_reuse`]: tracks whether clients reuse their connections.
+//! - [`request_body`]: reads bodies within the memory of the process.
 //! - [`endpoints`]: the router's own HTTP endpoints: readiness, addresses, metrics, reads by peers.
 //! - [`store_watch`]: reads the platform's store; [`peer_sync`]: reads newer store content from
 //!   peers; [`store_history`]: reads at the start which upstreams left before; [`configuration_history`]: reads at the
@@ -12,12 +14,14 @@
 //! - [`origin_sync`]: shares with other routers where streams began; [`origin_batch`]: the encoding.
 //! - [`credit_exchange`]: asks other routers for credits for requests to upstreams that state a rate, and
 //!   hands them out; [`credit_message`]: the encoding.
+//! - `evacuations`: applies what is known of evacuated failure domains.
 //! - [`gossip`]: exchanges membership and load with other routers; [`report`]: splits activity
 //!   reports into fragments that fit into datagrams.
 //!
 //! `tsw-relay` handles requests after their admission, `tsw-flow` takes the scheduling decisions,
 //! and `tsw-platform` holds the names and formats of the platform.
 
+pub mod arrival;
 pub mod authorize;
 pub mod client;
 pub mod configuration_history;
@@ -25,12 +29,14 @@
 pub mod credit_exchange;
 pub mod credit_message;
 pub mod endpoints;
+mod evacuations;
 pub mod gossip;
 pub mod list_check;
 pub mod origin_batch;
 pub mod origin_sync;
 pub mod peer_sync;
 pub mod report;
+pub mod request_body;
 pub mod serve;
 pub mod signals;
 pub mod state;
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -59,6 +59,9 @@
 const DEFAULT_MEMORY_MB: f64 = 110.0;
 /// Maximum of the stated memory in megabytes.
 const MAX_MEMORY_MB: f64 = 65_536.0;
+/// Part of the memory for client connections, and what one takes: its task, and the first buffer for what arrives.
+const CONNECTION_MEMORY_PART: f64 = 0.25;
+const CONNECTION_BYTES: f64 = 16_384.0;
 /// Part of the memory that requests may buffer. The kernel's buffers of the connections count as well.
 const REQUEST_MEMORY_PART: f64 = 0.35;
 
@@ -189,7 +192,9 @@
         routers_at_read: Cell::default(),
         phase: watch::Sender::new(Phase::Serving),
         in_flight: Cell::new(0),
-        clients: Cell::new(0),
+        clients: Rc::default(),
+        endpoint_clients: Rc::default(),
+        max_clients: max_clients(),
         reuse: ReuseTracker::default(),
         origin_queries: origin_sync::Queries::default(),
         list_check: ListCheck::default(),
@@ -199,11 +204,21 @@
 
 /// Returns the number of bytes that all requests may buffer.
 fn memory_bytes() -> usize {
+    (granted_bytes() * REQUEST_MEMORY_PART) as usize
+}
+
+/// Returns the number of client connections that the memory allows.
+fn max_clients() -> usize {
+    (granted_bytes() * CONNECTION_MEMORY_PART / CONNECTION_BYTES) as usize
+}
+
+/// Returns the memory that the deployment grants the process, in bytes.
+fn granted_bytes() -> f64 {
     let granted = std::env::var(MEMORY_VARIABLE).ok();
     let granted = granted.and_then(|text| text.trim().parse::<f64>().ok());
     let granted = granted.filter(|megabytes| *megabytes > 0.0);
     let megabytes = granted.unwrap_or(DEFAULT_MEMORY_MB).min(MAX_MEMORY_MB);
-    (megabytes * REQUEST_MEMORY_PART * 1e6) as usize
+    megabytes * 1e6
 }
 
 async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -11,7 +11,7 @@
 use tsw_config::gateway;
 use tsw_event::{emit, Event};
 use tsw_flow::{
-    evacuation::{self, Evacuations},
+    evacuation::Evacuations,
     history::History,
     owner::{self, Node},
     pool::Entry,
@@ -26,8 +26,8 @@
 use tsw_route::{table::Limits, Name};
 
 use crate::{
-    connection_reuse::ReuseTracker, credit_exchange::ReadyRouters, list_check::ListCheck,
-    origin_sync::Queries, store_copy::StoreCopy,
+    arrival::Arrivals, connection_reuse::ReuseTracker, credit_exchange::ReadyRouters,
+    list_check::ListCheck, origin_sync::Queries, store_copy::StoreCopy,
 };
 
 /// Maximum number of routers in a fleet in which every router watches the store.
@@ -43,6 +43,14 @@
 /// each response. Active and idle connections to upstreams need about as many.
 const CLIENT_FRACTION: f64 = 0.4;
 
+/// Fraction of the file descriptors that client connections may use at all.
+const MAX_CLIENT_FRACTION: f64 = 0.7;
+/// Part of the file descriptors for connections to the router's own endpoints: each router of a fleet reads from a few
+/// others, and each client looks up addresses now and then.
+const ENDPOINT_PART: usize = 8;
+/// Minimum of both numbers, so that settings for few descriptors leave a router that works.
+const MIN_CLIENTS: usize = 64;
+
 /// Lifecycle phase of the process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -78,8 +86,12 @@
     pub phase: watch::Sender<Phase>,
     /// Number of requests that have begun to arrive and are not answered yet.
     pub in_flight: Cell<usize>,
-    /// Number of open client connections.
-    pub clients: Cell<usize>,
+    /// Client connections.
+    pub clients: Rc<Arrivals>,
+    /// Connections to the router's own endpoints.
+    pub endpoint_clients: Rc<Arrivals>,
+    /// Maximum number of client connections that the memory of the process allows.
+    pub max_clients: usize,
     /// Tracks whether clients reuse their connections.
     pub reuse: ReuseTracker,
     /// Queries to other routers for where streams began.
@@ -129,7 +141,22 @@
     #[must_use]
     pub fn closes_after_response(&self) -> bool {
         let max_clients = self.settings.borrow().descriptors as f64 * CLIENT_FRACTION;
-        *self.phase.borrow() != Phase::Serving || self.clients.get() as f64 > max_clients
+        *self.phase.borrow() != Phase::Serving || self.clients.count() as f64 > max_clients
+    }
+
+    /// Returns the maximum number of client connections; beyond it, those that have waited longest are closed.
+    #[must_use]
+    pub fn max_clients(&self) -> usize {
+        let descriptors = self.settings.borrow().descriptors as f64;
+        let allowed = (descriptors * MAX_CLIENT_FRACTION) as usize;
+        allowed.min(self.max_clients).max(MIN_CLIENTS)
+    }
+
+    /// Returns the maximum number of connections to the router's own endpoints.
+    #[must_use]
+    pub fn max_endpoint_clients(&self) -> usize {
+        let descriptors = self.settings.borrow().descriptors;
+        (descriptors / ENDPOINT_PART).max(MIN_CLIENTS)
     }
 
     /// Returns whether the fleet is so large that only some routers watch the store.
@@ -389,40 +416,6 @@
         left > Span::ZERO && self.router.record_cold(entry, left)
     }
 
-    /// Applies what the store or a peer says of evacuations as of a position, see [`Evacuations::apply`].
-    pub fn apply_evacuations(
-        &self,
-        position: Position,
-        complete: bool,
-        changes: &[evacuation::Change],
-        source: &str,
-    ) {
-        let mut evacuations = self.evacuations.borrow_mut();
-        let before = evacuations.domains().clone();
-        if !evacuations.apply(position, complete, changes) {
-            return;
-        }
-        let domains = evacuations.domains().clone();
-        drop(evacuations);
-        for domain in domains.symmetric_difference(&before) {
-            let event = if domains.contains(domain) {
-                Event::DomainEvacuated
-            } else {
-                Event::DomainReturned
-            };
-            let revision = position.revision;
-            emit(
-                event,
-                &[
-                    ("domain", domain),
-                    ("source", &source),
-                    ("revision", &revision),
-                ],
-            );
-        }
-        self.router.set_evacuated(domains);
-    }
-
     /// Removes the entries that are missing from a complete list as of `revision`.
     fn apply_list(&self, items: &[Item], revision: u64) {
         let keys: Vec<Name> = items
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -15,9 +15,7 @@
 };
 
 /// Minimum free capacity of a read buffer in bytes. Events of a stream have a few hundred bytes.
-const MIN_READ_BYTES: usize = 4_096;
-/// Maximum capacity reserved for one read in bytes.
-const MAX_READ_BYTES: usize = 65_536;
+pub const MIN_READ_BYTES: usize = 4_096;
 /// `TCP_USER_TIMEOUT`: the operating system closes a connection when sent data stays unacknowledged
 /// for this long. A peer behind a network partition sends no reset.
 const ACK_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -127,19 +125,19 @@
     ///
     /// Returns an error if the connection broke.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        self.fill_with_capacity(MIN_READ_BYTES).await
+        self.buffer.reserve(MIN_READ_BYTES);
+        self.stream.read_buf(&mut self.buffer).await
     }
 
-    /// Like [`Connection::fill`], but reserves capacity for the given number of bytes, up to a maximum,
-    /// so that a long body needs fewer system calls.
+    /// Like [`Connection::fill`], but reads at most `most` bytes, for which the buffer grows if it has to.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection broke.
-    pub async fn fill_with_capacity(&mut self, capacity: usize) -> io::Result<usize> {
-        self.buffer
-            .reserve(capacity.clamp(MIN_READ_BYTES, MAX_READ_BYTES));
-        self.stream.read_buf(&mut self.buffer).await
+    pub async fn fill_at_most(&mut self, most: usize) -> io::Result<usize> {
+        self.buffer.reserve(most);
+        let mut limited = (&mut self.stream).take(most as u64);
+        limited.read_buf(&mut self.buffer).await
     }
 
     /// Returns whether the socket holds bytes that were not read yet. This peeks at the socket directly,
--- a/crates/http/tests/head.rs
+++ b/crates/http/tests/head.rs
@@ -65,6 +65,10 @@
             "{status}: {found:?}"
         );
     }
+    for status in ["0000", "99", "+20", "2 0"] {
+        let found = response(&format!("HTTP/1.1 {status} Odd\r\n\r\n"));
+        assert!(found.is_err(), "{status}: {found:?}");
+    }
     for status in [100, 200, 599, 600, 999] {
         assert_eq!(
             response(&format!("HTTP/1.1 {status} Odd\r\n\r\n")),
--- a/crates/toucand/tests/exchange.rs
+++ b/crates/toucand/tests/exchange.rs
@@ -101,6 +101,10 @@
         "text\r\n\r\n",
         "HTTP/1.1 200 OK\r\n",
         "HTTP/1.1 099 Low\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 000 None\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 0000 None\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 99 Low\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 +20 Sign\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 100 Continue\r\n\r\n",
         "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
     ] {
@@ -111,6 +115,24 @@
     assert_eq!(run(text).await.expect("the final response"), "whole");
 }
 
+/// Guards against a part of a response that is taken for complete: its worker answers before a long request has arrived,
+/// and resets the connection.
+#[actix_rt::test]
+async fn refuses_a_response_that_is_reset_while_the_request_is_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let response = b"HTTP/1.1 200 OK\r\n\r\npart";
+        stream.write_all(response).await.expect("write");
+        tsw_http::connection::reset_on_close(&stream).expect("an option");
+    });
+    let connection = Connection::open(address, LIMIT).await.expect("open");
+    let body = Bytes::from(vec![b'x'; 32 << 20]);
+    let result = connection.run(RequestHead::default(), body, 16).await;
+    assert!(result.is_err(), "{result:?}");
+}
+
 /// Guards against a response that exhausts the memory of the router.
 #[actix_rt::test]
 async fn refuses_a_large_body() {
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -100,6 +100,24 @@
     entry.to_string().into_bytes()
 }
 
+/// Limits of a router process.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// File descriptors; few make the router close client connections after each response.
+    pub descriptors: usize,
+    /// Memory in megabytes; `None` for the default of the process.
+    pub memory_mb: Option<u64>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            descriptors: 20,
+            memory_mb: None,
+        }
+    }
+}
+
 /// A router process. Dropping it kills the process.
 pub struct Router {
     pub client: SocketAddr,
@@ -125,6 +143,16 @@
     ///
     /// All routers use the same gossip port.
     pub fn start(host: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Self::start_limited(host, store, seeds, Limits::default())
+    }
+
+    /// Like [`Router::start`], with limits of the process.
+    pub fn start_limited(
+        host: &str,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        limits: Limits,
+    ) -> Self {
         // A process spawned at the same time would inherit the bound sockets until it calls exec.
         static STARTS: Mutex<()> = Mutex::new(());
         let _alone = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
@@ -138,16 +166,18 @@
             "interface: platform\nhost: {host}\ndomain: north\n\
              listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
              control: \"{control}\", gossip: \"{gossip}\", metrics: \"{metrics}\"}}\n\
-             descriptors: 20\nseeds: {}\nstore: \"{store}\"\n\
+             descriptors: {}\nseeds: {}\nstore: \"{store}\"\n\
              bounds: {{retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: 8}}\n",
+            limits.descriptors,
             json!(seeds)
         );
         fs::write(&settings, text).expect("written");
-        let process = Command::new(env!("CARGO_BIN_EXE_toucand"))
-            .arg("--config")
-            .arg(&settings)
-            .spawn()
-            .expect("a process");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_toucand"));
+        command.arg("--config").arg(&settings);
+        if let Some(megabytes) = limits.memory_mb {
+            command.env("TOUCAN_MEMORY_MB", megabytes.to_string());
+        }
+        let process = command.spawn().expect("a process");
         Self {
             client,
             ready,
@@ -191,6 +221,12 @@
         number.parse().expect("a number")
     }
 
+    /// Returns the number of open file descriptors of the process.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.process.id());
+        fs::read_dir(path).expect("a running process").count()
+    }
+
     /// Changes the descriptor limit in the settings, so that the router does not close connections
     /// because of it. Returns when the router has applied the change.
     pub async fn set_descriptors(&self, descriptors: usize) {
@@ -355,6 +391,11 @@
 impl Site {
     /// Starts all parts; the upstreams have the given behaviours.
     pub async fn start(desk: Behaviour, model: Behaviour) -> Self {
+        Self::start_limited(desk, model, Limits::default()).await
+    }
+
+    /// Like [`Site::start`], with limits of the router process.
+    pub async fn start_limited(desk: Behaviour, model: Behaviour, limits: Limits) -> Self {
         let store = Store::bind().await.expect("a store");
         let desk = Worker::bind(desk).await.expect("an upstream");
         let models = [
@@ -367,7 +408,7 @@
             ("m2", "model", &models[1]),
         ];
         publish(&store, &upstreams);
-        let router = Router::start("r1", store.address(), &[]);
+        let router = Router::start_limited("r1", store.address(), &[], limits);
         router.wait_ready().await;
         let site = Self {
             store,
