--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -11,8 +11,8 @@
 /// Cost of a running request. It lengthens each engine step by about 0.1 ms, in which an engine
 /// processes 5 to 6 prompt tokens; a prompt takes some ten steps.
 const RUNNING_REQUEST_COST: u64 = 60;
-/// Weight of the delay of the streams at an engine, in percent of the prompt's own delay where all slots are in use. With 100,
-/// fewer streams of engines with 12 slots were in time; with much more, engines with 64 slots read shared parts again.
+/// Weight of the delay of the streams at an engine, in percent of the prompt's own delay where all slots are in use. With
+/// 800, a deployment whose engines have 64 slots was served worse.
 const DELAY_PERCENT: u64 = 150;
 /// Minimum number of tokens to fetch. A fetch delays an engine about as much as processing these
 /// tokens does.
