--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`serve`]: start and graceful shutdown of the process; [`signals`]: the signals that it handles.
 //! - [`state`]: the state that all tasks of the process share.
+//! - [`accept`]: accepts connections without delaying the requests that run.
 //! - [`arrival`]: connections that wait for a request, and which of them give way to others.
 //! - [`client`]: client connections; [`authorize`]: checks the head of a request and selects its
 //!   service; [`connection_reuse`]: tracks whether clients reuse their connections.
@@ -21,6 +22,7 @@
 //! `tsw-relay` handles requests after their admission, `tsw-flow` takes the scheduling decisions,
 //! and `tsw-platform` holds the names and formats of the platform.
 
+pub mod accept;
 pub mod arrival;
 pub mod authorize;
 pub mod client;
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    future::Future,
     io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -11,13 +10,13 @@
 };
 
 use tokio::{
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{TcpListener, UdpSocket},
     sync::watch,
     time,
 };
 use tsw_base::time::Span;
 use tsw_config::{gateway, settings};
-use tsw_event::{contained, emit, Event};
+use tsw_event::{emit, Event};
 use tsw_flow::registry::Registry;
 use tsw_http::connection;
 use tsw_member::roster::{Member, Roster};
@@ -28,9 +27,9 @@
 };
 
 use crate::{
-    client,
+    accept,
     connection_reuse::ReuseTracker,
-    credit_exchange, endpoints, gossip,
+    credit_exchange, gossip,
     list_check::{self, ListCheck},
     origin_sync, peer_sync,
     signals::Signals,
@@ -50,8 +49,6 @@
 const DRAIN_ACCEPT_FRACTION: f64 = 0.5;
 /// Time before the end of the grace time at which the process exits on its own.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
-/// Pause after a failure to accept a connection, for example for lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Variable with the memory that the deployment grants the process, in megabytes.
 const MEMORY_VARIABLE: &str = "TOUCAN_MEMORY_MB";
@@ -123,10 +120,9 @@
             ("client", &listen.client),
         ],
     );
-    let client_task = actix_rt::spawn(accept_clients(state.clone(), client_listener));
+    let client_task = actix_rt::spawn(accept::clients(state.clone(), client_listener));
     for listener in endpoint_listeners {
-        let state = state.clone();
-        actix_rt::spawn(async move { accept(state, &listener, endpoints::serve).await });
+        actix_rt::spawn(accept::endpoints(state.clone(), listener));
     }
     actix_rt::spawn(gossip::receive(state.clone(), socket.clone()));
     actix_rt::spawn(gossip::send_members(state.clone(), socket.clone()));
@@ -230,63 +226,6 @@
     })
 }
 
-fn spawn<F>(state: &Rc<State>, stream: TcpStream, serve: fn(Rc<State>, TcpStream) -> F)
-where
-    F: Future<Output = io::Result<()>> + 'static,
-{
-    let served = serve(state.clone(), stream);
-    // The error is dropped: the request that the connection carried reports the failure.
-    actix_rt::spawn(async move { drop(contained::run(served).await) });
-}
-
-/// Accepts client connections until [`Phase::Closing`]. Connections that are in the listener's
-/// queue at that time are accepted too: closing the listener would reset them and lose their
-/// requests.
-async fn accept_clients(state: Rc<State>, listener: TcpListener) {
-    let mut phase = state.phase.subscribe();
-    let accepts = accept(state.clone(), &listener, client::serve);
-    tokio::select! {
-        () = accepts => {}
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
-    }
-    match accept_queued(listener) {
-        Ok(streams) => streams
-            .into_iter()
-            .for_each(|stream| spawn(&state, stream, client::serve)),
-        Err(error) => emit(Event::AcceptFailed, &[("cause", &error)]),
-    }
-}
-
-/// Accepts the connections in the queue of a listener and closes it.
-///
-/// # Errors
-///
-/// Returns an error if a socket cannot be detached from the runtime or registered with it.
-fn accept_queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
-    let listener = listener.into_std()?;
-    let mut streams = Vec::new();
-    while let Ok((stream, _)) = listener.accept() {
-        stream.set_nonblocking(true)?;
-        streams.push(TcpStream::from_std(stream)?);
-    }
-    Ok(streams)
-}
-
-async fn accept<F>(state: Rc<State>, listener: &TcpListener, serve: fn(Rc<State>, TcpStream) -> F)
-where
-    F: Future<Output = io::Result<()>> + 'static,
-{
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => spawn(&state, stream, serve),
-            Err(error) => {
-                emit(Event::AcceptFailed, &[("cause", &error)]);
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Periodically starts queued requests, closes expired connections and reloads changed settings.
 async fn run_periodic_tasks(state: Rc<State>, path: PathBuf) {
     let mut loaded_text = std::fs::read_to_string(&path).ok();
