--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`history`]: what changes of the list prove about the time before the start.
 //! - [`registry`]: the upstreams listed by the platform, kept through its outages.
 //! - [`queue`]: the queue of waiting requests: order and expiry.
+//! - [`repeat`]: refused requests that clients send again.
 //! - [`run`]: facts about runs of upstreams, which are identified by their starts.
 //! - [`resumption`]: how often a recorded stream is resumed with precedence.
 //! - [`budget`]: the retry budget.
@@ -36,6 +37,7 @@
 pub mod queue;
 pub mod rate;
 pub mod registry;
+pub mod repeat;
 pub mod resumption;
 pub mod retry;
 pub mod run;
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -11,6 +11,8 @@
 /// How far a request has come, in ascending order of precedence.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Standing {
+    /// It was refused before and has missed its objective meanwhile.
+    Overdue,
     /// Nothing of its response has been sent.
     #[default]
     New,
@@ -27,10 +29,11 @@
     /// Returns the work up to which a team is served requests of this standing, given the fair share.
     ///
     /// What a client states is not verified, so that it takes nothing from other teams. It precedes the
-    /// new requests of its own team.
+    /// new requests of its own team. Overdue requests are served what those leave of the share.
     ///
     /// ```
     /// use tsw_flow::queue::Standing;
+    /// assert_eq!(Standing::Overdue.share_limit(100.0), 90.0);
     /// assert_eq!(Standing::New.share_limit(100.0), 100.0);
     /// assert_eq!(Standing::Claimed.share_limit(100.0), 100.0);
     /// assert_eq!(Standing::Resumed.share_limit(100.0), 150.0);
@@ -39,6 +42,7 @@
     #[must_use]
     pub fn share_limit(self, fair_share: f64) -> f64 {
         match self {
+            Self::Overdue => fair_share * OVERDUE_SHARE_FACTOR,
             Self::New | Self::Claimed => fair_share,
             Self::Resumed => fair_share * RESUMED_SHARE_FACTOR,
             Self::Begun => f64::INFINITY,
@@ -46,6 +50,9 @@
     }
 }
 
+/// Part of the fair share up to which overdue requests are started. New ones keep the team above it while they ask for more
+/// than the share, since each may start if half of its work fits.
+const OVERDUE_SHARE_FACTOR: f64 = 0.9;
 /// Multiple of the fair share up to which recorded streams that clients resume are started.
 const RESUMED_SHARE_FACTOR: f64 = 1.5;
 
@@ -74,7 +81,7 @@
 /// The waiting requests of a service at one router.
 ///
 /// Streams that have begun go first, then those that clients resume, recorded ones before others, then
-/// requests whose objective can still be met. They are ordered by the recent work of their team, the least first, then by priority,
+/// requests whose objective can still be met. Overdue ones go last. They are ordered by the recent work of their team, the least first, then by priority,
 /// then by the time of their objective.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -267,7 +267,7 @@
             waiting.standing == Standing::Claimed && *waiting.team == *team && !waiting.moves
         };
         let mut before = self.queue.iter().filter(|waiting| is_before(waiting));
-        standing == Standing::New
+        standing <= Standing::New
             && before.any(|waiting| !self.may_start(now, team, waiting.work, limit))
     }
 
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -7,6 +7,7 @@
 use tokio::{net::UdpSocket, time};
 use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
+use tsw_flow::repeat;
 use tsw_member::{
     audience::{self, Load},
     roster::{Member, RosterUpdate, LIVENESS_TIMEOUT},
@@ -47,6 +48,9 @@
     /// Rates that upstreams state. They follow activities.
     #[serde(skip)]
     rates: Vec<StatedRate>,
+    /// Requests that were refused. They follow the rates.
+    #[serde(skip)]
+    refusals: Vec<repeat::Reported>,
 }
 
 impl Datagram {
@@ -57,12 +61,13 @@
             origins: Batch::default(),
             credits: Credits::default(),
             rates: Vec::new(),
+            refusals: Vec::new(),
         }
     }
 }
 
 /// Encodes a datagram. What older routers do not know follows it: the eras of members, the origins of
-/// streams and credits, or the rates that upstreams state.
+/// streams and credits, or the rates that upstreams state and the requests that were refused.
 fn encode(datagram: &Datagram) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_allocvec(datagram)?;
     match &datagram.message {
@@ -74,6 +79,10 @@
         Message::Findings(_) if !datagram.origins.is_empty() => {
             postcard::to_extend(&datagram.origins, bytes)
         }
+        Message::Activities(..) if !datagram.refusals.is_empty() => {
+            let bytes = postcard::to_extend(&datagram.rates, bytes)?;
+            postcard::to_extend(&datagram.refusals, bytes)
+        }
         Message::Activities(..) if !datagram.rates.is_empty() => {
             postcard::to_extend(&datagram.rates, bytes)
         }
@@ -94,7 +103,13 @@
                     datagram.credits = postcard::from_bytes(credits)?;
                 }
             }
-            Message::Activities(..) => datagram.rates = postcard::from_bytes(rest)?,
+            Message::Activities(..) => {
+                let (rates, refusals) = postcard::take_from_bytes(rest)?;
+                datagram.rates = rates;
+                if !refusals.is_empty() {
+                    datagram.refusals = postcard::from_bytes(refusals)?;
+                }
+            }
         }
     }
     Ok(datagram)
@@ -211,10 +226,12 @@
         match report::split(now.as_micros(), activities) {
             Ok(fragments) => {
                 let mut rates = credit_message::recent_rates(&state.router);
+                let mut refusals = state.router.refusals.borrow_mut().take_report(now);
                 for fragment in fragments {
                     let message = Message::Activities(load, fragment);
                     let datagram = Datagram {
                         rates: std::mem::take(&mut rates),
+                        refusals: std::mem::take(&mut refusals),
                         ..Datagram::new(&host(&state), message)
                     };
                     send_datagram(&state, &socket, &to, &datagram).await;
@@ -347,6 +364,9 @@
                 for rate in &datagram.rates {
                     rate.apply(&state.router, &datagram.from);
                 }
+                let mut refusals = state.router.refusals.borrow_mut();
+                refusals.add_report(now, &datagram.refusals);
+                drop(refusals);
                 let Some(activities) = reassembler.add(&from, fragment) else {
                     continue;
                 };
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -8,6 +8,7 @@
     origin::{Key, Origin},
     prompt::Prompt,
     queue::{self, Standing},
+    repeat,
 };
 use tsw_http::field::Fields;
 use tsw_route::{table::Route, Name};
@@ -95,6 +96,18 @@
         }
     }
 
+    /// Returns the key by which the request is recognized if its client sends it again; `None` without a prompt.
+    pub(crate) fn repeat_key(&self) -> Option<repeat::Key> {
+        let prompt = self.prompt.as_ref();
+        prompt.map(|prompt| repeat::Key::new(self.team(), &self.target, prompt))
+    }
+
+    /// Returns the latency objective.
+    pub(crate) fn objective(&self) -> Span {
+        let micros = self.route.objective.as_micros();
+        Span::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
     /// Returns the team's name in logs and accounts; `-` on a public route.
     #[must_use]
     pub fn team(&self) -> &str {
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -161,7 +161,7 @@
         let Needs {
             avoid, software, ..
         } = needs;
-        let standing = needs.standing(request);
+        let standing = self.standing(now, request, &needs);
         self.record_slot_request();
         let interval = self.report_interval();
         let wait = self.with_service(&request.service, |service| {
@@ -216,7 +216,8 @@
             Some(Ok(Err(Err((pause, wait))))) => return Err(self.refuse_wait(request, pause, wait)),
             Some(Ok(Err(Ok(queued)))) => queued,
         };
-        self.wait_in_queue(request, needs, number, until).await
+        self.wait_in_queue(request, needs, standing, (number, until))
+            .await
     }
 
     /// Waits until the request is due for a slot at an upstream other than `avoid`, for a request that
@@ -235,15 +236,16 @@
             service.queue.push(queued(request, standing, due, true))
         });
         let number = number.ok_or(Refused::new(Refusal::NoUpstream, MIN_RETRY_AFTER))?;
-        self.wait_in_queue(request, needs, number, due).await
+        self.wait_in_queue(request, needs, standing, (number, due))
+            .await
     }
 
     async fn wait_in_queue(
         self: &Rc<Self>,
         request: &Rc<Request>,
         needs: Needs<'_>,
-        number: u64,
-        until: Timestamp,
+        standing: Standing,
+        (number, until): (u64, Timestamp),
     ) -> Result<Reservation, Refused> {
         let (sender, granted) = oneshot::channel();
         let waiter = Waiter {
@@ -287,16 +289,25 @@
                 }
                 let share = self.with_service(&request.service, |service| {
                     let fair_share = service.fair_share(now);
-                    let standing = needs.standing(request);
                     let wait = service.estimated_wait(now, team, standing, fair_share);
                     (fair_share, wait)
                 });
                 let (fair_share, wait) = share.unwrap_or((f64::INFINITY, Span::ZERO));
-                Err(self.refuse(request, needs.standing(request), late(wait), fair_share))
+                Err(self.refuse(request, standing, late(wait), fair_share))
             }
         }
     }
 
+    /// Returns how far a request has come, with regard to its earlier refusals.
+    fn standing(&self, now: Timestamp, request: &Request, needs: &Needs<'_>) -> Standing {
+        let first = needs.standing(request);
+        let repeated = request.repeat_key().map(|key| {
+            let refusals = self.refusals.borrow();
+            refusals.standing(now, key, request.objective(), first)
+        });
+        repeated.unwrap_or(first)
+    }
+
     fn reservation(self: &Rc<Self>, request: &Request, choice: Choice) -> Reservation {
         Reservation {
             router: self.clone(),
@@ -427,13 +438,12 @@
     expires_at: Timestamp,
     moves: bool,
 ) -> QueuedRequest {
-    let objective = u64::try_from(request.route.objective.as_micros()).unwrap_or(u64::MAX);
     QueuedRequest {
         number: 0,
         team: request.team().into(),
         work: request_work(request),
         priority: request.priority,
-        objective_at: request.arrived + Span::from_micros(objective),
+        objective_at: request.arrived + request.objective(),
         expires_at,
         standing,
         moves,
--- a/crates/relay/src/reservation/refuse.rs
+++ b/crates/relay/src/reservation/refuse.rs
@@ -57,6 +57,10 @@
         fair_share: f64,
     ) -> Refused {
         let now = self.now();
+        if let Some(key) = request.repeat_key() {
+            let mut refusals = self.refusals.borrow_mut();
+            refusals.record(now, key, request.arrived);
+        }
         let estimated_wait = self.with_service(&request.service, |service| {
             service.estimated_wait(now, request.team(), standing, fair_share)
         });
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -16,6 +16,7 @@
     origin::{Origins, SoftwareHistory},
     pool::{Entry, Usage},
     prompt::Part,
+    repeat::Refusals,
     resumption::Resumptions,
     run,
     service::Service,
@@ -131,6 +132,8 @@
     /// Longest time for which the clients of each team waited for a stream.
     pub(crate) longest_waits: RefCell<IndexMap<Name, Span>>,
     pub(crate) resumptions: RefCell<Resumptions>,
+    /// Requests that were refused by any router.
+    pub refusals: RefCell<Refusals>,
     pub(crate) past_tables: RefCell<PastTables>,
     /// Longest timeout of a stream route so far.
     pub(crate) longest_stream: Cell<Span>,
@@ -179,6 +182,7 @@
             list_state: ListState::default(),
             longest_waits: RefCell::default(),
             resumptions: RefCell::default(),
+            refusals: RefCell::default(),
             past_tables: RefCell::default(),
             longest_stream: Cell::default(),
             retries: options.retries,
