--- a/crates/flow/src/mix.rs
+++ b/crates/flow/src/mix.rs
@@ -1,11 +1,12 @@
-//! The part of the work of each size class that a team is served.
+//! The part of the work of each class of requests that a team is served.
 //!
 //! A team that asks for more than its fair share is served a part of it. Small requests fit into what is left of the share
-//! at any moment, and large ones rarely do, so that a flood of short prompts would keep the long ones out. Classes that are
-//! behind the others therefore need less room in the share.
+//! at any moment, and large ones rarely do, so that a flood of short prompts would keep the long ones out; requests with a long
+//! objective wait until there is room, and urgent ones are refused meanwhile. Classes that are behind the others therefore
+//! need less room in the share, and those that are ahead need more.
 
 use indexmap::IndexMap;
-use tsw_base::time::Timestamp;
+use tsw_base::time::{Span, Timestamp};
 use tsw_route::Name;
 
 use crate::account::Work;
@@ -13,22 +14,51 @@
 /// Time constant of the exponential decay in seconds. The largest requests of a team come every second or so; a longer
 /// memory would punish a class for a load that has ended.
 const DECAY_S: f64 = 4.0;
-/// Difference between the served part of a team's work and that of a class from which the class is behind. Single requests
-/// of a small class change its part by as much.
-const TOLERANCE: f64 = 0.1;
+/// Relative difference between the served part of a class and that of all work of its team from which the class is behind or
+/// ahead. Single requests of a small class change its part by as much.
+const TOLERANCE: f64 = 0.15;
 /// Maximum number of teams that are remembered.
 const MAX_TEAMS: usize = 1_024;
+/// Maximum number of classes of a team that are remembered. Objectives come from the configuration.
+const MAX_CLASSES: usize = 256;
 
-/// Size class of a request: each holds requests of up to twice the work of the one below.
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Demand {
+    /// Work, in tokens for engines and in requests for plain upstreams.
+    pub work: u64,
+    /// Latency objective.
+    pub objective: Span,
+}
+
+/// Requests with the same objective, of up to twice the work of the class below.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-struct Class(u32);
+struct Class {
+    size: u32,
+    objective: Span,
+}
 
-impl Class {
-    fn of(work: u64) -> Self {
-        Self(work.checked_ilog2().unwrap_or(0))
+impl From<Demand> for Class {
+    fn from(demand: Demand) -> Self {
+        Self {
+            size: demand.work.checked_ilog2().unwrap_or(0),
+            objective: demand.objective,
+        }
     }
 }
 
+/// How much of a class is served, relative to all work of its team.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Balance {
+    /// A smaller part.
+    Behind,
+    /// About the same part.
+    #[default]
+    Even,
+    /// A larger part.
+    Ahead,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
     work: Work,
@@ -60,24 +90,26 @@
     }
 }
 
-/// Requested and served work at this router, by team and size class.
+/// Requested and served work at this router, by team and class.
 ///
 /// ```
-/// use tsw_base::time::Timestamp;
-/// use tsw_flow::mix::Mix;
+/// use tsw_base::time::{Span, Timestamp};
+/// use tsw_flow::mix::{Balance, Demand, Mix};
 /// let (mut mix, now, team) = (Mix::default(), Timestamp::from_micros(1), "north".into());
+/// let [short, long] = [4_000, 5_000].map(|work| Demand { work, objective: Span::from_millis(work / 10) });
 /// for _ in 0..10 {
-///     mix.record_request(now, &team, 4_000);
-///     mix.record_request(now, &team, 5_000);
-///     mix.record_start(now, &team, 4_000);
+///     mix.record_request(now, &team, short);
+///     mix.record_request(now, &team, long);
+///     mix.record_start(now, &team, short);
 /// }
-/// assert!(mix.is_behind(now, "north", 5_000));
-/// assert!(!mix.is_behind(now, "north", 4_000));
+/// assert_eq!(mix.balance(now, "north", long), Balance::Behind);
+/// assert_eq!(mix.balance(now, "north", short), Balance::Ahead);
+/// assert_eq!(mix.balance(now, "south", short), Balance::Even);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Mix(IndexMap<Name, Classes>);
 
-/// The work of a team, in total and by size class.
+/// The work of a team, in total and by class.
 #[derive(Clone, Debug, Default)]
 struct Classes {
     total: Sum,
@@ -85,35 +117,50 @@
 }
 
 impl Mix {
-    fn add(&mut self, now: Timestamp, team: &Name, work: u64, (requested, served): (f64, f64)) {
+    fn add(
+        &mut self,
+        now: Timestamp,
+        team: &Name,
+        demand: Demand,
+        (requested, served): (f64, f64),
+    ) {
         if self.0.len() >= MAX_TEAMS && !self.0.contains_key(team) {
             self.0.clear();
         }
         let classes = self.0.entry(team.clone()).or_default();
+        if classes.by_class.len() >= MAX_CLASSES {
+            classes.by_class.clear();
+        }
         classes.total.add(now, requested, served);
-        let sum = classes.by_class.entry(Class::of(work)).or_default();
+        let sum = classes.by_class.entry(demand.into()).or_default();
         sum.add(now, requested, served);
     }
 
     /// Records that a request of a team arrived.
-    pub fn record_request(&mut self, now: Timestamp, team: &Name, work: u64) {
-        self.add(now, team, work, (work as f64, 0.0));
+    pub fn record_request(&mut self, now: Timestamp, team: &Name, demand: Demand) {
+        self.add(now, team, demand, (demand.work as f64, 0.0));
     }
 
     /// Records that a request of a team was started.
-    pub fn record_start(&mut self, now: Timestamp, team: &Name, work: u64) {
-        self.add(now, team, work, (0.0, work as f64));
+    pub fn record_start(&mut self, now: Timestamp, team: &Name, demand: Demand) {
+        self.add(now, team, demand, (0.0, demand.work as f64));
     }
 
-    /// Returns whether a smaller part of the size class of a request is served than of all work of its team.
+    /// Returns how much of the class of a request is served, relative to all work of its team.
     #[must_use]
-    pub fn is_behind(&self, now: Timestamp, team: &str, work: u64) -> bool {
+    pub fn balance(&self, now: Timestamp, team: &str, demand: Demand) -> Balance {
         let classes = self.0.get(team);
-        let class = classes.and_then(|classes| classes.by_class.get(&Class::of(work)));
+        let class = classes.and_then(|classes| classes.by_class.get(&Class::from(demand)));
         let (Some(classes), Some(class)) = (classes, class) else {
-            return false;
+            return Balance::Even;
         };
-        let parts = [class, &classes.total].map(|sum| served_part(sum.at(now)));
-        parts[1] - parts[0] > TOLERANCE
+        let [part, all] = [class, &classes.total].map(|sum| served_part(sum.at(now)));
+        if part < all * (1.0 - TOLERANCE) {
+            Balance::Behind
+        } else if part > all * (1.0 + TOLERANCE) {
+            Balance::Ahead
+        } else {
+            Balance::Even
+        }
     }
 }
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -6,7 +6,10 @@
 use tsw_base::time::{Span, Timestamp};
 use tsw_route::Name;
 
-use crate::account::Accounts;
+use crate::{
+    account::Accounts,
+    mix::{Demand, Mix},
+};
 
 /// How far a request has come, in ascending order of precedence.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -63,8 +66,8 @@
     pub number: u64,
     /// Team that sent it.
     pub team: Name,
-    /// Work, in tokens for engines and in requests for plain upstreams.
-    pub work: u64,
+    /// Work and objective.
+    pub demand: Demand,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
     /// Time at which its latency objective is missed. Requests past it are ordered last.
@@ -82,7 +85,7 @@
 ///
 /// Streams that have begun go first, then those that clients resume, recorded ones before others, then
 /// requests whose objective can still be met. Overdue ones go last. They are ordered by the recent work of their team, the least first, then by priority,
-/// then by the time of their objective.
+/// then by the balance of their class, the one that is behind first, then by the time of their objective.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiting: Vec<QueuedRequest>,
@@ -115,16 +118,26 @@
     pub fn work(&self, team: Option<&str>) -> u64 {
         let waiting = self.waiting.iter().filter(|waiting| !waiting.moves);
         let counted = waiting.filter(|waiting| team.is_none_or(|team| *waiting.team == *team));
-        counted.map(|waiting| waiting.work).sum()
+        counted.map(|waiting| waiting.demand.work).sum()
     }
 
-    /// Returns the work of the waiting requests of a team that do not run yet and have at least this
+    /// Returns the work of the waiting requests of a team that do not run yet and go before a further one of this
     /// standing.
     #[must_use]
-    pub fn work_from(&self, team: &str, standing: Standing) -> u64 {
+    pub fn work_before(
+        &self,
+        now: Timestamp,
+        team: &str,
+        mix: &Mix,
+        (demand, standing): (Demand, Standing),
+    ) -> u64 {
+        let rank = |standing, demand| (Reverse(standing), mix.balance(now, team, demand));
+        let own_rank = rank(standing, demand);
         let waiting = self.waiting.iter().filter(|waiting| !waiting.moves);
-        let own = waiting.filter(|waiting| *waiting.team == *team && waiting.standing >= standing);
-        own.map(|waiting| waiting.work).sum()
+        let before = waiting.filter(|waiting| {
+            *waiting.team == *team && rank(waiting.standing, waiting.demand) <= own_rank
+        });
+        before.map(|waiting| waiting.demand.work).sum()
     }
 
     /// Returns the waiting requests in order of arrival.
@@ -157,7 +170,12 @@
     /// Returns the waiting requests in the order in which to start them, given the recent work of
     /// each team.
     #[must_use]
-    pub fn start_order(&self, now: Timestamp, accounts: &Accounts) -> Vec<QueuedRequest> {
+    pub fn start_order(
+        &self,
+        now: Timestamp,
+        accounts: &Accounts,
+        mix: &Mix,
+    ) -> Vec<QueuedRequest> {
         let mut order = self.waiting.clone();
         let mut served_by_team: IndexMap<Name, f64> = IndexMap::new();
         order.sort_by_cached_key(|waiting| {
@@ -172,6 +190,7 @@
                 late,
                 served as u64,
                 waiting.priority,
+                mix.balance(now, &waiting.team, waiting.demand),
                 waiting.objective_at,
             )
         });
--- a/crates/flow/src/repeat.rs
+++ b/crates/flow/src/repeat.rs
@@ -17,8 +17,9 @@
 
 /// Maximum number of refusals in a report to the other routers, so that a datagram has room for them.
 const MAX_REPORTED: usize = 128;
-/// Part of the objective after which a request that comes again counts as overdue. An engine needs the rest for the prompt.
-const OVERDUE_FRACTION: f64 = 0.75;
+/// Percentage of the objective after which a request that comes again counts as overdue. An engine needs the rest for the
+/// prompt.
+const OVERDUE_PERCENT: u64 = 75;
 
 /// Identifies a request and its repetitions.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -148,9 +149,9 @@
     /// ```
     #[must_use]
     pub fn standing(&self, now: Timestamp, key: Key, objective: Span, first: Standing) -> Standing {
-        let limit = objective.as_secs_f64() * OVERDUE_FRACTION;
+        let limit = objective.as_micros().saturating_mul(OVERDUE_PERCENT) / 100;
         let arrived = self.first_arrival(key);
-        let is_overdue = arrived.is_some_and(|arrived| now.since(arrived).as_secs_f64() >= limit);
+        let is_overdue = arrived.is_some_and(|arrived| now.since(arrived).as_micros() >= limit);
         if first == Standing::New && is_overdue {
             Standing::Overdue
         } else {
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -7,7 +7,7 @@
 use crate::{
     account::{self, Accounts},
     budget::RetryBudget,
-    mix::Mix,
+    mix::{Balance, Demand, Mix},
     origin::Software,
     pool::{Choice, Constraints, Pool},
     prompt::Prompt,
@@ -38,7 +38,7 @@
     pub pool: Pool,
     /// Recent work of each team.
     pub accounts: Accounts,
-    /// Part of the work of each size class that each team is served.
+    /// Part of the work of each class that each team is served.
     mix: Mix,
     /// Waiting requests.
     pub queue: Queue,
@@ -168,17 +168,25 @@
         self.pool.choose(now, &constraints)
     }
 
-    /// Records that a request of a team arrived.
-    pub fn record_request(&mut self, now: Timestamp, team: &Name, work: u64) {
-        self.accounts.record_request(now, team, work);
-        self.mix.record_request(now, team, work);
+    /// Records that a request of a team arrived. Those that come again after a refusal count once in the mix.
+    pub fn record_request(
+        &mut self,
+        now: Timestamp,
+        team: &Name,
+        demand: Demand,
+        is_repeated: bool,
+    ) {
+        self.accounts.record_request(now, team, demand.work);
+        if !is_repeated {
+            self.mix.record_request(now, team, demand);
+        }
         self.arrivals = self.arrivals.saturating_add(1);
     }
 
     /// Records that a request of a team was started.
-    pub fn record_start(&mut self, now: Timestamp, team: &Name, work: u64) {
-        self.accounts.record_start(now, team, work);
-        self.mix.record_start(now, team, work);
+    pub fn record_start(&mut self, now: Timestamp, team: &Name, demand: Demand) {
+        self.accounts.record_start(now, team, demand.work);
+        self.mix.record_start(now, team, demand);
     }
 
     /// Returns whether credits for upstreams that state a rate are needed now.
@@ -200,10 +208,10 @@
     ) -> IndexMap<Name, u32> {
         let mut planned = IndexMap::new();
         let fair_share = self.fair_share(now);
-        let order = self.queue.start_order(now, &self.accounts);
+        let order = self.start_order(now);
         let due = order.iter().filter(|waiting| {
             let limit = waiting.standing.share_limit(fair_share);
-            self.may_start(now, &waiting.team, waiting.work, limit)
+            self.may_start(now, &waiting.team, waiting.demand, limit)
         });
         let due = due.filter_map(|waiting| constraints(waiting.number));
         for (avoid, software) in due.take(MAX_DEMAND as usize) {
@@ -249,13 +257,22 @@
     /// of its work fits below the limit, or if the team has been served so little that it is due
     /// regardless of the size of the request.
     ///
-    /// Requests of a size of which a smaller part is served than of the team's other work may start about up to the
-    /// limit, whatever their size.
+    /// Requests of a class of which a smaller part is served than of the team's other work may start about up to the
+    /// limit, whatever their size. Those of a class of which a larger part is served leave some of the limit to the others.
     #[must_use]
-    pub fn may_start(&self, now: Timestamp, team: &str, work: u64, limit: f64) -> bool {
+    pub fn may_start(&self, now: Timestamp, team: &str, demand: Demand, limit: f64) -> bool {
         let served = self.accounts.team(now, team).served;
-        let fits = served + work as f64 / 2.0 < limit || served < limit * DUE_FRACTION;
-        fits || served < limit * BEHIND_FACTOR && self.mix.is_behind(now, team, work)
+        let balance = self.mix.balance(now, team, demand);
+        let own_limit = limit * balance_factor(balance);
+        served + demand.work as f64 / 2.0 < own_limit.min(limit)
+            || served < limit * DUE_FRACTION
+            || balance == Balance::Behind && served < own_limit
+    }
+
+    /// Returns the waiting requests in the order in which to start them.
+    #[must_use]
+    pub fn start_order(&self, now: Timestamp) -> Vec<QueuedRequest> {
+        self.queue.start_order(now, &self.accounts, &self.mix)
     }
 
     /// Returns whether the new requests of a team wait, since one of its team that states to resume a
@@ -268,7 +285,7 @@
         };
         let mut before = self.queue.iter().filter(|waiting| is_before(waiting));
         standing <= Standing::New
-            && before.any(|waiting| !self.may_start(now, team, waiting.work, limit))
+            && before.any(|waiting| !self.may_start(now, team, waiting.demand, limit))
     }
 
     /// Returns whether any waiting request that does not run yet may be started under a fair share. If none may, a new
@@ -279,7 +296,7 @@
         waiting.any(|waiting| {
             let limit = waiting.standing.share_limit(fair_share);
             let (team, standing) = (&waiting.team, waiting.standing);
-            self.may_start(now, team, waiting.work, limit)
+            self.may_start(now, team, waiting.demand, limit)
                 && !self.is_held(now, team, standing, fair_share)
         })
     }
@@ -291,11 +308,13 @@
         &self,
         now: Timestamp,
         team: &str,
-        standing: Standing,
+        (demand, standing): (Demand, Standing),
         fair_share: f64,
     ) -> Span {
-        let limit = standing.share_limit(fair_share);
-        let waiting = self.queue.work_from(team, standing) as f64;
+        let balance = self.mix.balance(now, team, demand);
+        let limit = standing.share_limit(fair_share) * balance_factor(balance);
+        let own = (demand, standing);
+        let waiting = self.queue.work_before(now, team, &self.mix, own) as f64;
         let total = self.accounts.team(now, team).served + waiting;
         if total <= limit {
             return Span::ZERO;
@@ -309,8 +328,20 @@
 const PLAIN_REQUESTS_PER_SLOT_S: f64 = 30.0;
 /// Fraction of the fair share below which a team may start a request of any size.
 const DUE_FRACTION: f64 = 0.25;
-/// Factor of the limit up to which a team may start requests of a size that is behind its others. Small requests start until
+/// Factor of the limit up to which a team may start requests of a class that is behind its others. Small requests start until
 /// half of their work exceeds the limit, so that the team is seldom below it.
 const BEHIND_FACTOR: f64 = 1.05;
+/// Factor of the limit up to which a team may start requests of a class that is ahead of its others. These reach the
+/// limit while they are behind.
+const AHEAD_FACTOR: f64 = 0.95;
+
+const fn balance_factor(balance: Balance) -> f64 {
+    match balance {
+        Balance::Behind => BEHIND_FACTOR,
+        Balance::Even => 1.0,
+        Balance::Ahead => AHEAD_FACTOR,
+    }
+}
+
 /// Fraction of the configured capacity up to which requests are started.
 const CAPACITY_FACTOR: f64 = 1.05;
--- a/crates/flow/tests/long_prompts.rs
+++ b/crates/flow/tests/long_prompts.rs
@@ -3,6 +3,7 @@
 use tsw_base::time::{Span, Timestamp};
 use tsw_flow::{
     budget::RetryBudget,
+    mix::Demand,
     pool::{Choice, Constraints, Entry, Load, Pool, Usage},
     prompt::{Part, Prompt},
     queue::Standing,
@@ -211,10 +212,15 @@
             if millis % every != 0 {
                 continue;
             }
-            service.record_request(now, &team, *work);
+            let objective = Span::from_millis(800);
+            let demand = Demand {
+                work: *work,
+                objective,
+            };
+            service.record_request(now, &team, demand, false);
             let limit = Standing::New.share_limit(service.fair_share(now));
-            if service.may_start(now, &team, *work, limit) {
-                service.record_start(now, &team, *work);
+            if service.may_start(now, &team, demand, limit) {
+                service.record_start(now, &team, demand);
                 started[index] += work;
             }
         }
--- a/crates/flow/tests/share.rs
+++ b/crates/flow/tests/share.rs
@@ -6,6 +6,7 @@
 use tsw_base::time::{Span, Timestamp};
 use tsw_flow::{
     budget::RetryBudget,
+    mix::Demand,
     queue::{expires_at, resume_expires_at, QueuedRequest, Standing},
     service::Service,
 };
@@ -38,6 +39,11 @@
     to_s: f64,
 }
 
+fn demand(work: u64) -> Demand {
+    let objective = OBJECTIVE;
+    Demand { work, objective }
+}
+
 /// A fleet in which each router starts the requests that its fair share allows.
 struct Fleet {
     services: Vec<Service>,
@@ -99,14 +105,19 @@
             _ => resume_expires_at(now, OBJECTIVE, Span::from_millis(400), due),
         };
         let fair_share = service.fair_share(now);
-        let wait = service.estimated_wait(now, load.team, load.standing, fair_share);
+        let wait = service.estimated_wait(
+            now,
+            load.team,
+            (demand(load.work), load.standing),
+            fair_share,
+        );
         if now + wait >= expires_at {
             return;
         }
         service.queue.push(QueuedRequest {
             number: 0,
             team,
-            work: load.work,
+            demand: demand(load.work),
             priority: 1,
             objective_at: now + OBJECTIVE,
             expires_at,
@@ -124,19 +135,22 @@
         for service in begin.iter_mut().chain(last) {
             service.queue.expire(now);
             let fair_share = service.fair_share(now);
-            for waiting in service.queue.start_order(now, &service.accounts) {
+            for waiting in service.start_order(now) {
                 let limit = waiting.standing.share_limit(fair_share);
-                let has_room = self.room.is_none_or(|room| room >= waiting.work as f64);
+                let has_room = self
+                    .room
+                    .is_none_or(|room| room >= waiting.demand.work as f64);
                 let (team, standing) = (&waiting.team, waiting.standing);
-                let may_start = service.may_start(now, team, waiting.work, limit)
+                let may_start = service.may_start(now, team, waiting.demand, limit)
                     && !service.is_held(now, team, standing, fair_share);
                 if has_room && may_start {
-                    self.room = self.room.map(|room| room - waiting.work as f64);
+                    self.room = self.room.map(|room| room - waiting.demand.work as f64);
                     service.queue.remove(waiting.number);
                     service
                         .accounts
-                        .record_start(now, &waiting.team, waiting.work);
-                    self.started.push((millis, waiting.team, waiting.work));
+                        .record_start(now, &waiting.team, waiting.demand.work);
+                    self.started
+                        .push((millis, waiting.team, waiting.demand.work));
                 }
             }
         }
@@ -303,7 +317,7 @@
     fleet.services[0].queue.push(QueuedRequest {
         number: 0,
         team: "flood".into(),
-        work: 3_000,
+        demand: demand(3_000),
         priority: 1,
         objective_at: now + OBJECTIVE,
         expires_at: now + OBJECTIVE,
@@ -313,7 +327,7 @@
     let service = &mut fleet.services[0];
     service.accounts.record_request(now, &"quiet".into(), 1_000);
     let fair_share = service.fair_share(now);
-    assert!(service.may_start(now, "quiet", 1_000, fair_share));
+    assert!(service.may_start(now, "quiet", demand(1_000), fair_share));
     assert!(
         !service.has_startable(now, fair_share),
         "the waiting request may not start"
@@ -321,7 +335,7 @@
     service.queue.push(QueuedRequest {
         number: 0,
         team: "quiet".into(),
-        work: 1_000,
+        demand: demand(1_000),
         priority: 1,
         objective_at: now + OBJECTIVE,
         expires_at: now + OBJECTIVE,
@@ -411,7 +425,7 @@
         service.queue.push(QueuedRequest {
             number: 0,
             team: team.into(),
-            work: 1_000,
+            demand: demand(1_000),
             priority: 1,
             objective_at: match standing {
                 Standing::New => now + OBJECTIVE,
@@ -422,7 +436,7 @@
             moves: false,
         });
     }
-    let order = service.queue.start_order(now, &service.accounts);
+    let order = service.start_order(now);
     let order: Vec<Standing> = order.iter().map(|waiting| waiting.standing).collect();
     assert!(order.iter().eq(standings.iter().rev()), "{order:?}");
 }
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -7,6 +7,7 @@
 use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
 use tsw_flow::{
+    mix::Demand,
     origin::Software,
     pool::Choice,
     queue::{QueuedRequest, Standing},
@@ -142,8 +143,11 @@
     }
 }
 
-fn request_work(request: &Request) -> u64 {
-    request.prompt.as_ref().map_or(1, |prompt| prompt.work())
+fn demand(request: &Request) -> Demand {
+    Demand {
+        work: request.prompt.as_ref().map_or(1, |prompt| prompt.work()),
+        objective: request.objective(),
+    }
 }
 
 impl Router {
@@ -161,7 +165,8 @@
         let Needs {
             avoid, software, ..
         } = needs;
-        let standing = self.standing(now, request, &needs);
+        let (standing, is_repeated) = self.standing(now, request, &needs);
+        let demand = demand(request);
         self.record_slot_request();
         let interval = self.report_interval();
         let wait = self.with_service(&request.service, |service| {
@@ -174,9 +179,9 @@
                 return Err((Refusal::NoUpstream, fair_share));
             }
             let team = request.team();
-            service.record_request(now, &team.into(), request_work(request));
+            service.record_request(now, &team.into(), demand, is_repeated);
             let limit = standing.share_limit(fair_share);
-            let may_start = service.may_start(now, team, request_work(request), limit)
+            let may_start = service.may_start(now, team, demand, limit)
                 && !service.is_held(now, team, standing, fair_share);
             if may_start && !service.has_startable(now, fair_share) {
                 if let Some(choice) =
@@ -191,7 +196,7 @@
             }
             let engine = service.engine().is_some();
             let until = request.queue_expiry(now, needs.last_event_at, engine);
-            let wait = service.estimated_wait(now, team, standing, fair_share);
+            let wait = service.estimated_wait(now, team, (demand, standing), fair_share);
             if now + wait >= until {
                 return Err((late(wait), fair_share));
             }
@@ -289,7 +294,8 @@
                 }
                 let share = self.with_service(&request.service, |service| {
                     let fair_share = service.fair_share(now);
-                    let wait = service.estimated_wait(now, team, standing, fair_share);
+                    let wait =
+                        service.estimated_wait(now, team, (demand(request), standing), fair_share);
                     (fair_share, wait)
                 });
                 let (fair_share, wait) = share.unwrap_or((f64::INFINITY, Span::ZERO));
@@ -298,14 +304,15 @@
         }
     }
 
-    /// Returns how far a request has come, with regard to its earlier refusals.
-    fn standing(&self, now: Timestamp, request: &Request, needs: &Needs<'_>) -> Standing {
+    /// Returns how far a request has come, and whether its client sends it again after a refusal.
+    fn standing(&self, now: Timestamp, request: &Request, needs: &Needs<'_>) -> (Standing, bool) {
         let first = needs.standing(request);
-        let repeated = request.repeat_key().map(|key| {
-            let refusals = self.refusals.borrow();
-            refusals.standing(now, key, request.objective(), first)
-        });
-        repeated.unwrap_or(first)
+        let Some(key) = request.repeat_key() else {
+            return (first, false);
+        };
+        let refusals = self.refusals.borrow();
+        let standing = refusals.standing(now, key, request.objective(), first);
+        (standing, refusals.first_arrival(key).is_some())
     }
 
     fn reservation(self: &Rc<Self>, request: &Request, choice: Choice) -> Reservation {
@@ -373,9 +380,9 @@
             // Requests for one software do not delay those for others.
             let mut blocked: IndexMap<Option<Software>, usize> = IndexMap::new();
             let fair_share = service.fair_share(now);
-            for waiting in service.queue.start_order(now, &service.accounts) {
+            for waiting in service.start_order(now) {
                 let limit = waiting.standing.share_limit(fair_share);
-                if !service.may_start(now, &waiting.team, waiting.work, limit)
+                if !service.may_start(now, &waiting.team, waiting.demand, limit)
                     || service.is_held(now, &waiting.team, waiting.standing, fair_share)
                 {
                     continue;
@@ -425,7 +432,7 @@
     request: &Request,
     choice: Choice,
 ) -> Choice {
-    service.record_start(now, &request.team().into(), request_work(request));
+    service.record_start(now, &request.team().into(), demand(request));
     service.pool.use_credit(now, &choice);
     service.pool.begin(&choice, request.prompt.as_ref());
     choice
@@ -441,7 +448,7 @@
     QueuedRequest {
         number: 0,
         team: request.team().into(),
-        work: request_work(request),
+        demand: demand(request),
         priority: request.priority,
         objective_at: request.arrived + request.objective(),
         expires_at,
--- a/crates/relay/src/reservation/refuse.rs
+++ b/crates/relay/src/reservation/refuse.rs
@@ -62,7 +62,8 @@
             refusals.record(now, key, request.arrived);
         }
         let estimated_wait = self.with_service(&request.service, |service| {
-            service.estimated_wait(now, request.team(), standing, fair_share)
+            let own = (super::demand(request), standing);
+            service.estimated_wait(now, request.team(), own, fair_share)
         });
         let longest = request.deadline.since(now).as_micros() / RETRY_AFTER_DIVISOR;
         let shortest = MIN_RETRY_AFTER.as_micros();
