--- a/crates/flow/src/mix.rs
+++ b/crates/flow/src/mix.rs
@@ -16,7 +16,7 @@
 const DECAY_S: f64 = 4.0;
 /// Relative difference between the served part of a class and that of all work of its team from which the class is behind or
 /// ahead. Single requests of a small class change its part by as much.
-const TOLERANCE: f64 = 0.15;
+const TOLERANCE: f64 = 0.2;
 /// Maximum number of teams that are remembered.
 const MAX_TEAMS: usize = 1_024;
 /// Maximum number of classes of a team that are remembered. Objectives come from the configuration.
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -114,6 +114,13 @@
         self.engine
     }
 
+    /// Returns whether the service runs on engines with few slots. Only there the kinds of a team's requests are balanced
+    /// and overdue ones wait.
+    #[must_use]
+    pub fn has_few_slots(&self) -> bool {
+        self.engine.is_some_and(|engine| engine.has_few_slots())
+    }
+
     /// Returns whether a prompt exceeds the KV cache of an engine, so that no engine can run it.
     #[must_use]
     pub fn is_too_long(&self, prompt: &Prompt) -> bool {
@@ -162,6 +169,7 @@
             software,
             max_pending_tokens,
             can_fetch: self.engine.is_some_and(|engine| engine.can_fetch),
+            few_slots: self.has_few_slots(),
             extra_slots: EXTRA_PLAIN_SLOTS,
             report_age,
         };
@@ -177,7 +185,7 @@
         is_repeated: bool,
     ) {
         self.accounts.record_request(now, team, demand.work);
-        if !is_repeated {
+        if !is_repeated && self.has_few_slots() {
             self.mix.record_request(now, team, demand);
         }
         self.arrivals = self.arrivals.saturating_add(1);
@@ -186,7 +194,9 @@
     /// Records that a request of a team was started.
     pub fn record_start(&mut self, now: Timestamp, team: &Name, demand: Demand) {
         self.accounts.record_start(now, team, demand.work);
-        self.mix.record_start(now, team, demand);
+        if self.has_few_slots() {
+            self.mix.record_start(now, team, demand);
+        }
     }
 
     /// Returns whether credits for upstreams that state a rate are needed now.
@@ -262,13 +272,19 @@
     #[must_use]
     pub fn may_start(&self, now: Timestamp, team: &str, demand: Demand, limit: f64) -> bool {
         let served = self.accounts.team(now, team).served;
-        let balance = self.mix.balance(now, team, demand);
+        let balance = self.balance(now, team, demand);
         let own_limit = limit * balance_factor(balance);
         served + demand.work as f64 / 2.0 < own_limit.min(limit)
             || served < limit * DUE_FRACTION
             || balance == Balance::Behind && served < own_limit
     }
 
+    /// Returns how much of the kind of a request is served, relative to all work of its team.
+    #[must_use]
+    pub fn balance(&self, now: Timestamp, team: &str, demand: Demand) -> Balance {
+        self.mix.balance(now, team, demand)
+    }
+
     /// Returns the waiting requests in the order in which to start them.
     #[must_use]
     pub fn start_order(&self, now: Timestamp) -> Vec<QueuedRequest> {
@@ -311,7 +327,7 @@
         (demand, standing): (Demand, Standing),
         fair_share: f64,
     ) -> Span {
-        let balance = self.mix.balance(now, team, demand);
+        let balance = self.balance(now, team, demand);
         let limit = standing.share_limit(fair_share) * balance_factor(balance);
         let own = (demand, standing);
         let waiting = self.queue.work_before(now, team, &self.mix, own) as f64;
--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -76,7 +76,7 @@
         let wait = state.clients.wait();
         let arrived = tokio::select! {
             arrived = wait_for_request(&state, &mut connection) => arrived?,
-            _ = wait.evicted() => false,
+            _ = state.evicted(&wait) => false,
         };
         if !arrived {
             return Ok(());
@@ -86,7 +86,7 @@
         let mut share = state.router.memory.share(ARRIVING.into());
         let head = tokio::select! {
             head = read_head(&state, &mut connection, &mut share) => head,
-            _ = wait.evicted() => return Ok(()),
+            _ = state.evicted(&wait) => return Ok(()),
         };
         let head = match head {
             Ok(Ok(head)) => head,
@@ -239,7 +239,7 @@
     let mut share = state.router.memory.share(allowed.team_name());
     let body = tokio::select! {
         body = request_body::read(state, connection, &head, &mut share) => body,
-        reason = wait.evicted() => match reason {
+        reason = state.evicted(&wait) => match reason {
             Eviction::Connections => return Ok(false),
             Eviction::Memory => Ok(Err(request_body::OUT_OF_MEMORY)),
         },
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -34,7 +34,7 @@
         let wait = connections.wait();
         let served = tokio::select! {
             served = serve_next(&state, &mut connection) => served?,
-            _ = wait.evicted() => false,
+            _ = state.evicted(&wait) => false,
         };
         if !served {
             return Ok(());
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -26,8 +26,12 @@
 use tsw_route::{table::Limits, Name};
 
 use crate::{
-    arrival::Arrivals, connection_reuse::ReuseTracker, credit_exchange::ReadyRouters,
-    list_check::ListCheck, origin_sync::Queries, store_copy::StoreCopy,
+    arrival::{Arrivals, Eviction, Wait},
+    connection_reuse::ReuseTracker,
+    credit_exchange::ReadyRouters,
+    list_check::ListCheck,
+    origin_sync::Queries,
+    store_copy::StoreCopy,
 };
 
 /// Maximum number of routers in a fleet in which every router watches the store.
@@ -152,6 +156,18 @@
         allowed.min(self.max_clients).max(MIN_CLIENTS)
     }
 
+    /// Waits until a connection has to be closed for others, counts that, and returns why.
+    pub async fn evicted(&self, wait: &Wait) -> Eviction {
+        let reason = wait.evicted().await;
+        let short = match reason {
+            Eviction::Connections => "connections",
+            Eviction::Memory => "memory",
+        };
+        let evicted = &self.router.metrics.evicted;
+        evicted.with_label_values(&[short]).inc();
+        reason
+    }
+
     /// Returns the maximum number of connections to the router's own endpoints.
     #[must_use]
     pub fn max_endpoint_clients(&self) -> usize {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -33,8 +33,14 @@
     pub limited: IntGauge,
     /// Credits for requests to such upstreams, by service and step: asked for, granted.
     pub credits: IntCounterVec,
+    /// Requests that clients sent again after a refusal, by service and whether their objective can be met.
+    pub repeated: IntCounterVec,
+    /// Requests that were started at engines with few slots, by service and balance of their kind.
+    pub started_kinds: IntCounterVec,
     /// Open connections of clients.
     pub clients: IntGauge,
+    /// Connections that were closed to make room for others, by what was short.
+    pub evicted: IntCounterVec,
     /// Age of the oldest report of a busy router when an upstream was chosen, in seconds.
     pub report_age: Histogram,
     /// Length of messages to other routers, in bytes. A message to several routers counts once.
@@ -140,7 +146,28 @@
                 ),
                 &["service", "step"],
             )?,
+            repeated: IntCounterVec::new(
+                Opts::new(
+                    "relay_repeated_total",
+                    "Requests sent again after a refusal, by service and whether they are overdue",
+                ),
+                &["service", "objective"],
+            )?,
+            started_kinds: IntCounterVec::new(
+                Opts::new(
+                    "relay_started_kinds_total",
+                    "Requests started at engines with few slots, by service and balance of their kind",
+                ),
+                &["service", "balance"],
+            )?,
             clients: IntGauge::new("relay_clients", "Open connections of clients")?,
+            evicted: IntCounterVec::new(
+                Opts::new(
+                    "relay_clients_evicted_total",
+                    "Connections closed to make room for others, by what was short",
+                ),
+                &["short"],
+            )?,
             report_age: histogram(
                 "relay_statement_age_seconds",
                 "Age of what other routers stated when an upstream was chosen",
@@ -194,7 +221,10 @@
         registry.register(Box::new(metrics.pauses.clone()))?;
         registry.register(Box::new(metrics.limited.clone()))?;
         registry.register(Box::new(metrics.credits.clone()))?;
+        registry.register(Box::new(metrics.repeated.clone()))?;
+        registry.register(Box::new(metrics.started_kinds.clone()))?;
         registry.register(Box::new(metrics.clients.clone()))?;
+        registry.register(Box::new(metrics.evicted.clone()))?;
         registry.register(Box::new(metrics.report_age.clone()))?;
         registry.register(Box::new(metrics.message_bytes.clone()))?;
         registry.register(Box::new(metrics.wait.clone()))?;
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -7,10 +7,11 @@
 use tsw_base::time::{Span, Timestamp};
 use tsw_event::{emit, Event};
 use tsw_flow::{
-    mix::Demand,
+    mix::{Balance, Demand},
     origin::Software,
     pool::Choice,
     queue::{QueuedRequest, Standing},
+    repeat,
     service::Service,
 };
 use tsw_route::Name;
@@ -187,7 +188,7 @@
                 if let Some(choice) =
                     service.choose(now, &self.domain, prompt, avoid, software, interval)
                 {
-                    return Ok(Ok(record_start(service, now, request, choice)));
+                    return Ok(Ok(self.record_start(service, now, request, choice)));
                 }
             }
             let begun = standing == Standing::Begun;
@@ -304,15 +305,55 @@
         }
     }
 
+    /// Returns the key by which a request is recognized if its client sends it again; `None` if that does not matter.
+    fn repeat_key(&self, request: &Request) -> Option<repeat::Key> {
+        let few_slots = self.with_service(&request.service, |service| service.has_few_slots());
+        request
+            .repeat_key()
+            .filter(|_| few_slots.unwrap_or_default())
+    }
+
     /// Returns how far a request has come, and whether its client sends it again after a refusal.
     fn standing(&self, now: Timestamp, request: &Request, needs: &Needs<'_>) -> (Standing, bool) {
         let first = needs.standing(request);
-        let Some(key) = request.repeat_key() else {
+        let Some(key) = self.repeat_key(request) else {
             return (first, false);
         };
         let refusals = self.refusals.borrow();
         let standing = refusals.standing(now, key, request.objective(), first);
-        (standing, refusals.first_arrival(key).is_some())
+        let is_repeated = refusals.first_arrival(key).is_some();
+        if is_repeated {
+            let objective = match standing {
+                Standing::Overdue => "overdue",
+                _ => "possible",
+            };
+            let labels = [&*request.service, objective];
+            self.metrics.repeated.with_label_values(&labels).inc();
+        }
+        (standing, is_repeated)
+    }
+
+    fn record_start(
+        &self,
+        service: &mut Service,
+        now: Timestamp,
+        request: &Request,
+        choice: Choice,
+    ) -> Choice {
+        let (team, demand) = (request.team(), demand(request));
+        if service.has_few_slots() {
+            let balance = match service.balance(now, team, demand) {
+                Balance::Behind => "behind",
+                Balance::Even => "even",
+                Balance::Ahead => "ahead",
+            };
+            let labels = [&*request.service, balance];
+            self.metrics.started_kinds.with_label_values(&labels).inc();
+        }
+        service.record_start(now, &team.into(), demand);
+        service.pool.use_credit(now, &choice);
+        service.pool.begin(&choice, request.prompt.as_ref());
+        choice
     }
 
     fn reservation(self: &Rc<Self>, request: &Request, choice: Choice) -> Reservation {
@@ -406,7 +447,7 @@
                     continue;
                 };
                 service.queue.remove(waiting.number);
-                let choice = record_start(service, now, &waiter.request, choice);
+                let choice = self.record_start(service, now, &waiter.request, choice);
                 let waiter = waiters.0.swap_remove(&key).expect("found above");
                 assigned.push((waiter, choice));
             }
@@ -426,18 +467,6 @@
     }
 }
 
-fn record_start(
-    service: &mut Service,
-    now: Timestamp,
-    request: &Request,
-    choice: Choice,
-) -> Choice {
-    service.record_start(now, &request.team().into(), demand(request));
-    service.pool.use_credit(now, &choice);
-    service.pool.begin(&choice, request.prompt.as_ref());
-    choice
-}
-
 /// Returns the entry of a request in the queue, which assigns its number.
 fn queued(
     request: &Request,
--- a/crates/relay/src/reservation/refuse.rs
+++ b/crates/relay/src/reservation/refuse.rs
@@ -57,7 +57,7 @@
         fair_share: f64,
     ) -> Refused {
         let now = self.now();
-        if let Some(key) = request.repeat_key() {
+        if let Some(key) = self.repeat_key(request) {
             let mut refusals = self.refusals.borrow_mut();
             refusals.record(now, key, request.arrived);
         }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -126,6 +126,25 @@
     pub can_fetch: bool,
 }
 
+/// Maximum number of slots that counts as few.
+const FEW_SLOTS: u32 = 16;
+
+impl Engine {
+    /// Returns whether it runs few requests at once, so that each slot matters: which request gets it, for how long, and
+    /// what it delays there. Engines with many slots start requests at once and serve all of them more slowly.
+    ///
+    /// ```
+    /// use tsw_route::table::Engine;
+    /// let engine = |slots| Engine { slots, kv_capacity_tokens: 400_000, can_fetch: true };
+    /// assert!(engine(12).has_few_slots());
+    /// assert!(!engine(64).has_few_slots());
+    /// ```
+    #[must_use]
+    pub const fn has_few_slots(&self) -> bool {
+        self.slots <= FEW_SLOTS
+    }
+}
+
 /// Limits on client connections and requests, and on the work of the engines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
