--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -203,8 +203,6 @@
     pub max_pending_tokens: u64,
     /// Whether engines can fetch cached prompt parts from each other.
     pub can_fetch: bool,
-    /// Whether engines have few slots. Their speed and the streams that run there then count in the choice.
-    pub few_slots: bool,
     /// Requests that may wait at a plain upstream beyond its slots.
     pub extra_slots: u32,
     /// Maximum age of the reports of other routers.
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -11,7 +11,8 @@
 /// Cost of a running request. It lengthens each engine step by about 0.1 ms, in which an engine
 /// processes 5 to 6 prompt tokens; a prompt takes some ten steps.
 const RUNNING_REQUEST_COST: u64 = 60;
-/// Weight of the delay of the streams at an engine, in percent of the prompt's own delay where all slots are in use.
+/// Weight of the delay of the streams at an engine, in percent of the prompt's own delay where all slots are in use. With
+/// 800, a deployment whose engines have 64 slots was served worse.
 const DELAY_PERCENT: u64 = 150;
 /// Minimum number of tokens to fetch. A fetch delays an engine about as much as processing these
 /// tokens does.
@@ -85,28 +86,18 @@
         let (transferred, fetch) =
             source.map_or((0, None), |source| fetch(constraints, cached, source));
         let uncached = prompt.tokens.saturating_sub(cached.tokens + transferred);
-        let pending = upstream.pending_tokens();
-        let slowness = if constraints.few_slots {
-            pool.slowness(now, upstream)
-        } else {
-            1.0
-        };
+        let (pending, slowness) = (upstream.pending_tokens(), pool.slowness(now, upstream));
         let requests = upstream.occupancy(now);
         let prefill = (pending + uncached) as f64 * slowness;
         let room = pending == 0 || prefill <= constraints.max_pending_tokens as f64;
         if !room || requests >= upstream.entry.slots {
             return None;
         }
-        let running = u64::from(requests) * RUNNING_REQUEST_COST;
         // All streams at the engine pause while it processes the prompt, so that a long one prefers engines with few streams
         // for their slots, and short ones those that are left.
-        let delayed = if constraints.few_slots {
-            uncached * u64::from(requests) * DELAY_PERCENT
-                / (100 * u64::from(upstream.entry.slots.max(1)))
-        } else {
-            0
-        };
-        let running = running.max(delayed);
+        let delayed = uncached * u64::from(requests) * DELAY_PERCENT
+            / (100 * u64::from(upstream.entry.slots.max(1)));
+        let running = delayed.max(u64::from(requests) * RUNNING_REQUEST_COST);
         let fetching = fetch.map_or(0, |_| {
             MIN_FETCH_TOKENS + transferred / TRANSFERRED_PER_PROCESSED
         });
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     account::Accounts,
-    mix::{Demand, Mix},
+    mix::{Balance, Demand},
 };
 
 /// How far a request has come, in ascending order of precedence.
@@ -122,20 +122,20 @@
     }
 
     /// Returns the work of the waiting requests of a team that do not run yet and go before a further one of this
-    /// standing.
+    /// standing and balance, given the balance of each.
     #[must_use]
     pub fn work_before(
         &self,
-        now: Timestamp,
         team: &str,
-        mix: &Mix,
-        (demand, standing): (Demand, Standing),
+        standing: Standing,
+        balance: Balance,
+        balance_of: impl Fn(Demand) -> Balance,
     ) -> u64 {
-        let rank = |standing, demand| (Reverse(standing), mix.balance(now, team, demand));
-        let own_rank = rank(standing, demand);
         let waiting = self.waiting.iter().filter(|waiting| !waiting.moves);
-        let before = waiting.filter(|waiting| {
-            *waiting.team == *team && rank(waiting.standing, waiting.demand) <= own_rank
+        let own = waiting.filter(|waiting| *waiting.team == *team);
+        let before = own.filter(|waiting| {
+            let rank = (Reverse(waiting.standing), balance_of(waiting.demand));
+            rank <= (Reverse(standing), balance)
         });
         before.map(|waiting| waiting.demand.work).sum()
     }
@@ -168,13 +168,13 @@
     }
 
     /// Returns the waiting requests in the order in which to start them, given the recent work of
-    /// each team.
+    /// each team and the balance of each kind.
     #[must_use]
     pub fn start_order(
         &self,
         now: Timestamp,
         accounts: &Accounts,
-        mix: &Mix,
+        balance_of: impl Fn(&str, Demand) -> Balance,
     ) -> Vec<QueuedRequest> {
         let mut order = self.waiting.clone();
         let mut served_by_team: IndexMap<Name, f64> = IndexMap::new();
@@ -190,7 +190,7 @@
                 late,
                 served as u64,
                 waiting.priority,
-                mix.balance(now, &waiting.team, waiting.demand),
+                balance_of(&waiting.team, waiting.demand),
                 waiting.objective_at,
             )
         });
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -114,8 +114,8 @@
         self.engine
     }
 
-    /// Returns whether the service runs on engines with few slots. Only there the kinds of a team's requests are balanced
-    /// and overdue ones wait.
+    /// Returns whether the service runs on engines with few slots. Only there kinds of requests that are ahead leave room to
+    /// the others, and overdue requests wait for new ones.
     #[must_use]
     pub fn has_few_slots(&self) -> bool {
         self.engine.is_some_and(|engine| engine.has_few_slots())
@@ -169,7 +169,6 @@
             software,
             max_pending_tokens,
             can_fetch: self.engine.is_some_and(|engine| engine.can_fetch),
-            few_slots: self.has_few_slots(),
             extra_slots: EXTRA_PLAIN_SLOTS,
             report_age,
         };
@@ -185,7 +184,7 @@
         is_repeated: bool,
     ) {
         self.accounts.record_request(now, team, demand.work);
-        if !is_repeated && self.has_few_slots() {
+        if !is_repeated {
             self.mix.record_request(now, team, demand);
         }
         self.arrivals = self.arrivals.saturating_add(1);
@@ -194,9 +193,7 @@
     /// Records that a request of a team was started.
     pub fn record_start(&mut self, now: Timestamp, team: &Name, demand: Demand) {
         self.accounts.record_start(now, team, demand.work);
-        if self.has_few_slots() {
-            self.mix.record_start(now, team, demand);
-        }
+        self.mix.record_start(now, team, demand);
     }
 
     /// Returns whether credits for upstreams that state a rate are needed now.
@@ -282,13 +279,24 @@
     /// Returns how much of the kind of a request is served, relative to all work of its team.
     #[must_use]
     pub fn balance(&self, now: Timestamp, team: &str, demand: Demand) -> Balance {
-        self.mix.balance(now, team, demand)
+        self.mix.balance(now, team, demand).min(self.max_balance())
+    }
+
+    /// Returns the balance from which kinds are treated alike.
+    fn max_balance(&self) -> Balance {
+        if self.has_few_slots() {
+            Balance::Ahead
+        } else {
+            Balance::Even
+        }
     }
 
     /// Returns the waiting requests in the order in which to start them.
     #[must_use]
     pub fn start_order(&self, now: Timestamp) -> Vec<QueuedRequest> {
-        self.queue.start_order(now, &self.accounts, &self.mix)
+        self.queue.start_order(now, &self.accounts, |team, demand| {
+            self.balance(now, team, demand)
+        })
     }
 
     /// Returns whether the new requests of a team wait, since one of its team that states to resume a
@@ -329,8 +337,8 @@
     ) -> Span {
         let balance = self.balance(now, team, demand);
         let limit = standing.share_limit(fair_share) * balance_factor(balance);
-        let own = (demand, standing);
-        let waiting = self.queue.work_before(now, team, &self.mix, own) as f64;
+        let balance_of = |demand| self.balance(now, team, demand);
+        let waiting = self.queue.work_before(team, standing, balance, balance_of) as f64;
         let total = self.accounts.team(now, team).served + waiting;
         if total <= limit {
             return Span::ZERO;
--- a/crates/flow/tests/long_prompts.rs
+++ b/crates/flow/tests/long_prompts.rs
@@ -59,7 +59,6 @@
         software: None,
         max_pending_tokens: 14_000,
         can_fetch: false,
-        few_slots: true,
         extra_slots: 1,
         report_age: Span::from_millis(100),
     };
--- a/crates/flow/tests/odd_entries.rs
+++ b/crates/flow/tests/odd_entries.rs
@@ -33,7 +33,6 @@
         avoid: &[],
         max_pending_tokens: 12_000,
         can_fetch: false,
-        few_slots: false,
         extra_slots,
         report_age: Span::from_millis(100),
         software: None,
--- a/crates/flow/tests/old_reports.rs
+++ b/crates/flow/tests/old_reports.rs
@@ -47,7 +47,6 @@
         software: None,
         max_pending_tokens: 0,
         can_fetch: false,
-        few_slots: false,
         extra_slots: 1,
         report_age: Span::from_millis(report_age_ms),
     }
--- a/crates/flow/tests/peer_reports.rs
+++ b/crates/flow/tests/peer_reports.rs
@@ -78,7 +78,7 @@
                 reports.map(|(_, usage)| usage.requests).sum()
             };
             let least = listed.iter().map(requests).min();
-            let constraints = Constraints { domain: "north", prompt: None, avoid: &[], software: None, max_pending_tokens: 0, can_fetch: false, few_slots: false, extra_slots: 0, report_age: Span::from_millis(100) };
+            let constraints = Constraints { domain: "north", prompt: None, avoid: &[], software: None, max_pending_tokens: 0, can_fetch: false, extra_slots: 0, report_age: Span::from_millis(100) };
             let chosen = pool.choose(now, &constraints).expect("there is room");
             let chosen = listed.iter().find(|entry| entry.id == chosen.id).expect("listed");
             prop_assert_eq!(Some(requests(chosen)), least);
--- a/crates/flow/tests/pool.rs
+++ b/crates/flow/tests/pool.rs
@@ -65,7 +65,6 @@
         software: None,
         max_pending_tokens: 12_000,
         can_fetch: true,
-        few_slots: false,
         extra_slots: 1,
         report_age: Span::from_millis(100),
     }
@@ -391,7 +390,6 @@
     let mut pool = pool(4);
     let constraints = |prompt| Constraints {
         can_fetch: false,
-        few_slots: false,
         ..constraints(prompt)
     };
     let first = prompt(1, 10);
--- a/crates/flow/tests/stale.rs
+++ b/crates/flow/tests/stale.rs
@@ -114,7 +114,6 @@
             software: None,
             max_pending_tokens: 12_000,
             can_fetch: true,
-            few_slots: false,
             extra_slots: 1,
             report_age: Span::from_millis(period_ms),
         };
--- a/crates/flow/tests/support/plain.rs
+++ b/crates/flow/tests/support/plain.rs
@@ -12,7 +12,6 @@
         software: None,
         max_pending_tokens: 0,
         can_fetch: false,
-        few_slots: false,
         extra_slots: 1,
         report_age: Span::ZERO,
     };
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -130,8 +130,7 @@
 const FEW_SLOTS: u32 = 16;
 
 impl Engine {
-    /// Returns whether it runs few requests at once, so that each slot matters: which request gets it, for how long, and
-    /// what it delays there. Engines with many slots start requests at once and serve all of them more slowly.
+    /// Returns whether it runs few requests at once, so that it matters which one gets a slot. Engines with many slots start requests at once and serve all of them more slowly.
     ///
     /// ```
     /// use tsw_route::table::Engine;
