--- a/crates/flow/src/pool.rs
+++ b/crates/flow/src/pool.rs
@@ -1,5 +1,6 @@
 //! The upstreams of a service and the selection of one for a request.
 
+mod candidate;
 mod ended;
 mod engine;
 mod limit;
@@ -7,6 +8,7 @@
 mod plain;
 mod speed;
 
+pub use candidate::Candidate;
 pub use limit::{Question, Statement};
 pub use speed::Load;
 
@@ -411,17 +413,8 @@
     /// Unhealthy upstreams are only considered if no eligible one is healthy.
     #[must_use]
     pub fn choose(&self, now: Timestamp, constraints: &Constraints<'_>) -> Option<Choice> {
-        let eligible = |upstream: &&Upstream| {
-            let is_same = |software: &Software| self.runs(upstream, software);
-            !upstream.entry.leaving
-                && self.pause_permits(now, upstream)
-                && self.limit_allows(now, upstream)
-                && !constraints.avoid.contains(&upstream.entry.id)
-                && constraints.software.is_none_or(is_same)
-        };
-        let healthy = |upstream: &&Upstream| {
-            upstream.unavailable_until <= now && upstream.failure_rate(now) < UNHEALTHY_FAILURE_RATE
-        };
+        let eligible = |upstream: &&Upstream| self.exclusion(now, upstream, constraints).is_none();
+        let healthy = |upstream: &&Upstream| self.is_healthy(now, upstream);
         let eligible: Vec<&Upstream> = self.upstreams.values().filter(eligible).collect();
         let healthy: Vec<&Upstream> = eligible.iter().copied().filter(healthy).collect();
         let candidates = if healthy.is_empty() {
--- a/crates/flow/src/pool/engine.rs
+++ b/crates/flow/src/pool/engine.rs
@@ -70,6 +70,15 @@
     each
 }
 
+/// What an engine would cost for a prompt.
+pub(super) struct Assessment<'a> {
+    pub(super) upstream: &'a Upstream,
+    pub(super) uncached: u64,
+    fetch: Option<SocketAddr>,
+    /// `None` if it has no room.
+    pub(super) cost: Option<f64>,
+}
+
 /// Chooses the engine with the least delay for the prompt and for the requests that run there.
 pub(super) fn choose(
     now: Timestamp,
@@ -78,10 +87,24 @@
     constraints: &Constraints<'_>,
     prompt: &Prompt,
 ) -> Option<Choice> {
+    let assessed = assess(now, pool, candidates, constraints, prompt).into_iter();
+    let with_room = assessed.filter_map(|engine| engine.cost.map(|cost| (cost, engine)));
+    let best = with_room.min_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, engine)| engine.upstream.choice(engine.uncached, engine.fetch))
+}
+
+/// Returns what each engine would cost for a prompt.
+pub(super) fn assess<'a>(
+    now: Timestamp,
+    pool: &Pool,
+    candidates: &[&'a Upstream],
+    constraints: &Constraints<'_>,
+    prompt: &Prompt,
+) -> Vec<Assessment<'a>> {
     let owned = &pool.owned;
     let cached = cached(candidates, prompt);
     let source = cached.iter().max_by_key(|cached| cached.tokens);
-    let candidates = cached.iter().filter_map(|cached| {
+    let assessed = cached.iter().map(|cached| {
         let upstream = cached.upstream;
         let (transferred, fetch) =
             source.map_or((0, None), |source| fetch(constraints, cached, source));
@@ -89,10 +112,7 @@
         let (pending, slowness) = (upstream.pending_tokens(), pool.slowness(now, upstream));
         let requests = upstream.occupancy(now);
         let prefill = (pending + uncached) as f64 * slowness;
-        let room = pending == 0 || prefill <= constraints.max_pending_tokens as f64;
-        if !room || requests >= upstream.entry.slots {
-            return None;
-        }
+        let has_room = pending == 0 || prefill <= constraints.max_pending_tokens as f64;
         // All streams at the engine pause while it processes the prompt, so that a long one prefers engines with few streams
         // for their slots, and short ones those that are left.
         let delayed = uncached * u64::from(requests) * DELAY_PERCENT
@@ -120,10 +140,15 @@
         };
         let cost = cost.saturating_sub(cached.preferred_tokens + credit) as f64;
         let cost = cost * slowness * (1.0 + 2.0 * upstream.failure_rate(now));
-        Some((cost, upstream, uncached, fetch))
+        let has_room = has_room && requests < upstream.entry.slots;
+        Assessment {
+            upstream,
+            uncached,
+            fetch,
+            cost: has_room.then_some(cost),
+        }
     });
-    let best = candidates.min_by(|a, b| a.0.total_cmp(&b.0));
-    best.map(|(_, upstream, uncached, fetch)| upstream.choice(uncached, fetch))
+    assessed.collect()
 }
 
 /// Returns how many tokens an engine should fetch from `source`, the engine with the longest cached
--- a/crates/flow/src/pool/plain.rs
+++ b/crates/flow/src/pool/plain.rs
@@ -20,18 +20,8 @@
     constraints: &Constraints<'_>,
 ) -> Option<Choice> {
     let fits = candidates.iter().filter_map(|upstream| {
-        let (slots, requests) = (upstream.entry.slots, upstream.occupancy(now));
-        if requests >= slots.saturating_add(constraints.extra_slots) {
-            return None;
-        }
-        let remote = if &*upstream.entry.domain == constraints.domain {
-            0.0
-        } else {
-            REMOTE_DOMAIN_COST
-        };
-        let slots = f64::from(slots.max(1));
-        let cost = (f64::from(requests) + remote) / slots;
-        Some((cost + 4.0 * upstream.failure_rate(now), *upstream))
+        let cost = cost(now, upstream, constraints)?;
+        Some((cost, *upstream))
     });
     let mut fits: Vec<(f64, &Upstream)> = fits.collect();
     if constraints.report_age >= OLD_REPORTS && !fits.is_empty() {
@@ -45,3 +35,23 @@
     let best = fits.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
     best.map(|(_, upstream)| upstream.choice(0, None))
 }
+
+/// Returns the cost of an upstream; `None` if it has no room.
+pub(super) fn cost(
+    now: Timestamp,
+    upstream: &Upstream,
+    constraints: &Constraints<'_>,
+) -> Option<f64> {
+    let (slots, requests) = (upstream.entry.slots, upstream.occupancy(now));
+    if requests >= slots.saturating_add(constraints.extra_slots) {
+        return None;
+    }
+    let remote = if &*upstream.entry.domain == constraints.domain {
+        0.0
+    } else {
+        REMOTE_DOMAIN_COST
+    };
+    let slots = f64::from(slots.max(1));
+    let cost = (f64::from(requests) + remote) / slots;
+    Some(cost + 4.0 * upstream.failure_rate(now))
+}
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -9,7 +9,7 @@
     budget::RetryBudget,
     mix::{Balance, Demand, Mix},
     origin::Software,
-    pool::{Choice, Constraints, Pool},
+    pool::{Candidate, Choice, Constraints, Pool},
     prompt::Prompt,
     queue::{Queue, QueuedRequest, Standing},
     rate::{Rate, MAX_DEMAND},
@@ -161,18 +161,41 @@
         software: Option<&Software>,
         report_age: Span,
     ) -> Option<Choice> {
-        let max_pending_tokens = self.max_pending_tokens();
-        let constraints = Constraints {
+        let needs = (avoid, software);
+        let constraints = self.constraints(domain, prompt, needs, report_age);
+        self.pool.choose(now, &constraints)
+    }
+
+    /// Returns the upstreams as [`Service::choose`] would see them for a new request.
+    #[must_use]
+    pub fn candidates(
+        &self,
+        now: Timestamp,
+        domain: &str,
+        prompt: Option<&Prompt>,
+        report_age: Span,
+    ) -> Vec<Candidate> {
+        let constraints = self.constraints(domain, prompt, (&[], None), report_age);
+        self.pool.candidates(now, &constraints)
+    }
+
+    fn constraints<'a>(
+        &self,
+        domain: &'a str,
+        prompt: Option<&'a Prompt>,
+        (avoid, software): (&'a [Name], Option<&'a Software>),
+        report_age: Span,
+    ) -> Constraints<'a> {
+        Constraints {
             domain,
             prompt: prompt.filter(|_| self.engine.is_some()),
             avoid,
             software,
-            max_pending_tokens,
+            max_pending_tokens: self.max_pending_tokens(),
             can_fetch: self.engine.is_some_and(|engine| engine.can_fetch),
             extra_slots: EXTRA_PLAIN_SLOTS,
             report_age,
-        };
-        self.pool.choose(now, &constraints)
+        }
     }
 
     /// Records that a request of a team arrived. Those that come again after a refusal count once in the mix.
--- a/crates/flow/tests/over_share.rs
+++ b/crates/flow/tests/over_share.rs
@@ -98,7 +98,7 @@
 
     fn step(&mut self, millis: u64) {
         for kind in 0..self.kinds.len() {
-            if millis % self.kinds[kind].every_ms == 0 {
+            if millis.is_multiple_of(self.kinds[kind].every_ms) {
                 let id = millis * 10 + kind as u64;
                 let prompt = Prompt {
                     parts: vec![Part { id, tokens: 1 }],
@@ -128,7 +128,7 @@
                 },
             );
         }
-        if millis % ROUND_MS == 0 {
+        if millis.is_multiple_of(ROUND_MS) {
             self.round(millis);
         }
     }
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -7,7 +7,7 @@
 use tsw_platform::endpoint::{self, Endpoint};
 use tsw_relay::responder::Responder;
 
-use crate::{origin_sync, peer_sync, state::State, store_copy::KnownRevisions};
+use crate::{explain, origin_sync, peer_sync, state::State, store_copy::KnownRevisions};
 
 /// Idle timeout of a connection. Callers send a request every second or open a new connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -15,6 +15,8 @@
 const MAX_HEAD: usize = 8_192;
 /// Maximum number of addresses in a response.
 const MAX_ADDRESSES: usize = 64;
+/// Content type of most responses.
+const JSON: &str = "application/json";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -55,7 +57,13 @@
             return Ok(false);
         }
     };
-    let (status, content_type, body) = respond(state, &String::from_utf8_lossy(&request.target));
+    let target = String::from_utf8_lossy(&request.target);
+    let (status, content_type, body) = if target == explain::PATH {
+        let (status, body) = explain::respond(state, &request.fields);
+        (status, JSON, body)
+    } else {
+        respond(state, &target)
+    };
     let mut fields = Fields::default();
     fields.push("Content-Type", content_type);
     let (_, writer) = connection.stream.split();
@@ -65,7 +73,6 @@
 }
 
 fn respond(state: &State, target: &str) -> (u16, &'static str, Vec<u8>) {
-    const JSON: &str = "application/json";
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     match Endpoint::parse(target) {
         Some(Endpoint::Ready) => {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 //!   service; [`connection_reuse`]: tracks whether clients reuse their connections.
 //! - [`request_body`]: reads bodies within the memory of the process.
 //! - [`endpoints`]: the router's own HTTP endpoints: readiness, addresses, metrics, reads by peers.
+//! - [`explain`]: explains where a request would go, without sending it.
 //! - [`store_watch`]: reads the platform's store; [`peer_sync`]: reads newer store content from
 //!   peers; [`store_history`]: reads at the start which upstreams left before; [`configuration_history`]: reads at the
 //!   start which configurations were active before; [`list_check`]: brings the list up to
@@ -32,6 +33,7 @@
 pub mod credit_message;
 pub mod endpoints;
 mod evacuations;
+pub mod explain;
 pub mod gossip;
 pub mod list_check;
 pub mod origin_batch;
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -18,8 +18,10 @@
 
 use crate::{local_response::Refusal, request::Request, router::Router};
 
+mod decision;
 mod refuse;
 
+pub use decision::{Decision, Plan};
 pub use refuse::Refused;
 pub(crate) use refuse::RETRY_AFTER_DIVISOR;
 use refuse::{late, MIN_RETRY_AFTER};
@@ -119,6 +121,19 @@
     }
 }
 
+/// What was done about a request that arrived.
+enum Step {
+    Started(Choice),
+    /// With its number in the queue, and when it expires there.
+    Queued(u64, Timestamp),
+    Unavailable {
+        pause: Span,
+        wait: Span,
+    },
+    /// With the fair share.
+    Refused(Refusal, f64),
+}
+
 /// When a service's free slots were last assigned to queued requests.
 #[derive(Clone, Copy, Default)]
 pub struct StartState {
@@ -163,64 +178,39 @@
         needs: Needs<'_>,
     ) -> Result<Reservation, Refused> {
         let now = self.now();
-        let Needs {
-            avoid, software, ..
-        } = needs;
         let (standing, is_repeated) = self.standing(now, request, &needs);
         let demand = demand(request);
         self.record_slot_request();
-        let interval = self.report_interval();
-        let wait = self.with_service(&request.service, |service| {
-            let prompt = request.prompt.as_ref();
-            let fair_share = service.fair_share(now);
-            if prompt.is_some_and(|prompt| service.is_too_long(prompt)) {
-                return Err((Refusal::NoUpstream, fair_share));
+        let step = self.with_service(&request.service, |service| {
+            if !decision::is_unservable(service, request, &needs) {
+                service.record_request(now, &request.team().into(), demand, is_repeated);
             }
-            if software.is_some_and(|software| !service.pool.accepts_at(software, avoid)) {
-                return Err((Refusal::NoUpstream, fair_share));
-            }
-            let team = request.team();
-            service.record_request(now, &team.into(), demand, is_repeated);
-            let limit = standing.share_limit(fair_share);
-            let may_start = service.may_start(now, team, demand, limit)
-                && !service.is_held(now, team, standing, fair_share);
-            if may_start && !service.has_startable(now, fair_share) {
-                if let Some(choice) =
-                    service.choose(now, &self.domain, prompt, avoid, software, interval)
-                {
-                    return Ok(Ok(self.record_start(service, now, request, choice)));
+            match self.decide(service, now, request, &needs, standing) {
+                Decision::Start(choice) => {
+                    Step::Started(self.record_start(service, now, request, choice))
                 }
+                Decision::Wait(until) => {
+                    let queued = queued(request, standing, until, false);
+                    Step::Queued(service.queue.push(queued), until)
+                }
+                Decision::Unavailable { pause, wait } => Step::Unavailable { pause, wait },
+                Decision::Refuse(refusal) => Step::Refused(refusal, service.fair_share(now)),
             }
-            let begun = standing == Standing::Begun;
-            if !service.pool.has_accepting(if begun { avoid } else { &[] }) {
-                return Err((Refusal::NoUpstream, fair_share));
-            }
-            let engine = service.engine().is_some();
-            let until = request.queue_expiry(now, needs.last_event_at, engine);
-            let wait = service.estimated_wait(now, team, (demand, standing), fair_share);
-            if now + wait >= until {
-                return Err((late(wait), fair_share));
-            }
-            let wait = service.pool.shortest_wait(now, avoid, software);
-            if now + wait >= until {
-                let pause = service.pool.shortest_pause(now, avoid, software);
-                return Ok(Err(Err((pause, wait))));
-            }
-            let queued = queued(request, standing, until, false);
-            Ok(Err(Ok((service.queue.push(queued), until))))
         });
         let limited = self.with_service(&request.service, |service| service.pool.is_limited(now));
         if limited == Some(true) {
             self.credits_needed.notify_one();
         }
-        let (number, until) = match wait {
+        let (number, until) = match step {
             None => return Err(Refused::new(Refusal::NoUpstream, MIN_RETRY_AFTER)),
-            Some(Err((refusal, fair_share))) => {
+            Some(Step::Started(choice)) => return Ok(self.reservation(request, choice)),
+            Some(Step::Queued(number, until)) => (number, until),
+            Some(Step::Unavailable { pause, wait }) => {
+                return Err(self.refuse_wait(request, pause, wait))
+            }
+            Some(Step::Refused(refusal, fair_share)) => {
                 return Err(self.refuse(request, standing, refusal, fair_share))
             }
-            Some(Ok(Ok(choice))) => return Ok(self.reservation(request, choice)),
-            Some(Ok(Err(Err((pause, wait))))) => return Err(self.refuse_wait(request, pause, wait)),
-            Some(Ok(Err(Ok(queued)))) => queued,
         };
         self.wait_in_queue(request, needs, standing, (number, until))
             .await
--- a/crates/toucan/src/flags.rs
+++ b/crates/toucan/src/flags.rs
@@ -42,6 +42,29 @@
             /// Identifier of the request.
             required id: String
         }
+        /// Shows where a request would go now and why, without sending it.
+        ///
+        /// The address is that of the router's metrics. Tokens are needed for model engines only.
+        ///
+        /// Example: toucan plan 10.1.0.7:9464 --host desk.example --path /review/ --team north --tokens 12000 --output 400
+        cmd plan {
+            /// Metrics address of the router.
+            required address: SocketAddr
+            /// Host name that the request names.
+            required --host host: String
+            /// Path of the request.
+            required --path path: String
+            /// Team that sends it.
+            optional --team team: String
+            /// Prompt tokens.
+            optional --tokens tokens: u64
+            /// Tokens to generate.
+            optional --output tokens: u64
+            /// Parts of the prompt as ID:TOKENS, separated by commas, with identifiers in hexadecimal digits.
+            optional --parts parts: String
+            /// Prints JSON instead of text.
+            optional --json
+        }
         /// Asks a router to accept no new work and to stop once its requests have ended.
         ///
         /// Example: toucan drain 10.1.0.7:9092
--- a/crates/toucan/src/main.rs
+++ b/crates/toucan/src/main.rs
@@ -18,6 +18,7 @@
 mod flags;
 mod keys;
 mod operator;
+mod plan;
 
 /// Exit code for faults and failures.
 const FAILURE: u8 = 1;
@@ -63,6 +64,10 @@
             operator::explain(flags.address, &flags.id)?;
             Ok(Outcome::Success)
         }
+        flags::ToucanCmd::Plan(flags) => {
+            plan::run(&flags)?;
+            Ok(Outcome::Success)
+        }
         flags::ToucanCmd::Drain(flags) => {
             operator::drain(flags.address)?;
             Ok(Outcome::Success)
--- a/crates/toucan/src/operator.rs
+++ b/crates/toucan/src/operator.rs
@@ -74,12 +74,39 @@
 
 type Response = (StatusCode, Vec<u8>);
 
+/// Returns the body of a successful response of a router to a request with header fields.
+pub fn read(
+    address: SocketAddr,
+    path: &str,
+    fields: &[(&'static str, String)],
+) -> Result<Vec<u8>, Error> {
+    let (status, body) = send_with_fields(address, Method::GET, path, fields)?;
+    if !status.is_success() {
+        return Err(status_error(address, status, &body));
+    }
+    Ok(body)
+}
+
 fn send_request(address: SocketAddr, method: Method, path: &str) -> Result<Response, Error> {
+    send_with_fields(address, method, path, &[])
+}
+
+fn send_with_fields(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    fields: &[(&'static str, String)],
+) -> Result<Response, Error> {
     let unreachable = |cause: String| Error::Unreachable { address, cause };
     actix_rt::System::new().block_on(async {
         let client = awc::Client::builder().timeout(TIMEOUT).finish();
         let url = format!("http://{address}{path}");
-        let sent = client.request(method, url).send().await;
+        let request = fields
+            .iter()
+            .fold(client.request(method, url), |request, (name, value)| {
+                request.insert_header((*name, value.as_str()))
+            });
+        let sent = request.send().await;
         let mut response = sent.map_err(|error| unreachable(error.to_string()))?;
         let body = response.body().limit(MAX_RESPONSE_BYTES).await;
         let body = body.map_err(|error| unreachable(error.to_string()))?;
@@ -87,14 +114,19 @@
     })
 }
 
+fn status_error(address: SocketAddr, status: StatusCode, body: &[u8]) -> Error {
+    let text = String::from_utf8_lossy(body);
+    let text = text.chars().take(300).collect();
+    Error::Status {
+        address,
+        status,
+        text,
+    }
+}
+
 fn print_response(address: SocketAddr, (status, body): &Response) -> Result<(), Error> {
     if !status.is_success() {
-        let text = String::from_utf8_lossy(body);
-        return Err(Error::Status {
-            address,
-            status: *status,
-            text: text.chars().take(300).collect(),
-        });
+        return Err(status_error(address, *status, body));
     }
     let pretty = serde_json::from_slice::<serde_json::Value>(body)
         .and_then(|value| serde_json::to_string_pretty(&value));
