--- a/crates/gate/src/client.rs
+++ b/crates/gate/src/client.rs
@@ -157,6 +157,14 @@
     let limits = state.limits();
     let deadline = time::Instant::now() + limits.head_timeout;
     loop {
+        // Parsed fields take several times the memory of their text, so that they are counted before they are parsed.
+        let parsed = request_body::parsed_bytes(&connection.buffer);
+        if parsed > 0 {
+            let bytes = connection.buffer.capacity() + parsed;
+            if !request_body::take_memory(state, share, bytes).await {
+                return Ok(Err(request_body::OUT_OF_MEMORY));
+            }
+        }
         match head::Request::take(&mut connection.buffer, limits.head_bytes) {
             Ok(Some(head)) => return Ok(Ok(head)),
             Ok(None) => {}
@@ -233,7 +241,13 @@
         Err(denied) => {
             let version = table.as_ref().map_or(0, |table| table.version);
             let denied = deny(state, connection, &head, &denied, version);
-            return time::timeout(WRITE_TIMEOUT, denied).await?;
+            let (is_reusable, has_whole_body) = time::timeout(WRITE_TIMEOUT, denied).await??;
+            // No account counts the head, so that it must not stay while the client is waited for.
+            drop(head);
+            if !has_whole_body {
+                linger(connection).await;
+            }
+            return Ok(is_reusable);
         }
     };
     let mut share = state.router.memory.share(allowed.team_name());
@@ -261,6 +275,8 @@
             responder.close_after_response();
             let writing = run::send_local_response(&state.router, &mut responder, None, response);
             time::timeout(WRITE_TIMEOUT, writing).await??;
+            drop(responder);
+            drop(head);
             linger(connection).await;
             return Ok(false);
         }
@@ -313,14 +329,14 @@
 }
 
 /// Answers a request that is denied, without reading a body that has not arrived yet. Returns whether the
-/// connection can be reused.
+/// connection can be reused, and whether the body had arrived.
 async fn deny(
     state: &State,
     connection: &mut Connection,
     head: &head::Request,
     denied: &Denied,
     version: u64,
-) -> io::Result<bool> {
+) -> io::Result<(bool, bool)> {
     let id = denied.id.as_deref();
     emit(
         Event::Refused,
@@ -341,11 +357,7 @@
         responder.close_if_not_run();
     }
     run::send_local_response(&state.router, &mut responder, id, denied.response).await?;
-    let is_reusable = responder.is_reusable();
-    if !has_whole_body {
-        linger(connection).await;
-    }
-    Ok(is_reusable)
+    Ok((responder.is_reusable(), has_whole_body))
 }
 
 /// Discards a body if all of it has arrived, and returns whether it has.
--- a/crates/gate/src/request_body.rs
+++ b/crates/gate/src/request_body.rs
@@ -23,13 +23,13 @@
 /// Maximum time for the body of a request. A client that sends a little now and then is not timed out by
 /// [`BODY_TIMEOUT`].
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
-/// Bytes of memory that a header field takes beside its text.
-const FIELD_BYTES: usize = std::mem::size_of::<tsw_http::field::Field>();
+/// Bytes of memory that a header field takes beside its text: the fields are copied for the upstream.
+const FIELD_BYTES: usize = 2 * std::mem::size_of::<tsw_http::field::Field>();
 /// Memory of the state of a request in progress and of its response, in bytes.
 const REQUEST_BYTES: usize = 24_576;
 /// Memory of the text of a head in relation to its length: it stays in the buffer in which it arrived, which may be up to
-/// twice as long.
-const HEAD_FACTOR: usize = 2;
+/// twice as long, and is written to the upstream.
+const HEAD_FACTOR: usize = 3;
 /// Maximum number of bytes of a body that are read at once, before they are counted.
 const MAX_BODY_READ: usize = 16_384;
 /// Number of stalled connections that are closed at once for one request that finds no memory.
@@ -48,6 +48,23 @@
     }
 }
 
+/// Returns the memory that the heads in a buffer take at most once they are parsed, in bytes; 0 if none is complete.
+///
+/// ```
+/// use tsw_gate::request_body::parsed_bytes;
+/// assert_eq!(parsed_bytes(b"GET / HTTP/1.1\r\nA: b\r\n"), 0);
+/// assert!(parsed_bytes(b"GET / HTTP/1.1\r\nA: b\r\n\r\n") > 100);
+/// ```
+#[must_use]
+pub fn parsed_bytes(buffer: &[u8]) -> usize {
+    let has_end = |end: &[u8]| buffer.windows(end.len()).any(|bytes| bytes == end);
+    if !has_end(b"\n\r\n") && !has_end(b"\n\n") {
+        return 0;
+    }
+    let lines = buffer.iter().filter(|byte| **byte == b'\n').count();
+    REQUEST_BYTES + lines * FIELD_BYTES
+}
+
 /// Takes memory for what a request buffers. If there is too little, connections that have waited long for the rest of a
 /// request are closed.
 pub async fn take_memory(state: &State, share: &mut memory::Share, bytes: usize) -> bool {
--- a/crates/toucand/tests/crowds.rs
+++ b/crates/toucand/tests/crowds.rs
@@ -14,7 +14,11 @@
 use fleet::{configuration, Call, Limits, Site, TIMEOUT};
 use futures_util::future;
 use serde_json::Value;
-use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Mutex};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Mutex,
+};
 use tsw_fake::worker::Behaviour;
 
 /// Memory that the deployment grants the router.
@@ -226,3 +230,64 @@
         .await
         .is_some());
 }
+
+/// Guards against the same at the addresses for reads by other routers and for metrics.
+#[actix_rt::test]
+async fn crowds_at_the_control_and_metrics_addresses() {
+    let _alone = ALONE.lock().await;
+    let mut site = site().await;
+    let long = without_end(&head(&with_short_fields(Call::new("GET", "/metrics"))));
+    let ahead: Bytes = head(&Call::new("GET", "/metrics")).repeat(400).into();
+    let mut open = Vec::new();
+    for address in [site.router.control, site.router.metrics] {
+        for piece in [long.slice(..7_000), ahead.clone()] {
+            open.extend(crowd(address, CROWD / 2, vec![piece]).await);
+        }
+    }
+    check(&mut site, open).await;
+}
+
+/// Guards against crowds of different kinds that together take more than each of them may.
+#[actix_rt::test]
+async fn several_crowds_at_once() {
+    let _alone = ALONE.lock().await;
+    let mut site = site().await;
+    let lookup = Call::valid("GET", "/lookup/1", "a1");
+    let fields = head(&with_short_fields(lookup.clone()));
+    let mut book = Call::valid("POST", "/book/1", "a1");
+    book.head
+        .fields
+        .push("Content-Length", BODY_BYTES.to_string());
+    let body = vec![head(&book), vec![b'x'; BODY_BYTES - 1].into()];
+    let ready: Bytes = head(&Call::new("GET", "/api/ready")).repeat(400).into();
+    let client = site.router.client;
+    let crowds = future::join5(
+        crowd(client, CROWD / 3, vec![without_end(&fields)]),
+        crowd(client, CROWD / 3, vec![fields.repeat(6).into()]),
+        crowd(client, CROWD / 3, vec![head(&lookup).repeat(400).into()]),
+        crowd(client, 50, body),
+        crowd(site.router.ready, CROWD / 3, vec![ready]),
+    );
+    let (heads, parsed, ahead, bodies, ready) = crowds.await;
+    let open = [heads, parsed, ahead, bodies, ready];
+    check(&mut site, open.into_iter().flatten().collect()).await;
+}
+
+/// Guards against clients that ask for many responses and read a byte now and then.
+#[actix_rt::test]
+async fn readers_that_are_slow() {
+    let _alone = ALONE.lock().await;
+    let mut site = site().await;
+    let head = head(&with_short_fields(Call::valid("GET", "/lookup/1", "a1")));
+    let open = crowd(site.router.client, CROWD, vec![head.repeat(6).into()]).await;
+    let read = |mut stream: TcpStream| async move {
+        for _ in 0..5 {
+            // The router may have closed the connection.
+            let _ = time::timeout(SEND_TIME, stream.read_u8()).await;
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        stream
+    };
+    let open = future::join_all(open.into_iter().map(read)).await;
+    check(&mut site, open).await;
+}
