--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`prefix_cache`]: a model of the prompt parts cached by an engine.
 //! - [`assignment`]: which software version gets a new stream, as a function of its identifier.
 //! - [`origin`]: where streams began, so that they go on at the same software version.
-//! - [`mix`]: the part of the work of each size class that a team is served.
+//! - [`mix`]: the part of the work of each kind of requests that a team is served.
 //! - [`pool`]: the upstreams of a service and the selection of one for a request.
 //! - [`rate`]: divides the request rate that an upstream states among the routers.
 //! - [`owner`]: which upstreams a router owns and prefers.
--- a/crates/flow/src/mix.rs
+++ b/crates/flow/src/mix.rs
@@ -1,8 +1,8 @@
-//! The part of the work of each class of requests that a team is served.
+//! The part of the work of each kind of requests that a team is served.
 //!
 //! A team that asks for more than its fair share is served a part of it. Small requests fit into what is left of the share
 //! at any moment, and large ones rarely do, so that a flood of short prompts would keep the long ones out; requests with a long
-//! objective wait until there is room, and urgent ones are refused meanwhile. Classes that are behind the others therefore
+//! objective wait until there is room, and urgent ones are refused meanwhile. Kinds that are behind the others therefore
 //! need less room in the share, and those that are ahead need more.
 
 use indexmap::IndexMap;
@@ -12,15 +12,15 @@
 use crate::account::Work;
 
 /// Time constant of the exponential decay in seconds. The largest requests of a team come every second or so; a longer
-/// memory would punish a class for a load that has ended.
+/// memory would punish a kind for a load that has ended.
 const DECAY_S: f64 = 4.0;
-/// Relative difference between the served part of a class and that of all work of its team from which the class is behind or
-/// ahead. Single requests of a small class change its part by as much.
+/// Relative difference between the served part of a kind and that of all work of its team from which the kind is behind or
+/// ahead. Single requests of a rare kind change its part by as much.
 const TOLERANCE: f64 = 0.2;
 /// Maximum number of teams that are remembered.
 const MAX_TEAMS: usize = 1_024;
-/// Maximum number of classes of a team that are remembered. Objectives come from the configuration.
-const MAX_CLASSES: usize = 256;
+/// Maximum number of kinds of a team that are remembered. Objectives come from the configuration.
+const MAX_KINDS: usize = 256;
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -31,14 +31,14 @@
     pub objective: Span,
 }
 
-/// Requests with the same objective, of up to twice the work of the class below.
+/// Requests with the same objective, of up to twice the work of the kind below.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-struct Class {
+struct Kind {
     size: u32,
     objective: Span,
 }
 
-impl From<Demand> for Class {
+impl From<Demand> for Kind {
     fn from(demand: Demand) -> Self {
         Self {
             size: demand.work.checked_ilog2().unwrap_or(0),
@@ -47,7 +47,7 @@
     }
 }
 
-/// How much of a class is served, relative to all work of its team.
+/// How much of a kind is served, relative to all work of its team.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Balance {
     /// A smaller part.
@@ -90,7 +90,7 @@
     }
 }
 
-/// Requested and served work at this router, by team and class.
+/// Requested and served work at this router, by team and kind.
 ///
 /// ```
 /// use tsw_base::time::{Span, Timestamp};
@@ -107,13 +107,13 @@
 /// assert_eq!(mix.balance(now, "south", short), Balance::Even);
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct Mix(IndexMap<Name, Classes>);
+pub struct Mix(IndexMap<Name, Kinds>);
 
-/// The work of a team, in total and by class.
+/// The work of a team, in total and by kind.
 #[derive(Clone, Debug, Default)]
-struct Classes {
+struct Kinds {
     total: Sum,
-    by_class: IndexMap<Class, Sum>,
+    by_kind: IndexMap<Kind, Sum>,
 }
 
 impl Mix {
@@ -127,12 +127,12 @@
         if self.0.len() >= MAX_TEAMS && !self.0.contains_key(team) {
             self.0.clear();
         }
-        let classes = self.0.entry(team.clone()).or_default();
-        if classes.by_class.len() >= MAX_CLASSES {
-            classes.by_class.clear();
+        let kinds = self.0.entry(team.clone()).or_default();
+        if kinds.by_kind.len() >= MAX_KINDS {
+            kinds.by_kind.clear();
         }
-        classes.total.add(now, requested, served);
-        let sum = classes.by_class.entry(demand.into()).or_default();
+        kinds.total.add(now, requested, served);
+        let sum = kinds.by_kind.entry(demand.into()).or_default();
         sum.add(now, requested, served);
     }
 
@@ -146,15 +146,15 @@
         self.add(now, team, demand, (0.0, demand.work as f64));
     }
 
-    /// Returns how much of the class of a request is served, relative to all work of its team.
+    /// Returns how much of the kind of a request is served, relative to all work of its team.
     #[must_use]
     pub fn balance(&self, now: Timestamp, team: &str, demand: Demand) -> Balance {
-        let classes = self.0.get(team);
-        let class = classes.and_then(|classes| classes.by_class.get(&Class::from(demand)));
-        let (Some(classes), Some(class)) = (classes, class) else {
+        let kinds = self.0.get(team);
+        let kind = kinds.and_then(|kinds| kinds.by_kind.get(&Kind::from(demand)));
+        let (Some(kinds), Some(kind)) = (kinds, kind) else {
             return Balance::Even;
         };
-        let [part, all] = [class, &classes.total].map(|sum| served_part(sum.at(now)));
+        let [part, all] = [kind, &kinds.total].map(|sum| served_part(sum.at(now)));
         if part < all * (1.0 - TOLERANCE) {
             Balance::Behind
         } else if part > all * (1.0 + TOLERANCE) {
--- a/crates/flow/src/queue.rs
+++ b/crates/flow/src/queue.rs
@@ -53,8 +53,8 @@
     }
 }
 
-/// Part of the fair share up to which overdue requests are started. New ones keep the team above it while they ask for more
-/// than the share, since each may start if half of its work fits.
+/// Part of the fair share up to which overdue requests are started. While the new ones ask for more than the share, they keep
+/// their team above it, since each may start if half of its work fits.
 const OVERDUE_SHARE_FACTOR: f64 = 0.9;
 /// Multiple of the fair share up to which recorded streams that clients resume are started.
 const RESUMED_SHARE_FACTOR: f64 = 1.5;
@@ -84,8 +84,9 @@
 /// The waiting requests of a service at one router.
 ///
 /// Streams that have begun go first, then those that clients resume, recorded ones before others, then
-/// requests whose objective can still be met. Overdue ones go last. They are ordered by the recent work of their team, the least first, then by priority,
-/// then by the balance of their class, the one that is behind first, then by the time of their objective.
+/// requests whose objective can still be met; overdue ones go last. Those of one rank are ordered by the recent work of
+/// their team, the least first, then by priority, then by the balance of their kind, the one that is behind first, then by
+/// the time of their objective.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiting: Vec<QueuedRequest>,
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -38,7 +38,7 @@
     pub pool: Pool,
     /// Recent work of each team.
     pub accounts: Accounts,
-    /// Part of the work of each class that each team is served.
+    /// Part of the work of each kind of requests that each team is served.
     mix: Mix,
     /// Waiting requests.
     pub queue: Queue,
@@ -287,8 +287,8 @@
     /// of its work fits below the limit, or if the team has been served so little that it is due
     /// regardless of the size of the request.
     ///
-    /// Requests of a class of which a smaller part is served than of the team's other work may start about up to the
-    /// limit, whatever their size. Those of a class of which a larger part is served leave some of the limit to the others.
+    /// Requests of a kind of which a smaller part is served than of the team's other work may start about up to the
+    /// limit, whatever their size. Those of a kind of which a larger part is served leave some of the limit to the others.
     #[must_use]
     pub fn may_start(&self, now: Timestamp, team: &str, demand: Demand, limit: f64) -> bool {
         let served = self.accounts.team(now, team).served;
@@ -375,11 +375,11 @@
 const PLAIN_REQUESTS_PER_SLOT_S: f64 = 30.0;
 /// Fraction of the fair share below which a team may start a request of any size.
 const DUE_FRACTION: f64 = 0.25;
-/// Factor of the limit up to which a team may start requests of a class that is behind its others. Small requests start until
+/// Factor of the limit up to which a team may start requests of a kind that is behind its others. Small requests start until
 /// half of their work exceeds the limit, so that the team is seldom below it.
 const BEHIND_FACTOR: f64 = 1.05;
-/// Factor of the limit up to which a team may start requests of a class that is ahead of its others. These reach the
-/// limit while they are behind.
+/// Factor of the limit up to which a team may start requests of a kind that is ahead of its others. They fill the
+/// limit again once they are no longer ahead.
 const AHEAD_FACTOR: f64 = 0.95;
 
 const fn balance_factor(balance: Balance) -> f64 {
