--- a/crates/gate/src/accept.rs
+++ b/crates/gate/src/accept.rs
@@ -19,10 +19,15 @@
 /// events of running streams back for 100 ms on a router with a tenth of a core, whose clients open 1,000 connections a second.
 pub const MAX_PER_TURN: usize = 8;
 
-/// Accepts connections until it is dropped. After [`MAX_PER_TURN`] of them, all other tasks that are ready run first.
+/// Accepts connections until it is dropped. After [`MAX_PER_TURN`] of them, all other tasks that are ready run first if
+/// `takes_turns` returns true.
 ///
 /// Connections wait in the queue of the operating system meanwhile. If that is full, the clients have to connect again.
-pub async fn in_turns(listener: &TcpListener, mut serve: impl FnMut(TcpStream)) {
+pub async fn in_turns(
+    listener: &TcpListener,
+    takes_turns: impl Fn() -> bool,
+    mut serve: impl FnMut(TcpStream),
+) {
     let mut accepted = 0;
     loop {
         match listener.accept().await {
@@ -33,12 +38,18 @@
             }
         }
         accepted += 1;
-        if accepted % MAX_PER_TURN == 0 {
+        if accepted % MAX_PER_TURN == 0 && takes_turns() {
             task::yield_now().await;
         }
     }
 }
 
+/// Returns whether the configuration has engines with few slots. Deployments without any are served as before: with turns,
+/// a crowded router of one refused more of a team whose other requests crashed upstreams.
+fn takes_turns(state: &State) -> bool {
+    state.router.has_few_slots()
+}
+
 fn spawn<F>(state: &Rc<State>, stream: TcpStream, serve: fn(Rc<State>, TcpStream) -> F)
 where
     F: Future<Output = io::Result<()>> + 'static,
@@ -50,7 +61,8 @@
 
 /// Accepts connections to the router's own endpoints until it is dropped.
 pub async fn endpoints(state: Rc<State>, listener: TcpListener) {
-    in_turns(&listener, |stream| spawn(&state, stream, endpoints::serve)).await;
+    let serve = |stream| spawn(&state, stream, endpoints::serve);
+    in_turns(&listener, || takes_turns(&state), serve).await;
 }
 
 /// Accepts client connections until [`Phase::Closing`]. Connections that are in the listener's
@@ -58,8 +70,9 @@
 /// requests.
 pub async fn clients(state: Rc<State>, listener: TcpListener) {
     let mut phase = state.phase.subscribe();
+    let serve = |stream| spawn(&state, stream, client::serve);
     tokio::select! {
-        () = in_turns(&listener, |stream| spawn(&state, stream, client::serve)) => {}
+        () = in_turns(&listener, || takes_turns(&state), serve) => {}
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
     }
     match accept_queued(listener) {
--- a/crates/gate/tests/accept.rs
+++ b/crates/gate/tests/accept.rs
@@ -17,7 +17,7 @@
         .map(|_| std::net::TcpStream::connect(address).expect("connects"))
         .collect();
     let accepted = Cell::new(0);
-    let accepts = accept::in_turns(&listener, |_| accepted.set(accepted.get() + 1));
+    let accepts = accept::in_turns(&listener, || true, |_| accepted.set(accepted.get() + 1));
     let other = async {
         let mut most = 0;
         while accepted.get() < CROWD {
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -448,6 +448,13 @@
         reports.filter(|report| !report.is_empty()).collect()
     }
 
+    /// Returns whether any service runs on engines with few slots.
+    #[must_use]
+    pub fn has_few_slots(&self) -> bool {
+        let services = self.services.borrow();
+        services.values().any(Service::has_few_slots)
+    }
+
     /// Returns the number of queued requests.
     #[must_use]
     pub fn queued_requests(&self) -> usize {
