Let routers advertise other addresses than those that they listen on

A router told its peers the addresses that it listens on, so that nothing could stand between two routers: neither address translation, nor a relay that cuts one of them off. The optional setting advertise names the addresses for control and gossip.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -21,6 +21,10 @@
     pub domain: String,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Addresses at which other routers reach this one, if they are not those to listen on, as behind address
+    /// translation.
+    #[serde(default)]
+    pub advertise: Option<Advertise>,
     /// Control addresses of some routers, possibly outdated. All routers use the same gossip port.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -76,6 +80,16 @@
     pub metrics: SocketAddr,
 }
 
+/// Addresses at which other routers reach this one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Advertise {
+    /// TCP address for reads by other routers.
+    pub control: SocketAddr,
+    /// UDP address for gossip between routers.
+    pub gossip: SocketAddr,
+}
+
 /// Bounds that the operators guarantee.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -93,6 +107,32 @@
 }
 
 impl Settings {
+    /// Returns the addresses at which other routers reach this one.
+    ///
+    /// ```
+    /// use std::path::Path;
+    /// use tsw_config::gateway::Settings;
+    /// let text = "interface: platform
+    /// host: r1
+    /// domain: north
+    /// listen: {client: '127.0.0.1:1', ready: '127.0.0.1:2', locate: '127.0.0.1:3',
+    ///          control: '127.0.0.1:4', gossip: '127.0.0.1:5', metrics: '127.0.0.1:6'}
+    /// advertise: {control: '10.0.0.1:4', gossip: '10.0.0.1:5'}
+    /// store: '127.0.0.1:7'
+    /// bounds: {retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: 8}
+    /// ";
+    /// let settings = Settings::parse(text, Path::new("router.yaml"))?;
+    /// assert_eq!(settings.advertised().control, "10.0.0.1:4".parse().unwrap());
+    /// # Ok::<(), tsw_config::settings::Error>(())
+    /// ```
+    #[must_use]
+    pub fn advertised(&self) -> Advertise {
+        self.advertise.unwrap_or(Advertise {
+            control: self.listen.control,
+            gossip: self.listen.gossip,
+        })
+    }
+
     /// Returns the gossip addresses of the seeds.
     #[must_use]
     pub fn gossip_seeds(&self) -> Vec<SocketAddr> {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -31,7 +31,7 @@
     connection_reuse::ReuseTracker,
     credit_exchange, gossip,
     list_check::{self, ListCheck},
-    origin_sync, peer_sync,
+    list_comparison, origin_sync, peer_sync,
     signals::Signals,
     state::{Phase, State},
     store_copy::StoreCopy,
@@ -160,14 +160,15 @@
         metrics: Metrics::new()?,
         memory_bytes: memory_bytes(),
     });
+    let advertised = settings.advertised();
     let own_member = Member {
         host: settings.host.clone(),
         domain: settings.domain.clone(),
         incarnation: rand::random(),
         heartbeat: 0,
         client: settings.listen.client,
-        gossip: settings.listen.gossip,
-        control: settings.listen.control,
+        gossip: advertised.gossip,
+        control: advertised.control,
         processor: (settings.processor * 1_000.0) as u32,
         ready: false,
         reads_store: false,
