Log what a router relies on in place of the store, and compare lists

The log could not tell a list that was read from one that was only assumed to be complete, did not say how many keepers of records had answered, and showed a change that a router has missed only by what is absent. No decision changes. The tests of tsw-gate, tsw-config, tsw-event and tsw-member pass.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -118,6 +118,10 @@
     DomainEvacuated = 220 Info "domain-evacuated";
     /// The evacuation of a failure domain has ended.
     DomainReturned = 221 Info "domain-returned";
+    /// The store cannot be read; the list counts as complete by what the other routers have stated.
+    ListAssumed = 222 Info "list-assumed";
+    /// The list of upstreams differs from that of another router at the same revision.
+    ListDiffers = 223 Warn "list-differs";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused without being run.
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -58,13 +58,22 @@
         }
     };
     let target = String::from_utf8_lossy(&request.target);
+    let mut fields = Fields::default();
     let (status, content_type, body) = if target == explain::PATH {
         let (status, body) = explain::respond(state, &request.fields);
         (status, JSON, body)
+    } else if let Some(query) = peer_sync::query(&target) {
+        let delta = peer_sync::delta(state, &KnownRevisions::from_query(query));
+        if let Some(digest) = delta.digest {
+            fields.push(peer_sync::DIGEST, digest.to_field());
+        }
+        match delta.encode() {
+            Ok(body) => (200, "application/octet-stream", body),
+            Err(error) => (500, JSON, error.to_string().into_bytes()),
+        }
     } else {
         respond(state, &target)
     };
-    let mut fields = Fields::default();
     fields.push("Content-Type", content_type);
     let (_, writer) = connection.stream.split();
     let mut responder = Responder::new(writer, &request, false);
@@ -85,13 +94,6 @@
             let keep_s = state.settings.borrow().bounds.keep_s;
             (status, JSON, endpoint::locate_response(&addresses, keep_s))
         }
-        None if path == peer_sync::PATH => {
-            let delta = peer_sync::delta(state, &KnownRevisions::from_query(query));
-            match delta.encode() {
-                Ok(body) => (200, "application/octet-stream", body),
-                Err(error) => (500, JSON, error.to_string().into_bytes()),
-            }
-        }
         None if path == origin_sync::PATH => match origin_sync::answer(state, query) {
             Some(body) => (200, "application/octet-stream", body),
             None => (404, JSON, b"{}".to_vec()),
--- a/crates/gate/src/list_check.rs
+++ b/crates/gate/src/list_check.rs
@@ -70,7 +70,7 @@
         let began = state.router.now();
         let store = store.get_or_insert_with(|| Store::new(state.settings.borrow().store));
         let read = time::timeout(TIMEOUT, read(state, store)).await;
-        let is_current = read.unwrap_or(false) || state.knows_what_peers_know();
+        let is_current = read.unwrap_or(false) || assume(state);
         if is_current {
             state.router.record_list_complete(began);
         }
@@ -79,6 +79,23 @@
     }
 }
 
+/// Returns whether the list counts as complete although the store cannot be read.
+fn assume(state: &State) -> bool {
+    let is_current = state.knows_what_peers_know();
+    if is_current {
+        let now = state.router.now();
+        let roster = state.roster.borrow();
+        let heard = roster.longest_silence(now).unwrap_or_default();
+        let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
+            ("revision", &state.registry.borrow().position().revision),
+            ("routers", &roster.live(now).count()),
+            ("heard_ms", &heard.as_millis()),
+        ];
+        emit(Event::ListAssumed, fields);
+    }
+    is_current
+}
+
 /// Reads and applies the changes since the latest list, and returns whether that succeeded.
 async fn read(state: &State, store: &mut Store) -> bool {
     let known = state.registry.borrow().position();
--- a/crates/gate/src/origin_sync.rs
+++ b/crates/gate/src/origin_sync.rs
@@ -172,9 +172,13 @@
 }
 
 async fn query(state: &State, request: &Request, key: Key) -> Option<Origin> {
-    let (outcome, asked) = match state.origin_queries.begin() {
+    let Answers {
+        origin: outcome,
+        asked,
+        answered,
+    } = match state.origin_queries.begin() {
         Some(_guard) => ask(state, key).await,
-        None => (None, 0),
+        None => Answers::default(),
     };
     let label = if outcome.is_some() {
         "known"
@@ -190,14 +194,29 @@
         ),
         None => emit(
             Event::OriginUnknown,
-            &[("request", &request.id), ("asked", &asked)],
+            &[
+                ("request", &request.id),
+                ("asked", &asked),
+                ("answered", &answered),
+            ],
         ),
     }
     outcome
 }
 
-/// Returns the first origin that one of the routers that may keep it knows, and how many were asked.
-async fn ask(state: &State, key: Key) -> (Option<Origin>, usize) {
+/// What the routers that may keep a record have answered.
+#[derive(Default)]
+struct Answers {
+    /// The first origin that one of them knows.
+    origin: Option<Origin>,
+    /// Number of routers that were asked.
+    asked: usize,
+    /// Number of routers that answered in time, until one knew the origin.
+    answered: usize,
+}
+
+/// Asks the routers that may keep a record of a stream.
+async fn ask(state: &State, key: Key) -> Answers {
     let addresses: Vec<SocketAddr> = {
         let roster = state.roster.borrow();
         let keepers = roster.keepers(state.router.now(), key.0, ASKED);
@@ -205,15 +224,27 @@
     };
     let asked = addresses.len();
     if asked == 0 {
-        return (None, asked);
+        return Answers::default();
     }
+    let answered = &Cell::new(0);
+    let query = |address| async move {
+        let origin = fetch(address, key).await;
+        // A router that does not know the origin, or not even the path, answers with an error status.
+        if matches!(origin, Ok(_) | Err(Error::Status(_))) {
+            answered.set(answered.get() + 1);
+        }
+        origin
+    };
     let queries = addresses
         .into_iter()
-        .map(|address| Box::pin(fetch(address, key)));
+        .map(|address| Box::pin(query(address)));
     let first = time::timeout(TIMEOUT, future::select_ok(queries)).await;
-    // A router that does not know the origin, or not even the path, answers with an error status.
     let origin = first.ok().and_then(Result::ok).map(|(origin, _)| origin);
-    (origin, asked)
+    Answers {
+        origin,
+        asked,
+        answered: answered.get(),
+    }
 }
 
 async fn fetch(address: SocketAddr, key: Key) -> Result<Origin, Error> {
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -16,12 +16,15 @@
 use tsw_platform::{store::Item, upstream};
 
 use crate::{
+    list_comparison,
     state::State,
-    store_copy::{Evacuated, KnownRevisions, StoreDelta},
+    store_copy::{Digest, Evacuated, KnownRevisions, StoreDelta},
 };
 
 /// Path of the endpoint; its query is [`KnownRevisions::query`].
-pub const PATH: &str = "/v1/stored";
+const PATH: &str = "/v1/stored";
+/// Header field of the response with the digest of the list.
+pub const DIGEST: &str = "List-Digest";
 /// Interval at which the revisions of the peers are compared with this router's.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum size of a response in bytes. A configuration has at most 1 MB, an entry about 300 bytes.
@@ -49,6 +52,13 @@
     Timeout,
 }
 
+/// Returns the query of a read by another router; `None` if the target is another endpoint.
+#[must_use]
+pub fn query(target: &str) -> Option<&str> {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    (path == PATH).then_some(query)
+}
+
 /// Returns the store content that a peer with the given revisions lacks.
 #[must_use]
 pub fn delta(state: &State, known: &KnownRevisions) -> StoreDelta {
@@ -76,16 +86,7 @@
         let Some(peer) = peer_ahead(&state) else {
             continue;
         };
-        let known = {
-            let me = &state.roster.borrow().me;
-            // Changes since a revision of an older era would be incomplete.
-            let revision = if peer.era > me.era { 0 } else { me.revision };
-            KnownRevisions {
-                version: me.version,
-                revision,
-                era: me.era,
-            }
-        };
+        let known = known_revisions(&state, &peer);
         match time::timeout(TIMEOUT, fetch(peer.control, &known)).await {
             Ok(Ok(delta)) => apply(&state, &peer, delta),
             Ok(Err(error)) => log_failure(&peer, &error),
@@ -94,6 +95,18 @@
     }
 }
 
+/// Returns the revisions after which another router is read.
+pub fn known_revisions(state: &State, peer: &Member) -> KnownRevisions {
+    let me = &state.roster.borrow().me;
+    // Changes since a revision of an older era would be incomplete.
+    let revision = if peer.era > me.era { 0 } else { me.revision };
+    KnownRevisions {
+        version: me.version,
+        revision,
+        era: me.era,
+    }
+}
+
 fn log_failure(peer: &Member, error: &Error) {
     let fields: &[(&'static str, &dyn std::fmt::Display)] =
         &[("peer", &peer.host), ("cause", error)];
@@ -131,7 +144,12 @@
     }
 }
 
-async fn fetch(address: SocketAddr, known: &KnownRevisions) -> Result<StoreDelta, Error> {
+/// Reads the store content that a router with the given revisions lacks.
+///
+/// # Errors
+///
+/// Returns an error if the other router does not answer completely, or with something else.
+pub async fn fetch(address: SocketAddr, known: &KnownRevisions) -> Result<StoreDelta, Error> {
     let connection = Connection::open(address, TIMEOUT).await?;
     let mut fields = Fields::default();
     fields.push("Host", address.to_string());
@@ -149,7 +167,11 @@
             return Err(Error::TooLong);
         }
     }
-    Ok(StoreDelta::decode(&body)?)
+    let digest = exchange.head().fields.text(DIGEST).and_then(Digest::parse);
+    Ok(StoreDelta {
+        digest,
+        ..StoreDelta::decode(&body)?
+    })
 }
 
 fn apply_evacuated(state: &State, peer: &Member, evacuated: &Evacuated) {
@@ -198,4 +220,5 @@
     if state.apply_upstreams(&items, position, delta.complete) {
         state.router.set_software_complete();
     }
+    list_comparison::compare(state, peer, position, delta.digest);
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -134,6 +134,7 @@
     actix_rt::spawn(store_watch::run(state.clone(), Subject::Configuration));
     actix_rt::spawn(store_watch::run(state.clone(), Subject::Upstreams));
     actix_rt::spawn(list_check::run_after_pauses(state.clone()));
+    actix_rt::spawn(list_comparison::run(state.clone()));
     actix_rt::spawn(run_periodic_tasks(state.clone(), path.clone()));
     loop {
         tokio::select! {
--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -4,6 +4,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use tsw_route::Name;
+use xxhash_rust::xxh3;
 
 /// Maximum number of removals kept for peers. A peer that lacks older ones receives a complete
 /// list.
@@ -53,6 +54,40 @@
     }
 }
 
+/// A digest of the keys of the entries up to a revision, in any order.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Digest {
+    /// Number of the entries.
+    pub entries: usize,
+    /// Combined hash of their keys.
+    pub hash: u64,
+}
+
+impl Digest {
+    /// Returns the text of a header field.
+    ///
+    /// ```
+    /// use tsw_gate::store_copy::Digest;
+    /// let digest = Digest { entries: 3, hash: 0x1f };
+    /// assert_eq!(Digest::parse(&digest.to_field()), Some(digest));
+    /// assert_eq!(Digest::parse("3"), None);
+    /// ```
+    #[must_use]
+    pub fn to_field(self) -> String {
+        format!("{},{:x}", self.entries, self.hash)
+    }
+
+    /// Parses the text of a header field.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let (entries, hash) = text.split_once(',')?;
+        Some(Self {
+            entries: entries.parse().ok()?,
+            hash: u64::from_str_radix(hash, 16).ok()?,
+        })
+    }
+}
+
 /// The store content that a peer lacks.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreDelta {
@@ -68,6 +103,9 @@
     /// know it ignore it.
     #[serde(skip)]
     pub era: Option<u64>,
+    /// Digest of the sender's list at `revision`, which the response states in a header field.
+    #[serde(skip)]
+    pub digest: Option<Digest>,
     /// Evacuated failure domains; `None` if none was ever known to be evacuated. They follow the era.
     #[serde(skip)]
     pub evacuated: Option<Evacuated>,
@@ -210,6 +248,26 @@
         }
     }
 
+    /// Returns the digest of the entries up to a revision.
+    ///
+    /// ```
+    /// use tsw_gate::store_copy::StoreCopy;
+    /// let mut copy = StoreCopy::default();
+    /// copy.set_entry("i-1".into(), 5, Some("one".into()));
+    /// let before = copy.digest(9);
+    /// copy.set_entry("i-2".into(), 9, Some("two".into()));
+    /// assert_ne!(copy.digest(9), before);
+    /// ```
+    #[must_use]
+    pub fn digest(&self, revision: u64) -> Digest {
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(_, (changed, _))| *changed <= revision);
+        entries.fold(Digest::default(), |digest, (key, _)| Digest {
+            entries: digest.entries + 1,
+            hash: digest.hash ^ xxh3::xxh3_64(key.as_bytes()),
+        })
+    }
+
     /// Returns the content that a peer lacks; `revision` is the one up to which this router knows
     /// the upstreams.
     ///
@@ -249,6 +307,7 @@
             complete,
             entries: entries.chain(removed).collect(),
             era: self.era,
+            digest: Some(self.digest(revision)),
             evacuated: None,
         }
     }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -466,6 +466,15 @@
         self.live_peers(now).map(|peer| &peer.member)
     }
 
+    /// Returns the longest time for which nothing new was heard of a live router.
+    #[must_use]
+    pub fn longest_silence(&self, now: Timestamp) -> Option<Span> {
+        let silences = self
+            .live_peers(now)
+            .map(|peer| now.since(peer.last_heartbeat));
+        silences.max()
+    }
+
     fn live_peers(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
         let peers = self.peers.values();
         peers.filter(move |peer| is_live(peer, now))
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,8 @@
     pub origin_records: IntCounterVec,
     /// Queries to other routers for where a stream began, by outcome.
     pub origin_queries: IntCounterVec,
+    /// Comparisons of the list of upstreams with that of another router at the same revision, by result.
+    pub list_comparisons: IntCounterVec,
     /// Time before the start of the process for which the store's history was known, in milliseconds.
     pub history_ms: IntGauge,
     /// Time from arrival until a slot was reserved, in seconds.
@@ -194,6 +196,13 @@
                 ),
                 &["outcome"],
             )?,
+            list_comparisons: IntCounterVec::new(
+                Opts::new(
+                    "relay_list_comparisons_total",
+                    "Comparisons of the list of upstreams with that of another router at the same revision, by result",
+                ),
+                &["result"],
+            )?,
             history_ms: IntGauge::new(
                 "relay_history_milliseconds",
                 "Time before the start for which the history of the store was known",
@@ -214,6 +223,7 @@
         registry.register(Box::new(metrics.breaks.clone()))?;
         registry.register(Box::new(metrics.origin_records.clone()))?;
         registry.register(Box::new(metrics.origin_queries.clone()))?;
+        registry.register(Box::new(metrics.list_comparisons.clone()))?;
         registry.register(Box::new(metrics.history_ms.clone()))?;
         registry.register(Box::new(metrics.waiting.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
