Apply reads of the list of upstreams in a module of their own

The effect of a read on the registry and on the copy for other routers was part of the state of the process, so that no test could play how routers read through each other.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,7 +11,8 @@
 //! - [`explain`]: explains where a request would go, without sending it.
 //! - [`store_watch`]: reads the platform's store; [`peer_sync`]: reads newer store content from
 //!   peers; [`store_history`]: reads at the start which upstreams left before; [`configuration_history`]: reads at the
-//!   start which configurations were active before; [`list_check`]: brings the list up to
+//!   start which configurations were active before; [`list`]: applies reads of the list of
+//!   upstreams; [`list_check`]: brings it up to
 //!   date at a request's demand; [`list_comparison`]: compares the list with those of other routers; [`store_copy`]: the local copy of the store's content, and the difference to a peer's.
 //! - [`origin_sync`]: shares with other routers where streams began; [`origin_batch`]: the encoding.
 //! - [`credit_exchange`]: asks other routers for credits for requests to upstreams that state a rate, and
@@ -35,6 +36,7 @@
 mod evacuations;
 pub mod explain;
 pub mod gossip;
+pub mod list;
 pub mod list_check;
 pub mod list_comparison;
 pub mod origin_batch;
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -29,6 +29,7 @@
     arrival::{Arrivals, Eviction, Wait},
     connection_reuse::ReuseTracker,
     credit_exchange::ReadyRouters,
+    list::{self, List},
     list_check::ListCheck,
     origin_sync::Queries,
     store_copy::StoreCopy,
@@ -312,7 +313,7 @@
         }
         self.apply_items(items);
         if complete {
-            self.apply_list(items, position.revision);
+            self.apply_list(items, position);
         }
         self.registry.borrow_mut().advance(position.revision);
         self.apply_entries();
@@ -403,7 +404,17 @@
                 .entry(&key)
                 .map(|(entry, known)| (entry.clone(), known));
             let offered = entry.clone().flatten();
-            let change = registry.set(now, &key, item.revision, entry);
+            let mut list = List {
+                registry: &mut registry,
+                copy: &mut store_copy,
+            };
+            let item_read = list::Item {
+                key: key.clone(),
+                revision: item.revision,
+                entry,
+                content: content.clone(),
+            };
+            let change = list.set(now, item_read);
             if let Some(entry) = &offered {
                 // Even an entry that is ignored shows which software served until recently.
                 self.router.record_software(now, entry);
@@ -411,14 +422,8 @@
             // Heartbeats are not passed on to peers, unless one states that the upstream has become cold again.
             let is_colder = change != Change::Stale && self.record_cold(item, offered.as_ref());
             log_change(change, item.revision, before, offered);
-            match change {
-                Change::Stale => {}
-                Change::Heartbeat if !is_colder => {
-                    store_copy.set_heartbeat(&key, item.revision, content.as_ref())
-                }
-                Change::Heartbeat | Change::Content | Change::Pending | Change::Withheld => {
-                    store_copy.set_entry(key, item.revision, content)
-                }
+            if change == Change::Heartbeat && is_colder {
+                store_copy.set_entry(key, item.revision, content);
             }
         }
     }
@@ -432,16 +437,18 @@
         left > Span::ZERO && self.router.record_cold(entry, left)
     }
 
-    /// Removes the entries that are missing from a complete list as of `revision`.
-    fn apply_list(&self, items: &[Item], revision: u64) {
+    /// Removes the entries that are missing from a complete list as of a position.
+    fn apply_list(&self, items: &[Item], position: Position) {
         let keys: Vec<Name> = items
             .iter()
             .filter_map(|item| item.key.strip_prefix(upstream::PREFIX))
             .map(Name::from)
             .collect();
-        self.store_copy.borrow_mut().apply_list(revision, &keys);
-        let now = self.router.now();
-        self.registry.borrow_mut().apply_list(now, revision, &keys);
+        let mut list = List {
+            registry: &mut self.registry.borrow_mut(),
+            copy: &mut self.store_copy.borrow_mut(),
+        };
+        list.retain(self.router.now(), position, &keys);
     }
 
     /// Passes the currently listed upstreams to the services.
