Send a whole list to routers that are behind the first list of their source

A router answers those that read from it with the changes since their revision, from its copy of the list. A copy that begins with a whole list, as after a start or when the store has discarded its history, shows no removal from before that list, so that the reader passed them by: its position advanced, the entries stayed. Now the copy counts removals up to the revision of a whole list as missing, and routers that are behind it get a whole list too.

--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -246,6 +246,8 @@
         for key in missing {
             self.set_entry(key, revision, None);
         }
+        // The list does not show which other entries were there before it.
+        self.pruned_up_to = self.pruned_up_to.max(revision);
     }
 
     /// Returns the digest of the entries up to a revision.
