Ignore entries of a late response that were removed since

A router reads the list through its watch, before resumed streams and from other routers. A response that another read has overtaken brought entries back whose removal was applied already, and dropped the record of this removal from the copy for other routers: until the next response of the watch, requests went to upstreams that had left, and routers that read from this one in that time passed the removal by for good. Such an entry is ignored now: it is not listed, though all changes up to a later revision are known.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -142,6 +142,13 @@
         listed.entry.as_ref().map(|entry| (entry, listed.position))
     }
 
+    /// Returns whether an entry that was there at a revision of the present era was removed since: it is not listed, though
+    /// all changes up to a later revision are known.
+    #[must_use]
+    pub fn has_removed(&self, key: &Name, revision: u64) -> bool {
+        revision <= self.position.revision && !self.listed.contains_key(key)
+    }
+
     /// Enters the era of content that is about to be applied. Revisions passed to the other methods
     /// are of this era.
     ///
--- a/crates/gate/src/list.rs
+++ b/crates/gate/src/list.rs
@@ -32,14 +32,18 @@
 }
 
 impl List<'_> {
-    /// Applies the content of one key, and returns its effect.
-    pub fn set(&mut self, now: Timestamp, item: Item) -> Change {
+    /// Applies the content of one key from a read up to a position, and returns its effect.
+    pub fn set(&mut self, now: Timestamp, position: Position, item: Item) -> Change {
         let Item {
             key,
             revision,
             entry,
             content,
         } = item;
+        // A read that was overtaken by a later one does not show that the entry was removed meanwhile.
+        if position < self.registry.position() && self.registry.has_removed(&key, revision) {
+            return Change::Stale;
+        }
         let change = self.registry.set(now, &key, revision, entry);
         match change {
             Change::Stale => {}
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -311,7 +311,7 @@
         if !self.enter_era(position) {
             return false;
         }
-        self.apply_items(items);
+        self.apply_items(items, position);
         if complete {
             self.apply_list(items, position);
         }
@@ -376,8 +376,8 @@
         change != EraChange::Older
     }
 
-    /// Applies changed entries of upstreams.
-    fn apply_items(&self, items: &[Item]) {
+    /// Applies entries of upstreams from a read up to a position.
+    fn apply_items(&self, items: &[Item], position: Position) {
         let now = self.router.now();
         let mut registry = self.registry.borrow_mut();
         let mut store_copy = self.store_copy.borrow_mut();
@@ -414,7 +414,7 @@
                 entry,
                 content: content.clone(),
             };
-            let change = list.set(now, item_read);
+            let change = list.set(now, position, item_read);
             if let Some(entry) = &offered {
                 // Even an entry that is ignored shows which software served until recently.
                 self.router.record_software(now, entry);
--- a/crates/gate/tests/list.rs
+++ b/crates/gate/tests/list.rs
@@ -181,7 +181,7 @@
             copy: &mut self.copy,
         };
         for item in read.items {
-            list.set(NOW, item);
+            list.set(NOW, position, item);
         }
         if read.complete {
             list.retain(NOW, position, &keys);
