List the upstreams again when the list differs from that of another router

A change that a router has missed lasted until the next change of the same entry. A router whose list differs from that of another one at the same revision now reads the whole list from the store, at most every 5 s. whole_list_shows_changes_that_were_missed shows that this corrects entries from before the position.

--- a/crates/gate/src/list_comparison.rs
+++ b/crates/gate/src/list_comparison.rs
@@ -1,7 +1,7 @@
 //! Compares the list of upstreams with those of other routers.
 //!
 //! All routers that have applied the changes up to the same revision list the same upstreams. A difference shows that one
-//! of them has missed a change.
+//! of them has missed a change, so that this one lists the upstreams again.
 
 use std::{rc::Rc, time::Duration};
 
@@ -66,5 +66,6 @@
             ("peer_entries", &stated.entries),
         ];
         emit(Event::ListDiffers, fields);
+        state.must_list.set(true);
     }
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -186,6 +186,7 @@
         registry: RefCell::new(Registry::default()),
         evacuations: RefCell::default(),
         store_copy: RefCell::new(StoreCopy::default()),
+        must_list: Cell::default(),
         read_since: Cell::default(),
         routers_at_read: Cell::default(),
         phase: watch::Sender::new(Phase::Serving),
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -83,6 +83,8 @@
     pub evacuations: RefCell<Evacuations>,
     /// Copy of the store's content, for the requests of peers.
     pub store_copy: RefCell<StoreCopy>,
+    /// Whether the upstreams have to be listed again, since a change may have been missed.
+    pub must_list: Cell<bool>,
     /// Start of the current uninterrupted period of successful reads of the store.
     pub read_since: Cell<Option<Timestamp>>,
     /// Number of live peers when this router or one of them last read the store.
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -31,6 +31,8 @@
 /// These reads only detect that the store has become unreachable, which the router would otherwise
 /// notice when it becomes a store reader.
 const NON_READER_INTERVAL: Duration = Duration::from_secs(60);
+/// Minimum time between two lists that are read because of a difference: the other router may be the one that has missed a change.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -64,11 +66,15 @@
     loop {
         while position.is_some()
             && !state.is_store_reader()
+            && !(subject == Subject::Upstreams && state.must_list.get())
             && last_read.elapsed() < NON_READER_INTERVAL
         {
             time::sleep(jitter(RETRY_PAUSE)).await;
         }
         last_read = Instant::now();
+        if must_list_again(&state, subject, last_list) {
+            position = None;
+        }
         if position.is_none() {
             last_list = Some(last_read);
         }
@@ -130,6 +136,12 @@
     }
 }
 
+/// Returns whether the upstreams have to be listed again although they are watched.
+fn must_list_again(state: &State, subject: Subject, last_list: Option<Instant>) -> bool {
+    let is_due = last_list.is_none_or(|at| at.elapsed() >= LIST_INTERVAL);
+    subject == Subject::Upstreams && state.must_list.take() && is_due
+}
+
 /// Watches after `position`, or lists if there is none.
 async fn read(
     store: &mut Store,
--- a/crates/gate/tests/list.rs
+++ b/crates/gate/tests/list.rs
@@ -240,6 +240,22 @@
     assert_eq!(reader.keys(), store.keys(3));
 }
 
+/// Guards against a missed change that lasts: a list that is read again shows all changes, also those from before the position.
+#[test]
+fn whole_list_shows_changes_that_were_missed() {
+    let mut store = Store::default();
+    store.change(1, false);
+    store.change(2, false);
+    let mut router = Router::default();
+    router.apply_watched(router.read(&store));
+    store.change(3, false);
+    store.change(2, true);
+    router.registry.advance(store.revision());
+    router.watched = None;
+    router.apply_watched(router.read(&store));
+    assert_eq!(router.keys(), store.keys(4));
+}
+
 /// What happens next.
 #[derive(Clone, Copy, Debug)]
 enum Step {
