--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -242,6 +242,30 @@
         Ok(Self { state, server })
     }
 
+    /// Listens on a free loopback port with the content of a copy, in the first era. Routers of different stores then
+    /// name the same content by the same position.
+    ///
+    /// ```
+    /// # actix_rt::System::new().block_on(async {
+    /// use tsw_fake::store::Store;
+    /// let store = Store::bind().await?;
+    /// store.set("a", Some(b"1"));
+    /// let other = Store::bind_copy(&store.copy()).await?;
+    /// assert_eq!((other.revision(), other.era()), (1, 1));
+    /// # Ok::<(), tsw_fake::http::Error>(())
+    /// # }).unwrap();
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    pub async fn bind_copy(copy: &Copy) -> Result<Self, Error> {
+        let store = Self::bind().await?;
+        store.state.changes.replace(copy.changes.clone());
+        store.state.compacted_revision.set(copy.compacted_revision);
+        Ok(store)
+    }
+
     /// Returns the address for routers.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/load/src/relay.rs
+++ b/crates/load/src/relay.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     future::Future,
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, UdpSocket as StdSocket},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener, UdpSocket as StdSocket},
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc,
@@ -30,6 +30,8 @@
 
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 const CHUNK_BYTES: usize = 16_384;
+/// A free port of the loopback address.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const CUT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// State of the simulated link from one failure domain to another, in one direction.
@@ -123,7 +125,22 @@
         forward: Arc<Link>,
         back: Arc<Link>,
     ) -> io::Result<SocketAddr> {
-        let socket = bind_udp()?;
+        self.udp_at(ANY_PORT, target, forward, back)
+    }
+
+    /// Like [`Relay::udp`], with the address to send to, for senders that choose the port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the socket cannot be bound.
+    pub fn udp_at(
+        &self,
+        address: SocketAddr,
+        target: SocketAddr,
+        forward: Arc<Link>,
+        back: Arc<Link>,
+    ) -> io::Result<SocketAddr> {
+        let socket = bind_udp(address)?;
         let address = socket.local_addr()?;
         let seed = self.seed ^ u64::from(address.port());
         let relay = DatagramRelay {
@@ -152,7 +169,7 @@
         forward: Arc<Link>,
         back: Arc<Link>,
     ) -> io::Result<SocketAddr> {
-        let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = StdListener::bind(ANY_PORT)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let timer = self.timer.clone();
@@ -172,8 +189,8 @@
     }
 }
 
-fn bind_udp() -> io::Result<StdSocket> {
-    let socket = StdSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+fn bind_udp(address: SocketAddr) -> io::Result<StdSocket> {
+    let socket = StdSocket::bind(address)?;
     socket.set_nonblocking(true)?;
     Ok(socket)
 }
@@ -203,7 +220,7 @@
             let target_socket = match target_sockets.get(&sender) {
                 Some(socket) => Arc::clone(socket),
                 None => {
-                    let Ok(socket) = bind_udp().and_then(UdpSocket::from_std) else {
+                    let Ok(socket) = bind_udp(ANY_PORT).and_then(UdpSocket::from_std) else {
                         continue;
                     };
                     let socket = Arc::new(socket);
--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)] // Each test file uses only some items.
 
-mod address;
+pub mod address;
 
 use std::{
     fs,
@@ -25,7 +25,7 @@
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 pub const HOST: &str = "desk.example";
 /// Gossip port of all routers, each of which has its own loopback address.
-const GOSSIP_PORT: u16 = 7_400;
+pub const GOSSIP_PORT: u16 = 7_400;
 pub const KEY: &str = "counter-key";
 
 /// Waits until a condition holds.
@@ -152,6 +152,19 @@
         store: SocketAddr,
         seeds: &[SocketAddr],
         limits: Limits,
+    ) -> Self {
+        Self::start_advertised(host, store, seeds, limits, |control, gossip| {
+            (control, gossip)
+        })
+    }
+
+    /// Like [`Router::start_limited`], with the control and gossip addresses that it advertises instead of its own ones.
+    pub fn start_advertised(
+        host: &str,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        limits: Limits,
+        advertise: impl FnOnce(SocketAddr, SocketAddr) -> (SocketAddr, SocketAddr),
     ) -> Self {
         // A process spawned at the same time would inherit the bound sockets until it calls exec.
         static STARTS: Mutex<()> = Mutex::new(());
@@ -160,12 +173,14 @@
         let gossip = SocketAddr::from((address, GOSSIP_PORT));
         let directory = tempfile::tempdir().expect("a directory");
         let [client, ready, locate, control, metrics] = free(address);
+        let (shown_control, shown_gossip) = advertise(control, gossip);
         let settings = directory.path().join("router.yaml");
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
         let text = format!(
             "interface: platform\nhost: {host}\ndomain: north\n\
              listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
              control: \"{control}\", gossip: \"{gossip}\", metrics: \"{metrics}\"}}\n\
+             advertise: {{control: \"{shown_control}\", gossip: \"{shown_gossip}\"}}\n\
              descriptors: {}\nseeds: {}\nstore: \"{store}\"\n\
              bounds: {{retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: 8}}\n",
             limits.descriptors,
--- a/crates/toucand/tests/support/versions.rs
+++ b/crates/toucand/tests/support/versions.rs
@@ -7,6 +7,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -17,6 +18,7 @@
     worker::{Behaviour, Worker},
 };
 use tsw_http::{connection::Connection, exchange::Exchange};
+use tsw_load::relay::{Link, Relay};
 
 /// A store, upstreams that each state a version, and routers.
 pub struct Fleet {
@@ -172,13 +174,37 @@
     now.expect("a time").as_millis() as u64
 }
 
+/// Starts a router that others reach only through relays with this link, and returns it with its address as a seed.
+pub fn start_relayed(
+    host: &str,
+    store: SocketAddr,
+    seeds: &[SocketAddr],
+    (relay, link): (&Relay, &Arc<Link>),
+) -> (Router, SocketAddr) {
+    // The port of a seed is the gossip port of the router that reads it.
+    let seed = SocketAddr::from((fleet::address::unique_loopback(), fleet::GOSSIP_PORT));
+    let advertise = |control, gossip| {
+        let control = relay.tcp(control, link.clone(), link.clone());
+        let gossip = relay.udp_at(seed, gossip, link.clone(), link.clone());
+        (control.expect("a relay"), gossip.expect("a relay"))
+    };
+    let limits = fleet::Limits::default();
+    let router = Router::start_advertised(host, store, seeds, limits, advertise);
+    (router, seed)
+}
+
 /// Resumes a stream after its second event, named by the attempt that began it. Its client asked for it 10 s before
 /// its deadline.
 pub async fn resume_named(router: &Router, id: &str, resumes: &str) -> Response {
+    resume_after(router, id, resumes, 1).await
+}
+
+/// Resumes a stream like [`resume_named`], after this event.
+pub async fn resume_after(router: &Router, id: &str, resumes: &str, event: u64) -> Response {
     let mut call = Call::prompt("/draft/1", id);
     call.head.fields.remove("Deadline-Ms");
     call.head.fields.push("Deadline-Ms", "10000");
-    call.head.fields.push("Last-Event-Id", "1");
+    call.head.fields.push("Last-Event-Id", event.to_string());
     call.head.fields.push("Resumes", resumes.to_owned());
     call.send(router).await
 }
