Read the list from the other routers if the store does not answer

Callers saw streams go on at another software version than the one that began them, at a router that was cut off or stood still for a few seconds while upstreams of a new version joined. Before such a router derives where a stream began, it has to know the list up to the present. What is not known is refused.

--- a/crates/gate/src/list_check.rs
+++ b/crates/gate/src/list_check.rs
@@ -10,7 +10,7 @@
 use tsw_event::{emit, Event};
 use tsw_platform::{store::Store, upstream};
 
-use crate::state::State;
+use crate::{peer_sync, state::State};
 
 /// Minimum time between two reads, in a small and in a large fleet. Requests that arrive meanwhile wait for
 /// the next one.
@@ -52,7 +52,7 @@
 
 impl ListCheck {
     /// Reads the changes of the list up to a time after this call, and returns whether they are known. While the
-    /// store does not answer, this is what the other routers show.
+    /// store does not answer, this is what the other routers answer.
     pub async fn run(&self, state: &State) -> bool {
         let asked_at = state.router.now();
         let mut store = self.store.lock().await;
@@ -70,7 +70,7 @@
         let began = state.router.now();
         let store = store.get_or_insert_with(|| Store::new(state.settings.borrow().store));
         let read = time::timeout(TIMEOUT, read(state, store)).await;
-        let is_current = read.unwrap_or(false) || assume(state);
+        let is_current = read.unwrap_or(false) || read_from_routers(state).await;
         if is_current {
             state.router.record_list_complete(began);
         }
@@ -79,21 +79,25 @@
     }
 }
 
-/// Returns whether the list counts as complete although the store cannot be read.
-fn assume(state: &State) -> bool {
-    let is_current = state.knows_what_peers_know();
-    if is_current {
-        let now = state.router.now();
-        let roster = state.roster.borrow();
-        let heard = roster.longest_silence(now).unwrap_or_default();
-        let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
-            ("revision", &state.registry.borrow().position().revision),
-            ("routers", &roster.live(now).count()),
-            ("heard_ms", &heard.as_millis()),
-        ];
-        emit(Event::ListAssumed, fields);
-    }
-    is_current
+/// Reads the list from the other routers, and returns whether this one knows each change that they know.
+///
+/// What they stated before does not show that: a router that is cut off, or whose peers are lost, takes them for live for some
+/// time, and hears of no change.
+async fn read_from_routers(state: &State) -> bool {
+    let answered = peer_sync::read_all(state).await;
+    let cause = match answered {
+        None => "a router that may know later changes does not answer",
+        Some(_) if !state.knows_what_peers_know() => "a router may know later changes",
+        Some(routers) => {
+            let revision = state.registry.borrow().position().revision;
+            let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                &[("revision", &revision), ("routers", &routers)];
+            emit(Event::ListAssumed, fields);
+            return true;
+        }
+    };
+    emit(Event::ListCheckFailed, &[("cause", &cause)]);
+    false
 }
 
 /// Reads and applies the changes since the latest list, and returns whether that succeeded.
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use futures_util::future;
 use tokio::time;
 use tsw_event::{emit, Event};
 use tsw_flow::{evacuation, registry::Position};
@@ -95,6 +96,24 @@
     }
 }
 
+/// Reads from the other routers that learn first of changes of the store. Returns how many there are; `None` if one of them does
+/// not answer, or if there is none.
+pub async fn read_all(state: &State) -> Option<usize> {
+    let peers = state.store_readers();
+    let reads = peers.iter().map(|peer| async move {
+        let known = known_revisions(state, peer);
+        time::timeout(TIMEOUT, fetch(peer.control, &known)).await
+    });
+    let answers = future::join_all(reads).await;
+    let is_whole = answers.iter().all(|answer| matches!(answer, Ok(Ok(_))));
+    for (peer, answer) in peers.iter().zip(answers) {
+        if let Ok(Ok(delta)) = answer {
+            apply(state, peer, delta);
+        }
+    }
+    (is_whole && !peers.is_empty()).then_some(peers.len())
+}
+
 /// Returns the revisions after which another router is read.
 pub fn known_revisions(state: &State, peer: &Member) -> KnownRevisions {
     let me = &state.roster.borrow().me;
@@ -189,7 +208,7 @@
     state.apply_evacuations(Position { era, revision }, true, &domains, &peer.host);
 }
 
-fn apply(state: &Rc<State>, peer: &Member, delta: StoreDelta) {
+fn apply(state: &State, peer: &Member, delta: StoreDelta) {
     if let Some(evacuated) = &delta.evacuated {
         apply_evacuated(state, peer, evacuated);
     }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -197,6 +197,19 @@
                 .is_store_reader(self.router.now(), STORE_READERS)
     }
 
+    /// Returns the other routers that learn first of changes of the store: all in a small fleet.
+    pub fn store_readers(&self) -> Vec<Member> {
+        let now = self.router.now();
+        let roster = self.roster.borrow();
+        let count = if self.is_large_fleet() {
+            STORE_READERS
+        } else {
+            SMALL_FLEET
+        };
+        let readers = roster.store_readers(now, count).into_iter();
+        readers.cloned().collect()
+    }
+
     /// Applies time-dependent changes and updates this router's own member of the roster.
     pub fn tick(&self) {
         let now = self.router.now();
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -362,23 +362,21 @@
     /// ```
     #[must_use]
     pub fn is_store_reader(&self, now: Timestamp, count: usize) -> bool {
-        let rank = |member: &Member| rendezvous::weight(READER_SEED, &member.host);
         // A router cannot learn from those that do not state an era if it knows one itself.
         let states_era = |peer: &&Member| peer.era.is_some() || self.me.era.is_none();
         let readers = self.live(now).filter(|peer| peer.reads_store);
-        let readers = readers.filter(states_era);
-        let mut readers: Vec<&Member> = readers.chain([&self.me]).collect();
-        readers.sort_by_cached_key(|member| (Reverse(rank(member)), member.host.clone()));
-        // The first reader of every failure domain precedes the second one of any.
-        let mut positions: IndexMap<&str, usize> = IndexMap::new();
-        let positions = readers.iter().map(|member| {
-            let position = positions.entry(&member.domain).or_default();
-            *position += 1;
-            (*position, member.host == self.me.host)
-        });
-        let mut positions: Vec<(usize, bool)> = positions.collect();
-        positions.sort_by_key(|(position, _)| *position);
-        positions.into_iter().take(count).any(|(_, own)| own)
+        let readers = readers.filter(states_era).chain([&self.me]);
+        let mut readers = first_readers(readers, count);
+        readers.any(|member| member.host == self.me.host)
+    }
+
+    /// Returns up to `count` other live routers that learn first of changes of the store: those that read it or, while none
+    /// does, those that would.
+    #[must_use]
+    pub fn store_readers(&self, now: Timestamp, count: usize) -> Vec<&Member> {
+        let reads = self.live(now).any(|peer| peer.reads_store);
+        let readers = self.live(now).filter(|peer| peer.reads_store || !reads);
+        first_readers(readers, count).collect()
     }
 
     /// Returns up to `count` other live routers that keep the records of a key, chosen by rendezvous
@@ -466,21 +464,31 @@
         self.live_peers(now).map(|peer| &peer.member)
     }
 
-    /// Returns the longest time for which nothing new was heard of a live router.
-    #[must_use]
-    pub fn longest_silence(&self, now: Timestamp) -> Option<Span> {
-        let silences = self
-            .live_peers(now)
-            .map(|peer| now.since(peer.last_heartbeat));
-        silences.max()
-    }
-
     fn live_peers(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
         let peers = self.peers.values();
         peers.filter(move |peer| is_live(peer, now))
     }
 }
 
+/// Returns the first of the routers that read the store. The first one of every failure domain precedes the second one of any.
+fn first_readers<'a>(
+    members: impl Iterator<Item = &'a Member>,
+    count: usize,
+) -> impl Iterator<Item = &'a Member> {
+    let rank = |member: &Member| rendezvous::weight(READER_SEED, &member.host);
+    let mut readers: Vec<&Member> = members.collect();
+    readers.sort_by_cached_key(|member| (Reverse(rank(member)), member.host.clone()));
+    let mut places: IndexMap<&str, usize> = IndexMap::new();
+    let placed = readers.into_iter().map(|member| {
+        let place = places.entry(&member.domain).or_default();
+        *place += 1;
+        (*place, member)
+    });
+    let mut placed: Vec<(usize, &Member)> = placed.collect();
+    placed.sort_by_key(|(place, _)| *place);
+    placed.into_iter().take(count).map(|(_, member)| member)
+}
+
 impl Peer {
     fn apply(&mut self, now: Timestamp, heartbeat: &Heartbeat) {
         if heartbeat.heartbeat <= self.member.heartbeat {
