Count versions that came and went between two reads of the list

A response of the store may show an upstream that joined and one that left again, of a version that was not there before. All its changes were applied before what streams are assigned to was recorded, so that the version that came and went did not count: a router derived another one for streams that had begun there through other routers. Runs that a read shows as accepting, and that are not listed after it, are recorded as ones that came and went.

--- a/crates/flow/src/assignment.rs
+++ b/crates/flow/src/assignment.rs
@@ -149,6 +149,22 @@
         self.forget(now);
     }
 
+    /// Records a run that accepted new streams for some time between the latest list and the next one to be recorded, and is not
+    /// on the latter.
+    pub fn record_passed(&mut self, now: Timestamp, entry: &Entry) {
+        let run = Run::of(entry);
+        let is_listed = self.runs.as_ref().is_some_and(|runs| runs.contains(&run));
+        if !is_listed {
+            self.changes.push_back(Change {
+                at: now,
+                ended: Some(run.clone()),
+                began: Some(run),
+                unknown: Unknown::No,
+                is_ordered: false,
+            });
+        }
+    }
+
     /// Drops changes that are too old to matter, or too many.
     fn forget(&mut self, now: Timestamp) {
         let is_old = |change: &Change| now.since(change.at) > MAX_AGE;
@@ -285,23 +301,23 @@
                 .iter()
                 .filter(|change| change.unknown == Unknown::Left);
             unknown += left.count() as u32;
-            let mut highest = counts.clone();
-            for run in ended.clone() {
-                *highest.entry(&run.software).or_default() += 1;
+            let mut lowest = counts.get(derived).copied().unwrap_or_default();
+            for run in ended {
+                *counts.entry(&run.software).or_default() += 1;
             }
+            let highest = counts.clone();
             for run in began {
                 let count = counts.entry(&run.software).or_default();
                 *count = count.saturating_sub(1);
+                if run.software == *derived {
+                    lowest = lowest.saturating_sub(1);
+                }
             }
-            let lowest = counts.get(derived).copied().unwrap_or_default();
             let highest =
                 |other: &Software| highest.get(other).map_or(unknown, |count| count + unknown);
             if !wins(key, derived, lowest, &software, highest) {
                 return None;
             }
-            for run in ended {
-                *counts.entry(&run.software).or_default() += 1;
-            }
         }
         Some((derived, false))
     }
--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -149,6 +149,14 @@
         revision <= self.position.revision && !self.listed.contains_key(key)
     }
 
+    /// Returns whether the run of an entry is listed and accepts new requests. One that is only kept after an outage is not listed.
+    #[must_use]
+    pub fn is_accepting(&self, entry: &Entry) -> bool {
+        let listed = self.listed.get(&entry.id).filter(|listed| !listed.removed);
+        let listed = listed.and_then(|listed| listed.entry.as_ref());
+        listed.is_some_and(|listed| listed.is_same_run(entry) && !listed.leaving)
+    }
+
     /// Enters the era of content that is about to be applied. Revisions passed to the other methods
     /// are of this era.
     ///
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -326,11 +326,18 @@
         if !self.enter_era(position) {
             return false;
         }
-        self.apply_items(items, position);
+        let accepting = self.apply_items(items, position);
         if complete {
             self.apply_list(items, position);
         }
         self.registry.borrow_mut().advance(position.revision);
+        // Other routers may have read the list in between.
+        let registry = self.registry.borrow();
+        let passed = accepting
+            .iter()
+            .filter(|entry| !registry.is_accepting(entry));
+        self.router.record_passed_runs(passed);
+        drop(registry);
         self.apply_entries();
         true
     }
@@ -391,9 +398,10 @@
         change != EraChange::Older
     }
 
-    /// Applies entries of upstreams from a read up to a position.
-    fn apply_items(&self, items: &[Item], position: Position) {
+    /// Applies entries of upstreams from a read up to a position, and returns the changed ones that accept new requests.
+    fn apply_items(&self, items: &[Item], position: Position) -> Vec<Entry> {
         let now = self.router.now();
+        let mut accepting = Vec::new();
         let mut registry = self.registry.borrow_mut();
         let mut store_copy = self.store_copy.borrow_mut();
         for item in items {
@@ -436,11 +444,14 @@
             }
             // Heartbeats are not passed on to peers, unless one states that the upstream has become cold again.
             let is_colder = change != Change::Stale && self.record_cold(item, offered.as_ref());
-            log_change(change, item.revision, before, offered);
+            log_change(change, item.revision, before, offered.as_ref());
             if change == Change::Heartbeat && is_colder {
                 store_copy.set_entry(key, item.revision, content);
             }
+            let changed = offered.filter(|_| change == Change::Content);
+            accepting.extend(changed.filter(|entry| !entry.leaving));
         }
+        accepting
     }
 
     /// Records for how long the upstream of an entry is cold, and returns whether that is longer than known before.
@@ -499,13 +510,13 @@
     change: Change,
     revision: u64,
     known: Option<(Entry, Position)>,
-    offered: Option<Entry>,
+    offered: Option<&Entry>,
 ) {
-    let is_leaving = |entry: &Option<Entry>| entry.as_ref().is_some_and(|entry| entry.leaving);
+    let is_leaving = |entry: Option<&Entry>| entry.is_some_and(|entry| entry.leaving);
     let (known, position) = known.unzip();
     let known_revision = position.map_or(0, |position| position.revision);
     let number = |entry: &Entry| (entry.started_at, entry.seq);
-    match (change, &known, &offered) {
+    match (change, &known, offered) {
         (Change::Heartbeat, ..) => {}
         (Change::Stale, Some(before), Some(entry)) if number(before) != number(entry) => emit(
             Event::EntryIgnored,
@@ -554,8 +565,8 @@
         ),
         _ => {}
     }
-    if change == Change::Content && is_leaving(&offered) && !is_leaving(&known) {
-        if let Some(entry) = &offered {
+    if change == Change::Content && is_leaving(offered) && !is_leaving(known.as_ref()) {
+        if let Some(entry) = offered {
             emit(
                 Event::UpstreamLeaving,
                 &[("upstream", &entry.id), ("revision", &revision)],
