--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -153,18 +153,16 @@
         seeds: &[SocketAddr],
         limits: Limits,
     ) -> Self {
-        Self::start_advertised(host, store, seeds, limits, |control, gossip| {
-            (control, gossip)
-        })
+        Self::start_advertised(host, store, seeds, limits, |_, _| None)
     }
 
-    /// Like [`Router::start_limited`], with the control and gossip addresses that it advertises instead of its own ones.
+    /// Like [`Router::start_limited`], with the control and gossip addresses that it advertises for its own ones.
     pub fn start_advertised(
         host: &str,
         store: SocketAddr,
         seeds: &[SocketAddr],
         limits: Limits,
-        advertise: impl FnOnce(SocketAddr, SocketAddr) -> (SocketAddr, SocketAddr),
+        advertise: impl FnOnce(SocketAddr, SocketAddr) -> Option<(SocketAddr, SocketAddr)>,
     ) -> Self {
         // A process spawned at the same time would inherit the bound sockets until it calls exec.
         static STARTS: Mutex<()> = Mutex::new(());
@@ -173,15 +171,19 @@
         let gossip = SocketAddr::from((address, GOSSIP_PORT));
         let directory = tempfile::tempdir().expect("a directory");
         let [client, ready, locate, control, metrics] = free(address);
-        let (shown_control, shown_gossip) = advertise(control, gossip);
+        let advertise = match advertise(control, gossip) {
+            Some((control, gossip)) => {
+                format!("advertise: {{control: \"{control}\", gossip: \"{gossip}\"}}\n")
+            }
+            None => String::new(),
+        };
         let settings = directory.path().join("router.yaml");
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
         let text = format!(
             "interface: platform\nhost: {host}\ndomain: north\n\
              listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
              control: \"{control}\", gossip: \"{gossip}\", metrics: \"{metrics}\"}}\n\
-             advertise: {{control: \"{shown_control}\", gossip: \"{shown_gossip}\"}}\n\
-             descriptors: {}\nseeds: {}\nstore: \"{store}\"\n\
+             {advertise}descriptors: {}\nseeds: {}\nstore: \"{store}\"\n\
              bounds: {{retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: 8}}\n",
             limits.descriptors,
             json!(seeds)
--- a/crates/toucand/tests/support/versions.rs
+++ b/crates/toucand/tests/support/versions.rs
@@ -186,7 +186,7 @@
     let advertise = |control, gossip| {
         let control = relay.tcp(control, link.clone(), link.clone());
         let gossip = relay.udp_at(seed, gossip, link.clone(), link.clone());
-        (control.expect("a relay"), gossip.expect("a relay"))
+        Some((control.expect("a relay"), gossip.expect("a relay")))
     };
     let limits = fleet::Limits::default();
     let router = Router::start_advertised(host, store, seeds, limits, advertise);
