Let another router read the store for one that cannot

A router that cannot read the store asked the others what they know, and derived nothing if one did not answer. After the loss of one router all resumed streams were refused there, though the others read the store: a router that reads the store after it was asked knows each change that any router can have used, whether the others answer or not. So the routers that learn first of changes are asked to read the store before they answer, and one such answer is enough. While none can read it, all have to answer, as before.

--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -63,6 +63,9 @@
         let (status, body) = explain::respond(state, &request.fields);
         (status, JSON, body)
     } else if let Some(query) = peer_sync::query(&target) {
+        if peer_sync::reads_first(query) && state.store_check.run(state).await {
+            fields.push(peer_sync::READ, "1");
+        }
         let delta = peer_sync::delta(state, &KnownRevisions::from_query(query));
         if let Some(digest) = delta.digest {
             fields.push(peer_sync::DIGEST, digest.to_field());
--- a/crates/gate/src/list_check.rs
+++ b/crates/gate/src/list_check.rs
@@ -42,17 +42,36 @@
     }
 }
 
+/// What is read if the store does not answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fallback {
+    /// The other routers.
+    Routers,
+    /// Nothing.
+    None,
+}
+
 /// The latest read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ListCheck {
+    fallback: Fallback,
     store: Mutex<Option<Store>>,
     /// When it began, and whether all changes until then are known.
     latest: Cell<(Timestamp, bool)>,
 }
 
 impl ListCheck {
-    /// Reads the changes of the list up to a time after this call, and returns whether they are known. While the
-    /// store does not answer, this is what the other routers answer.
+    /// Creates a check that has read nothing.
+    #[must_use]
+    pub fn new(fallback: Fallback) -> Self {
+        Self {
+            fallback,
+            store: Mutex::default(),
+            latest: Cell::default(),
+        }
+    }
+
+    /// Reads the changes of the list up to a time after this call, and returns whether they are known.
     pub async fn run(&self, state: &State) -> bool {
         let asked_at = state.router.now();
         let mut store = self.store.lock().await;
@@ -70,7 +89,8 @@
         let began = state.router.now();
         let store = store.get_or_insert_with(|| Store::new(state.settings.borrow().store));
         let read = time::timeout(TIMEOUT, read(state, store)).await;
-        let is_current = read.unwrap_or(false) || read_from_routers(state).await;
+        let is_current = read.unwrap_or(false)
+            || self.fallback == Fallback::Routers && read_from_routers(state).await;
         if is_current {
             state.router.record_list_complete(began);
         }
@@ -79,16 +99,18 @@
     }
 }
 
-/// Reads the list from the other routers, and returns whether this one knows each change that they know.
+/// Reads the list from the other routers, and returns whether this one knows each change that any router can know.
 ///
 /// What they stated before does not show that: a router that is cut off, or whose peers are lost, takes them for live for some
 /// time, and hears of no change.
 async fn read_from_routers(state: &State) -> bool {
-    let answered = peer_sync::read_all(state).await;
-    let cause = match answered {
-        None => "a router that may know later changes does not answer",
-        Some(_) if !state.knows_what_peers_know() => "a router may know later changes",
-        Some(routers) => {
+    let cause = match peer_sync::read_all(state).await {
+        peer_sync::Answer::Read => return true,
+        peer_sync::Answer::Missing => "a router that may know later changes does not answer",
+        peer_sync::Answer::Known { .. } if !state.knows_what_peers_know() => {
+            "a router may know later changes"
+        }
+        peer_sync::Answer::Known { routers } => {
             let revision = state.registry.borrow().position().revision;
             let fields: &[(&'static str, &dyn std::fmt::Display)] =
                 &[("revision", &revision), ("routers", &routers)];
--- a/crates/gate/src/list_comparison.rs
+++ b/crates/gate/src/list_comparison.rs
@@ -27,7 +27,7 @@
         };
         let known = peer_sync::known_revisions(&state, &peer);
         // The next read shows a router that does not answer.
-        let read = time::timeout(TIMEOUT, peer_sync::fetch(peer.control, &known)).await;
+        let read = time::timeout(TIMEOUT, peer_sync::fetch(peer.control, &known, false)).await;
         if let Ok(Ok(delta)) = read {
             let position = Position {
                 era: delta.era,
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::future;
+use futures_util::{stream::FuturesUnordered, StreamExt as _};
 use tokio::time;
 use tsw_event::{emit, Event};
 use tsw_flow::{evacuation, registry::Position};
@@ -26,12 +26,18 @@
 const PATH: &str = "/v1/stored";
 /// Header field of the response with the digest of the list.
 pub const DIGEST: &str = "List-Digest";
+/// Part of the query that asks for a read of the store before the response.
+const READ_FIRST: &str = "fresh=1";
+/// Header field of the response if the store was read after the request for that arrived.
+pub const READ: &str = "Store-Read";
 /// Interval at which the revisions of the peers are compared with this router's.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum size of a response in bytes. A configuration has at most 1 MB, an entry about 300 bytes.
 const MAX_RESPONSE: usize = 8 << 20;
 /// Time limit of a read.
 const TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit of a read for which the other router reads the store.
+const READ_FIRST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// An error of a read from a peer.
 #[derive(Debug, thiserror::Error)]
@@ -60,6 +66,12 @@
     (path == PATH).then_some(query)
 }
 
+/// Returns whether the store is to be read before the response.
+#[must_use]
+pub fn reads_first(query: &str) -> bool {
+    query.split('&').any(|part| part == READ_FIRST)
+}
+
 /// Returns the store content that a peer with the given revisions lacks.
 #[must_use]
 pub fn delta(state: &State, known: &KnownRevisions) -> StoreDelta {
@@ -88,30 +100,56 @@
             continue;
         };
         let known = known_revisions(&state, &peer);
-        match time::timeout(TIMEOUT, fetch(peer.control, &known)).await {
-            Ok(Ok(delta)) => apply(&state, &peer, delta),
+        match time::timeout(TIMEOUT, fetch(peer.control, &known, false)).await {
+            Ok(Ok(delta)) => {
+                apply(&state, &peer, delta);
+            }
             Ok(Err(error)) => log_failure(&peer, &error),
             Err(_) => log_failure(&peer, &Error::Timeout),
         }
     }
 }
 
-/// Reads from the other routers that learn first of changes of the store. Returns how many there are; `None` if one of them does
-/// not answer, or if there is none.
-pub async fn read_all(state: &State) -> Option<usize> {
+/// What the other routers that learn first of changes of the store have answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// One of them has read the store for it.
+    Read,
+    /// None of them can read the store, and each has answered what it knows.
+    Known {
+        /// Number of the routers.
+        routers: usize,
+    },
+    /// None of them has read the store, and not all have answered.
+    Missing,
+}
+
+/// Asks the other routers that learn first of changes of the store to read it, and applies what they answer.
+pub async fn read_all(state: &State) -> Answer {
     let peers = state.store_readers();
     let reads = peers.iter().map(|peer| async move {
         let known = known_revisions(state, peer);
-        time::timeout(TIMEOUT, fetch(peer.control, &known)).await
+        let read = fetch(peer.control, &known, true);
+        let read = time::timeout(READ_FIRST_TIMEOUT, read).await;
+        (peer, read.ok().and_then(Result::ok))
     });
-    let answers = future::join_all(reads).await;
-    let is_whole = answers.iter().all(|answer| matches!(answer, Ok(Ok(_))));
-    for (peer, answer) in peers.iter().zip(answers) {
-        if let Ok(Ok(delta)) = answer {
-            apply(state, peer, delta);
+    let mut answers: FuturesUnordered<_> = reads.collect();
+    let mut routers = 0;
+    while let Some((peer, delta)) = answers.next().await {
+        let Some(delta) = delta else { continue };
+        let is_read = delta.is_read;
+        if apply(state, peer, delta) {
+            routers += 1;
+            if is_read {
+                return Answer::Read;
+            }
         }
     }
-    (is_whole && !peers.is_empty()).then_some(peers.len())
+    if routers > 0 && routers == peers.len() {
+        Answer::Known { routers }
+    } else {
+        Answer::Missing
+    }
 }
 
 /// Returns the revisions after which another router is read.
@@ -163,18 +201,27 @@
     }
 }
 
-/// Reads the store content that a router with the given revisions lacks.
+/// Reads the store content that a router with the given revisions lacks. The other router may be asked to read the store first.
 ///
 /// # Errors
 ///
 /// Returns an error if the other router does not answer completely, or with something else.
-pub async fn fetch(address: SocketAddr, known: &KnownRevisions) -> Result<StoreDelta, Error> {
+pub async fn fetch(
+    address: SocketAddr,
+    known: &KnownRevisions,
+    reads_first: bool,
+) -> Result<StoreDelta, Error> {
     let connection = Connection::open(address, TIMEOUT).await?;
+    let mut query = known.query();
+    if reads_first {
+        query.push('&');
+        query.push_str(READ_FIRST);
+    }
     let mut fields = Fields::default();
     fields.push("Host", address.to_string());
     let request = head::Request {
         method: Bytes::from_static(b"GET"),
-        target: format!("{PATH}?{}", known.query()).into(),
+        target: format!("{PATH}?{query}").into(),
         http10: false,
         fields,
     };
@@ -186,9 +233,10 @@
             return Err(Error::TooLong);
         }
     }
-    let digest = exchange.head().fields.text(DIGEST).and_then(Digest::parse);
+    let fields = &exchange.head().fields;
     Ok(StoreDelta {
-        digest,
+        digest: fields.text(DIGEST).and_then(Digest::parse),
+        is_read: fields.text(READ).is_some(),
         ..StoreDelta::decode(&body)?
     })
 }
@@ -208,7 +256,8 @@
     state.apply_evacuations(Position { era, revision }, true, &domains, &peer.host);
 }
 
-fn apply(state: &State, peer: &Member, delta: StoreDelta) {
+/// Applies the content that another router has sent, and returns whether this router knows all of it then.
+fn apply(state: &State, peer: &Member, delta: StoreDelta) -> bool {
     if let Some(evacuated) = &delta.evacuated {
         apply_evacuated(state, peer, evacuated);
     }
@@ -220,12 +269,12 @@
         revision: delta.revision,
     };
     if position <= state.registry.borrow().position() {
-        return;
+        return true;
+    }
+    if peer.reads_store || delta.is_read {
+        let now = state.router.now();
+        state.registry.borrow_mut().record_platform_read(now);
     }
-    state
-        .registry
-        .borrow_mut()
-        .record_platform_read(state.router.now());
     let items: Vec<Item> = delta
         .entries
         .into_iter()
@@ -236,8 +285,10 @@
             created: None,
         })
         .collect();
-    if state.apply_upstreams(&items, position, delta.complete) {
+    let is_applied = state.apply_upstreams(&items, position, delta.complete);
+    if is_applied {
         state.router.set_software_complete();
     }
     list_comparison::compare(state, peer, position, delta.digest);
+    is_applied
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -196,7 +196,8 @@
         max_clients: max_clients(),
         reuse: ReuseTracker::default(),
         origin_queries: origin_sync::Queries::default(),
-        list_check: ListCheck::default(),
+        list_check: ListCheck::new(list_check::Fallback::Routers),
+        store_check: ListCheck::new(list_check::Fallback::None),
         ready_routers: RefCell::default(),
     }))
 }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -105,6 +105,8 @@
     pub origin_queries: Queries,
     /// Reads the changes of the list that a request needs.
     pub list_check: ListCheck,
+    /// Reads the changes of the list that another router needs, which asks others itself.
+    pub store_check: ListCheck,
     /// The ready routers, and when they last changed.
     pub ready_routers: RefCell<ReadyRouters>,
 }
--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -106,6 +106,9 @@
     /// Digest of the sender's list at `revision`, which the response states in a header field.
     #[serde(skip)]
     pub digest: Option<Digest>,
+    /// Whether the sender has read the store after it was asked for that.
+    #[serde(skip)]
+    pub is_read: bool,
     /// Evacuated failure domains; `None` if none was ever known to be evacuated. They follow the era.
     #[serde(skip)]
     pub evacuated: Option<Evacuated>,
@@ -310,6 +313,7 @@
             entries: entries.chain(removed).collect(),
             era: self.era,
             digest: Some(self.digest(revision)),
+            is_read: false,
             evacuated: None,
         }
     }
