Derive nothing from a list that hides what came and went

A router that has missed changes of the list catches up by a whole list, when the store has discarded its history, or by what another router answers. Neither shows an upstream that came and went in between. Where only one version was listed before and after, its streams went on at that one. Unless such a read shows each change, the software of the time before it counts as unknown now (event 224): nothing is derived for 20 s, and records of where streams began are kept as for mixed versions.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -122,6 +122,8 @@
     ListAssumed = 222 Info "list-assumed";
     /// The list of upstreams differs from that of another router at the same revision.
     ListDiffers = 223 Warn "list-differs";
+    /// Upstreams may have come and gone unseen between two reads of the list.
+    ChangesHidden = 224 Info "changes-hidden";
     /// A request waits for a slot.
     Queued = 301 Info "queued";
     /// A request was refused without being run.
--- a/crates/flow/src/assignment.rs
+++ b/crates/flow/src/assignment.rs
@@ -149,6 +149,11 @@
         self.forget(now);
     }
 
+    /// Records that changes before a time are not known.
+    pub fn record_hidden(&mut self, before: Timestamp) {
+        self.forgotten_until = self.forgotten_until.max(Some(before));
+    }
+
     /// Records a run that accepted new streams for some time between the latest list and the next one to be recorded, and is not
     /// on the latter.
     pub fn record_passed(&mut self, now: Timestamp, entry: &Entry) {
--- a/crates/gate/src/list.rs
+++ b/crates/gate/src/list.rs
@@ -23,6 +23,58 @@
     pub content: Option<Bytes>,
 }
 
+/// What a read shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Each change since a position.
+    Changes,
+    /// The present content of the entries that changed since a position.
+    Difference,
+    /// The present content of all entries.
+    Whole,
+}
+
+impl Kind {
+    /// Returns whether entries may have come and gone unseen between a position that is known and that of a read. `read` yields the
+    /// key of each entry that was read, its revision and whether it is listed.
+    ///
+    /// ```
+    /// use tsw_flow::registry::{Position, Registry};
+    /// use tsw_gate::list::Kind;
+    /// let mut registry = Registry::default();
+    /// registry.advance(5);
+    /// let position = Position { era: None, revision: 6 };
+    /// // The change with revision 6 is a removal, or of an entry that was removed since.
+    /// assert!(Kind::Whole.hides_changes(&registry, position, [(&"i-1".into(), 4, true)]));
+    /// assert!(!Kind::Whole.hides_changes(&registry, position, [(&"i-1".into(), 6, true)]));
+    /// ```
+    #[must_use]
+    pub fn hides_changes<'a>(
+        self,
+        registry: &Registry,
+        position: Position,
+        read: impl IntoIterator<Item = (&'a Name, u64, bool)>,
+    ) -> bool {
+        let known = registry.position();
+        if known.revision == 0 || known.era != position.era || position <= known {
+            return false;
+        }
+        let mut read = read
+            .into_iter()
+            .filter(|(_, revision, _)| *revision > known.revision);
+        match self {
+            Self::Changes => false,
+            Self::Difference => {
+                read.any(|(key, _, is_listed)| !is_listed && !registry.contains(key))
+            }
+            Self::Whole => {
+                let shown = read.filter(|(_, revision, _)| *revision <= position.revision);
+                (shown.count() as u64) < position.revision - known.revision
+            }
+        }
+    }
+}
+
 /// The list of upstreams, and the copy of its content for other routers.
 pub struct List<'a> {
     /// The upstreams.
--- a/crates/gate/src/list_check.rs
+++ b/crates/gate/src/list_check.rs
@@ -10,7 +10,7 @@
 use tsw_event::{emit, Event};
 use tsw_platform::{store::Store, upstream};
 
-use crate::{peer_sync, state::State};
+use crate::{list::Kind, peer_sync, state::State};
 
 /// Minimum time between two reads, in a small and in a large fleet. Requests that arrive meanwhile wait for
 /// the next one.
@@ -126,7 +126,7 @@
 async fn read(state: &State, store: &mut Store) -> bool {
     let known = state.registry.borrow().position();
     match store.watch(upstream::PREFIX, known, Duration::ZERO).await {
-        Ok(items) => state.apply_upstreams(&items.items, items.position, false),
+        Ok(items) => state.apply_upstreams(&items.items, items.position, Kind::Changes),
         Err(cause) => {
             emit(Event::ListCheckFailed, &[("cause", &cause)]);
             false
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -17,6 +17,7 @@
 use tsw_platform::{store::Item, upstream};
 
 use crate::{
+    list::Kind,
     list_comparison,
     state::State,
     store_copy::{Digest, Evacuated, KnownRevisions, StoreDelta},
@@ -285,7 +286,12 @@
             created: None,
         })
         .collect();
-    let is_applied = state.apply_upstreams(&items, position, delta.complete);
+    let kind = if delta.complete {
+        Kind::Whole
+    } else {
+        Kind::Difference
+    };
+    let is_applied = state.apply_upstreams(&items, position, kind);
     if is_applied {
         state.router.set_software_complete();
     }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -323,13 +323,21 @@
     }
 
     /// Applies upstreams read from the store or a peer, and returns whether they are of the current
-    /// era or a later one. A complete list also removes the upstreams that it lacks.
-    pub fn apply_upstreams(&self, items: &[Item], position: Position, complete: bool) -> bool {
+    /// era or a later one. A whole list also removes the upstreams that it lacks.
+    pub fn apply_upstreams(&self, items: &[Item], position: Position, kind: list::Kind) -> bool {
         if !self.enter_era(position) {
             return false;
         }
+        if self.hides_changes(items, position, kind) {
+            let known = self.registry.borrow().position().revision;
+            emit(
+                Event::ChangesHidden,
+                &[("known", &known), ("revision", &position.revision)],
+            );
+            self.router.record_hidden_changes();
+        }
         let accepting = self.apply_items(items, position);
-        if complete {
+        if kind == list::Kind::Whole {
             self.apply_list(items, position);
         }
         self.registry.borrow_mut().advance(position.revision);
@@ -344,6 +352,18 @@
         true
     }
 
+    fn hides_changes(&self, items: &[Item], position: Position, kind: list::Kind) -> bool {
+        let read = items.iter().filter_map(|item| {
+            let key: Name = item.key.strip_prefix(upstream::PREFIX)?.into();
+            Some((key, item.revision, item.value.is_some()))
+        });
+        let read: Vec<(Name, u64, bool)> = read.collect();
+        let read = read
+            .iter()
+            .map(|(key, revision, is_listed)| (key, *revision, *is_listed));
+        kind.hides_changes(&self.registry.borrow(), position, read)
+    }
+
     /// Applies what the store's history tells of the time before the start.
     pub fn apply_history(&self, era: Option<u64>, history: &History) {
         if self.registry.borrow().position().era != era {
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -15,7 +15,7 @@
     upstream,
 };
 
-use crate::{configuration_history, state::State, store_history};
+use crate::{configuration_history, list::Kind, state::State, store_history};
 
 /// Maximum wait of one watch call. A stalled connection is detected after this time plus the time
 /// limit for a response, well within the time in which a new configuration has to be active.
@@ -170,7 +170,10 @@
             state.apply_evacuations(items.position, complete, &changes, "store");
             true
         }
-        Subject::Upstreams => state.apply_upstreams(&items.items, items.position, complete),
+        Subject::Upstreams => {
+            let kind = if complete { Kind::Whole } else { Kind::Changes };
+            state.apply_upstreams(&items.items, items.position, kind)
+        }
     }
 }
 
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -64,6 +64,19 @@
         }
     }
 
+    /// Records that upstreams may have come and gone unseen until now: the streams that they began go on only where they are recorded.
+    pub fn record_hidden_changes(&self) {
+        let (now, lifetime) = (self.now(), self.origin_lifetime());
+        let mut assignments = self.assignments.borrow_mut();
+        let mut software = self.software.borrow_mut();
+        for (service, assignment) in assignments.iter_mut() {
+            assignment.record_hidden(now);
+            let unknown = Software::unknown(&Name::from(""));
+            software.record_software(now, lifetime, service, unknown);
+        }
+        self.metrics.hidden_changes.inc();
+    }
+
     /// Records runs that accepted new streams for some time since the latest list that was recorded, and are not on the next one.
     pub fn record_passed_runs<'a>(&self, entries: impl Iterator<Item = &'a Entry>) {
         let now = self.now();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    exponential_buckets, Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    exponential_buckets, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 /// Counters and latency histograms of a router.
@@ -49,6 +49,8 @@
     pub origin_records: IntCounterVec,
     /// Queries to other routers for where a stream began, by outcome.
     pub origin_queries: IntCounterVec,
+    /// Reads of the list that did not show whether upstreams came and went since the one before.
+    pub hidden_changes: IntCounter,
     /// Comparisons of the list of upstreams with that of another router at the same revision, by result.
     pub list_comparisons: IntCounterVec,
     /// Time before the start of the process for which the store's history was known, in milliseconds.
@@ -196,6 +198,10 @@
                 ),
                 &["outcome"],
             )?,
+            hidden_changes: IntCounter::new(
+                "relay_hidden_changes_total",
+                "Reads of the list that did not show whether upstreams came and went since the one before",
+            )?,
             list_comparisons: IntCounterVec::new(
                 Opts::new(
                     "relay_list_comparisons_total",
@@ -223,6 +229,7 @@
         registry.register(Box::new(metrics.breaks.clone()))?;
         registry.register(Box::new(metrics.origin_records.clone()))?;
         registry.register(Box::new(metrics.origin_queries.clone()))?;
+        registry.register(Box::new(metrics.hidden_changes.clone()))?;
         registry.register(Box::new(metrics.list_comparisons.clone()))?;
         registry.register(Box::new(metrics.history_ms.clone()))?;
         registry.register(Box::new(metrics.waiting.clone()))?;
