Learn removals from the store's history, for routers that read from this one

Until a router has applied 256 removals itself, it sends the whole list to routers that are behind its first list, which costs bytes and hides from them what came and went. A router reads the store's history after its start anyway; the removals that it shows now count for other routers too, so that they get the changes since their revision.

--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -21,7 +21,11 @@
     audience::Audience,
     roster::{Member, Roster},
 };
-use tsw_platform::{configuration, store::Item, upstream};
+use tsw_platform::{
+    configuration,
+    store::{Item, Items},
+    upstream,
+};
 use tsw_relay::router::Router;
 use tsw_route::{table::Limits, Name};
 
@@ -395,6 +399,19 @@
         self.apply_entries();
     }
 
+    /// Records the removals up to a list that the store's history shows, for other routers.
+    pub fn record_removals(&self, after: u64, history: &Items, listed_at: u64) {
+        let removals = history.items.iter().filter_map(|item| {
+            let key: Name = item.key.strip_prefix(upstream::PREFIX)?.into();
+            let is_before = item.value.is_none() && item.revision <= listed_at;
+            is_before.then_some((key, item.revision))
+        });
+        if self.registry.borrow().position().era == history.position.era {
+            let mut store_copy = self.store_copy.borrow_mut();
+            store_copy.record_removals(after, listed_at, removals);
+        }
+    }
+
     fn enter_era(&self, position: Position) -> bool {
         let now = self.router.now();
         let mut registry = self.registry.borrow_mut();
--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -227,9 +227,45 @@
         }
     }
 
+    /// Records the removals of a history that shows all changes after a revision, up to a whole list. Has no effect if another whole list
+    /// followed.
+    ///
+    /// ```
+    /// use tsw_gate::store_copy::{KnownRevisions, StoreCopy};
+    /// let mut copy = StoreCopy::default();
+    /// copy.set_entry("i-1".into(), 5, Some("one".into()));
+    /// copy.apply_list(9, &["i-1".into()]);
+    /// let known = KnownRevisions { revision: 6, ..KnownRevisions::default() };
+    /// assert!(copy.since(&known, 9).complete);
+    /// copy.record_removals(4, 9, [("i-2".into(), 8)]);
+    /// assert_eq!(copy.since(&known, 9).entries, [("i-2".to_owned(), 8, None)]);
+    /// ```
+    pub fn record_removals(
+        &mut self,
+        after: u64,
+        listed_at: u64,
+        removals: impl IntoIterator<Item = (Name, u64)>,
+    ) {
+        if self.pruned_up_to != listed_at {
+            return;
+        }
+        let removals = removals.into_iter();
+        for (key, revision) in removals.filter(|(key, _)| !self.entries.contains_key(key)) {
+            let known = self.removed.entry(key).or_default();
+            *known = revision.max(*known);
+        }
+        self.removed.sort_unstable_by(|_, a, _, b| a.cmp(b));
+        self.pruned_up_to = after;
+        self.prune();
+    }
+
     fn remove(&mut self, key: Name, revision: u64) {
         self.removed.shift_remove(&key);
         self.removed.insert(key, revision);
+        self.prune();
+    }
+
+    fn prune(&mut self) {
         while self.removed.len() > MAX_REMOVED {
             let Some((_, removed_at)) = self.removed.shift_remove_index(0) else {
                 break;
--- a/crates/gate/tests/list.rs
+++ b/crates/gate/tests/list.rs
@@ -114,6 +114,8 @@
     copy: StoreCopy,
     /// Revision after which it watches the store; `None` if it has to list.
     watched: Option<u64>,
+    /// Revision of the latest whole list that the store has sent.
+    listed_at: u64,
 }
 
 impl Router {
@@ -189,8 +191,21 @@
         self.registry.advance(read.revision);
     }
 
+    /// Reads the history of the store from before the latest list.
+    fn read_history(&mut self, store: &Store, length: u64) {
+        let after = self.listed_at.saturating_sub(length);
+        let is_past = |write: &&Write| write.revision > after && write.revision <= self.listed_at;
+        let past = store.0.iter().filter(is_past);
+        let removals = past.filter(|write| write.entry.is_none());
+        let removals = removals.map(|write| (write.key.clone(), write.revision));
+        self.copy.record_removals(after, self.listed_at, removals);
+    }
+
     /// Applies a response of the store to its watch.
     fn apply_watched(&mut self, read: Read) {
+        if read.complete {
+            self.listed_at = read.revision;
+        }
         self.watched = Some(read.revision);
         self.apply(read);
     }
@@ -271,6 +286,8 @@
     ReadPeer(usize, usize),
     /// A router is killed and starts again.
     Restart(usize),
+    /// A router reads so many changes from before its latest list.
+    History(usize, u64),
     /// The store has discarded the history that the watch of a router needs.
     Compact(usize),
 }
@@ -284,6 +301,7 @@
         1 => router.clone().prop_map(Step::Check),
         3 => (router.clone(), router.clone()).prop_map(|(to, from)| Step::ReadPeer(to, from)),
         1 => router.clone().prop_map(Step::Restart),
+        1 => (router.clone(), 0..6u64).prop_map(|(router, length)| Step::History(router, length)),
         1 => router.prop_map(Step::Compact),
     ]
 }
@@ -321,6 +339,7 @@
                     routers[router] = Router::default();
                     on_the_way[router] = None;
                 }
+                Step::History(router, length) => routers[router].read_history(&store, length),
                 Step::Compact(router) => {
                     routers[router].watched = None;
                     on_the_way[router] = None;
