Ask all upstreams of a version before it is derived while no other router answers

An upstream that has returned with another version before its entry says so is known as such only to routers that have seen its run end, and to those that were told. A router that is cut off from them, or left alone, derived the listed version for streams that began there: a query for a record that nobody answers counted as if there were none. Now each listed upstream of the version has to confirm its run in this case, not only two.

--- a/crates/gate/src/origin_sync.rs
+++ b/crates/gate/src/origin_sync.rs
@@ -15,7 +15,10 @@
     field::Fields,
     head,
 };
-use tsw_relay::{derivation::NotDerived, request::Request};
+use tsw_relay::{
+    derivation::{Evidence, NotDerived},
+    request::Request,
+};
 use tsw_route::Name;
 
 use crate::{
@@ -153,10 +156,16 @@
     if request.origin.is_some() || !request.is_resume() {
         return;
     }
+    let mut evidence = Evidence::Sufficient;
     if let Some(key) = request.resumed_key() {
-        if let Some(origin) = query(state, request, key).await {
+        let answers = query(state, request, key).await;
+        if let Some(origin) = answers.origin {
             return state.router.bind(request, origin, Source::Peer);
         }
+        // This router may be cut off from others that have seen upstreams return with other software.
+        if answers.answered == 0 && !answers.is_skipped {
+            evidence = Evidence::AllRuns;
+        }
     }
     // Routers that were told where it began know best: a router of an older build assigns streams in
     // another way.
@@ -164,30 +173,29 @@
         return;
     }
     if state.list_check.run(state).await {
-        state.router.bind_derived(request).await;
+        state.router.bind_derived(request, evidence).await;
     } else {
         let outdated = NotDerived::ListOutdated;
         state.router.reject_derivation(request, outdated);
     }
 }
 
-async fn query(state: &State, request: &Request, key: Key) -> Option<Origin> {
-    let Answers {
-        origin: outcome,
-        asked,
-        answered,
-    } = match state.origin_queries.begin() {
+async fn query(state: &State, request: &Request, key: Key) -> Answers {
+    let answers = match state.origin_queries.begin() {
         Some(_guard) => ask(state, key).await,
-        None => Answers::default(),
+        None => Answers {
+            is_skipped: true,
+            ..Answers::default()
+        },
     };
-    let label = if outcome.is_some() {
+    let label = if answers.origin.is_some() {
         "known"
     } else {
         "unknown"
     };
     let queries = &state.router.metrics.origin_queries;
     queries.with_label_values(&[label]).inc();
-    match &outcome {
+    match &answers.origin {
         Some(origin) => emit(
             Event::OriginKnown,
             &[("request", &request.id), ("software", &origin.software)],
@@ -196,12 +204,12 @@
             Event::OriginUnknown,
             &[
                 ("request", &request.id),
-                ("asked", &asked),
-                ("answered", &answered),
+                ("asked", &answers.asked),
+                ("answered", &answers.answered),
             ],
         ),
     }
-    outcome
+    answers
 }
 
 /// What the routers that may keep a record have answered.
@@ -213,6 +221,8 @@
     asked: usize,
     /// Number of routers that answered in time, until one knew the origin.
     answered: usize,
+    /// Whether none was asked, since too many queries are in flight.
+    is_skipped: bool,
 }
 
 /// Asks the routers that may keep a record of a stream.
@@ -244,6 +254,7 @@
         origin,
         asked,
         answered: answered.get(),
+        is_skipped: false,
     }
 }
 
--- a/crates/relay/src/derivation.rs
+++ b/crates/relay/src/derivation.rs
@@ -61,6 +61,16 @@
     }
 }
 
+/// What has to confirm a derived origin.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// A few runs of the software.
+    Sufficient,
+    /// All listed runs of the software, since no other router has answered. One that returned with other software before its entry said so may
+    /// have begun the stream, and only other routers may have seen that.
+    AllRuns,
+}
+
 /// Where a stream began, provided that these runs last.
 struct Derived {
     origin: Origin,
@@ -93,7 +103,7 @@
     /// Binds a request that resumes a stream to the software that follows from the identifier of the stream, or that
     /// is the only one, if upstreams confirm that they run it. The caller has read the changes of the list up to a
     /// time after the arrival of the request.
-    pub async fn bind_derived(self: &Rc<Self>, request: &mut Request) {
+    pub async fn bind_derived(self: &Rc<Self>, request: &mut Request, evidence: Evidence) {
         let derived = match self.derive(request, request.arrived) {
             Ok(derived) => derived,
             Err(cause) => return self.reject_derivation(request, cause),
@@ -103,9 +113,11 @@
             source,
             runs,
         } = derived;
-        let needed = match source {
-            Source::OnlySoftware => runs.len().min(MIN_RUNS),
-            _ => MIN_RUNS,
+        let needed = match (source, evidence) {
+            (Source::OnlySoftware, Evidence::AllRuns) => runs.len(),
+            (Source::OnlySoftware, Evidence::Sufficient) => runs.len().min(MIN_RUNS),
+            (_, Evidence::AllRuns) => runs.len().max(MIN_RUNS),
+            (_, Evidence::Sufficient) => MIN_RUNS,
         };
         let service = &origin.service;
         if self.confirm_runs(service, &runs, needed, request).await {
