Prefer routers that have not just started as a source of the list

A router that reads the list from one which has just started gets the whole list, which hides what came and went. Among the routers that are ahead, those that have run for three seconds come first now; their history of the list is known by then.

--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{stream::FuturesUnordered, StreamExt as _};
 use tokio::time;
+use tsw_base::time::Span;
 use tsw_event::{emit, Event};
 use tsw_flow::{evacuation, registry::Position};
 use tsw_http::{
@@ -37,6 +38,8 @@
 const MAX_RESPONSE: usize = 8 << 20;
 /// Time limit of a read.
 const TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after its start within which a router has read the store's history.
+const HISTORY_TIME: Span = Span::from_millis(3_000);
 /// Time limit of a read for which the other router reads the store.
 const READ_FIRST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -174,8 +177,9 @@
 /// Returns a peer that has a newer configuration, or newer upstreams while this router does not
 /// watch the store itself.
 ///
-/// Among peers with the newest configuration, one in this router's failure domain that reads the
-/// store is preferred, since traffic between failure domains is expensive.
+/// Among peers with the newest configuration, those that have not just started are preferred, since others do not know what came and went
+/// before their first list, and then one in this router's failure domain that reads the store, since traffic between failure domains is
+/// expensive.
 fn peer_ahead(state: &State) -> Option<Member> {
     let now = state.router.now();
     let reader = state.is_store_reader();
@@ -189,7 +193,8 @@
     newer
         .max_by_key(|peer| {
             let local_reader = peer.reads_store && peer.domain == roster.me.domain;
-            (peer.version, local_reader, position(peer))
+            let has_run = roster.known_for(now, &peer.host) >= HISTORY_TIME;
+            (peer.version, has_run, local_reader, position(peer))
         })
         .cloned()
 }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -170,6 +170,8 @@
     member: Member,
     key: u64,
     last_heartbeat: Timestamp,
+    /// When this incarnation was first heard of.
+    known_since: Timestamp,
 }
 
 /// The members of the fleet that one router knows.
@@ -246,8 +248,10 @@
                     member: member.clone(),
                     key: member.key(),
                     last_heartbeat: now,
+                    known_since: now,
                 };
                 let same = known.filter(|known| known.key == peer.key);
+                peer.known_since = same.map_or(now, |known| known.known_since);
                 // Routers that do not know eras pass members on without them.
                 peer.member.era = peer.member.era.max(same.and_then(|known| known.member.era));
                 self.peers.insert(member.host.clone(), peer);
@@ -464,6 +468,13 @@
         self.live_peers(now).map(|peer| &peer.member)
     }
 
+    /// Returns for how long another router has run at least, as far as this one has heard of it.
+    #[must_use]
+    pub fn known_for(&self, now: Timestamp, host: &str) -> Span {
+        let peer = self.peers.get(host);
+        peer.map_or(Span::ZERO, |peer| now.since(peer.known_since))
+    }
+
     fn live_peers(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
         let peers = self.peers.values();
         peers.filter(move |peer| is_live(peer, now))
