--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,7 +17,7 @@
 //! - [`origin_sync`]: shares with other routers where streams began; [`origin_batch`]: the encoding.
 //! - [`credit_exchange`]: asks other routers for credits for requests to upstreams that state a rate, and
 //!   hands them out; [`credit_message`]: the encoding.
-//! - `evacuations`: applies what is known of evacuated failure domains.
+//! - `upstreams`, `evacuations`: apply what was read of the upstreams, and what is known of evacuated failure domains.
 //! - [`gossip`]: exchanges membership and load with other routers; [`report`]: splits activity
 //!   reports into fragments that fit into datagrams.
 //!
@@ -50,3 +50,4 @@
 pub mod store_copy;
 pub mod store_history;
 pub mod store_watch;
+mod upstreams;
