Let relays of datagrams listen on a given address, and end with their owner

Routers of a fleet use the same gossip port, so that a relay before one of them has to listen on an address of its own at that port. Relay::udp chose the address itself, and the thread of a Relay went on after it was dropped, so that the address stayed in use. Relay::udp_at takes the address; the thread ends with the last clone of the Relay.

--- a/crates/load/src/relay.rs
+++ b/crates/load/src/relay.rs
@@ -5,9 +5,10 @@
 
 use std::{
     collections::HashMap,
+    convert::Infallible,
     future::Future,
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, UdpSocket as StdSocket},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener, UdpSocket as StdSocket},
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc,
@@ -31,6 +32,8 @@
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 const CHUNK_BYTES: usize = 16_384;
 const CUT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Loopback address with a port that the system chooses.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// State of the simulated link from one failure domain to another, in one direction.
 #[derive(Debug, Default)]
@@ -85,12 +88,14 @@
     }
 }
 
-/// Runs relays on a dedicated thread.
+/// Runs relays on a dedicated thread. They end when it and its clones are dropped.
 #[derive(Clone)]
 pub struct Relay {
     timer: delay::Timer,
     handle: runtime::Handle,
     seed: u64,
+    /// Closed when the last clone is dropped, which ends the thread and frees the ports.
+    _running: mpsc::Sender<Infallible>,
 }
 
 impl Relay {
@@ -104,11 +109,13 @@
             .enable_all()
             .build()?;
         let handle = runtime.handle().clone();
-        thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+        let (running, mut ended) = mpsc::channel::<Infallible>(1);
+        thread::spawn(move || runtime.block_on(ended.recv()));
         Ok(Self {
             timer,
             handle,
             seed,
+            _running: running,
         })
     }
 
@@ -123,7 +130,23 @@
         forward: Arc<Link>,
         back: Arc<Link>,
     ) -> io::Result<SocketAddr> {
-        let socket = bind_udp()?;
+        self.udp_at(ANY_PORT, target, forward, back)
+    }
+
+    /// Starts a relay of datagrams to and from `target` that listens on `address`, and returns the address to send
+    /// to.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the socket cannot be bound.
+    pub fn udp_at(
+        &self,
+        address: SocketAddr,
+        target: SocketAddr,
+        forward: Arc<Link>,
+        back: Arc<Link>,
+    ) -> io::Result<SocketAddr> {
+        let socket = bind_udp(address)?;
         let address = socket.local_addr()?;
         let seed = self.seed ^ u64::from(address.port());
         let relay = DatagramRelay {
@@ -152,7 +175,7 @@
         forward: Arc<Link>,
         back: Arc<Link>,
     ) -> io::Result<SocketAddr> {
-        let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = StdListener::bind(ANY_PORT)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let timer = self.timer.clone();
@@ -172,8 +195,8 @@
     }
 }
 
-fn bind_udp() -> io::Result<StdSocket> {
-    let socket = StdSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+fn bind_udp(address: SocketAddr) -> io::Result<StdSocket> {
+    let socket = StdSocket::bind(address)?;
     socket.set_nonblocking(true)?;
     Ok(socket)
 }
@@ -203,7 +226,7 @@
             let target_socket = match target_sockets.get(&sender) {
                 Some(socket) => Arc::clone(socket),
                 None => {
-                    let Ok(socket) = bind_udp().and_then(UdpSocket::from_std) else {
+                    let Ok(socket) = bind_udp(ANY_PORT).and_then(UdpSocket::from_std) else {
                         continue;
                     };
                     let socket = Arc::new(socket);
--- a/crates/load/tests/relay.rs
+++ b/crates/load/tests/relay.rs
@@ -3,6 +3,7 @@
 use std::{
     net::UdpSocket as StdSocket,
     sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -13,6 +14,8 @@
 use tsw_load::{delay, relay};
 
 const DELAY: Duration = Duration::from_millis(30);
+/// Time within which a datagram arrives and a port is free again.
+const LIMIT: Duration = Duration::from_secs(2);
 
 /// Guards against lost replies, missing delay and datagrams that pass a cut link.
 #[test]
@@ -50,6 +53,35 @@
     assert!(target.recv_from(&mut buffer).is_ok());
 }
 
+/// Guards against a relay that listens elsewhere than asked, and against one that keeps its port after it has ended.
+#[test]
+fn relays_listen_where_asked_until_they_are_dropped() {
+    let free = StdSocket::bind("127.0.0.2:0").expect("socket");
+    let address = free.local_addr().expect("address");
+    drop(free);
+    let target = StdSocket::bind("127.0.0.1:0").expect("target");
+    target.set_read_timeout(Some(LIMIT)).expect("time limit");
+    for _ in 0..2 {
+        let relay = relay::Relay::start(delay::Timer::start(), 1).expect("relay");
+        let (forward, back) = (relay::Link::new(DELAY), relay::Link::new(DELAY));
+        let start = Instant::now();
+        let relayed = loop {
+            let target = target.local_addr().expect("address");
+            match relay.udp_at(address, target, Arc::clone(&forward), Arc::clone(&back)) {
+                Ok(relayed) => break relayed,
+                Err(error) => assert!(start.elapsed() < LIMIT, "{error}"),
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        assert_eq!(relayed, address);
+        let sender = StdSocket::bind("127.0.0.1:0").expect("sender");
+        sender.send_to(b"ask", relayed).expect("send");
+        let mut buffer = [0; 16];
+        let (len, _) = target.recv_from(&mut buffer).expect("datagram");
+        assert_eq!(&buffer[..len], b"ask");
+    }
+}
+
 /// Guards against streams that lose or reorder bytes when a link is cut and restored, or that do
 /// not pass on the end of file.
 #[test]
