--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -152,6 +152,28 @@
         store: SocketAddr,
         seeds: &[SocketAddr],
         limits: Limits,
+    ) -> Self {
+        Self::launch(host, store, seeds, limits, |_, _| None)
+    }
+
+    /// Like [`Router::start`]; other routers reach it at the addresses that `advertise` returns for its addresses for
+    /// control and gossip.
+    pub fn start_advertised(
+        host: &str,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        advertise: impl FnOnce(SocketAddr, SocketAddr) -> (SocketAddr, SocketAddr),
+    ) -> Self {
+        let advertise = |control, gossip| Some(advertise(control, gossip));
+        Self::launch(host, store, seeds, Limits::default(), advertise)
+    }
+
+    fn launch(
+        host: &str,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        limits: Limits,
+        advertise: impl FnOnce(SocketAddr, SocketAddr) -> Option<(SocketAddr, SocketAddr)>,
     ) -> Self {
         // A process spawned at the same time would inherit the bound sockets until it calls exec.
         static STARTS: Mutex<()> = Mutex::new(());
@@ -162,10 +184,14 @@
         let [client, ready, locate, control, metrics] = free(address);
         let settings = directory.path().join("router.yaml");
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        let advertise = advertise(control, gossip).map(|(control, gossip)| {
+            format!("advertise: {{control: \"{control}\", gossip: \"{gossip}\"}}\n")
+        });
+        let advertise = advertise.unwrap_or_default();
         let text = format!(
             "interface: platform\nhost: {host}\ndomain: north\n\
              listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
-             control: \"{control}\", gossip: \"{gossip}\", metrics: \"{metrics}\"}}\n\
+             control: \"{control}\", gossip: \"{gossip}\", metrics: \"{metrics}\"}}\n{advertise}\
              descriptors: {}\nseeds: {}\nstore: \"{store}\"\n\
              bounds: {{retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: 8}}\n",
             limits.descriptors,
