--- a/crates/toucand/tests/support/fleet.rs
+++ b/crates/toucand/tests/support/fleet.rs
@@ -171,14 +171,12 @@
         let gossip = SocketAddr::from((address, GOSSIP_PORT));
         let directory = tempfile::tempdir().expect("a directory");
         let [client, ready, locate, control, metrics] = free(address);
-        let advertise = match advertise(control, gossip) {
-            Some((control, gossip)) => {
-                format!("advertise: {{control: \"{control}\", gossip: \"{gossip}\"}}\n")
-            }
-            None => String::new(),
-        };
         let settings = directory.path().join("router.yaml");
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        let advertise = advertise(control, gossip).map(|(control, gossip)| {
+            format!("advertise: {{control: \"{control}\", gossip: \"{gossip}\"}}\n")
+        });
+        let advertise = advertise.unwrap_or_default();
         let text = format!(
             "interface: platform\nhost: {host}\ndomain: north\n\
              listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
--- a/crates/toucand/tests/support/versions.rs
+++ b/crates/toucand/tests/support/versions.rs
@@ -25,6 +25,8 @@
     pub store: Store,
     pub engines: Vec<(&'static str, Worker)>,
     pub routers: Vec<Router>,
+    /// Relays, which end with the fleet.
+    pub relays: Vec<Relay>,
 }
 
 impl Fleet {
@@ -35,6 +37,7 @@
             store,
             engines: Vec::new(),
             routers: Vec::new(),
+            relays: Vec::new(),
         };
         for version in versions {
             fleet.add_engine(version).await;
