Date runs that came and went by the read that showed them

A run that one read showed to come and go was recorded some microseconds before the other changes of that read, so that a list counted that no router had: 100 of 2,000 streams were derived to another version. Such runs are kept until the list of the read is recorded, and are dated with it. runs_that_passed_count_beside_those_that_joined_in_the_same_read fails before and passes; it no longer passes a time of its own.

--- a/crates/flow/src/assignment.rs
+++ b/crates/flow/src/assignment.rs
@@ -100,6 +100,8 @@
     runs: Option<IndexSet<Run>>,
     /// Number of the present runs of each software.
     counts: IndexMap<Software, u32>,
+    /// Runs that came and went since the latest list that was recorded.
+    passed: Vec<Run>,
     /// The changes, the oldest first.
     changes: VecDeque<Change>,
     /// Number of changes that a history covers, or will cover.
@@ -120,6 +122,14 @@
     pub fn record<'a>(&mut self, now: Timestamp, entries: impl IntoIterator<Item = &'a Entry>) {
         let accepting = entries.into_iter().filter(|entry| !entry.leaving);
         let runs: IndexSet<Run> = accepting.map(Run::of).collect();
+        let passed = self.passed.drain(..).map(|run| Change {
+            at: now,
+            ended: Some(run.clone()),
+            began: Some(run),
+            unknown: Unknown::No,
+            is_ordered: false,
+        });
+        self.changes.extend(passed);
         if self.runs.as_ref() == Some(&runs) {
             return self.forget(now);
         }
@@ -156,17 +166,11 @@
 
     /// Records a run that accepted new streams for some time between the latest list and the next one to be recorded, and is not
     /// on the latter.
-    pub fn record_passed(&mut self, now: Timestamp, entry: &Entry) {
+    pub fn record_passed(&mut self, entry: &Entry) {
         let run = Run::of(entry);
         let is_listed = self.runs.as_ref().is_some_and(|runs| runs.contains(&run));
         if !is_listed {
-            self.changes.push_back(Change {
-                at: now,
-                ended: Some(run.clone()),
-                began: Some(run),
-                unknown: Unknown::No,
-                is_ordered: false,
-            });
+            self.passed.push(run);
         }
     }
 
--- a/crates/flow/tests/passed_runs.rs
+++ b/crates/flow/tests/passed_runs.rs
@@ -42,7 +42,7 @@
 
     let mut assignment = Assignment::default();
     assignment.record(at(1), listed());
-    assignment.record_passed(at(40), &passed);
+    assignment.record_passed(&passed);
     assignment.record(at(40) + LATER, listed().chain(&joined));
     assignment.record_complete(at(41));
 
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -79,11 +79,10 @@
 
     /// Records runs that accepted new streams for some time since the latest list that was recorded, and are not on the next one.
     pub fn record_passed_runs<'a>(&self, entries: impl Iterator<Item = &'a Entry>) {
-        let now = self.now();
         let mut assignments = self.assignments.borrow_mut();
         for entry in entries {
             let assignment = assignments.entry(entry.service.clone()).or_default();
-            assignment.record_passed(now, entry);
+            assignment.record_passed(entry);
         }
     }
 
