Answer all that wait for a store that fails to answer at once

Routers ask each other to read the store when they cannot. Where the store answered no router, each question waited for the read of the one before and then for one of its own, longer than the other router waits for an answer: resumed streams were refused, or took up to 2.9 s.

--- a/crates/gate/src/list_check.rs
+++ b/crates/gate/src/list_check.rs
@@ -58,6 +58,8 @@
     store: Mutex<Option<Store>>,
     /// When it began, and whether all changes until then are known.
     latest: Cell<(Timestamp, bool)>,
+    /// When the latest read ended that failed and has no fallback.
+    failed_at: Cell<Timestamp>,
 }
 
 impl ListCheck {
@@ -68,6 +70,7 @@
             fallback,
             store: Mutex::default(),
             latest: Cell::default(),
+            failed_at: Cell::default(),
         }
     }
 
@@ -76,7 +79,9 @@
         let asked_at = state.router.now();
         let mut store = self.store.lock().await;
         let (began, is_current) = self.latest.get();
-        if began >= asked_at {
+        // A store that has just failed to answer is not read again for each router that asks for it.
+        let is_answered = began >= asked_at || !is_current && self.failed_at.get() >= asked_at;
+        if is_answered {
             return is_current;
         }
         let interval = if state.is_large_fleet() {
@@ -95,6 +100,9 @@
             state.router.record_list_complete(began);
         }
         self.latest.set((began, is_current));
+        if !is_current && self.fallback == Fallback::None {
+            self.failed_at.set(state.router.now());
+        }
         is_current
     }
 }
