Read the store for a list that differs only when a list is due

A router that does not watch the store was woken by each difference, also when its latest list was too recent for another one, and read the store in vain. Now it waits until the list is due; then it lists.

--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -66,13 +66,14 @@
     loop {
         while position.is_some()
             && !state.is_store_reader()
-            && !(subject == Subject::Upstreams && state.must_list.get())
+            && !must_list_again(&state, subject, last_list)
             && last_read.elapsed() < NON_READER_INTERVAL
         {
             time::sleep(jitter(RETRY_PAUSE)).await;
         }
         last_read = Instant::now();
         if must_list_again(&state, subject, last_list) {
+            state.must_list.set(false);
             position = None;
         }
         if position.is_none() {
@@ -139,7 +140,7 @@
 /// Returns whether the upstreams have to be listed again although they are watched.
 fn must_list_again(state: &State, subject: Subject, last_list: Option<Instant>) -> bool {
     let is_due = last_list.is_none_or(|at| at.elapsed() >= LIST_INTERVAL);
-    subject == Subject::Upstreams && state.must_list.take() && is_due
+    subject == Subject::Upstreams && state.must_list.get() && is_due
 }
 
 /// Watches after `position`, or lists if there is none.
