Send the changes themselves to routers that read from this one

A router that reads the list from another one got the present content of what had changed. That hid an upstream that returned with another version and again with the one before, or that joined and was removed: streams that it began went on at the only version that was listed. Each router keeps the latest 1,024 changes now, from its reads and from the store's history, and sends those after the reader's revision in their order; a reader that is behind them gets the whole list, which counts as hiding changes. So does the answer of a router of an earlier build, which does not state that it shows changes.

--- a/crates/flow/src/registry.rs
+++ b/crates/flow/src/registry.rs
@@ -142,12 +142,6 @@
         listed.entry.as_ref().map(|entry| (entry, listed.position))
     }
 
-    /// Returns whether there is content under a key, usable or not.
-    #[must_use]
-    pub fn contains(&self, key: &Name) -> bool {
-        self.listed.contains_key(key)
-    }
-
     /// Returns whether an entry that was there at a revision of the present era was removed since: it is not listed, though
     /// all changes up to a later revision are known.
     #[must_use]
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -67,6 +67,7 @@
             fields.push(peer_sync::READ, "1");
         }
         let delta = peer_sync::delta(state, &KnownRevisions::from_query(query));
+        fields.push(peer_sync::CHANGES, "1");
         if let Some(digest) = delta.digest {
             fields.push(peer_sync::DIGEST, digest.to_field());
         }
--- a/crates/gate/src/list.rs
+++ b/crates/gate/src/list.rs
@@ -64,9 +64,8 @@
             .filter(|(_, revision, _)| *revision > known.revision);
         match self {
             Self::Changes => false,
-            Self::Difference => {
-                read.any(|(key, _, is_listed)| !is_listed && !registry.contains(key))
-            }
+            // Each entry may have changed several times.
+            Self::Difference => read.next().is_some(),
             Self::Whole => {
                 let shown = read.filter(|(_, revision, _)| *revision <= position.revision);
                 (shown.count() as u64) < position.revision - known.revision
--- a/crates/gate/src/peer_sync.rs
+++ b/crates/gate/src/peer_sync.rs
@@ -30,6 +30,8 @@
 pub const DIGEST: &str = "List-Digest";
 /// Part of the query that asks for a read of the store before the response.
 const READ_FIRST: &str = "fresh=1";
+/// Header field of the response if it shows each change.
+pub const CHANGES: &str = "List-Changes";
 /// Header field of the response if the store was read after the request for that arrived.
 pub const READ: &str = "Store-Read";
 /// Interval at which the revisions of the peers are compared with this router's.
@@ -242,6 +244,7 @@
     let fields = &exchange.head().fields;
     Ok(StoreDelta {
         digest: fields.text(DIGEST).and_then(Digest::parse),
+        shows_changes: fields.text(CHANGES).is_some(),
         is_read: fields.text(READ).is_some(),
         ..StoreDelta::decode(&body)?
     })
@@ -291,10 +294,10 @@
             created: None,
         })
         .collect();
-    let kind = if delta.complete {
-        Kind::Whole
-    } else {
-        Kind::Difference
+    let kind = match (delta.complete, delta.shows_changes) {
+        (true, _) => Kind::Whole,
+        (false, true) => Kind::Changes,
+        (false, false) => Kind::Difference,
     };
     let is_applied = state.apply_upstreams(&items, position, kind);
     if is_applied {
--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -1,14 +1,15 @@
 //! A copy of the content of the platform's store, and the difference between it and a peer's copy.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use tsw_route::Name;
 use xxhash_rust::xxh3;
 
-/// Maximum number of removals kept for peers. A peer that lacks older ones receives a complete
-/// list.
-const MAX_REMOVED: usize = 256;
+/// Maximum number of changes kept for peers. A peer that lacks older ones receives a complete list.
+const MAX_CHANGES: usize = 1_024;
 
 /// The revisions of the store content that a router has already.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -97,7 +98,7 @@
     pub revision: u64,
     /// Whether `entries` holds all listed entries.
     pub complete: bool,
-    /// Entries of upstreams: name, revision and content; `None` if the entry was removed.
+    /// All listed entries of upstreams, or their changes in order: name, revision and content; `None` if the entry was removed.
     pub entries: Vec<(String, u64, Option<Vec<u8>>)>,
     /// Era of the revisions. It follows the other fields in the encoding, where routers that do not
     /// know it ignore it.
@@ -106,6 +107,9 @@
     /// Digest of the sender's list at `revision`, which the response states in a header field.
     #[serde(skip)]
     pub digest: Option<Digest>,
+    /// Whether `entries` shows each change, not only the present content of what has changed. Earlier builds send the latter.
+    #[serde(skip)]
+    pub shows_changes: bool,
     /// Whether the sender has read the store after it was asked for that.
     #[serde(skip)]
     pub is_read: bool,
@@ -174,12 +178,21 @@
     /// Whether the store was restored from a copy since the process started.
     restored: bool,
     entries: IndexMap<Name, (u64, Bytes)>,
-    /// Removed entries and the revision of each removal, the oldest first.
-    removed: IndexMap<Name, u64>,
-    /// Removals up to this revision may be missing from `removed`.
+    /// The latest changes of entries, in their order. Heartbeats are none.
+    changes: VecDeque<Change>,
+    /// Changes up to this revision may be missing from `changes`.
     pruned_up_to: u64,
 }
 
+/// A change of an entry.
+#[derive(Clone, Debug)]
+struct Change {
+    key: Name,
+    revision: u64,
+    /// `None` if the entry was removed.
+    content: Option<Bytes>,
+}
+
 impl StoreCopy {
     /// Stores the active configuration.
     pub fn set_configuration(&mut self, version: u64, bytes: Bytes) {
@@ -195,22 +208,26 @@
         for (revision, _) in self.entries.values_mut() {
             *revision = 0;
         }
-        self.removed.clear();
+        self.changes.clear();
         self.pruned_up_to = 0;
     }
 
     /// Stores the content of an entry, or its removal if `content` is `None`.
     pub fn set_entry(&mut self, key: Name, revision: u64, content: Option<Bytes>) {
-        match content {
+        match &content {
             Some(bytes) => {
-                self.removed.swap_remove(&key);
-                self.entries.insert(key, (revision, bytes));
+                self.entries.insert(key.clone(), (revision, bytes.clone()));
             }
             None => {
                 self.entries.swap_remove(&key);
-                self.remove(key, revision);
             }
         }
+        self.changes.push_back(Change {
+            key,
+            revision,
+            content,
+        });
+        self.prune();
     }
 
     /// Stores an entry in which only the heartbeat changed. Its revision stays, so that peers that
@@ -220,15 +237,20 @@
     /// Peers that have listed the copy may know older content of it.
     pub fn set_heartbeat(&mut self, key: &Name, revision: u64, content: Option<&Bytes>) {
         if let (Some((changed, known)), Some(bytes)) = (self.entries.get_mut(key), content) {
+            *known = bytes.clone();
             if *changed == 0 {
                 *changed = revision;
+                self.changes.push_back(Change {
+                    key: key.clone(),
+                    revision,
+                    content: Some(bytes.clone()),
+                });
+                self.prune();
             }
-            *known = bytes.clone();
         }
     }
 
-    /// Records the removals of a history that shows all changes after a revision, up to a whole list. Has no effect if another whole list
-    /// followed.
+    /// Records a history that shows all changes after a revision, up to a whole list. Has no effect if another whole list followed.
     ///
     /// ```
     /// use tsw_gate::store_copy::{KnownRevisions, StoreCopy};
@@ -237,56 +259,50 @@
     /// copy.apply_list(9, &["i-1".into()]);
     /// let known = KnownRevisions { revision: 6, ..KnownRevisions::default() };
     /// assert!(copy.since(&known, 9).complete);
-    /// copy.record_removals(4, 9, [("i-2".into(), 8)]);
+    /// copy.record_history(4, 9, [("i-1".into(), 5, Some("one".into())), ("i-2".into(), 8, None)]);
     /// assert_eq!(copy.since(&known, 9).entries, [("i-2".to_owned(), 8, None)]);
     /// ```
-    pub fn record_removals(
+    pub fn record_history(
         &mut self,
         after: u64,
         listed_at: u64,
-        removals: impl IntoIterator<Item = (Name, u64)>,
+        history: impl IntoIterator<Item = (Name, u64, Option<Bytes>)>,
     ) {
         if self.pruned_up_to != listed_at {
             return;
         }
-        let removals = removals.into_iter();
-        for (key, revision) in removals.filter(|(key, _)| !self.entries.contains_key(key)) {
-            let known = self.removed.entry(key).or_default();
-            *known = revision.max(*known);
-        }
-        self.removed.sort_unstable_by(|_, a, _, b| a.cmp(b));
+        let history = history.into_iter().map(|(key, revision, content)| Change {
+            key,
+            revision,
+            content,
+        });
+        let later = std::mem::take(&mut self.changes);
+        self.changes = history.chain(later).collect();
         self.pruned_up_to = after;
         self.prune();
     }
 
-    fn remove(&mut self, key: Name, revision: u64) {
-        self.removed.shift_remove(&key);
-        self.removed.insert(key, revision);
-        self.prune();
+    /// Forgets the changes up to a revision, since not all of them are known.
+    pub fn forget_changes(&mut self, up_to: u64) {
+        self.changes.retain(|change| change.revision > up_to);
+        self.pruned_up_to = self.pruned_up_to.max(up_to);
     }
 
     fn prune(&mut self) {
-        while self.removed.len() > MAX_REMOVED {
-            let Some((_, removed_at)) = self.removed.shift_remove_index(0) else {
-                break;
-            };
-            self.pruned_up_to = self.pruned_up_to.max(removed_at);
+        while self.changes.len() > MAX_CHANGES {
+            let dropped = self.changes.pop_front();
+            let dropped = dropped.map_or(0, |change| change.revision);
+            self.pruned_up_to = self.pruned_up_to.max(dropped);
         }
     }
 
     /// Removes the entries that are missing from a complete list as of `revision`.
     pub fn apply_list(&mut self, revision: u64, keys: &[Name]) {
         let keys: IndexSet<&Name> = keys.iter().collect();
-        let missing = self
-            .entries
-            .iter()
-            .filter(|(key, (known, _))| *known <= revision && !keys.contains(key));
-        let missing: Vec<Name> = missing.map(|(key, _)| key.clone()).collect();
-        for key in missing {
-            self.set_entry(key, revision, None);
-        }
-        // The list does not show which other entries were there before it.
-        self.pruned_up_to = self.pruned_up_to.max(revision);
+        self.entries
+            .retain(|key, (known, _)| *known > revision || keys.contains(key));
+        // The list does not show what came and went before it.
+        self.forget_changes(revision);
     }
 
     /// Returns the digest of the entries up to a revision.
@@ -322,21 +338,26 @@
     /// ```
     #[must_use]
     pub fn since(&self, known: &KnownRevisions, revision: u64) -> StoreDelta {
-        // A router that has just started knows no entry to which a removal could refer.
         let complete = known.revision == 0
             || known.revision < self.pruned_up_to
             || !self.is_comparable(known.era);
-        let after = if complete { 0 } else { known.revision };
-        let entries = self
-            .entries
-            .iter()
-            .filter(|(_, (changed, _))| complete || *changed > after)
-            .map(|(key, (changed, bytes))| (key.to_string(), *changed, Some(bytes.to_vec())));
-        let removed = self
-            .removed
-            .iter()
-            .filter(|(_, removed_at)| !complete && **removed_at > after)
-            .map(|(key, removed_at)| (key.to_string(), *removed_at, None));
+        let entry = |(key, revision, content): (&Name, u64, Option<&Bytes>)| {
+            (
+                key.to_string(),
+                revision,
+                content.map(|bytes| bytes.to_vec()),
+            )
+        };
+        let entries: Vec<(String, u64, Option<Vec<u8>>)> = if complete {
+            let listed = self.entries.iter();
+            let listed = listed.map(|(key, (changed, bytes))| (key, *changed, Some(bytes)));
+            listed.map(entry).collect()
+        } else {
+            let later = self.changes.iter();
+            let later = later.filter(|change| change.revision > known.revision);
+            let later = later.map(|change| (&change.key, change.revision, change.content.as_ref()));
+            later.map(entry).collect()
+        };
         let configuration = if self.version > known.version {
             self.configuration.to_vec()
         } else {
@@ -346,9 +367,10 @@
             configuration,
             revision,
             complete,
-            entries: entries.chain(removed).collect(),
+            entries,
             era: self.era,
             digest: Some(self.digest(revision)),
+            shows_changes: true,
             is_read: false,
             evacuated: None,
         }
--- a/crates/gate/src/store_history.rs
+++ b/crates/gate/src/store_history.rs
@@ -65,7 +65,7 @@
         }
         Err(_) => return,
     };
-    state.record_removals(after, &items, revision);
+    state.record_changes(after, &items, revision);
     let after = unchanged_after(&list, after);
     let mut history = decode(after, &items, &list).await;
     if list.position.era.is_some_and(|era| era > FIRST_ERA) {
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -39,6 +39,11 @@
         if kind == list::Kind::Whole {
             self.apply_list(items, position);
         }
+        if kind == list::Kind::Difference {
+            self.store_copy
+                .borrow_mut()
+                .forget_changes(position.revision);
+        }
         self.registry.borrow_mut().advance(position.revision);
         // Other routers may have read the list in between.
         let registry = self.registry.borrow();
@@ -94,16 +99,25 @@
         self.apply_entries();
     }
 
-    /// Records the removals up to a list that the store's history shows, for other routers.
-    pub fn record_removals(&self, after: u64, history: &Items, listed_at: u64) {
-        let removals = history.items.iter().filter_map(|item| {
-            let key: Name = item.key.strip_prefix(upstream::PREFIX)?.into();
-            let is_before = item.value.is_none() && item.revision <= listed_at;
-            is_before.then_some((key, item.revision))
+    /// Records the changes up to a list that the store's history shows, for other routers.
+    pub fn record_changes(&self, after: u64, history: &Items, listed_at: u64) {
+        let changes = history.items.iter().filter_map(|item| {
+            let id = item.key.strip_prefix(upstream::PREFIX)?;
+            let content = item.value.clone();
+            // Peers need to know only that an entry that names no upstream is listed.
+            let is_usable = |bytes: &Bytes| upstream::decode(id, bytes).is_ok();
+            let content = content.map(|bytes| {
+                if is_usable(&bytes) {
+                    bytes
+                } else {
+                    Bytes::new()
+                }
+            });
+            (item.revision <= listed_at).then(|| (id.into(), item.revision, content))
         });
         if self.registry.borrow().position().era == history.position.era {
             let mut store_copy = self.store_copy.borrow_mut();
-            store_copy.record_removals(after, listed_at, removals);
+            store_copy.record_history(after, listed_at, changes);
         }
     }
 
