--- a/crates/gate/src/list.rs
+++ b/crates/gate/src/list.rs
@@ -56,9 +56,13 @@
         read: impl IntoIterator<Item = (&'a Name, u64, bool)>,
     ) -> bool {
         let known = registry.position();
-        if known.revision == 0 || known.era != position.era || position <= known {
+        if known.revision == 0 || position <= known {
             return false;
         }
+        // What was written between the latest read and the copy from which the store was restored is not shown.
+        if known.era != position.era {
+            return true;
+        }
         let mut read = read
             .into_iter()
             .filter(|(_, revision, _)| *revision > known.revision);
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -24,11 +24,12 @@
     /// Applies upstreams read from the store or a peer, and returns whether they are of the current
     /// era or a later one. A whole list also removes the upstreams that it lacks.
     pub fn apply_upstreams(&self, items: &[Item], position: Position, kind: list::Kind) -> bool {
+        let known = self.registry.borrow().position().revision;
+        let hides_changes = self.hides_changes(items, position, kind);
         if !self.enter_era(position) {
             return false;
         }
-        if self.hides_changes(items, position, kind) {
-            let known = self.registry.borrow().position().revision;
+        if hides_changes {
             emit(
                 Event::ChangesHidden,
                 &[("known", &known), ("revision", &position.revision)],
