--- a/crates/gate/src/list.rs
+++ b/crates/gate/src/list.rs
@@ -56,17 +56,20 @@
         read: impl IntoIterator<Item = (&'a Name, u64, bool)>,
     ) -> bool {
         let known = registry.position();
-        if known.revision == 0 || known.era != position.era || position <= known {
+        if known.revision == 0 || position <= known {
             return false;
         }
+        // What was written between the latest read and the copy from which the store was restored is not shown.
+        if known.era != position.era {
+            return true;
+        }
         let mut read = read
             .into_iter()
             .filter(|(_, revision, _)| *revision > known.revision);
         match self {
             Self::Changes => false,
-            Self::Difference => {
-                read.any(|(key, _, is_listed)| !is_listed && !registry.contains(key))
-            }
+            // Each entry may have changed several times.
+            Self::Difference => read.next().is_some(),
             Self::Whole => {
                 let shown = read.filter(|(_, revision, _)| *revision <= position.revision);
                 (shown.count() as u64) < position.revision - known.revision
--- a/crates/load/src/relay.rs
+++ b/crates/load/src/relay.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::HashMap,
+    convert::Infallible,
     future::Future,
     io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener, UdpSocket as StdSocket},
@@ -30,9 +31,9 @@
 
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 const CHUNK_BYTES: usize = 16_384;
-/// A free port of the loopback address.
-const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const CUT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Loopback address with a port that the system chooses.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// State of the simulated link from one failure domain to another, in one direction.
 #[derive(Debug, Default)]
@@ -87,12 +88,14 @@
     }
 }
 
-/// Runs relays on a dedicated thread.
+/// Runs relays on a dedicated thread. They end when it and its clones are dropped.
 #[derive(Clone)]
 pub struct Relay {
     timer: delay::Timer,
     handle: runtime::Handle,
     seed: u64,
+    /// Closed when the last clone is dropped, which ends the thread and frees the ports.
+    _running: mpsc::Sender<Infallible>,
 }
 
 impl Relay {
@@ -106,11 +109,13 @@
             .enable_all()
             .build()?;
         let handle = runtime.handle().clone();
-        thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+        let (running, mut ended) = mpsc::channel::<Infallible>(1);
+        thread::spawn(move || runtime.block_on(ended.recv()));
         Ok(Self {
             timer,
             handle,
             seed,
+            _running: running,
         })
     }
 
@@ -128,7 +133,8 @@
         self.udp_at(ANY_PORT, target, forward, back)
     }
 
-    /// Like [`Relay::udp`], with the address to send to, for senders that choose the port.
+    /// Starts a relay of datagrams to and from `target` that listens on `address`, and returns the address to send
+    /// to.
     ///
     /// # Errors
     ///
--- a/crates/toucand/tests/routers_out_of_step.rs
+++ b/crates/toucand/tests/routers_out_of_step.rs
@@ -102,6 +102,7 @@
         let own_store = Store::bind_copy(&fleet.store.copy()).await;
         let own_store = own_store.expect("a store");
         let relay = Relay::start(Timer::start(), 1).expect("a relay");
+        fleet.relays.push(relay.clone());
         let link = Link::new(Duration::ZERO);
         let mut seeds = Vec::new();
         for number in 1..=routers {
--- a/crates/toucand/tests/unseen_upstreams.rs
+++ b/crates/toucand/tests/unseen_upstreams.rs
@@ -38,6 +38,7 @@
             fleet.list_run("model", number, born, 1);
         }
         let relay = Relay::start(Timer::start(), 1).expect("a relay");
+        fleet.relays.push(relay.clone());
         let link = Link::new(Duration::ZERO);
         let store = fleet.store.address();
         let through = relay.tcp(store, link.clone(), link.clone());
