Send streams on a connection to the run that has stated itself

A router asks an upstream for its run before it sends a stream on a new connection. If the router stood still between the answer and the request, the connection of the answer was closed by then, and the stream went on a new one to the process that had taken the place. The upstream is asked again now if there is no idle connection to it any more, up to three times for upstreams that close each connection.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs one request from its admission to its final response.
 
-use std::{cell::Cell, io, rc::Rc};
+use std::{cell::Cell, io, rc::Rc, time::Instant};
 
 use bytes::Bytes;
 use tokio::time;
@@ -33,6 +33,9 @@
 
 pub use finish::send_local_response;
 
+/// Maximum number of times that an upstream is asked for its run again, since the connection on which it has stated that is closed.
+const MAX_QUESTIONS: u32 = 3;
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -56,6 +59,8 @@
     origin: Option<Origin>,
     running_stream: Option<RunningStream>,
     timing: EventTiming,
+    /// How often the upstream of an attempt had to be asked for its run again.
+    questions: u32,
     /// The last progress before the most recent stall, so that each stall is recorded once.
     stalled_since: Cell<Option<Timestamp>>,
     /// When the latest attempt began.
@@ -116,6 +121,7 @@
         running_stream: None,
         timing: EventTiming::default(),
         stalled_since: Cell::default(),
+        questions: 0,
         attempted_at: router.now(),
         is_unconfirmed: false,
         on_trial: false,
@@ -190,6 +196,9 @@
                 // The process was paused since the upstream was chosen.
                 continue;
             }
+            if confirmation == Confirmation::Given && self.must_ask_again(&reservation) {
+                continue;
+            }
             let now = self.router.now();
             let waited = now.since(self.request.arrived).as_secs_f64();
             self.router.metrics.wait.observe(waited);
@@ -285,6 +294,18 @@
         }
     }
 
+    /// Returns whether a stream would be sent on a new connection, on which another run may answer than the one that has stated itself, as after
+    /// a pause of this process. Upstreams that close each connection are asked a few times.
+    fn must_ask_again(&mut self, reservation: &Reservation) -> bool {
+        let is_resumable = self.request.route.kind == Kind::Stream { resumable: true };
+        let address = reservation.choice().address;
+        let connections = self.router.connections.borrow();
+        let must_ask = is_resumable && !connections.has_idle(address, Instant::now());
+        drop(connections);
+        self.questions += u32::from(must_ask);
+        must_ask && self.questions <= MAX_QUESTIONS
+    }
+
     /// Returns whether the request begins a stream that other routers assign to software in the same way.
     fn is_assigned(&self) -> bool {
         let is_resumable = self.request.route.kind == Kind::Stream { resumable: true };
