Keep the digest of the list as it changes

It is kept with the entries now, and computed only while a list of several pages is ahead of its position.

--- a/crates/gate/src/store_copy.rs
+++ b/crates/gate/src/store_copy.rs
@@ -65,6 +65,16 @@
 }
 
 impl Digest {
+    fn add(&mut self, key: &Name) {
+        self.entries += 1;
+        self.hash ^= xxh3::xxh3_64(key.as_bytes());
+    }
+
+    fn remove(&mut self, key: &Name) {
+        self.entries = self.entries.saturating_sub(1);
+        self.hash ^= xxh3::xxh3_64(key.as_bytes());
+    }
+
     /// Returns the text of a header field.
     ///
     /// ```
@@ -178,6 +188,10 @@
     /// Whether the store was restored from a copy since the process started.
     restored: bool,
     entries: IndexMap<Name, (u64, Bytes)>,
+    /// Digest of all entries.
+    total: Digest,
+    /// Latest revision of an entry.
+    latest: u64,
     /// The latest changes of entries, in their order. Heartbeats are none.
     changes: VecDeque<Change>,
     /// Changes up to this revision may be missing from `changes`.
@@ -208,18 +222,25 @@
         for (revision, _) in self.entries.values_mut() {
             *revision = 0;
         }
+        self.latest = 0;
         self.changes.clear();
         self.pruned_up_to = 0;
     }
 
     /// Stores the content of an entry, or its removal if `content` is `None`.
     pub fn set_entry(&mut self, key: Name, revision: u64, content: Option<Bytes>) {
+        self.latest = self.latest.max(revision);
         match &content {
             Some(bytes) => {
-                self.entries.insert(key.clone(), (revision, bytes.clone()));
+                let known = self.entries.insert(key.clone(), (revision, bytes.clone()));
+                if known.is_none() {
+                    self.total.add(&key);
+                }
             }
             None => {
-                self.entries.swap_remove(&key);
+                if self.entries.swap_remove(&key).is_some() {
+                    self.total.remove(&key);
+                }
             }
         }
         self.changes.push_back(Change {
@@ -240,6 +261,7 @@
             *known = bytes.clone();
             if *changed == 0 {
                 *changed = revision;
+                self.latest = self.latest.max(revision);
                 self.changes.push_back(Change {
                     key: key.clone(),
                     revision,
@@ -299,8 +321,14 @@
     /// Removes the entries that are missing from a complete list as of `revision`.
     pub fn apply_list(&mut self, revision: u64, keys: &[Name]) {
         let keys: IndexSet<&Name> = keys.iter().collect();
-        self.entries
-            .retain(|key, (known, _)| *known > revision || keys.contains(key));
+        let total = &mut self.total;
+        self.entries.retain(|key, (known, _)| {
+            let is_listed = *known > revision || keys.contains(key);
+            if !is_listed {
+                total.remove(key);
+            }
+            is_listed
+        });
         // The list does not show what came and went before it.
         self.forget_changes(revision);
     }
@@ -317,12 +345,15 @@
     /// ```
     #[must_use]
     pub fn digest(&self, revision: u64) -> Digest {
+        if revision >= self.latest {
+            return self.total;
+        }
+        // A list of several pages shows entries that were written while it was read.
+        let mut digest = Digest::default();
         let entries = self.entries.iter();
         let entries = entries.filter(|(_, (changed, _))| *changed <= revision);
-        entries.fold(Digest::default(), |digest, (key, _)| Digest {
-            entries: digest.entries + 1,
-            hash: digest.hash ^ xxh3::xxh3_64(key.as_bytes()),
-        })
+        entries.for_each(|(key, _)| digest.add(key));
+        digest
     }
 
     /// Returns the content that a peer lacks; `revision` is the one up to which this router knows
--- a/crates/gate/tests/list.rs
+++ b/crates/gate/tests/list.rs
@@ -348,6 +348,10 @@
             for router in &mut routers {
                 let revision = router.revision();
                 prop_assert_eq!(router.keys(), store.keys(revision), "at {}", revision);
+                let mut listed = StoreCopy::default();
+                let keys = store.keys(revision).into_iter();
+                keys.for_each(|key| listed.set_entry(key, revision, Some("listed".into())));
+                prop_assert_eq!(router.copy.digest(revision), listed.digest(revision));
             }
         }
     }
