Play routers that are out of step beside joining upstreams in the soak

The plan Partitioned puts a relay before the gossip and control address of each router, which it advertises; the others know no other address. New faults cut the links between all routers, or those to one router. A series takes one router out of step, lets two or three upstreams of the next version join and lose them while it is out of step or as it returns; most clients resume at it for 1.5 s. Between the series one version is left.

No logic of routers is changed.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -44,6 +44,8 @@
     pub history: Rc<RefCell<History>>,
     /// What the run plays.
     pub settings: Settings,
+    /// Indices of the routers at which most of them resume streams now.
+    pub preferred_routers: Rc<RefCell<Vec<usize>>>,
     /// Whether they continue to send requests.
     pub running: Cell<bool>,
 }
@@ -104,6 +106,11 @@
 /// Opens a connection to a random router. The error is the number of the router.
 async fn connect(shared: &Shared, rng: &mut Pcg64Mcg) -> Result<(usize, Connection), usize> {
     let router = rng.gen_range(0..shared.routers.len());
+    connect_to(shared, router).await
+}
+
+/// Opens a connection to a router. The error is its number.
+async fn connect_to(shared: &Shared, router: usize) -> Result<(usize, Connection), usize> {
     let connection = Connection::open(shared.routers[router], CONNECT_TIMEOUT).await;
     connection
         .map(|connection| (router, connection))
--- a/crates/soak/src/client/stream.rs
+++ b/crates/soak/src/client/stream.rs
@@ -6,12 +6,14 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use rand::{Rng, SeedableRng};
+use rand::{seq::SliceRandom, Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::time;
 use tsw_http::{connection::Connection, exchange::Exchange};
 
-use super::{connect, request_head, response, Shared, HUNG_AFTER, SHORT_ROUTE, SHORT_TIMEOUT_MS};
+use super::{
+    connect, connect_to, request_head, response, Shared, HUNG_AFTER, SHORT_ROUTE, SHORT_TIMEOUT_MS,
+};
 use crate::history::{End, Kind, Request, Stream};
 
 /// Gap after which a client gives up a try, before its first event and between two events.
@@ -22,6 +24,8 @@
 const MAX_TRIES: usize = 8;
 /// Probability that a client names the attempt that brought its first event.
 const NAMED_PROBABILITY: f64 = 0.8;
+/// Probability that a client resumes at a preferred router, if there is one.
+const PREFERRED_PROBABILITY: f64 = 0.85;
 
 /// Time limits that clients state for each try, instead of the time that is left. They take turns with
 /// clients that state the latter.
@@ -85,7 +89,12 @@
             return;
         }
         let time_limit = manner.try_limit.unwrap_or(time_left);
-        let Ok((router, connection)) = connect(shared, rng).await else {
+        let preferred = last.and_then(|_| preferred_router(shared, rng));
+        let connected = match preferred {
+            Some(router) => connect_to(shared, router).await,
+            None => connect(shared, rng).await,
+        };
+        let Ok((router, connection)) = connected else {
             time::sleep(Duration::from_millis(rng.gen_range(PAUSE_MS))).await;
             continue;
         };
@@ -128,6 +137,13 @@
     }
 }
 
+/// Returns the router at which a client resumes, if it does not choose any.
+fn preferred_router(shared: &Shared, rng: &mut Pcg64Mcg) -> Option<usize> {
+    let preferred = shared.preferred_routers.borrow();
+    let router = *preferred.choose(rng)?;
+    rng.gen_bool(PREFERRED_PROBABILITY).then_some(router)
+}
+
 /// Returns how a try ended, and the pause that the router states before the next one.
 async fn exchange(connection: Connection, request: &Request, id: &str) -> (End, Option<Duration>) {
     let head = request_head(request, id);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,6 +1,7 @@
 //! The schedule of faults and planned operations, drawn from a seed.
 
 mod mixed;
+mod partitioned;
 mod plan;
 mod release;
 mod returns;
@@ -14,6 +15,7 @@
 use tsw_fake::{store::Mode, worker::Behaviour};
 
 pub use mixed::draw as draw_mixed;
+pub use partitioned::draw as draw_partitioned;
 pub use plan::Plan;
 pub use release::draw as draw_releases;
 pub use returns::{draw as draw_returns, draw_freezes};
@@ -97,6 +99,12 @@
     RestoreStore(Mode, Duration),
     /// The link between one router and the store is blocked.
     BlockStore(usize),
+    /// The links between all routers are cut in both directions.
+    CutRouters,
+    /// The links to one router from the others are cut; it still reaches them.
+    CutRouter(usize),
+    /// Most clients that resume streams do so at this router.
+    PreferRouter(usize),
     /// The store compacts its history.
     CompactStore,
     /// A newer configuration is published.
--- a/crates/soak/src/fault/plan.rs
+++ b/crates/soak/src/fault/plan.rs
@@ -5,8 +5,8 @@
 use tsw_fake::worker::{Behaviour, CRASH_DOWNTIME};
 
 use super::{
-    draw, draw_freezes, draw_mixed, draw_releases, draw_returns, draw_statements, ScheduledFault,
-    STREAM_EVENTS,
+    draw, draw_freezes, draw_mixed, draw_partitioned, draw_releases, draw_returns, draw_statements,
+    ScheduledFault, STREAM_EVENTS,
 };
 use crate::history::Kind;
 
@@ -19,12 +19,18 @@
 const LONG_STREAM_INTERVAL: Duration = Duration::from_millis(70);
 /// Time that a long stream takes at most, also on a machine under load.
 const LONG_STREAM_TIME: Duration = Duration::from_secs(6);
+/// Number of events in a complete stream while routers are out of step, and their interval. Many streams begin in
+/// the short time between the start of an upstream and its crash.
+const PARTITION_STREAM_EVENTS: u64 = 25;
+const PARTITION_STREAM_INTERVAL: Duration = Duration::from_millis(60);
 /// Time for which an upstream that returns with another software version refuses connections.
 pub(super) const RETURN_DOWNTIME: Duration = Duration::from_millis(1_500);
 /// Numbers of clients that resume streams while software versions are released; the seed selects one.
 const STREAM_CLIENTS: [usize; 4] = [16, 32, 48, 80];
 /// Number of clients that resume long streams.
 const LONG_STREAM_CLIENTS: usize = 100;
+/// Number of clients that resume streams while routers are out of step.
+const PARTITION_STREAM_CLIENTS: usize = 160;
 /// One in this many seeds has a store whose history holds the heartbeats of upstreams that return.
 const HEARTBEAT_CHANGE_SEEDS: u64 = 5;
 /// One in this many seeds has upstreams that send streams without a length or chunks.
@@ -48,6 +54,9 @@
     Returns,
     /// Releases and returns of upstreams beside faults of routers and of the store that last for seconds.
     Mixed,
+    /// Routers that are cut off from each other or from the store, or stand still, while upstreams of the next version
+    /// join and are lost.
+    Partitioned,
 }
 
 impl Plan {
@@ -57,6 +66,7 @@
         match self {
             Self::Faults => 3,
             Self::Releases | Self::Returns => 5,
+            Self::Partitioned => 6,
             Self::Mixed => 7,
         }
     }
@@ -68,6 +78,7 @@
             Self::Faults => 6,
             Self::Releases => DESK_UPSTREAMS + 6,
             Self::Returns => DESK_UPSTREAMS + 9,
+            Self::Partitioned => DESK_UPSTREAMS + 10,
             Self::Mixed => DESK_UPSTREAMS + 12,
         }
     }
@@ -77,7 +88,9 @@
     pub const fn service(self, index: usize) -> &'static str {
         let is_model = match self {
             Self::Faults => index % 2 == 1,
-            Self::Releases | Self::Returns | Self::Mixed => index >= DESK_UPSTREAMS,
+            Self::Releases | Self::Returns | Self::Mixed | Self::Partitioned => {
+                index >= DESK_UPSTREAMS
+            }
         };
         if is_model {
             "model"
@@ -90,7 +103,7 @@
     #[must_use]
     pub const fn timeout_ms(self) -> u64 {
         match self {
-            Self::Faults | Self::Mixed => 15_000,
+            Self::Faults | Self::Mixed | Self::Partitioned => 15_000,
             Self::Releases => 8_000,
             Self::Returns => 20_000,
         }
@@ -100,7 +113,7 @@
     #[must_use]
     pub const fn min_time_left(self) -> Duration {
         match self {
-            Self::Faults | Self::Releases | Self::Mixed => Duration::ZERO,
+            Self::Faults | Self::Releases | Self::Mixed | Self::Partitioned => Duration::ZERO,
             Self::Returns => LONG_STREAM_TIME,
         }
     }
@@ -111,6 +124,7 @@
         match self {
             Self::Faults | Self::Releases => STREAM_EVENTS,
             Self::Returns | Self::Mixed => LONG_STREAM_EVENTS,
+            Self::Partitioned => PARTITION_STREAM_EVENTS,
         }
     }
 
@@ -121,6 +135,7 @@
             Self::Faults => 0,
             Self::Releases => STREAM_CLIENTS[seed as usize / 2 % STREAM_CLIENTS.len()],
             Self::Returns | Self::Mixed => LONG_STREAM_CLIENTS,
+            Self::Partitioned => PARTITION_STREAM_CLIENTS,
         }
     }
 
@@ -134,7 +149,9 @@
                 Kind::ResumableStream,
                 Kind::Stream,
             ],
-            Self::Returns | Self::Mixed => &[Kind::Idempotent, Kind::NonIdempotent],
+            Self::Returns | Self::Mixed | Self::Partitioned => {
+                &[Kind::Idempotent, Kind::NonIdempotent]
+            }
         }
     }
 
@@ -144,6 +161,7 @@
         match self {
             Self::Faults | Self::Releases => 8,
             Self::Returns | Self::Mixed => 16,
+            Self::Partitioned => 32,
         }
     }
 
@@ -154,12 +172,19 @@
         matches!(self, Self::Faults | Self::Releases)
     }
 
+    /// Returns whether routers reach each other through relays. Programs that do not know the setting `advertise` do
+    /// not start then.
+    #[must_use]
+    pub const fn has_router_relays(self) -> bool {
+        matches!(self, Self::Partitioned)
+    }
+
     /// Returns whether each heartbeat of an upstream is a change in the history of the store.
     #[must_use]
     pub const fn has_heartbeat_changes(self, seed: u64) -> bool {
         match self {
             Self::Faults | Self::Releases => true,
-            Self::Mixed => seed.is_multiple_of(2),
+            Self::Mixed | Self::Partitioned => seed.is_multiple_of(2),
             Self::Returns => seed.is_multiple_of(HEARTBEAT_CHANGE_SEEDS),
         }
     }
@@ -176,7 +201,7 @@
     pub const fn downtime(self) -> Duration {
         match self {
             Self::Faults | Self::Releases => CRASH_DOWNTIME,
-            Self::Returns | Self::Mixed => RETURN_DOWNTIME,
+            Self::Returns | Self::Mixed | Self::Partitioned => RETURN_DOWNTIME,
         }
     }
 
@@ -195,6 +220,9 @@
             (Self::Returns | Self::Mixed, _) => {
                 Behaviour::SlowStream(LONG_STREAM_EVENTS, LONG_STREAM_INTERVAL)
             }
+            (Self::Partitioned, _) => {
+                Behaviour::SlowStream(PARTITION_STREAM_EVENTS, PARTITION_STREAM_INTERVAL)
+            }
         }
     }
 
@@ -226,6 +254,10 @@
                 let changed = DESK_UPSTREAMS..self.upstreams();
                 draw_mixed(seed, length, self.routers(), changed)
             }
+            Self::Partitioned => {
+                let changed = DESK_UPSTREAMS..self.upstreams();
+                draw_partitioned(seed, length, self.routers(), changed)
+            }
         }
     }
 }
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -24,6 +24,9 @@
         /// Release software versions and let upstreams return with others, beside faults of routers and of the store
         /// that last for seconds.
         optional --mixed
+        /// Cut routers off from each other or from the store, or let them stand still, while upstreams of the next
+        /// version join and are lost. All router programs have to know the setting `advertise`.
+        optional --partitioned
         /// Play the faults of the plan alone, without what a seed selects beside them.
         optional --plain
         /// Starts that upstreams state: in-order, backwards, equal, seconds-off or minute-off (by seed with
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The router processes, the stand-ins and the proxies between them.
 
 mod injection;
+mod peers;
 mod upstream;
 
 use std::{
@@ -31,6 +32,7 @@
     run::Settings,
     store::{Store, HEARTBEAT_INTERVAL},
 };
+use peers::PeerRelay;
 use upstream::Upstream;
 
 /// Gossip port of all routers; each router has its own loopback address.
@@ -40,16 +42,27 @@
 /// Interval at which due heartbeats are sent and expired entries are removed.
 const TEND_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A router with its link to the store.
+/// A router with its links to the store and to other routers.
 pub struct Router {
     name: String,
     /// Address for clients.
     pub address: SocketAddr,
     settings: PathBuf,
     store_link: Arc<Link>,
+    /// The relays through which the others reach it, if the plan has them.
+    peer_relay: Option<PeerRelay>,
     process: RefCell<Option<Process>>,
 }
 
+impl Router {
+    /// Returns the address to which other routers send gossip.
+    fn gossip(&self) -> SocketAddr {
+        let own = SocketAddr::from((self.address.ip(), GOSSIP_PORT));
+        let relay = self.peer_relay.as_ref();
+        relay.map_or(own, |relay| relay.gossip)
+    }
+}
+
 /// Routers, upstreams and their store, with the proxies between them.
 pub struct Fleet {
     settings: Settings,
@@ -62,6 +75,8 @@
     retired: RefCell<Vec<Rc<Upstream>>>,
     /// The routers.
     pub routers: Vec<Router>,
+    /// Indices of the routers at which most clients resume streams now.
+    pub preferred_routers: Rc<RefCell<Vec<usize>>>,
     programs: Vec<PathBuf>,
     directory: PathBuf,
     history: Rc<RefCell<History>>,
@@ -152,6 +167,7 @@
             draining: RefCell::default(),
             retired: RefCell::default(),
             routers: Vec::new(),
+            preferred_routers: Rc::default(),
             programs: programs.iter().map(|&program| program.into()).collect(),
             directory: directory.to_owned(),
             history: Rc::default(),
@@ -168,8 +184,7 @@
         let mut seeds: Vec<SocketAddr> = Vec::new();
         for number in 0..routers {
             let router = fleet.prepare_router(number, &seeds)?;
-            let address = SocketAddr::from((router.address.ip(), GOSSIP_PORT));
-            seeds.push(address);
+            seeds.push(router.gossip());
             fleet.routers.push(router);
         }
         fleet.history.borrow_mut().router_disturbances = vec![Vec::new(); routers];
@@ -237,12 +252,25 @@
         let store = self
             .relay
             .tcp(self.store.address(), link.clone(), link.clone())?;
+        let peer_relay = if self.settings.plan.has_router_relays() {
+            // All routers use the same gossip port, so that the relay needs an address of its own.
+            let listen = SocketAddr::from((unique_loopback_address(), GOSSIP_PORT));
+            Some(PeerRelay::start(&self.relay, listen, gossip, control)?)
+        } else {
+            None
+        };
+        let advertised = peer_relay.as_ref().map_or_else(String::new, |relay| {
+            let PeerRelay {
+                control, gossip, ..
+            } = relay;
+            format!("advertise: {{control: \"{control}\", gossip: \"{gossip}\"}}\n")
+        });
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
         let text = format!(
             "interface: platform\nhost: {name}\ndomain: north\n\
              listen: {{client: \"{client}\", ready: \"{ready}\", locate: \"{locate}\", \
              control: \"{control}\", gossip: \"{gossip}\", metrics: \"{metrics}\"}}\n\
-             descriptors: 1000\nseeds: {}\nstore: \"{store}\"\n\
+             {advertised}descriptors: 1000\nseeds: {}\nstore: \"{store}\"\n\
              bounds: {{retry_ratio: 0.2, retry_window_s: 10, retry_slack: 50, keep_s: 5, grace_s: {GRACE_S}}}\n",
             json!(seeds)
         );
@@ -253,6 +281,7 @@
             address: client,
             settings,
             store_link: link,
+            peer_relay,
             process: RefCell::default(),
         })
     }
--- a/crates/soak/src/fleet/injection.rs
+++ b/crates/soak/src/fleet/injection.rs
@@ -16,6 +16,7 @@
 use tsw_load::relay::Link;
 
 use super::{
+    peers::PeerRelay,
     upstream::{Upstream, LINK_DELAY},
     Fleet, GRACE_S,
 };
@@ -186,6 +187,32 @@
                 block(&self.routers[router].store_link, duration).await;
                 self.record_store_disturbance(Some(router), start);
             }
+            Fault::CutRouters => {
+                let relays = self
+                    .routers
+                    .iter()
+                    .filter_map(|router| router.peer_relay.as_ref());
+                let cuts: Vec<_> = relays.map(PeerRelay::cut_both).collect();
+                time::sleep(duration).await;
+                drop(cuts);
+                let routers = 0..self.routers.len();
+                routers.for_each(|router| self.record_router_disturbance(router, start, false));
+            }
+            Fault::CutRouter(router) => {
+                let relay = self.routers[router].peer_relay.as_ref();
+                let cut = relay.map(PeerRelay::cut_inbound);
+                time::sleep(duration).await;
+                drop(cut);
+                self.record_router_disturbance(router, start, false);
+            }
+            Fault::PreferRouter(router) => {
+                self.preferred_routers.borrow_mut().push(router);
+                time::sleep(duration).await;
+                let mut preferred = self.preferred_routers.borrow_mut();
+                if let Some(index) = preferred.iter().position(|other| *other == router) {
+                    preferred.swap_remove(index);
+                }
+            }
             Fault::CompactStore => self.store.compact(),
             Fault::PublishConfiguration => self.publish_configuration(),
         }
--- a/crates/soak/src/fleet/upstream.rs
+++ b/crates/soak/src/fleet/upstream.rs
@@ -190,7 +190,7 @@
         let starting = listening - REGISTERED_BEFORE;
         let registered = match self.settings.plan {
             Plan::Returns | Plan::Mixed => starting.max(crashed + duration),
-            Plan::Faults | Plan::Releases => starting,
+            Plan::Faults | Plan::Releases | Plan::Partitioned => starting,
         };
         let heartbeat = listening.max(registered);
         upstream.next_heartbeat.set(heartbeat.into_std());
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -13,7 +13,7 @@
 
 use acknowledged::status;
 pub use statements::{Stated, Statement};
-pub use streams::{Event, Run, Shares, Stream, StreamCounts};
+pub use streams::{Event, Run, Shares, Stream, StreamCounts, WholeStreams};
 
 use crate::fault::Plan;
 
--- a/crates/soak/src/history/streams.rs
+++ b/crates/soak/src/history/streams.rs
@@ -106,6 +106,15 @@
     }
 }
 
+/// Streams of which clients received something.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WholeStreams {
+    /// Streams that began.
+    pub begun: usize,
+    /// Streams that arrived up to their end.
+    pub whole: usize,
+}
+
 /// Streams at routers in touch.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Shares {
@@ -206,6 +215,18 @@
         counts
     }
 
+    /// Returns how many streams began, and how many of them arrived whole.
+    #[must_use]
+    pub fn whole_streams(&self) -> WholeStreams {
+        let mut counts = WholeStreams::default();
+        for tries in self.streams() {
+            counts.begun += usize::from(began(&tries).is_some());
+            let is_whole = tries.iter().any(|(_, request)| request.is_complete());
+            counts.whole += usize::from(is_whole);
+        }
+        counts
+    }
+
     /// Returns the streams that hold events of several versions.
     pub(super) fn joined_streams(&self) -> Vec<String> {
         let streams = self.streams().into_iter();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use tsw_soak::{
     fault::Plan,
+    history::WholeStreams,
     run::{self, Settings},
 };
 
@@ -20,14 +21,21 @@
     };
     let other_program = flags.other_program.as_ref().unwrap_or(&program);
     let programs = [program.as_path(), other_program];
-    let plan = match (flags.releases, flags.returns, flags.mixed) {
-        (false, false, false) => Plan::Faults,
-        (true, false, false) => Plan::Releases,
-        (false, true, false) => Plan::Returns,
-        (false, false, true) => Plan::Mixed,
+    let selected: Vec<Plan> = [
+        (flags.releases, Plan::Releases),
+        (flags.returns, Plan::Returns),
+        (flags.mixed, Plan::Mixed),
+        (flags.partitioned, Plan::Partitioned),
+    ]
+    .into_iter()
+    .filter_map(|(is_selected, plan)| is_selected.then_some(plan))
+    .collect();
+    let plan = match selected[..] {
+        [] => Plan::Faults,
+        [plan] => plan,
         _ => {
             return Err(eyre!(
-                "--releases, --returns and --mixed exclude each other"
+                "--releases, --returns, --mixed and --partitioned exclude each other"
             ))
         }
     };
@@ -64,11 +72,15 @@
                 settings.has_short_route,
                 settings.has_try_limits
             );
-            println!("  streams: {}", outcome.streams[0]);
+            let WholeStreams { begun, whole } = outcome.whole;
+            println!(
+                "  streams: {begun} begun, {whole} whole, {}",
+                outcome.streams[0]
+            );
             println!("  streams, all routers restarted: {}", outcome.streams[1]);
             println!("  streams at routers in touch: {:?}", outcome.shares);
         }
-        if !outcome.violations.is_empty() {
+        if flags.keep || !outcome.violations.is_empty() {
             for scheduled in &outcome.faults {
                 println!(
                     "  {:>6} ms for {:>4} ms: {:?}",
@@ -77,12 +89,12 @@
                     scheduled.fault
                 );
             }
+            if !outcome.violations.is_empty() {
+                failed_seeds.push(seed);
+            }
             for violation in &outcome.violations {
                 println!("  VIOLATION {violation}");
             }
-            failed_seeds.push(seed);
-        }
-        if flags.keep || !outcome.violations.is_empty() {
             let logs = flags.logs.clone().unwrap_or_else(std::env::temp_dir);
             let kept_directory = logs.join(format!("soak-{seed}"));
             std::fs::create_dir_all(&logs)?;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,7 +16,7 @@
     client,
     fault::{self, Plan, Starts, StoreFaults},
     fleet::Fleet,
-    history::{Shares, StreamCounts},
+    history::{Shares, StreamCounts, WholeStreams},
 };
 
 const CLIENTS: usize = 8;
@@ -26,7 +26,7 @@
 const EXTRA_PROBABILITY: f64 = 0.4;
 /// Time for the routers to start serving before the first fault.
 const WARM_UP: Duration = Duration::from_secs(3);
-/// Time for which half of the runs with several software versions wait for the first fault. It is longer than streams
+/// Time for which half of the runs with several software versions, and all with partitions, wait for the first fault. It is longer than streams
 /// can be resumed, so that the routers know all software that can have begun a stream.
 const LONG_WARM_UP: Duration = Duration::from_secs(22);
 /// Time after the last fault within which the routers must serve again, as required by the
@@ -140,6 +140,8 @@
     pub served_ratio_after_recovery: f64,
     /// What became of resumed streams, before and after all routers were restarted.
     pub streams: [StreamCounts; 2],
+    /// Streams that began, and those that arrived whole.
+    pub whole: WholeStreams,
     /// New and resumed streams at routers in touch.
     pub shares: Shares,
     /// Faults that were injected.
@@ -159,6 +161,7 @@
     let shared = Rc::new(client::Shared {
         routers: fleet.routers.iter().map(|router| router.address).collect(),
         history: fleet.history().clone(),
+        preferred_routers: fleet.preferred_routers.clone(),
         settings,
         running: Cell::new(true),
     });
@@ -170,6 +173,7 @@
             .map(|number| task::spawn_local(client::stream::run(shared.clone(), number, seed))),
     );
     let warm_up = match plan {
+        Plan::Partitioned => LONG_WARM_UP,
         Plan::Releases | Plan::Returns | Plan::Mixed if seed.is_multiple_of(2) => LONG_WARM_UP,
         _ => WARM_UP,
     };
@@ -208,6 +212,7 @@
         served_ratio: history.served_ratio(traffic_start),
         served_ratio_after_recovery,
         streams: history.stream_counts(),
+        whole: history.whole_streams(),
         shares: history.shares(),
         faults,
         violations,
