Guard the count of streams that arrive whole

The count that the soak prints had no test: it must hold neither streams that broke and were not resumed, nor those that did not begin.

--- a/crates/soak/tests/streams.rs
+++ b/crates/soak/tests/streams.rs
@@ -10,7 +10,7 @@
     fault::Plan,
     history::{
         Disturbance, End, Event, History, Kind, ReceivedRequest, Request, Run, StoreDisturbance,
-        Stream, TEAM,
+        Stream, WholeStreams, TEAM,
     },
 };
 
@@ -261,6 +261,22 @@
     assert_eq!(restarted.refused_though_served, 0);
 }
 
+/// Guards against streams that count as whole although they broke and were not resumed, or were never begun.
+#[test]
+fn streams_are_whole_if_one_try_brings_their_end() {
+    let mut case = Case::new();
+    case.try_stream("a-0", None, 100, Answer::Events(&["v1"]));
+    case.try_stream("a-1", Some(0), 200, Answer::Events(&["v1"]));
+    case.try_stream("b-0", None, 100, Answer::Events(&["v1"]));
+    case.try_stream("c-0", None, 100, Answer::Refused(503));
+    let End::Response { complete, .. } = &mut case.history.requests["a-1"].end else {
+        unreachable!("a try ends with a response");
+    };
+    *complete = true;
+    let WholeStreams { begun, whole } = case.history.whole_streams();
+    assert_eq!((begun, whole), (2, 1));
+}
+
 /// Guards against refusals that count as avoidable although only one upstream of the version served.
 #[test]
 fn refused_resumes_are_counted_by_the_number_of_upstreams_of_their_version() {
