Read which changes of the store are of the configuration when the list is read again

A whole list hides what came and went unless it shows each revision since the one before. Writes of the configuration take revisions of the same counter, so that one of them made the time before unknown for 20 s, and streams of a lost router were refused. A router that lists the upstreams again lists the configuration too, and counts its revisions as shown.

--- a/crates/gate/src/list.rs
+++ b/crates/gate/src/list.rs
@@ -36,7 +36,7 @@
 
 impl Kind {
     /// Returns whether entries may have come and gone unseen between a position that is known and that of a read. `read` yields the
-    /// key of each entry that was read, its revision and whether it is listed.
+    /// key of each item that was read, of the configuration as well, its revision and whether it is listed.
     ///
     /// ```
     /// use tsw_flow::registry::{Position, Registry};
--- a/crates/gate/src/store_watch.rs
+++ b/crates/gate/src/store_watch.rs
@@ -101,6 +101,12 @@
         match result {
             Ok(items) => {
                 let complete = position.is_none();
+                let is_again = complete && state.registry.borrow().position().revision > 0;
+                let items = if is_again && subject == Subject::Upstreams {
+                    add_configuration(&mut store, items).await
+                } else {
+                    items
+                };
                 let applied = apply(&state, subject, &items, complete);
                 position = applied.then_some(items.position);
                 if std::mem::take(&mut reads_configurations) {
@@ -155,6 +161,17 @@
     }
 }
 
+/// Adds the items of the configuration to a list of upstreams that is read again: changes of both have the same revisions, so that they show
+/// which ones hide no upstream.
+async fn add_configuration(store: &mut Store, mut list: Items) -> Items {
+    if let Ok(configuration) = store.list(configuration::PREFIX).await {
+        if configuration.position.era == list.position.era {
+            list.items.extend(configuration.items);
+        }
+    }
+    list
+}
+
 /// Applies what was read. Returns false if it must be listed again.
 fn apply(state: &Rc<State>, subject: Subject, items: &Items, complete: bool) -> bool {
     match subject {
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -58,9 +58,9 @@
     }
 
     fn hides_changes(&self, items: &[Item], position: Position, kind: list::Kind) -> bool {
-        let read = items.iter().filter_map(|item| {
-            let key: Name = item.key.strip_prefix(upstream::PREFIX)?.into();
-            Some((key, item.revision, item.value.is_some()))
+        let read = items.iter().map(|item| {
+            let key: Name = item.key.as_str().into();
+            (key, item.revision, item.value.is_some())
         });
         let read: Vec<(Name, u64, bool)> = read.collect();
         let read = read
