--- a/crates/gate/src/list_check.rs
+++ b/crates/gate/src/list_check.rs
@@ -107,7 +107,8 @@
     }
 }
 
-/// Reads the list from the other routers, and returns whether this one knows each change that any router can know.
+/// Reads the list from the other routers, and returns whether this one knows each change by which another one can have begun a stream. In a
+/// large fleet, that is what the routers tell that learn first of changes.
 ///
 /// What they stated before does not show that: a router that is cut off, or whose peers are lost, takes them for live for some
 /// time, and hears of no change.
