--- a/crates/board/tests/runs.rs
+++ b/crates/board/tests/runs.rs
@@ -246,3 +246,17 @@
     let listed = Software::Listed(version("v1"));
     assert_eq!(runs.software(&list, &engine(0)), listed);
 }
+
+/// Guards against a router that starts more than a minute after the crash of an engine which is still down, and is not
+/// told that its version is unknown.
+#[test]
+fn started_routers_are_told_of_an_ended_run_for_as_long_as_its_version_is_unknown() {
+    let listed = list(7, &[version("v1"), version("v1")]);
+    let mut runs = EndedRuns::default();
+    runs.adopt(&List::default(), &listed);
+    assert!(runs.record_ended(at(1), &listed, &engine(0), 7));
+    runs.confirm(at(90));
+    assert_eq!(runs.software(&listed, &engine(0)), Software::Unknown);
+    let told: Vec<_> = runs.recent(at(90)).collect();
+    assert_eq!(told, [(&engine(0), 7)]);
+}
