Wait in tests until another router has seen a crash

Cause: with a pause of 1.2 s the other router waited for slots of the one that stood still, so that nobody had seen the crash when the engine returned. The test then showed only that an unseen crash is not known.

--- a/crates/toucand/tests/standing_still.rs
+++ b/crates/toucand/tests/standing_still.rs
@@ -5,19 +5,21 @@
 mod apart;
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time;
 use apart::{begin, responses, send, Fleet, Response, STREAMS};
 use rustix::process::Signal;
 use support::Router;
 
-/// Time for which a router stands still: the other one finds it dead after 1.2 s.
+/// Time for which a router stands still before anything else happens: the other one finds it dead after 1.2 s.
 const PAUSES: [Duration; 2] = [Duration::from_millis(1_200), Duration::from_millis(3_000)];
 /// Delay of each direction between a router and a host list that is far away.
 const LIST_DELAY: Duration = Duration::from_millis(50);
 /// Time after a crash in which the router finds it, and tells its peers.
 const FIND_TIME: Duration = Duration::from_millis(150);
+/// Time in which a router finds a crash by requests, also if another router that gives it slots stands still.
+const SEE_TIME: Duration = Duration::from_secs(3);
 /// Time in which a router reads a host list that was published.
 const READ_TIME: Duration = Duration::from_millis(1_500);
 /// Time after which a report of a peer is older than what a service that went back takes to show that.
@@ -27,6 +29,16 @@
     ("complete".to_owned(), vec![version.to_owned()])
 }
 
+/// Sends requests to a router until it has found that an engine has crashed.
+async fn see_crash(router: &Router) {
+    drop(send(router));
+    let until = Instant::now() + SEE_TIME;
+    while router.logged("upstream-run-ended").is_empty() {
+        assert!(Instant::now() < until, "the crash was not seen");
+        time::sleep(FIND_TIME).await;
+    }
+}
+
 /// Streams begin at the first router, which stands still while the first engine crashes and returns with another
 /// version. The other router sees the crash if it sends requests meanwhile, and reads the new entry if there is one.
 /// Returns the responses of the first router, after the connections of all engines have broken.
@@ -41,9 +53,7 @@
     time::sleep(pause).await;
     fleet.engines[0].crash().await;
     if is_seen {
-        let seeing = send(&fleet.routers[1]);
-        time::sleep(FIND_TIME).await;
-        drop(seeing);
+        see_crash(&fleet.routers[1]).await;
     }
     fleet.engines[0].start_again("v2").await;
     if is_listed {
@@ -180,10 +190,7 @@
     fleet.publish_all(2);
     time::sleep(READ_TIME).await;
     fleet.engines[0].crash().await;
-    let seeing = send(&fleet.routers[1]);
-    time::sleep(FIND_TIME).await;
-    drop(seeing);
-    assert_ne!(fleet.routers[1].logged("upstream-run-ended").len(), 0);
+    see_crash(&fleet.routers[1]).await;
     fleet.engines[0].start_again("v2").await;
     fleet.cut_list(false);
     time::sleep(2 * READ_TIME).await;
@@ -197,10 +204,7 @@
 async fn router_that_starts_does_not_take_silence_for_no_ended_run() {
     let mut fleet = Fleet::start(&["v1", "v1"]).await;
     fleet.engines[0].crash().await;
-    let seeing = send(&fleet.routers[1]);
-    time::sleep(FIND_TIME).await;
-    drop(seeing);
-    assert_ne!(fleet.routers[1].logged("upstream-run-ended").len(), 0);
+    see_crash(&fleet.routers[1]).await;
     fleet.engines[0].start_again("v2").await;
     fleet.signal(1, Signal::STOP);
     fleet.routers[0].restart().await;
@@ -239,14 +243,11 @@
     for engine in &fleet.engines {
         engine.crash().await;
     }
-    let seeing = send(&fleet.routers[0]);
-    time::sleep(FIND_TIME).await;
-    drop(seeing);
+    see_crash(&fleet.routers[0]).await;
     for (engine, name) in fleet.engines.iter().zip(["engine-1", "engine-2"]) {
         engine.start_again("v2").await;
         fleet.list().publish(name, "v2", 2);
     }
-    assert_ne!(fleet.routers[0].logged("upstream-run-ended").len(), 0);
     time::sleep(READ_TIME).await;
     fleet.cut_peers(true);
     time::sleep(PAUSES[1]).await;
