Tell peers of upstreams whose entries were removed

Callers saw requests go to an engine that had left, 3 s after the end of a pause of their router.

Cause: the answer to a peer with an older host list named only the entries that were still leaving. Its revision passed departures whose entries had been removed, so a router that read no host list never learnt of them.

Change: the answer names the upstreams whose entries were removed in the last 60 s too, unless they are listed again. A list from a service that went back records none. The message is the same as before.

--- a/crates/toucand/src/membership.rs
+++ b/crates/toucand/src/membership.rs
@@ -24,6 +24,12 @@
 /// Age of a report of a peer from which on this router's own reads contradict it.
 const REPORT_EXPIRY: Span = sequence::WENT_BACK_SPAN;
 
+/// Time for which peers are told that an upstream has left whose entry was removed. A peer that stood still or was cut
+/// off for longer does not learn of it.
+const REMOVED_PERIOD: Span = Span::from_secs(60);
+/// Maximum number of removed upstreams that are remembered.
+const MAX_REMOVED: usize = 4_096;
+
 /// A peer's report that an upstream is leaving.
 #[derive(Clone, Copy, Debug)]
 struct LeavingReport {
@@ -39,6 +45,8 @@
     fleet: WriteToken<View>,
     /// Upstreams that are leaving according to peers with a newer host list.
     leaving: IndexMap<name::Upstream, LeavingReport>,
+    /// Upstreams whose entries were removed, in order of the time at which that was read.
+    removed: IndexMap<name::Upstream, Timestamp>,
     reads: Sequence,
     changes: u64,
 }
@@ -61,6 +69,7 @@
             hosts,
             fleet,
             leaving: IndexMap::new(),
+            removed: IndexMap::new(),
             reads: Sequence::default(),
             changes: 0,
         }
@@ -146,6 +155,7 @@
         }
         self.changes += 1;
         log_changes(&turn.board.hosts, &list);
+        self.record_removed(turn, &list, decision);
         let (routers, upstreams) = (list.routers.len(), list.upstreams.len());
         emit(
             Event::HostsAdopted,
@@ -187,14 +197,39 @@
         self.handle(turn, event)
     }
 
-    /// Returns a message with the leaving upstreams for a peer whose host list is older.
+    /// Records which entries a list no longer has, before it replaces the one in use. An older list does not show that
+    /// an upstream has left.
+    fn record_removed(&mut self, turn: &Turn<'_>, list: &List, decision: Decision) {
+        if decision == Decision::WentBack {
+            self.removed.clear();
+            return;
+        }
+        for name in turn.board.hosts.upstreams.keys() {
+            if !list.upstreams.contains_key(name) {
+                self.removed.shift_remove(name);
+                self.removed.insert(name.clone(), turn.now);
+            }
+        }
+        self.removed.retain(|name, removed| {
+            turn.now.since(*removed) < REMOVED_PERIOD && !list.upstreams.contains_key(name)
+        });
+        let excess = self.removed.len().saturating_sub(MAX_REMOVED);
+        self.removed.drain(..excess);
+    }
+
+    /// Returns a message for a peer whose host list is older, with the upstreams that are leaving and those that left
+    /// lately: the peer may not have read an entry that said so.
     #[must_use]
-    pub fn hosts_message(board: &Board) -> Hosts {
+    pub fn hosts_message(&self, board: &Board, now: Timestamp) -> Hosts {
         let upstreams = board.hosts.upstreams.iter();
         let leaving = upstreams.filter(|(_, upstream)| upstream.leaving);
+        let leaving = leaving.map(|(name, _)| name);
+        let removed = self.removed.iter();
+        let removed = removed.filter(|(_, removed)| now.since(**removed) < REMOVED_PERIOD);
+        let removed = removed.map(|(name, _)| name);
         Hosts {
             revision: board.hosts.revision,
-            leaving: leaving.map(|(name, _)| name.clone()).collect(),
+            leaving: leaving.chain(removed).cloned().collect(),
         }
     }
 
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -12,7 +12,7 @@
 use tsw_member::{event, Timing, View};
 use tsw_once::{owner, permit, survivor, witness, Limits};
 use tsw_poison::EndedRun;
-use tsw_wire::message::Message;
+use tsw_wire::message::{Fetch, Message};
 
 use crate::{
     audit, configuration, context::Context, crash_detector, engine_runs, health, membership,
@@ -220,7 +220,7 @@
                 self.handle_membership(now, event::Event::Ping { from: host, ping })
             }
             Message::Ack(ack) => self.handle_membership(now, event::Event::Ack { from: host, ack }),
-            Message::Fetch(fetch) => self.answer_fetch(&host, fetch),
+            Message::Fetch(fetch) => self.answer_fetch(now, &host, fetch),
             Message::Bundle(bundle) => {
                 self.bundle_answers += 1;
                 if bundle.revision > self.board.configuration.revision() {
@@ -252,7 +252,7 @@
         }
     }
 
-    fn answer_fetch(&mut self, from: &tsw_base::name::Host, fetch: tsw_wire::message::Fetch) {
+    fn answer_fetch(&mut self, now: Timestamp, from: &name::Host, fetch: Fetch) {
         let mut bundle = self.control.configuration.bundle_message(&self.board);
         if bundle.revision <= fetch.bundle {
             // A starting router counts the answers, so it also gets one if there is no newer bundle.
@@ -262,7 +262,7 @@
             self.out.send(from, Message::Bundle(bundle));
         }
         if self.board.hosts.revision > fetch.hosts {
-            let hosts = membership::Controller::hosts_message(&self.board);
+            let hosts = self.control.membership.hosts_message(&self.board, now);
             self.out.send(from, Message::Hosts(hosts));
         }
     }
