Count the reads that contradict a reported departure

Callers saw requests go to an engine that leaves, although a peer had reported its departure to their router.

Cause: a report that was 5 s old ended with the next read of an older list. After some seconds without the service, one answer of a replica that is behind took the report back.

Change: a report ends after five reads within at least 5 s that state a lower revision and began after it arrived, as for a list that went back.

--- a/crates/toucand/src/membership.rs
+++ b/crates/toucand/src/membership.rs
@@ -21,9 +21,6 @@
 
 use crate::{task, turn::Turn};
 
-/// Age of a report of a peer from which on this router's own reads contradict it.
-const REPORT_EXPIRY: Span = sequence::WENT_BACK_SPAN;
-
 /// Time for which peers are told that an upstream has left whose entry was removed. A peer that stood still or was cut
 /// off for longer does not learn of it.
 const REMOVED_PERIOD: Span = Span::from_secs(60);
@@ -36,6 +33,33 @@
     /// Revision of the peer's host list.
     revision: u64,
     received: Timestamp,
+    /// This router's reads since then that stated a lower revision.
+    contradiction: Option<Contradiction>,
+}
+
+/// Reads that contradict a report.
+#[derive(Clone, Copy, Debug)]
+struct Contradiction {
+    /// When the first of them began.
+    since: Timestamp,
+    reads: u32,
+}
+
+impl LeavingReport {
+    /// Counts a read that states a lower revision, and returns whether such reads are known to come from a service that
+    /// has gone back. A single one may come from a replica that is behind, at whatever age of the report.
+    fn contradict(&mut self, read_at: Timestamp) -> bool {
+        if read_at < self.received {
+            return false;
+        }
+        let reads = self.contradiction.get_or_insert(Contradiction {
+            since: read_at,
+            reads: 0,
+        });
+        reads.reads += 1;
+        let span = read_at.since(reads.since);
+        reads.reads >= sequence::WENT_BACK_READS && span >= sequence::WENT_BACK_SPAN
+    }
 }
 
 /// Writes the sections about hosts and the fleet.
@@ -138,12 +162,18 @@
         decision
     }
 
-    /// Adopts a host list on which a decision was taken.
-    pub fn adopt(&mut self, turn: &mut Turn<'_>, list: List, decision: Decision) -> Effect {
+    /// Adopts a host list on which a decision was taken. The read of it began at a time.
+    pub fn adopt(
+        &mut self,
+        turn: &mut Turn<'_>,
+        list: List,
+        decision: Decision,
+        read_at: Timestamp,
+    ) -> Effect {
         match decision {
             Decision::Ignored { .. } => return Effect::default(),
             Decision::Current => {
-                self.expire_reports(turn.now, list.revision);
+                self.expire_reports(read_at, list.revision);
                 return Effect::default();
             }
             Decision::WentBack => {
@@ -177,7 +207,7 @@
                 }
             }
         }
-        self.expire_reports(turn.now, list.revision);
+        self.expire_reports(read_at, list.revision);
         // A router that has announced its departure cannot take it back, and an older copy may name one of an earlier run.
         let announces = decision != Decision::WentBack;
         let me = &turn.out.me().host;
@@ -241,6 +271,7 @@
         let report = LeavingReport {
             revision: hosts.revision,
             received: now,
+            contradiction: None,
         };
         for name in hosts.leaving {
             if let Some(known) = self.leaving.get_mut(&name) {
@@ -254,15 +285,18 @@
 
     /// Drops the reports of peers that a list which this router reads replaces. One that is of a higher revision than
     /// all reads of some seconds was of a service that has gone back since.
-    fn expire_reports(&mut self, now: Timestamp, revision: u64) {
+    fn expire_reports(&mut self, read_at: Timestamp, revision: u64) {
         let before = self.leaving.len();
         let reads = &mut self.reads;
         self.leaving.retain(|_, report| {
-            let is_contradicted = now.since(report.received) >= REPORT_EXPIRY;
+            if report.revision <= revision {
+                return false;
+            }
+            let is_contradicted = report.contradict(read_at);
             if is_contradicted {
                 reads.discard(report.revision);
             }
-            report.revision > revision && !is_contradicted
+            !is_contradicted
         });
         self.changes += u64::from(self.leaving.len() != before);
     }
--- a/crates/toucand/src/state.rs
+++ b/crates/toucand/src/state.rs
@@ -178,7 +178,7 @@
         control
             .engine_runs
             .adopt(&mut turn, &list, decision, read_at);
-        let effect = control.membership.adopt(&mut turn, list, decision);
+        let effect = control.membership.adopt(&mut turn, list, decision, read_at);
         self.apply_effect(now, effect);
     }
 
