Keep ended runs of engines that are not listed yet

Callers got streams of two versions: a run ended and its engine returned with another version before a router had read the list that names the engine.

Cause: a router dropped what a peer said of the end of a run if its own list did not name the engine, and the peer does not say it again.

Change: up to 4,096 such ends are kept for 60 s. They are applied when a list names the engine for the first time, unless the list is later than the one that the peer had. With the first list of a router they are applied whatever its revision, as if they had arrived after it.

--- a/crates/poison/src/ended_run.rs
+++ b/crates/poison/src/ended_run.rs
@@ -33,6 +33,12 @@
         self.upstream == cause::upstream(upstream)
     }
 
+    /// Returns the fingerprint of the upstream.
+    #[must_use]
+    pub const fn upstream(&self) -> Fingerprint {
+        self.upstream
+    }
+
     /// Returns the run as findings, which routers of older versions ignore.
     ///
     /// ```
--- a/crates/toucand/src/engine_runs.rs
+++ b/crates/toucand/src/engine_runs.rs
@@ -1,18 +1,35 @@
 //! Controller of the runs of engines that have ended although the host list still names them.
 
-use tsw_base::{name, time::Timestamp};
+use indexmap::IndexMap;
+use tsw_base::{
+    name,
+    time::{Span, Timestamp},
+};
 use tsw_board::{hosts::List, runs::EndedRuns, Board, WriteToken};
 use tsw_event::{emit, Event};
 use tsw_member::sequence::Decision;
-use tsw_poison::EndedRun;
+use tsw_poison::{EndedRun, Fingerprint};
 use tsw_wire::message::Message;
 
 use crate::{crash_detector, turn::Turn};
 
+/// Time for which the end of a run is remembered whose engine is not listed.
+const UNLISTED_PERIOD: Span = Span::from_secs(60);
+/// Maximum number of these runs.
+const MAX_UNLISTED: usize = 4_096;
+
+/// The end of a run that a peer has seen, of an engine that the host list does not name yet.
+#[derive(Clone, Copy, Debug)]
+struct Unlisted {
+    run: EndedRun,
+    received: Timestamp,
+}
+
 /// Writes the section about ended runs.
 #[derive(Debug)]
 pub struct Controller {
     token: WriteToken<EndedRuns>,
+    unlisted: IndexMap<Fingerprint, Unlisted>,
 }
 
 fn log(upstream: &name::Upstream, revision: u64, source: &str) {
@@ -29,8 +46,11 @@
 impl Controller {
     /// Creates the controller with the write token of its section.
     #[must_use]
-    pub const fn new(token: WriteToken<EndedRuns>) -> Self {
-        Self { token }
+    pub fn new(token: WriteToken<EndedRuns>) -> Self {
+        Self {
+            token,
+            unlisted: IndexMap::new(),
+        }
     }
 
     /// Records that the listed run of an engine has ended, and tells the peers.
@@ -41,10 +61,12 @@
         }
     }
 
-    /// Applies that a peer has seen the run of an engine end.
-    pub fn receive(&self, turn: &mut Turn<'_>, run: &EndedRun) {
+    /// Applies that a peer has seen the run of an engine end, or remembers it until the engine is listed: the peer is not
+    /// going to tell it again.
+    pub fn receive(&mut self, turn: &mut Turn<'_>, run: &EndedRun) {
         let mut listed = turn.board.hosts.upstreams.keys();
         let Some(upstream) = listed.find(|name| run.is_of(name)).cloned() else {
+            self.remember_unlisted(turn.now, run);
             return;
         };
         let revision = run.started_at;
@@ -53,6 +75,47 @@
         }
     }
 
+    fn remember_unlisted(&mut self, now: Timestamp, run: &EndedRun) {
+        let known = self.unlisted.shift_remove(&run.upstream());
+        let mut run = *run;
+        if let Some(known) = known {
+            run.started_at = run.started_at.max(known.run.started_at);
+        }
+        let received = now;
+        self.unlisted
+            .insert(run.upstream(), Unlisted { run, received });
+        if self.unlisted.len() > MAX_UNLISTED {
+            self.unlisted.shift_remove_index(0);
+        }
+    }
+
+    /// Applies what peers have seen of engines that a host list is the first one to name. An entry of a later list than
+    /// the peer's may name a later run. Of the first list of this router that is unknown.
+    fn apply_unlisted(&mut self, turn: &mut Turn<'_>, list: &List) {
+        self.unlisted
+            .retain(|_, unlisted| turn.now.since(unlisted.received) < UNLISTED_PERIOD);
+        if self.unlisted.is_empty() {
+            return;
+        }
+        let board = &mut *turn.board;
+        let runs = board.ended_runs.write(&self.token);
+        let is_first = board.hosts.upstreams.is_empty();
+        for name in list.upstreams.keys() {
+            if board.hosts.upstreams.contains_key(name) {
+                continue;
+            }
+            let fingerprint = EndedRun::new(name, 0).upstream();
+            let Some(Unlisted { run, .. }) = self.unlisted.shift_remove(&fingerprint) else {
+                continue;
+            };
+            let revision = run.started_at;
+            let is_named = is_first || list.revision <= revision;
+            if is_named && runs.record_ended(turn.now, list, name, revision) {
+                log(name, revision, "told");
+            }
+        }
+    }
+
     fn record(&self, turn: &mut Turn<'_>, upstream: &name::Upstream, revision: u64) -> bool {
         let board = &mut *turn.board;
         let runs = board.ended_runs.write(&self.token);
@@ -90,7 +153,13 @@
 
     /// Processes a host list on which a decision was taken, before it replaces the one in use. The read of it began
     /// at a time.
-    pub fn adopt(&self, turn: &mut Turn<'_>, list: &List, decision: Decision, read_at: Timestamp) {
+    pub fn adopt(
+        &mut self,
+        turn: &mut Turn<'_>,
+        list: &List,
+        decision: Decision,
+        read_at: Timestamp,
+    ) {
         let board = &mut *turn.board;
         let runs = board.ended_runs.write(&self.token);
         match decision {
@@ -101,6 +170,7 @@
             Decision::WentBack => runs.adopt_earlier(turn.now, &board.hosts, list),
         }
         runs.confirm(read_at);
+        self.apply_unlisted(turn, list);
     }
 
     /// Returns the runs that have ended as the first messages of a session to a peer, which may have started since.
