State the age of an ended run, and tell no unconfirmed ones

Callers got streams cut with code version although their version served: - A router that was cut off from its peer told it again, in a new session, that runs of an earlier list had ended. - A router with a list from before a release found that engines state other versions than its list, and told the others that their runs have ended. Routers that start were told of no end that was found more than 60 s before, although the engine was still down and its version unknown.

Cause: the message did not say when an end was found, so one that is told again counted as a new one. A mismatch between a stated and a listed version was told at once, whichever of the two was behind.

Change: the message states the age of the end in the verdict of its second finding, which older routers do not read. An end that was found before the receiver read an entry of another version, or before the engine responded, changes nothing. A mismatch is recorded at once, but told only when a list whose read began afterwards still names the other version. Ends are told for as long as they are remembered (at most 4,096); this needs the age, since they are told again with each session. EndedRuns::told replaces recent, and the assertions of its tests are the same.

--- a/crates/board/src/runs.rs
+++ b/crates/board/src/runs.rs
@@ -20,8 +20,6 @@
 /// Time from the first response of an upstream that has returned to the read of a host list that is taken to name
 /// the version which responds.
 pub const LISTED_WITHIN: Span = Span::from_secs(30);
-/// Time for which routers that open a session are told of an ended run.
-const TOLD_PERIOD: Span = Span::from_secs(60);
 /// Maximum number of ended runs that are remembered.
 const MAX_ENDED: usize = 4_096;
 
@@ -73,12 +71,44 @@
     responded: Option<Timestamp>,
     /// Whether the entry was read after one that is probably later, so that it does not become right by its age.
     is_older: bool,
+    /// Whether other routers are told. A version that an upstream states otherwise than the list may only show that the
+    /// list is behind, until one that was read afterwards says the same.
+    is_told: bool,
+}
+
+impl Ended {
+    const fn new(found: Timestamp, revision: u64) -> Self {
+        Self {
+            revision,
+            found,
+            responded: None,
+            is_older: false,
+            is_told: true,
+        }
+    }
+}
+
+/// What shows that an upstream runs what the host list names, so that ends which were found before are of earlier runs.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    /// When the read of the list began, or the response was sent or arrived.
+    at: Timestamp,
+    /// Revision of the list that names the run for the first time. Routers with this list may have seen its end. `None` if
+    /// a response shows it, which no end that was found before can be about.
+    revision: Option<u64>,
+}
+
+impl Named {
+    fn is_after(&self, found: Timestamp, revision: u64) -> bool {
+        found < self.at && self.revision.is_none_or(|named| revision < named)
+    }
 }
 
 /// The upstreams whose listed run has ended.
 #[derive(Clone, Debug, Default)]
 pub struct EndedRuns {
     ended: IndexMap<name::Upstream, Ended>,
+    named: IndexMap<name::Upstream, Named>,
 }
 
 impl EndedRuns {
@@ -109,21 +139,49 @@
             is_older = ended.is_older;
             if ended.responded.is_none() {
                 ended.revision = revision;
-                return false;
+                return !std::mem::replace(&mut ended.is_told, true);
             }
         }
-        self.insert(now, upstream, revision, is_older);
+        let ended = Ended {
+            is_older,
+            ..Ended::new(now, revision)
+        };
+        self.insert(upstream, ended);
         true
     }
 
-    fn insert(&mut self, now: Timestamp, name: &name::Upstream, revision: u64, is_older: bool) {
+    /// Records what a peer tells of the end of a run, which was found at a time, and returns whether this is new. What is
+    /// told again changes nothing if the list has named another run since, or the upstream has responded.
+    ///
+    /// ```
+    /// use tsw_base::time::Timestamp;
+    /// use tsw_board::{hosts::List, runs::EndedRuns};
+    /// let (mut runs, now) = (EndedRuns::default(), Timestamp::ZERO);
+    /// assert!(!runs.record_told(&List::default(), &"e1".parse()?, 1, now));
+    /// # Ok::<(), tsw_base::name::Error>(())
+    /// ```
+    pub fn record_told(
+        &mut self,
+        list: &List,
+        upstream: &name::Upstream,
+        revision: u64,
+        found: Timestamp,
+    ) -> bool {
+        let named = self.named.get(upstream);
+        if named.is_some_and(|named| named.is_after(found, revision)) {
+            return false;
+        }
+        if let Some(ended) = self.ended.get_mut(upstream) {
+            if ended.responded.is_some_and(|responded| found < responded) {
+                ended.revision = ended.revision.max(revision);
+                return false;
+            }
+        }
+        self.record_ended(found, list, upstream, revision)
+    }
+
+    fn insert(&mut self, name: &name::Upstream, ended: Ended) {
         self.ended.shift_remove(name);
-        let ended = Ended {
-            revision,
-            found: now,
-            responded: None,
-            is_older,
-        };
         self.ended.insert(name.clone(), ended);
         if self.ended.len() > MAX_ENDED {
             self.ended.shift_remove_index(0);
@@ -163,14 +221,41 @@
         };
         let ended = self.ended.get(upstream);
         if listed != version {
-            return ended.is_none() && self.record_ended(now, list, upstream, list.revision);
+            if ended.is_some() {
+                return false;
+            }
+            let ended = Ended {
+                is_told: false,
+                ..Ended::new(now, list.revision)
+            };
+            self.insert(upstream, ended);
+            return true;
         }
         if ended.is_some_and(|ended| sent > ended.found) {
             self.ended.shift_remove(upstream);
+            let named = Named {
+                at: sent,
+                revision: None,
+            };
+            self.named.insert(upstream.clone(), named);
         }
         false
     }
 
+    /// Returns the upstreams that stated another version than the host list before a time, at which the read of the same
+    /// or a later list began that still names the run before. Other routers have to be told of them.
+    pub fn confirm_stated(&mut self, list: &List, read_at: Timestamp) -> Vec<name::Upstream> {
+        let mut confirmed = Vec::new();
+        for (name, ended) in &mut self.ended {
+            if !ended.is_told && ended.found < read_at {
+                ended.is_told = true;
+                ended.revision = ended.revision.max(list.revision);
+                confirmed.push(name.clone());
+            }
+        }
+        confirmed
+    }
+
     /// Processes a host list that replaces another one. An entry with another version or address names a later run,
     /// unless the router that found the end of the run had read it before.
     pub fn adopt(&mut self, before: &List, after: &List) {
@@ -185,6 +270,22 @@
         });
     }
 
+    /// Records the entries of a host list that name other runs than the list that it replaces. The read of it began at a
+    /// time.
+    pub fn record_named(&mut self, read_at: Timestamp, before: &List, after: &List) {
+        self.named
+            .retain(|name, _| after.upstreams.contains_key(name));
+        for (name, upstream) in &after.upstreams {
+            if before.upstreams.contains_key(name) && !is_same(before, name, upstream) {
+                let named = Named {
+                    at: read_at,
+                    revision: Some(after.revision),
+                };
+                self.named.insert(name.clone(), named);
+            }
+        }
+    }
+
     /// Processes a host list that replaces another one, and that may have been written before it. The entries that
     /// differ may name an earlier run than the ones before, so the software of their upstreams is unknown.
     pub fn adopt_unordered(&mut self, now: Timestamp, before: &List, after: &List) {
@@ -208,25 +309,40 @@
                 let is_older = is_earlier && before.upstreams.contains_key(name);
                 let ended = self.ended.get(name);
                 let revision = ended.map_or(0, |ended| ended.revision);
-                self.insert(now, name, revision.max(after.revision), is_older);
+                let ended = Ended {
+                    is_older,
+                    ..Ended::new(now, revision.max(after.revision))
+                };
+                self.insert(name, ended);
+                self.named.swap_remove(name);
             }
         }
     }
 
     /// Records that the current host list is also the one that was read at a time.
     pub fn confirm(&mut self, read_at: Timestamp) {
-        self.ended.retain(|_, ended| {
+        let named = &mut self.named;
+        self.ended.retain(|name, ended| {
             let responded = ended.responded.filter(|_| !ended.is_older);
-            responded.is_none_or(|responded| read_at.since(responded) < LISTED_WITHIN)
+            let confirmed =
+                responded.filter(|responded| read_at.since(*responded) >= LISTED_WITHIN);
+            if let Some(responded) = confirmed {
+                let responded = Named {
+                    at: responded,
+                    revision: None,
+                };
+                named.insert(name.clone(), responded);
+            }
+            confirmed.is_none()
         });
     }
 
     /// Returns the upstreams of which routers that may have started since have to be told, with the revision of the
-    /// host list that names the ended run.
-    pub fn recent(&self, now: Timestamp) -> impl Iterator<Item = (&name::Upstream, u64)> {
-        let ended = self.ended.iter();
-        let recent = ended.filter(move |(_, ended)| now.since(ended.found) < TOLD_PERIOD);
-        recent.map(|(name, ended)| (name, ended.revision))
+    /// host list that names the ended run and the time at which its end was found. A router that starts cannot find out
+    /// by itself for as long as the upstream is down, so the age of the end does not matter.
+    pub fn told(&self) -> impl Iterator<Item = (&name::Upstream, u64, Timestamp)> {
+        let told = self.ended.iter().filter(|(_, ended)| ended.is_told);
+        told.map(|(name, ended)| (name, ended.revision, ended.found))
     }
 
     /// Returns what is known of the software of an upstream.
--- a/crates/board/tests/runs.rs
+++ b/crates/board/tests/runs.rs
@@ -127,7 +127,10 @@
     assert!(runs.record_ended(at(1), &before, &engine(0), 8));
     runs.adopt(&before, &after);
     assert_eq!(runs.software(&after, &engine(0)), Software::Unknown);
-    let told: Vec<_> = runs.recent(at(2)).collect();
+    let told: Vec<_> = runs
+        .told()
+        .map(|(name, revision, _)| (name, revision))
+        .collect();
     assert_eq!(told, vec![(&engine(0), 8)]);
 }
 
@@ -257,6 +260,65 @@
     assert!(runs.record_ended(at(1), &listed, &engine(0), 7));
     runs.confirm(at(90));
     assert_eq!(runs.software(&listed, &engine(0)), Software::Unknown);
-    let told: Vec<_> = runs.recent(at(90)).collect();
+    let told: Vec<_> = runs
+        .told()
+        .map(|(name, revision, _)| (name, revision))
+        .collect();
     assert_eq!(told, [(&engine(0), 7)]);
 }
+
+/// Guards against the end of a run that is told again and makes a version unknown which the list has named since, and
+/// against a later end that is taken for it.
+#[test]
+fn end_that_is_told_again_ends_no_run_that_was_listed_since() {
+    let before = list(7, &[version("v1")]);
+    let after = list(8, &[version("v2")]);
+    let mut runs = EndedRuns::default();
+    assert!(runs.record_told(&before, &engine(0), 7, at(1)));
+    runs.adopt(&before, &after);
+    runs.record_named(at(5), &before, &after);
+    assert!(!runs.record_told(&after, &engine(0), 7, at(1)));
+    let listed = Software::Listed(version("v2"));
+    assert_eq!(runs.software(&after, &engine(0)), listed);
+    // A peer that had read the entry, and one that found an end later.
+    let mut other = runs.clone();
+    assert!(other.record_told(&after, &engine(0), 8, at(1)));
+    assert_eq!(other.software(&after, &engine(0)), Software::Unknown);
+    assert!(runs.record_told(&after, &engine(0), 7, at(6)));
+    assert_eq!(runs.software(&after, &engine(0)), Software::Unknown);
+}
+
+/// Guards against an engine that becomes unknown again with each session of a peer which still remembers its crash.
+#[test]
+fn end_that_is_told_again_ends_no_run_that_has_responded_since() {
+    let list = list(7, &[version("v1")]);
+    let mut runs = EndedRuns::default();
+    assert!(runs.record_told(&list, &engine(0), 7, at(1)));
+    runs.record_response(at(3), &engine(0), at(2));
+    assert!(!runs.record_told(&list, &engine(0), 7, at(1)));
+    runs.confirm(at(3) + LISTED_WITHIN);
+    let listed = Software::Listed(version("v1"));
+    assert_eq!(runs.software(&list, &engine(0)), listed);
+    assert!(!runs.record_told(&list, &engine(0), 7, at(1)));
+    assert_eq!(runs.software(&list, &engine(0)), listed);
+    assert!(runs.record_told(&list, &engine(0), 7, at(40)));
+}
+
+/// Guards against a stated version that other routers are told of although only this router's list is behind, and
+/// against a crash that they are not told of because the engine stated another version before.
+#[test]
+fn stated_version_is_told_once_a_later_read_still_names_another_one() {
+    let before = list(7, &[version("v1"), version("v1"), version("v1")]);
+    let after = list(8, &[version("v2"), version("v1"), version("v1")]);
+    let mut runs = EndedRuns::default();
+    for number in 0..3 {
+        assert!(runs.record_stated(at(2), &before, &engine(number), at(1), "v2"));
+    }
+    assert_eq!(runs.told().count(), 0);
+    assert!(runs.record_ended(at(3), &before, &engine(2), 7));
+    assert_eq!(runs.told().count(), 1);
+    assert!(runs.confirm_stated(&before, at(1)).is_empty());
+    runs.adopt(&before, &after);
+    assert_eq!(runs.confirm_stated(&after, at(4)), [engine(1)]);
+    assert_eq!(runs.told().count(), 2);
+}
--- a/crates/poison/src/ended_run.rs
+++ b/crates/poison/src/ended_run.rs
@@ -1,6 +1,6 @@
 //! Message between routers about runs of upstreams that have ended.
 
-use tsw_base::name;
+use tsw_base::{name, time::Span};
 
 use crate::{
     candidates::Tag,
@@ -15,6 +15,8 @@
     /// Start of the run, in milliseconds since 1970. On the own interface, which knows no start, the revision of the
     /// host list that names the run.
     pub started_at: u64,
+    /// Time since its end was found, so that what is told again is not taken for a later end.
+    pub age: Span,
 }
 
 impl EndedRun {
@@ -24,9 +26,16 @@
         Self {
             upstream: cause::upstream(upstream),
             started_at,
+            age: Span::ZERO,
         }
     }
 
+    /// Returns the run with the time since its end was found.
+    #[must_use]
+    pub const fn with_age(self, age: Span) -> Self {
+        Self { age, ..self }
+    }
+
     /// Returns whether the run is one of this upstream.
     #[must_use]
     pub fn is_of(&self, upstream: &name::Upstream) -> bool {
@@ -43,19 +52,29 @@
     ///
     /// ```
     /// use tsw_poison::ended_run::EndedRun;
+    /// use tsw_base::time::Span;
     /// let run = EndedRun::new(&"engine-1".parse()?, 1_700_000_000_000);
+    /// let run = run.with_age(Span::from_secs(2));
     /// assert_eq!(EndedRun::parse(&run.findings()), Some(run));
     /// # Ok::<(), tsw_base::name::Error>(())
     /// ```
     #[must_use]
     pub fn findings(&self) -> Findings {
         let start = Fingerprint(u128::from(self.started_at)).with_tag(Tag::EndedRun);
-        let findings = [self.upstream, start].map(|fingerprint| Finding {
+        // Routers of older versions read only the fingerprints, and take each end for a new one.
+        let age = match self.age {
+            Span::ZERO => Verdict::Cleared,
+            remaining => Verdict::Confirmed { remaining },
+        };
+        let finding = |fingerprint, verdict| Finding {
             fingerprint,
-            verdict: Verdict::Cleared,
-        });
+            verdict,
+        };
         Findings {
-            findings: findings.to_vec(),
+            findings: vec![
+                finding(self.upstream, Verdict::Cleared),
+                finding(start, age),
+            ],
         }
     }
 
@@ -65,11 +84,16 @@
         let [upstream, start] = &findings.findings[..] else {
             return None;
         };
+        let age = match start.verdict {
+            Verdict::Confirmed { remaining } => remaining,
+            Verdict::Suspected { .. } | Verdict::Cleared => Span::ZERO,
+        };
         let (upstream, start) = (upstream.fingerprint, start.fingerprint);
         let is_run = upstream.has_tag(Tag::Upstream) && start.has_tag(Tag::EndedRun);
         is_run.then_some(Self {
             upstream,
             started_at: u64::try_from(start.untagged()).unwrap_or(u64::MAX),
+            age,
         })
     }
 }
--- a/crates/toucand/src/engine_runs.rs
+++ b/crates/toucand/src/engine_runs.rs
@@ -43,6 +43,11 @@
     );
 }
 
+/// Returns when the end of a run was found of which a peer told at a time.
+fn found_at(received: Timestamp, run: &EndedRun) -> Timestamp {
+    received.before(run.age)
+}
+
 impl Controller {
     /// Creates the controller with the write token of its section.
     #[must_use]
@@ -55,9 +60,12 @@
 
     /// Records that the listed run of an engine has ended, and tells the peers.
     pub fn record_ended(&self, turn: &mut Turn<'_>, upstream: &name::Upstream) {
-        let revision = turn.board.hosts.revision;
-        if self.record(turn, upstream, revision) {
-            Self::broadcast(turn, upstream);
+        let board = &mut *turn.board;
+        let revision = board.hosts.revision;
+        let runs = board.ended_runs.write(&self.token);
+        if runs.record_ended(turn.now, &board.hosts, upstream, revision) {
+            log(upstream, revision, "seen");
+            Self::broadcast(turn, upstream, revision);
         }
     }
 
@@ -69,8 +77,9 @@
             self.remember_unlisted(turn.now, run);
             return;
         };
-        let revision = run.started_at;
-        if self.record(turn, &upstream, revision) {
+        let (board, revision) = (&mut *turn.board, run.started_at);
+        let runs = board.ended_runs.write(&self.token);
+        if runs.record_told(&board.hosts, &upstream, revision, found_at(turn.now, run)) {
             log(&upstream, revision, "told");
         }
     }
@@ -105,31 +114,25 @@
                 continue;
             }
             let fingerprint = EndedRun::new(name, 0).upstream();
-            let Some(Unlisted { run, .. }) = self.unlisted.shift_remove(&fingerprint) else {
+            let Some(Unlisted { run, received }) = self.unlisted.shift_remove(&fingerprint) else {
                 continue;
             };
             let revision = run.started_at;
             let is_named = is_first || list.revision <= revision;
-            if is_named && runs.record_ended(turn.now, list, name, revision) {
+            if is_named && runs.record_told(list, name, revision, found_at(received, &run)) {
                 log(name, revision, "told");
             }
         }
     }
 
-    fn record(&self, turn: &mut Turn<'_>, upstream: &name::Upstream, revision: u64) -> bool {
-        let board = &mut *turn.board;
-        let runs = board.ended_runs.write(&self.token);
-        runs.record_ended(turn.now, &board.hosts, upstream, revision)
-    }
-
     /// Records that an engine responds to a request that was sent at a time.
     pub fn record_response(&self, turn: &mut Turn<'_>, upstream: &name::Upstream, sent: Timestamp) {
         let runs = turn.board.ended_runs.write(&self.token);
         runs.record_response(turn.now, upstream, sent);
     }
 
-    /// Records the version that an engine states in its response to a request that was sent at a time, and tells the
-    /// peers if it is another one than the host list names.
+    /// Records the version that an engine states in its response to a request that was sent at a time. If it is another
+    /// one than the host list names, the peers are told once another read of the list says the same: theirs may be later.
     pub fn record_stated(
         &self,
         turn: &mut Turn<'_>,
@@ -140,13 +143,11 @@
         let board = &mut *turn.board;
         let runs = board.ended_runs.write(&self.token);
         if runs.record_stated(turn.now, &board.hosts, upstream, sent, version) {
-            Self::broadcast(turn, upstream);
+            log(upstream, board.hosts.revision, "seen");
         }
     }
 
-    fn broadcast(turn: &mut Turn<'_>, upstream: &name::Upstream) {
-        let revision = turn.board.hosts.revision;
-        log(upstream, revision, "seen");
+    fn broadcast(turn: &mut Turn<'_>, upstream: &name::Upstream, revision: u64) {
         let findings = EndedRun::new(upstream, revision).findings();
         crash_detector::broadcast(turn, &findings);
     }
@@ -165,19 +166,28 @@
         match decision {
             Decision::Ignored { .. } => return,
             Decision::Current => {}
-            Decision::Follows => runs.adopt(&board.hosts, list),
+            Decision::Follows => {
+                runs.adopt(&board.hosts, list);
+                runs.record_named(read_at, &board.hosts, list);
+            }
             Decision::MayFollow => runs.adopt_unordered(turn.now, &board.hosts, list),
             Decision::WentBack => runs.adopt_earlier(turn.now, &board.hosts, list),
         }
         runs.confirm(read_at);
+        for upstream in runs.confirm_stated(list, read_at) {
+            Self::broadcast(turn, &upstream, list.revision);
+        }
         self.apply_unlisted(turn, list);
     }
 
     /// Returns the runs that have ended as the first messages of a session to a peer, which may have started since.
     #[must_use]
     pub fn session_messages(board: &Board, now: Timestamp) -> Vec<Message> {
-        let ended = board.ended_runs.recent(now);
-        let runs = ended.map(|(upstream, revision)| EndedRun::new(upstream, revision).findings());
+        let told = board.ended_runs.told();
+        let runs = told.map(|(upstream, revision, found)| {
+            let run = EndedRun::new(upstream, revision).with_age(now.since(found));
+            run.findings()
+        });
         runs.map(Message::Findings).collect()
     }
 }
