Answer other routers without a read of a store that does not answer

A router that is asked to read the store answered after the time limit of the read where it knew already that the store does not answer it. It answers at once what it knows.

--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -63,7 +63,10 @@
         let (status, body) = explain::respond(state, &request.fields);
         (status, JSON, body)
     } else if let Some(query) = peer_sync::query(&target) {
-        if peer_sync::reads_first(query) && state.store_check.run(state).await {
+        // While the store does not answer this router, the others need not wait for it.
+        let reads_store = state.roster.borrow().me.reads_store;
+        let reads_first = peer_sync::reads_first(query) && reads_store;
+        if reads_first && state.store_check.run(state).await {
             fields.push(peer_sync::READ, "1");
         }
         let delta = peer_sync::delta(state, &KnownRevisions::from_query(query));
