--- a/crates/toucand/tests/support/apart.rs
+++ b/crates/toucand/tests/support/apart.rs
@@ -35,6 +35,8 @@
     all: Value,
     list_link: Arc<Link>,
     peer_link: Arc<Link>,
+    /// Relays end when it is dropped.
+    _relay: Relay,
 }
 
 impl Fleet {
@@ -105,6 +107,7 @@
             all,
             list_link,
             peer_link,
+            _relay: relay,
         }
     }
 
