--- a/review/common-2/link.rs
+++ b/review/common-2/link.rs
@@ -33,7 +33,7 @@
 const STEP: Duration = Duration::from_millis(50);
 
 /// Connects with the segments and windows of a link between machines.
-fn connect_narrow(to: SocketAddrV4) -> std::io::Result<TcpStream> {
+pub fn connect_narrow(to: SocketAddrV4) -> std::io::Result<TcpStream> {
     let mut address = Vec::from((AF_INET as u16).to_ne_bytes());
     address.extend_from_slice(&to.port().to_be_bytes());
     address.extend_from_slice(&to.ip().octets());
--- a/review/common-2/scenario.rs
+++ b/review/common-2/scenario.rs
@@ -1,10 +1,10 @@
 //! The scenarios. Each returns how often its rule was broken.
 
-use std::{path::PathBuf, thread, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, thread, time::Duration};
 
 use crate::{
     client::{Channel, Failure, HOST, KEY},
-    link::Link,
+    link::{connect_narrow, Link},
     record::Record,
     router::{Addresses, Router},
     store::Store,
@@ -19,6 +19,7 @@
     match name {
         "head" => head(trouble, record),
         "squeeze" => squeeze(trouble, record),
+        "stall" => stall(trouble, record),
         _ => Err(format!("no scenario {name}")),
     }
 }
@@ -30,8 +31,12 @@
 }
 
 fn route(name: &str, kind: &str, service: &str, more: &str) -> String {
+    timed_route(name, kind, service, 1_200, more)
+}
+
+fn timed_route(name: &str, kind: &str, service: &str, timeout_ms: u32, more: &str) -> String {
     format!(
-        "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\"timeoutMs\":1200,\
+        "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\"timeoutMs\":{timeout_ms},\
          \"targetLatencyMs\":150,\"priority\":2,\"service\":\"{service}\",\"maxAttempts\":2,\"public\":false{more}}}"
     )
 }
@@ -155,7 +160,7 @@
     Ok(broken)
 }
 
-fn consume(record: &Record, address: std::net::SocketAddr, number: u32) -> Result<usize, String> {
+fn consume(record: &Record, address: SocketAddr, number: u32) -> Result<usize, String> {
     let text = |error: std::io::Error| error.to_string();
     let mut channel = Channel::open(address).map_err(text)?;
     let target = format!("/lookup/record-{LARGE}");
@@ -199,3 +204,54 @@
     }
     Ok(0)
 }
+
+/// Time limit of the route and of the consumers that stall.
+const LONG_LIMIT: Duration = Duration::from_millis(15_000);
+/// For how long consumers do not read.
+const STALL: Duration = Duration::from_millis(4_000);
+/// Closed channels that the rule allows.
+const ALLOWED: usize = 3;
+
+/// Consumers do not read for some seconds while the answer to a booking on a kept channel arrives.
+fn stall(trouble: bool, record: &Record) -> Result<usize, String> {
+    let site = start(record, &[timed_route("book", "non_idempotent", "desk", 15_000, "")], 3)?;
+    let mut consumers = Vec::new();
+    for number in 0..6 {
+        let (record, address) = (record.clone(), site.routers[number % 3].client);
+        consumers.push(thread::spawn(move || read_late(trouble, &record, address, number)));
+    }
+    let mut closed = 0;
+    for consumer in consumers {
+        closed += consumer.join().map_err(|_| "a consumer failed".to_owned())??;
+    }
+    let runs: usize = site.workers.iter().map(|worker| worker.runs().len()).sum();
+    record.line(&format!("{runs} requests ran; {closed} channels were closed without a whole answer"));
+    Ok(if closed > ALLOWED { closed } else { 0 })
+}
+
+fn read_late(trouble: bool, record: &Record, address: SocketAddr, number: usize) -> Result<usize, String> {
+    let text = |error: std::io::Error| error.to_string();
+    let SocketAddr::V4(address) = address else { return Err("no address".to_owned()) };
+    let mut channel = Channel::over(connect_narrow(address).map_err(text)?);
+    for (place, target) in ["/book/record-800".to_owned(), format!("/book/record-{LARGE}")].iter().enumerate() {
+        let id = format!("9c41d07be2a5{number}{place}");
+        record.line(&format!("consumer {number} sends {id} POST {target}"));
+        channel.send("POST", target, &id, LONG_LIMIT).map_err(text)?;
+        if trouble && place == 1 {
+            thread::sleep(STALL);
+            record.line(&format!("consumer {number} reads again"));
+        }
+        match channel.read("POST", LONG_LIMIT) {
+            Ok(answer) if answer.status == 200 && answer.body == body_of(&id, target) => {
+                record.line(&format!("consumer {number} gets {id} 200 with {} bytes", answer.body.len()));
+            }
+            Ok(answer) => return Err(format!("{id} is answered with {}", answer.status)),
+            Err(Failure::Closed(bytes)) => {
+                record.line(&format!("LOST: consumer {number} gets {id} a closed channel after {} bytes", bytes.len()));
+                return Ok(1);
+            }
+            Err(failure) => return Err(format!("{id} has no answer: {failure:?}").chars().take(120).collect()),
+        }
+    }
+    Ok(0)
+}
