--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -3,11 +3,14 @@
 //! folder, and exits with 1 if a rule was broken, 0 if it held and 2 if the scenario could not run.
 
 mod client;
+mod cut;
+mod engine;
 mod link;
 mod record;
 mod router;
 mod scenario;
 mod store;
+mod versions;
 mod worker;
 
 use std::{env, path::PathBuf, process};
--- a/review/common-2/router.rs
+++ b/review/common-2/router.rs
@@ -19,6 +19,8 @@
     ready: SocketAddr,
     process: Child,
     settings: PathBuf,
+    root: PathBuf,
+    memory_mb: u32,
 }
 
 impl Drop for Router {
@@ -36,7 +38,9 @@
     locate: SocketAddr,
     pub control: SocketAddr,
     metrics: SocketAddr,
-    gossip: SocketAddr,
+    pub gossip: SocketAddr,
+    /// Address at which others reach its gossip, if that is not `gossip`.
+    pub advertised: Option<SocketAddr>,
 }
 
 impl Addresses {
@@ -69,6 +73,7 @@
                 control: address(3)?,
                 metrics: address(4)?,
                 gossip,
+                advertised: None,
             });
         }
         Ok(found)
@@ -86,9 +91,11 @@
         memory_mb: u32,
     ) -> Result<Self, String> {
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let advertise = own.advertised.map(|gossip| format!("advertise:\n  control: {}\n  gossip: {gossip}\n", own.control));
+        let advertise = advertise.unwrap_or_default();
         let text = format!(
             "interface: platform\nhost: \"{name}\"\ndomain: \"{zone}\"\nlisten:\n  client: {}\n  ready: {}\n  locate: {}\n  \
-             control: {}\n  gossip: {}\n  metrics: {}\nseeds: [{}]\nstore: {store}\ndescriptors: 4100\nprocessor: 0.25\n\
+             control: {}\n  gossip: {}\n  metrics: {}\n{advertise}seeds: [{}]\nstore: {store}\ndescriptors: 4100\nprocessor: 0.25\n\
              bounds:\n  retry_ratio: 0.2\n  retry_window_s: 10\n  retry_slack: 54\n  keep_s: 5\n  grace_s: 8\n\
              log:\n  format: json\n  level: info\n",
             own.client,
@@ -101,26 +108,30 @@
         );
         let settings = std::env::temp_dir().join(format!("review-2-{}-{name}.yaml", std::process::id()));
         fs::write(&settings, text).map_err(|error| error.to_string())?;
-        let process = Command::new(root.join(PROGRAM))
-            .arg("--config")
-            .arg(&settings)
-            .current_dir(root)
-            .env_clear()
-            .env("TOUCAN_MEMORY_MB", memory_mb.to_string())
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .map_err(|error| format!("{PROGRAM}: {error}"))?;
+        let process = spawn(root, &settings, memory_mb)?;
         Ok(Self {
             name: name.to_owned(),
             client: own.client,
             ready: own.ready,
             process,
             settings,
+            root: root.to_owned(),
+            memory_mb,
         })
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    /// Starts the process again, as the platform does.
+    pub fn start_again(&mut self) -> Result<(), String> {
+        self.process = spawn(&self.root, &self.settings, self.memory_mb)?;
+        Ok(())
+    }
+
     /// Waits until the router says that it is ready.
     pub fn wait_ready(&self) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(15);
@@ -142,3 +153,17 @@
         sent.is_ok() && answer.starts_with(b"HTTP/1.1 200")
     }
 }
+
+fn spawn(root: &Path, settings: &Path, memory_mb: u32) -> Result<Child, String> {
+    Command::new(root.join(PROGRAM))
+        .arg("--config")
+        .arg(settings)
+        .current_dir(root)
+        .env_clear()
+        .env("TOUCAN_MEMORY_MB", memory_mb.to_string())
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .map_err(|error| format!("{PROGRAM}: {error}"))
+}
--- a/review/common-2/scenario.rs
+++ b/review/common-2/scenario.rs
@@ -8,6 +8,7 @@
     record::Record,
     router::{Addresses, Router},
     store::Store,
+    versions,
     worker::{body_of, Worker},
 };
 
@@ -20,12 +21,13 @@
         "head" => head(trouble, record),
         "squeeze" => squeeze(trouble, record),
         "stall" => stall(trouble, record),
+        "versions" => versions::run(trouble, record),
         _ => Err(format!("no scenario {name}")),
     }
 }
 
 /// The repository: scenarios are started from a folder below it.
-fn root() -> PathBuf {
+pub fn root() -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     own.ancestors().nth(3).unwrap_or(&own).to_owned()
 }
